--- /dev/null
+++ b/src/main/java/org/ternhinge/cli/Logging.java
@@ -0,0 +1,20 @@
+package org.ternhinge.cli;
+
+import java.util.Locale;
+import java.util.Set;
+
+/** Sets up the log, which goes to standard error; must come before the first logger is made. */
+final class Logging {
+  private static final Set<String> LEVELS = Set.of("error", "warn", "info", "debug");
+
+  private Logging() {}
+
+  static void set(String level) {
+    String wanted = level == null ? "" : level.toLowerCase(Locale.ROOT);
+    String chosen = LEVELS.contains(wanted) ? wanted : "info";
+    System.setProperty("org.slf4j.simpleLogger.defaultLogLevel", chosen);
+    System.setProperty("org.slf4j.simpleLogger.log.io.netty", "warn");
+    System.setProperty("org.slf4j.simpleLogger.showShortLogName", "true");
+    System.setProperty("org.slf4j.simpleLogger.showThreadName", "false");
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/cli/Main.java
@@ -0,0 +1,86 @@
+package org.ternhinge.cli;
+
+import java.nio.file.Path;
+import java.util.concurrent.Callable;
+import org.ternhinge.config.Settings;
+import org.ternhinge.config.SettingsException;
+import org.ternhinge.config.Tuning;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+
+/** The command line: runs a controller, or only checks its settings. */
+@Command(
+    name = "ternhinge",
+    mixinStandardHelpOptions = true,
+    versionProvider = Main.Version.class,
+    description = "Runs a controller of the cluster until it is killed.")
+public final class Main implements Callable<Integer> {
+
+  /** Reads the version that the build wrote into the jar. */
+  static final class Version implements CommandLine.IVersionProvider {
+    @Override
+    public String[] getVersion() {
+      String version = Main.class.getPackage().getImplementationVersion();
+      return new String[] {"ternhinge " + (version == null ? "(not packaged)" : version)};
+    }
+  }
+
+  @Option(
+      names = "--config",
+      paramLabel = "FILE",
+      description = "Settings file (JSON) that the platform hands over.")
+  private Path config;
+
+  @Option(
+      names = "--tuning",
+      paramLabel = "FILE",
+      description = "Operators' own settings (HCL); without it, defaults hold.")
+  private Path tuning;
+
+  private Main() {}
+
+  public static void main(String[] args) {
+    Logging.set(System.getenv("LOG_LEVEL"));
+    int code = new CommandLine(new Main()).execute(args);
+    if (code != 0) {
+      System.exit(code);
+    }
+  }
+
+  @Override
+  public Integer call() throws InterruptedException {
+    Loaded loaded = load(config, tuning);
+    if (loaded == null) {
+      return 2;
+    }
+    Service.run(loaded.settings, loaded.tuning);
+    return 0;
+  }
+
+  @Command(name = "check", description = "Checks the settings and says what is wrong with them.")
+  int check(
+      @Option(names = "--config", paramLabel = "FILE", required = true) Path settingsFile,
+      @Option(names = "--tuning", paramLabel = "FILE") Path tuningFile) {
+    if (load(settingsFile, tuningFile) == null) {
+      return 2;
+    }
+    System.out.println("settings are fine");
+    return 0;
+  }
+
+  private record Loaded(Settings settings, Tuning tuning) {}
+
+  private static Loaded load(Path config, Path tuning) {
+    try {
+      if (config == null) {
+        throw new SettingsException("--config FILE is needed");
+      }
+      Settings settings = Settings.load(config);
+      return new Loaded(settings, tuning == null ? Tuning.DEFAULT : Tuning.load(tuning));
+    } catch (SettingsException e) {
+      System.err.println("ternhinge: " + e.getMessage());
+      return null;
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -0,0 +1,1186 @@
+package org.ternhinge.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import it.unimi.dsi.fastutil.ints.IntList;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.locks.Lock;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.ternhinge.cloud.Cloud;
+import org.ternhinge.config.Settings;
+import org.ternhinge.config.Team;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.ledger.Attempt;
+import org.ternhinge.ledger.Authority;
+import org.ternhinge.ledger.Job;
+import org.ternhinge.ledger.Keys;
+import org.ternhinge.ledger.Ledger;
+import org.ternhinge.ledger.LedgerLoader;
+import org.ternhinge.ledger.LedgerWriter;
+import org.ternhinge.ledger.RecordCodec;
+import org.ternhinge.ledger.Site;
+import org.ternhinge.metrics.Metrics;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.schedule.Plan;
+import org.ternhinge.schedule.Planner;
+import org.ternhinge.schedule.Snapshot;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Entry;
+import org.ternhinge.state.StateStore;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.EndReason;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.HostInfo;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.JobState;
+import org.ternhinge.wire.RentalRequest;
+import org.ternhinge.wire.TaskReport;
+import org.ternhinge.wire.WireException;
+import org.ternhinge.wire.WorkerReport;
+import org.ternhinge.worker.Workers;
+
+/**
+ * One leadership, from election to its end: recovery, reports, rounds, rentals. Everything it knows
+ * dies with it; the next one starts from the state service. All methods run under the lock.
+ */
+public final class Lead {
+  private static final Logger LOG = LoggerFactory.getLogger(Lead.class);
+  private static final double DRIFT = 0.001;
+  private static final int MAX_COMMANDS = 400;
+  private static final double FOLLOW_S = 20;
+  private static final double RESERVE_S = 12;
+
+  private final Settings settings;
+  private final Tuning tuning;
+  private final Authority authority;
+  private final StateStore store;
+  private final Cloud cloud;
+  private final Workers workers;
+  private final Clock clock;
+  private final Lock lock;
+  private final Executor scheduler;
+  private final Metrics metrics;
+
+  private final Ledger ledger;
+  private final LedgerWriter writer;
+  private final Map<MachineId, Machine> machines = new TreeMap<>();
+  private final Set<MachineId> returned = new HashSet<>();
+  private final Map<String, Flavor> flavors = new LinkedHashMap<>();
+  private final Map<JobId, Trouble> troubles = new HashMap<>();
+  private final Map<Job, List<Consumer<JobState>>> cancelWaits = new HashMap<>();
+  private final Rentals rentals;
+  private final Arrivals arrivals;
+  private final SteadyTime electedAt;
+  private final SteadyTime silentBy;
+
+  private boolean ready;
+  private boolean stopped;
+  private boolean roundAsked;
+  private boolean roundRunning;
+  private SteadyTime lastRound;
+  private Revision watched;
+
+  /** What went wrong with a job's tasks, apart from any machine's fault. */
+  private static final class Trouble {
+    private int errors;
+    private SteadyTime until;
+    private final Set<MachineId> machines = new HashSet<>();
+  }
+
+  /** Everything around a leadership that outlives it. */
+  public record Surroundings(
+      Settings settings,
+      Tuning tuning,
+      StateStore store,
+      Cloud cloud,
+      Workers workers,
+      Clock clock,
+      Lock lock,
+      Executor scheduler,
+      Metrics metrics) {}
+
+  Lead(Surroundings s, Authority authority, Collection<Flavor> known) {
+    this.settings = s.settings();
+    this.tuning = s.tuning();
+    this.authority = authority;
+    this.store = s.store();
+    this.cloud = s.cloud();
+    this.workers = s.workers();
+    this.clock = s.clock();
+    this.lock = s.lock();
+    this.scheduler = s.scheduler();
+    this.metrics = s.metrics();
+    this.electedAt = clock.now();
+    this.lastRound = electedAt;
+    double lease = settings.workers().leaseS() * (1 + DRIFT) + tuning.marginS();
+    // An earlier leader may have gone on answering reports for the grace that it was allowed.
+    this.silentBy = electedAt.plusSeconds(tuning.graceS() * (1 + DRIFT) + lease);
+    known.forEach(f -> flavors.put(f.name(), f));
+    this.ledger =
+        new Ledger(settings.teams(), RecordCodec.pieceSize(settings.stateLimits().valueKb()));
+    this.writer =
+        new LedgerWriter(
+            ledger,
+            store,
+            authority,
+            clock,
+            lock,
+            settings.stateLimits().txnOps(),
+            this::nowDurable);
+    this.rentals = new Rentals(this, cloud, writer, authority, clock, lock);
+    this.arrivals = new Arrivals(settings.objectives());
+  }
+
+  void stop() {
+    stopped = true;
+    writer.stop();
+  }
+
+  boolean ready() {
+    return ready;
+  }
+
+  Authority authority() {
+    return authority;
+  }
+
+  private void locked(Runnable action) {
+    lock.lock();
+    try {
+      if (!stopped) {
+        action.run();
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  void later(double seconds, Runnable action) {
+    clock.after(seconds, () -> locked(action));
+  }
+
+  // ---- recovery -------------------------------------------------------------------------------
+
+  void start() {
+    new LedgerLoader(store, clock, lock)
+        .load(
+            loaded -> {
+              if (!stopped) {
+                recovered(loaded);
+              }
+            });
+  }
+
+  private void recovered(LedgerLoader.Loaded loaded) {
+    SteadyTime now = clock.now();
+    for (Job job : loaded.jobs()) {
+      ledger.adopt(job);
+    }
+    for (Entry e : loaded.releases()) {
+      MachineId id = new MachineId(e.key().substring(Keys.RELEASES.length()));
+      writer.known(e.key(), e.revision());
+      Machine m = machine(id, now);
+      m.releasing = true;
+      rentals.resumeRelease(m);
+    }
+    for (Entry e : loaded.rentals()) {
+      writer.known(e.key(), e.revision());
+      try {
+        rentals.resume(RentalRequest.read(e.value()));
+      } catch (WireException x) {
+        LOG.error("rental record {} is unreadable: {}", e.key(), x.getMessage());
+      }
+    }
+    for (MachineId id : ledger.machinesInUse()) {
+      machine(id, now);
+    }
+    watched = loaded.revision();
+    ready = true;
+    metrics.takeOver(clock.now().secondsSince(electedAt));
+    LOG.info(
+        "term {}: {} jobs, {} machines in use",
+        authority.term(),
+        ledger.jobs().size(),
+        machines.size());
+    follow();
+    list();
+    refreshFlavors();
+    writer.pump();
+    tick();
+  }
+
+  /** Jobs that other nodes accepted come by the watch. */
+  private void follow() {
+    store
+        .follow(Keys.JOBS, watched, FOLLOW_S)
+        .whenComplete(
+            (o, e) ->
+                locked(
+                    () -> {
+                      if (o instanceof Outcome.Applied<StateStore.Changes> seen) {
+                        for (Change.Seen c : seen.value().changes()) {
+                          adopt(c.key(), c.value(), c.revision());
+                        }
+                        if (seen.value().revision().value() > watched.value()) {
+                          watched = seen.value().revision();
+                        }
+                        follow();
+                      } else if (o != null && o.isBecause(Reason.TOO_OLD)) {
+                        authority.lost("the watch fell behind");
+                      } else {
+                        later(0.3, this::follow);
+                      }
+                    }));
+  }
+
+  private void adopt(String key, JsonNode value, Revision revision) {
+    if (value == null || key.indexOf('/', Keys.JOBS.length()) >= 0) {
+      return;
+    }
+    JobId id = new JobId(key.substring(Keys.JOBS.length()));
+    if (ledger.job(id) != null || ledger.ended(id) != null) {
+      return;
+    }
+    try {
+      adopt(LedgerLoader.read(value, revision, clock.now()));
+    } catch (WireException | IllegalArgumentException e) {
+      LOG.error("job record {} is unreadable: {}", key, e.getMessage());
+    }
+  }
+
+  /** Takes in a job whose record was just created, here or by another node. */
+  void adopt(Job job) {
+    JobId id = job.spec().id();
+    if (ledger.job(id) == null && ledger.ended(id) == null) {
+      ledger.adopt(job);
+      arrivals.saw(job.spec(), clock.now());
+      askRound();
+    }
+  }
+
+  // ---- users ----------------------------------------------------------------------------------
+
+  /** The state of a job, or null where only the state service can tell. */
+  JobState stateOf(JobId id) {
+    Job job = ledger.job(id);
+    return job != null ? Ledger.stateOf(job) : ledger.ended(id);
+  }
+
+  /**
+   * Cancels a job that this ledger holds.
+   *
+   * @param told gets the state once the state service holds it, and not before
+   */
+  void cancel(Job job, Consumer<JobState> told) {
+    cancelWaits.computeIfAbsent(job, k -> new ArrayList<>()).add(told);
+    ledger.cancel(job);
+    for (Attempt a : List.copyOf(job.openAttempts())) {
+      stopAttempt(a, 0);
+    }
+    settleUnsent(job);
+    writer.pump();
+    answerCancels();
+  }
+
+  private void answerCancels() {
+    cancelWaits
+        .entrySet()
+        .removeIf(
+            e -> {
+              Job job = e.getKey();
+              if (!job.cancelDurable() && !job.finalDurable()) {
+                return false;
+              }
+              JobState ended = ledger.ended(job.spec().id());
+              JobState state = ended != null ? ended : Ledger.stateOf(job);
+              e.getValue().forEach(told -> told.accept(state));
+              return true;
+            });
+  }
+
+  Job job(JobId id) {
+    return ledger.job(id);
+  }
+
+  // ---- reports --------------------------------------------------------------------------------
+
+  Machine machine(MachineId id, SteadyTime now) {
+    return machines.computeIfAbsent(id, k -> new Machine(k, now, silentBy));
+  }
+
+  Collection<Machine> machines() {
+    return machines.values();
+  }
+
+  boolean wasReturned(MachineId id) {
+    return returned.contains(id);
+  }
+
+  Flavor flavor(String type) {
+    return flavors.get(type);
+  }
+
+  /** Takes in a report and says what the worker is to do. */
+  List<Command> report(WorkerReport r, boolean mayCommand) {
+    SteadyTime now = clock.now();
+    if (r.token().compareTo(authority.term()) > 0) {
+      authority.lost("a worker has seen term " + r.token());
+      return List.of();
+    }
+    Machine m = machine(r.machine(), now);
+    boolean fresh = take(m, r, true, now);
+    // The report was sent before now, so a lease counted from now ends no sooner than the worker's.
+    m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
+    if (!fresh || !mayCommand || m.gone) {
+      return List.of();
+    }
+    return commands(m, r, now);
+  }
+
+  private SteadyTime leaseFrom(SteadyTime answered) {
+    return answered.plusSeconds(settings.workers().leaseS() * (1 + DRIFT) + tuning.marginS());
+  }
+
+  /** Applies a message of a worker; false if a newer one was already known. */
+  private boolean take(Machine m, WorkerReport r, boolean isReport, SteadyTime now) {
+    int newer = r.session().compareTo(m.session);
+    if (newer < 0
+        || (newer == 0 && r.sequence() <= m.sequence)
+        || r.session().compareTo(m.deadSession) <= 0) {
+      return false;
+    }
+    if (newer > 0) {
+      // The worker's lease ran out: everything of its earlier sessions is gone.
+      for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
+        if (a.session().compareTo(r.session()) < 0) {
+          close(a, false, "session over");
+        }
+      }
+      m.strayStarts.clear();
+      m.outbox.clear();
+      m.session = r.session();
+    }
+    m.sequence = r.sequence();
+    if (r.token().compareTo(m.token) > 0) {
+      m.token = r.token();
+    }
+    m.type = r.type();
+    m.zoneName = r.zone();
+    m.zone = settings.zones().indexOf(r.zone());
+    m.spot = r.spot();
+    m.lastReport = now;
+    if (!m.reported) {
+      m.reported = true;
+      if (m.rentedAt != null && ledger.attemptsOn(m.id).isEmpty()) {
+        m.idleSince = now;
+      }
+      rentals.seen(m.id);
+      askRound();
+    }
+    try {
+      m.endpoint = Endpoint.parse(r.endpoint());
+    } catch (IllegalArgumentException e) {
+      LOG.warn("machine {} reports no usable endpoint", m.id);
+    }
+    if (r.noticeS() != null && m.noticeAt == null) {
+      m.noticeAt = now.plusSeconds(r.noticeS());
+      noticed(m, r.noticeS());
+    }
+    m.tasks.clear();
+    for (TaskReport t : r.tasks()) {
+      m.tasks.put(Machine.key(t), t);
+    }
+    for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
+      if (a.session().equals(r.session())) {
+        observe(m, a, m.tasks.get(Machine.key(a)), r, isReport, now);
+      }
+    }
+    return true;
+  }
+
+  private void observe(
+      Machine m, Attempt a, TaskReport t, WorkerReport r, boolean isReport, SteadyTime now) {
+    if (t == null) {
+      absent(m, a, r, isReport);
+      return;
+    }
+    if (t.ended()) {
+      ended(m, a, t, now);
+      return;
+    }
+    Attempt.Seen before = a.seen();
+    Attempt.Seen seen =
+        switch (t.state()) {
+          case FETCHING -> Attempt.Seen.FETCHING;
+          case WAITING -> Attempt.Seen.WAITING;
+          case SAVING -> Attempt.Seen.SAVING;
+          default -> Attempt.Seen.RUNNING;
+        };
+    a.see(seen, now);
+    JobSpec spec = a.job().spec();
+    if (seen != Attempt.Seen.FETCHING || m.images.containsKey(spec.image())) {
+      Flavor f = flavors.get(m.type);
+      m.hasImage(spec.image(), spec.imageGb(), f == null ? Double.MAX_VALUE : f.cacheGb());
+    }
+    if (before != seen && seen == Attempt.Seen.RUNNING) {
+      if (!a.recovered()) {
+        metrics.started(now.secondsSince(a.openedAt()));
+      }
+    }
+  }
+
+  /**
+   * The worker does not show an open attempt. That proves it gone only if no start of it can still
+   * arrive: an earlier leader's can't once the worker has seen this term; an own one can't once the
+   * worker has shown it, or if it went out in an answer alone and a later report has come.
+   */
+  private void absent(Machine m, Attempt a, WorkerReport r, boolean isReport) {
+    if (!a.durable()) {
+      return;
+    }
+    if (a.recovered()) {
+      if (r.token().compareTo(authority.term()) >= 0) {
+        close(a, false, "never arrived or is gone");
+      }
+      return;
+    }
+    if (a.seen() != Attempt.Seen.UNSEEN) {
+      close(a, false, "vanished");
+      return;
+    }
+    boolean answerSettled = a.startAnswered() < 0 || (isReport && r.sequence() > a.startAnswered());
+    if (a.stopping() && answerSettled && m.strayStarts.getInt(Machine.key(a)) == 0) {
+      close(a, false, "stopped before it started");
+    }
+  }
+
+  private void ended(Machine m, Attempt a, TaskReport t, SteadyTime now) {
+    Job job = a.job();
+    EndReason why = t.why();
+    if (LOG.isDebugEnabled()) {
+      LOG.debug("{} attempt {} on {} ended: {}", a.task(), a.number(), m.id, why);
+    }
+    switch (why) {
+      case DONE -> {
+        m.errorsInARow = 0;
+        m.errorJobs.clear();
+        troubles.remove(job.spec().id());
+      }
+      case ERROR -> failed(m, job, now);
+      case NO_ROOM -> m.noRoomUntil = now.plusSeconds(5);
+      case UNKNOWN -> trouble(job).until = now.plusSeconds(3);
+      default -> {}
+    }
+    if (a.seen() == Attempt.Seen.RUNNING && why != EndReason.ERROR) {
+      m.hasImage(job.spec().image(), job.spec().imageGb(), cacheOf(m));
+    }
+    close(a, why == EndReason.DONE, why.word());
+  }
+
+  private double cacheOf(Machine m) {
+    Flavor f = flavors.get(m.type);
+    return f == null ? Double.MAX_VALUE : f.cacheGb();
+  }
+
+  private Trouble trouble(Job job) {
+    return troubles.computeIfAbsent(job.spec().id(), k -> new Trouble());
+  }
+
+  /**
+   * A task failed by itself. A machine is taken for sick when tasks fail on it in a row, not when
+   * one job fails everywhere: such a job is put off for longer and longer and counts once.
+   */
+  private void failed(Machine m, Job job, SteadyTime now) {
+    Trouble t = trouble(job);
+    t.errors++;
+    t.machines.add(m.id);
+    if (t.machines.size() >= 3) {
+      t.until = now.plusSeconds(Math.min(60, 2 * Math.pow(2, t.machines.size() - 3)));
+      return;
+    }
+    m.errorsInARow++;
+    m.errorJobs.add(job.spec().id());
+    if (m.errorsInARow >= 2 && !m.sick(now)) {
+      m.timesSick++;
+      m.sickUntil = now.plusSeconds(600);
+      LOG.info("machine {} fails its tasks and is set aside", m.id);
+    }
+  }
+
+  private void noticed(Machine m, double seconds) {
+    LOG.info("machine {} will be taken in {} s", m.id, seconds);
+    for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
+      JobSpec spec = a.job().spec();
+      if (spec.isService()) {
+        stopAttempt(a, 0);
+      } else if (spec.checkpointS() > 0 && spec.saveS() > 0) {
+        stopWithGrace(a, spec.saveS() + 1);
+      }
+    }
+  }
+
+  // ---- attempts -------------------------------------------------------------------------------
+
+  private void close(Attempt a, boolean done, String why) {
+    Job job = a.job();
+    if (job.open(a.task().index()) != a) {
+      return;
+    }
+    ledger.close(a, done);
+    Machine m = machines.get(a.machine());
+    if (m != null && ledger.attemptsOn(m.id).isEmpty()) {
+      m.idleSince = clock.now();
+    }
+    LOG.debug("closed {} attempt {} on {}: {}", a.task(), a.number(), a.machine(), why);
+    if (!done && job.spec().isGang() && !job.cancelled()) {
+      // A gang that lost a task ends as a whole, unless it is saving in good order.
+      for (Attempt other : List.copyOf(job.openAttempts())) {
+        if (!other.stopping()) {
+          stopAttempt(other, 0);
+        }
+      }
+    }
+    writer.pump();
+    askRound();
+  }
+
+  private void stopAttempt(Attempt a, double graceS) {
+    if (a.stopping() && a.stopGraceS() <= graceS) {
+      return;
+    }
+    a.stop(graceS, clock.now());
+    Machine m = machines.get(a.machine());
+    if (m != null && a.seen() != Attempt.Seen.UNSEEN) {
+      m.outbox.add(new Command(Command.Op.STOP, a.task(), a.number(), graceS));
+      order(m);
+    }
+  }
+
+  /** Stops an attempt, and with it its gang, so that progress is saved. */
+  private void stopWithGrace(Attempt a, double graceS) {
+    if (a.job().spec().isGang()) {
+      for (Attempt other : List.copyOf(a.job().openAttempts())) {
+        stopAttempt(other, graceS);
+      }
+    } else {
+      stopAttempt(a, graceS);
+    }
+  }
+
+  /** Attempts that were never sent are gone as soon as they are unwanted. */
+  private void settleUnsent(Job job) {
+    for (Attempt a : List.copyOf(job.openAttempts())) {
+      if (a.stopping() && unsent(a)) {
+        close(a, false, "never sent");
+      }
+    }
+  }
+
+  private boolean unsent(Attempt a) {
+    Machine m = machines.get(a.machine());
+    return !a.recovered()
+        && a.seen() == Attempt.Seen.UNSEEN
+        && a.startAnswered() < 0
+        && (m == null || m.strayStarts.getInt(Machine.key(a)) == 0);
+  }
+
+  /** The state service holds these attempts: their starts may go out. */
+  private void nowDurable(List<Attempt> attempts) {
+    answerCancels();
+    Set<Machine> touched = new HashSet<>();
+    for (Attempt a : attempts) {
+      Machine m = machines.get(a.machine());
+      if (m == null || !a.session().equals(m.session)) {
+        continue;
+      }
+      if (a.stopping() || a.job().cancelled()) {
+        a.stop(0, clock.now());
+        if (unsent(a)) {
+          close(a, false, "never sent");
+        }
+        continue;
+      }
+      m.outbox.add(new Command(Command.Op.START, a.task(), a.number(), 0));
+      touched.add(m);
+    }
+    touched.forEach(this::order);
+  }
+
+  /** Sends what waits for a machine, one order at a time so that orders keep their sequence. */
+  private void order(Machine m) {
+    SteadyTime now = clock.now();
+    if (m.orderInFlight || m.outbox.isEmpty()) {
+      return;
+    }
+    if (!authority.valid() || m.endpoint == null || m.gone) {
+      m.outbox.clear();
+      return;
+    }
+    if (m.directAfter != null && now.isBefore(m.directAfter)) {
+      // The machine did not answer lately; its next report's answer carries the commands.
+      m.outbox.clear();
+      return;
+    }
+    List<Command> commands = new ArrayList<>();
+    while (!m.outbox.isEmpty() && commands.size() < MAX_COMMANDS) {
+      Command c = m.outbox.poll();
+      if (c.op() == Command.Op.START) {
+        Attempt a = openAttempt(c);
+        if (a == null || a.stopping() || !a.durable() || !a.session().equals(m.session)) {
+          continue;
+        }
+        m.strayStarts.addTo(Machine.key(c), 1);
+      }
+      commands.add(c);
+    }
+    if (commands.isEmpty()) {
+      return;
+    }
+    m.orderInFlight = true;
+    Session session = m.session;
+    SteadyTime sent = now;
+    workers
+        .order(m.endpoint, authority.term(), session, commands)
+        .whenComplete((o, e) -> locked(() -> ordered(m, session, commands, o, sent)));
+  }
+
+  private Attempt openAttempt(Command c) {
+    Job job = ledger.job(c.task().job());
+    Attempt a = job == null ? null : job.open(c.task().index());
+    return a != null && a.number().equals(c.attempt()) ? a : null;
+  }
+
+  private void ordered(
+      Machine m,
+      Session session,
+      List<Command> commands,
+      Outcome<Workers.Answer> outcome,
+      SteadyTime sent) {
+    m.orderInFlight = false;
+    SteadyTime now = clock.now();
+    if (outcome instanceof Outcome.Applied<Workers.Answer> applied) {
+      WorkerReport r = applied.value().report();
+      if (r.token().compareTo(authority.term()) > 0) {
+        authority.lost("a worker has seen term " + r.token());
+        return;
+      }
+      settleStrays(m, session, commands);
+      metrics.ordered(now.secondsSince(sent));
+      take(m, r, false, now);
+    } else if (outcome instanceof Outcome.NotApplied<Workers.Answer> not
+        && not.reason() == Reason.NO_CONNECTION) {
+      settleStrays(m, session, commands);
+      m.directAfter = now.plusSeconds(settings.workers().reportS());
+    } else {
+      // The order may yet arrive: its starts stay strays until the session ends.
+      m.directAfter = now.plusSeconds(settings.workers().reportS());
+    }
+    order(m);
+  }
+
+  private void settleStrays(Machine m, Session session, List<Command> commands) {
+    if (!session.equals(m.session)) {
+      return;
+    }
+    for (Command c : commands) {
+      if (c.op() == Command.Op.START) {
+        String key = Machine.key(c);
+        if (m.strayStarts.addTo(key, -1) <= 1) {
+          m.strayStarts.removeInt(key);
+        }
+      }
+    }
+  }
+
+  /** What a worker is to do, by its newest report. */
+  private List<Command> commands(Machine m, WorkerReport r, SteadyTime now) {
+    List<Command> out = new ArrayList<>();
+    for (TaskReport t : r.tasks()) {
+      Job job = ledger.job(t.task().job());
+      Attempt open = job == null ? null : job.open(t.task().index());
+      boolean known =
+          open != null && open.number().equals(t.attempt()) && open.machine().equals(m.id);
+      if (known) {
+        continue;
+      }
+      if (!t.ended()) {
+        // Not in the ledger, so nobody may have it run.
+        out.add(new Command(Command.Op.STOP, t.task(), t.attempt(), 0));
+      } else if ((job == null || job.recorded(t.task().index()))
+          && m.strayStarts.getInt(Machine.key(t)) == 0) {
+        // Only now: after this the worker forgets the attempt, and a repeated start would run it.
+        out.add(new Command(Command.Op.FORGET, t.task(), t.attempt(), 0));
+      }
+    }
+    for (Attempt a : ledger.attemptsOn(m.id)) {
+      if (!a.session().equals(r.session()) || out.size() >= MAX_COMMANDS) {
+        continue;
+      }
+      if (a.stopping()) {
+        if (a.seen() != Attempt.Seen.UNSEEN) {
+          double left = Math.max(0, a.stopGraceS() - now.secondsSince(a.stopAt()));
+          if (a.seen() != Attempt.Seen.SAVING) {
+            out.add(new Command(Command.Op.STOP, a.task(), a.number(), a.stopGraceS()));
+          } else if (left == 0 && a.stopGraceS() == 0) {
+            out.add(new Command(Command.Op.STOP, a.task(), a.number(), 0));
+          }
+        }
+      } else if (a.seen() == Attempt.Seen.UNSEEN && a.durable() && !a.recovered()) {
+        a.startAnswered(r.sequence());
+        out.add(new Command(Command.Op.START, a.task(), a.number(), 0));
+      }
+    }
+    return out;
+  }
+
+  // ---- rounds ---------------------------------------------------------------------------------
+
+  private void tick() {
+    askRound();
+    later(tuning.roundS(), this::tick);
+  }
+
+  void askRound() {
+    if (roundAsked || !ready || stopped) {
+      return;
+    }
+    roundAsked = true;
+    double since = clock.now().secondsSince(lastRound);
+    double wait = Math.max(0.01, tuning.roundGapS() - since);
+    clock.after(wait, () -> scheduler.execute(this::round));
+  }
+
+  private void round() {
+    Snapshot snapshot;
+    lock.lock();
+    try {
+      roundAsked = false;
+      if (stopped || roundRunning) {
+        return;
+      }
+      lastRound = clock.now();
+      expire(lastRound);
+      if (!authority.valid() || flavors.isEmpty()) {
+        return;
+      }
+      roundRunning = true;
+      snapshot = snapshot(lastRound);
+    } finally {
+      lock.unlock();
+    }
+    Plan plan = null;
+    try {
+      plan = Planner.plan(snapshot);
+    } catch (RuntimeException e) {
+      LOG.error("the planner failed", e);
+    }
+    lock.lock();
+    try {
+      roundRunning = false;
+      if (!stopped && plan != null && authority.valid()) {
+        apply(plan);
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Leases that have run out, and machines and reservations whose time is over. */
+  private void expire(SteadyTime now) {
+    for (Machine m : List.copyOf(machines.values())) {
+      m.kept.removeIf(k -> k.until().isBefore(now));
+      Collection<Attempt> there = ledger.attemptsOn(m.id);
+      if (!there.isEmpty() && m.leaseEnds.isBefore(now)) {
+        LOG.info("machine {} has been silent past its lease", m.id);
+        Session last = m.session;
+        for (Attempt a : List.copyOf(there)) {
+          if (a.session().compareTo(last) > 0) {
+            last = a.session();
+          }
+          close(a, false, "lease over");
+        }
+        m.deadSession = last;
+        m.strayStarts.clear();
+        m.outbox.clear();
+      }
+      for (Attempt a : List.copyOf(there)) {
+        stopLate(m, a, now);
+      }
+    }
+    rentals.expire(now);
+  }
+
+  /** A stop that is not obeyed in time is repeated without grace. */
+  private void stopLate(Machine m, Attempt a, SteadyTime now) {
+    if (a.stopping()
+        && a.stopGraceS() > 0
+        && now.secondsSince(a.stopAt())
+            > a.stopGraceS() + settings.workers().gangPeerS() + settings.workers().reportS()) {
+      stopAttempt(a, 0);
+    }
+  }
+
+  private Set<String> ghosts() {
+    Set<String> ghosts = new HashSet<>();
+    for (Machine m : machines.values()) {
+      for (TaskReport t : m.tasks.values()) {
+        if (!t.ended()) {
+          Job job = ledger.job(t.task().job());
+          Attempt a = job == null ? null : job.open(t.task().index());
+          if (a == null || !a.number().equals(t.attempt())) {
+            ghosts.add(t.task().toString());
+          }
+        }
+      }
+    }
+    return ghosts;
+  }
+
+  private boolean placeable(Machine m, SteadyTime now) {
+    return m.reported
+        && !m.gone
+        && !m.releasing
+        && m.noticeAt == null
+        && m.zone >= 0
+        && m.type != null
+        && flavors.containsKey(m.type)
+        && m.endpoint != null
+        && m.session.compareTo(m.deadSession) > 0
+        && !m.sick(now)
+        && (m.noRoomUntil == null || m.noRoomUntil.isBefore(now))
+        && m.token.equals(authority.term())
+        && now.secondsSince(m.lastReport) < settings.workers().reportS() * 2.2;
+  }
+
+  private Snapshot snapshot(SteadyTime now) {
+    Map<JobId, Integer> reserved = new HashMap<>();
+    List<Snapshot.MachineView> views = new ArrayList<>();
+    for (Machine m : machines.values()) {
+      Flavor f = m.type == null ? null : flavors.get(m.type);
+      if (f == null || m.gone || m.releasing || m.zone < 0 || m.noticeAt != null || m.sick(now)) {
+        continue;
+      }
+      boolean ready = placeable(m, now);
+      if (!ready && m.reported && now.secondsSince(m.lastReport) > 15) {
+        continue;
+      }
+      List<Snapshot.AttemptView> attempts = new ArrayList<>();
+      for (Attempt a : ledger.attemptsOn(m.id)) {
+        boolean runs = a.runningSince() != null;
+        double ran = runs ? now.secondsSince(a.runningSince()) : 0;
+        attempts.add(
+            new Snapshot.AttemptView(a.job().spec(), a.task().index(), a.stopping(), runs, ran));
+      }
+      List<Snapshot.Reservation> kept = new ArrayList<>();
+      for (Machine.Kept k : m.kept) {
+        kept.add(new Snapshot.Reservation(k.job(), k.room()));
+        reserved.merge(k.job(), 1, Integer::sum);
+      }
+      double idle = attempts.isEmpty() ? now.secondsSince(m.idleSince) : 0;
+      views.add(
+          new Snapshot.MachineView(
+              m.id,
+              f,
+              m.zone,
+              m.zoneName,
+              m.spot,
+              f.capacity().minus(ledger.machineUse(m.id)),
+              ready,
+              Set.copyOf(m.images.keySet()),
+              idle,
+              now.secondsSince(m.rentedAt),
+              attempts,
+              kept));
+    }
+    Map<String, Resources> use = new HashMap<>();
+    settings.teams().keySet().forEach(t -> use.put(t, ledger.teamUse(t)));
+    return new Snapshot(
+        views,
+        jobViews(now, reserved),
+        arrivals.spares(now, settings.zones().size()),
+        settings.teams(),
+        use,
+        rentals.offers(flavors.values(), settings.zones(), now),
+        tuning.idleS());
+  }
+
+  private List<Snapshot.JobView> jobViews(SteadyTime now, Map<JobId, Integer> reserved) {
+    List<Job> jobs = new ArrayList<>(ledger.jobs());
+    jobs.sort(
+        (a, b) -> {
+          int c = Long.compare(a.acceptedMillis(), b.acceptedMillis());
+          return c != 0 ? c : a.spec().id().compareTo(b.spec().id());
+        });
+    Map<String, Resources> asked = new HashMap<>();
+    List<Snapshot.JobView> out = new ArrayList<>();
+    for (Job job : jobs) {
+      JobSpec spec = job.spec();
+      if (job.cancelled() || job.over()) {
+        continue;
+      }
+      Team team = settings.teams().get(spec.team());
+      if (team == null) {
+        continue;
+      }
+      Resources sum = asked.merge(spec.team(), spec.need().times(spec.tasks()), Resources::plus);
+      boolean guaranteed =
+          sum.cpus() <= team.cpus() && (team.gpus() == 0 || sum.gpus() <= team.gpus());
+      IntList pending = new IntArrayList();
+      int limit = 2000;
+      for (int i = 0; i < spec.tasks() && pending.size() < limit; i++) {
+        if (!job.isDone(i) && job.open(i) == null) {
+          pending.add(i);
+        }
+      }
+      if (pending.isEmpty()) {
+        continue;
+      }
+      int[] zones = new int[settings.zones().size()];
+      for (Attempt a : job.openAttempts()) {
+        if (a.zone() >= 0 && a.zone() < zones.length) {
+          zones[a.zone()]++;
+        }
+      }
+      Trouble t = troubles.get(spec.id());
+      boolean blocked = t != null && t.until != null && now.isBefore(t.until);
+      out.add(
+          new Snapshot.JobView(
+              spec,
+              out.size(),
+              guaranteed,
+              pending,
+              zones,
+              blocked,
+              t == null ? Set.of() : Set.copyOf(t.machines),
+              reserved.getOrDefault(spec.id(), 0)));
+    }
+    return out;
+  }
+
+  private void apply(Plan plan) {
+    SteadyTime now = clock.now();
+    Set<String> ghosts = ghosts();
+    for (Plan.Place p : plan.places()) {
+      Job job = ledger.job(p.job());
+      if (job == null) {
+        continue;
+      }
+      List<Ledger.Placement> placements = new ArrayList<>();
+      for (int i = 0; i < p.tasks().size(); i++) {
+        Machine m = machines.get(p.machines().get(i));
+        if (m != null && placeable(m, now)) {
+          Site site =
+              new Site(
+                  m.id,
+                  m.session,
+                  m.type,
+                  m.zone,
+                  m.zoneName,
+                  m.spot,
+                  flavors.get(m.type).capacity());
+          placements.add(new Ledger.Placement(p.tasks().get(i), site));
+        }
+      }
+      String against =
+          placements.isEmpty() ? "no machine" : ledger.open(job, placements, ghosts, now);
+      if (against != null) {
+        LOG.debug("{} not placed: {}", p.job(), against);
+        continue;
+      }
+      for (Ledger.Placement placed : placements) {
+        Machine m = machines.get(placed.site().machine());
+        dropReservation(m, p.job());
+        Flavor f = flavors.get(m.type);
+        m.hasImage(job.spec().image(), job.spec().imageGb(), f.cacheGb());
+      }
+    }
+    for (Plan.Stop s : plan.stops()) {
+      Machine m = machines.get(s.machine());
+      m.kept.add(new Machine.Kept(s.forJob(), s.room(), now.plusSeconds(RESERVE_S)));
+      for (Plan.Victim v : s.victims()) {
+        Job job = ledger.job(v.job());
+        Attempt a = job == null ? null : job.open(v.index());
+        if (a != null) {
+          LOG.debug("{} makes room for {}", a.task(), s.forJob());
+          double grace = job.spec().checkpointS() > 0 ? job.spec().saveS() + 1 : 0;
+          stopWithGrace(a, grace);
+          if (unsent(a)) {
+            close(a, false, "never sent");
+          }
+        }
+      }
+    }
+    writer.pump();
+    for (Plan.Rent r : plan.rents()) {
+      rentals.rent(r);
+    }
+    for (MachineId id : plan.releases()) {
+      Machine m = machines.get(id);
+      if (m != null && ledger.attemptsOn(id).isEmpty() && !m.releasing) {
+        rentals.release(m);
+      }
+    }
+  }
+
+  private static void dropReservation(Machine m, JobId job) {
+    for (int i = 0; i < m.kept.size(); i++) {
+      if (m.kept.get(i).job().equals(job)) {
+        m.kept.remove(i);
+        return;
+      }
+    }
+  }
+
+  // ---- the cloud's list -----------------------------------------------------------------------
+
+  private final List<HostInfo> listing = new ArrayList<>();
+  private SteadyTime listingSince;
+
+  private void list() {
+    listing.clear();
+    listingSince = clock.now();
+    page(null);
+  }
+
+  private void page(MachineId after) {
+    cloud
+        .list(after, 500)
+        .whenComplete(
+            (o, e) ->
+                locked(
+                    () -> {
+                      if (o instanceof Outcome.Applied<HostInfo.Page> applied) {
+                        HostInfo.Page p = applied.value();
+                        listing.addAll(p.hosts());
+                        if (p.more() && !p.hosts().isEmpty()) {
+                          page(p.hosts().get(p.hosts().size() - 1).machine());
+                          return;
+                        }
+                        listed();
+                      }
+                      later(settings.cloudLimits().listLagS() / 2, this::list);
+                    }));
+  }
+
+  private void listed() {
+    SteadyTime now = clock.now();
+    Set<MachineId> shown = new HashSet<>();
+    for (HostInfo h : listing) {
+      shown.add(h.machine());
+      if (returned.contains(h.machine())) {
+        continue;
+      }
+      Machine m = machines.get(h.machine());
+      if (m == null) {
+        m = machine(h.machine(), now);
+      }
+      if (m.type == null) {
+        m.type = h.type();
+        m.zoneName = h.zone();
+        m.zone = settings.zones().indexOf(h.zone());
+        m.spot = h.spot();
+      }
+      if (m.listedAt == null) {
+        m.rentedAt = now.plusSeconds(-h.ageS());
+      }
+      m.listedAt = now;
+      rentals.seen(m.id);
+      if (h.state() == HostInfo.State.FAILED && !m.gone) {
+        LOG.info("machine {} has failed", m.id);
+        lost(m, "machine failed");
+        if (!m.releasing) {
+          rentals.release(m);
+        }
+      }
+    }
+    // A machine stays listed until it is gone, and no list is older than twice the lag: one that
+    // was listed earlier than that and is missing now has been taken.
+    double oldest = 2 * settings.cloudLimits().listLagS() * (1 + DRIFT) + tuning.marginS();
+    for (Machine m : List.copyOf(machines.values())) {
+      if (m.listedAt != null
+          && !shown.contains(m.id)
+          && listingSince.secondsSince(m.listedAt) > oldest) {
+        LOG.info("machine {} is no longer listed", m.id);
+        lost(m, "machine taken");
+        drop(m);
+      }
+    }
+    rentals.listed(shown, now);
+    askRound();
+  }
+
+  private void lost(Machine m, String why) {
+    m.gone = true;
+    m.tasks.clear();
+    for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
+      close(a, false, why);
+    }
+  }
+
+  /** A machine that is certainly gone; its name never comes back. */
+  void drop(Machine m) {
+    m.gone = true;
+    for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
+      close(a, false, "machine gone");
+    }
+    machines.remove(m.id);
+    returned.add(m.id);
+    if (m.endpoint != null) {
+      workers.forget(m.endpoint);
+    }
+  }
+
+  void learn(List<Flavor> known) {
+    known.forEach(f -> flavors.put(f.name(), f));
+    askRound();
+  }
+
+  private void refreshFlavors() {
+    cloud
+        .flavors()
+        .whenComplete(
+            (o, e) ->
+                locked(
+                    () -> {
+                      if (o instanceof Outcome.Applied<List<Flavor>> applied) {
+                        applied.value().forEach(f -> flavors.put(f.name(), f));
+                        later(60, this::refreshFlavors);
+                      } else {
+                        later(3, this::refreshFlavors);
+                      }
+                    }));
+  }
+
+  boolean idle(Machine m) {
+    return ledger.attemptsOn(m.id).isEmpty();
+  }
+
+  Settings settings() {
+    return settings;
+  }
+
+  /** A machine from before this leadership gets as long to report as one that boots. */
+  SteadyTime electedAt() {
+    return electedAt;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -0,0 +1,116 @@
+package org.ternhinge.controller;
+
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ternhinge.ledger.Attempt;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.model.Term;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.TaskReport;
+
+/** What the leader knows of one machine. Guarded by the controller's lock. */
+final class Machine {
+
+  /** Room kept for a job after others were stopped for it. */
+  record Kept(JobId job, Resources room, SteadyTime until) {}
+
+  final MachineId id;
+  String type;
+  int zone = -1;
+  String zoneName;
+  boolean spot;
+  Endpoint endpoint;
+
+  Session session = Session.NONE;
+
+  /** Sessions up to this one have ended for certain. */
+  Session deadSession = Session.NONE;
+
+  long sequence = -1;
+  Term token = Term.NONE;
+  boolean reported;
+  SteadyTime lastReport;
+
+  /** Past this time the worker has killed what it ran, unless it was answered since. */
+  SteadyTime leaseEnds;
+
+  SteadyTime noticeAt;
+  boolean releasing;
+  boolean gone;
+  SteadyTime rentedAt;
+
+  /** When a list last showed it, or null. */
+  SteadyTime listedAt;
+
+  SteadyTime idleSince;
+
+  final Map<String, TaskReport> tasks = new HashMap<>();
+  final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+  final List<Kept> kept = new ArrayList<>();
+
+  /** Direct starts whose answers were lost: such a start may still arrive. */
+  final Object2IntOpenHashMap<String> strayStarts = new Object2IntOpenHashMap<>();
+
+  final ArrayDeque<Command> outbox = new ArrayDeque<>();
+  boolean orderInFlight;
+  SteadyTime directAfter;
+
+  int errorsInARow;
+  final Set<JobId> errorJobs = new HashSet<>();
+  SteadyTime sickUntil;
+  int timesSick;
+  SteadyTime noRoomUntil;
+
+  Machine(MachineId id, SteadyTime now, SteadyTime leaseEnds) {
+    this.id = id;
+    this.leaseEnds = leaseEnds;
+    this.idleSince = now;
+    this.rentedAt = now;
+  }
+
+  static String key(TaskReport t) {
+    return t.task() + "#" + t.attempt();
+  }
+
+  static String key(Attempt a) {
+    return a.task() + "#" + a.number();
+  }
+
+  static String key(Command c) {
+    return c.task() + "#" + c.attempt();
+  }
+
+  boolean sick(SteadyTime now) {
+    return sickUntil != null && now.isBefore(sickUntil);
+  }
+
+  /** Remembers an image that the machine has, dropping the ones unused longest. */
+  void hasImage(String image, double gb, double cacheGb) {
+    images.put(image, gb);
+    double sum = 0;
+    for (double size : images.values()) {
+      sum += size;
+    }
+    var it = images.entrySet().iterator();
+    while (sum > cacheGb && it.hasNext()) {
+      var eldest = it.next();
+      if (eldest.getKey().equals(image)) {
+        break;
+      }
+      sum -= eldest.getValue();
+      it.remove();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/Node.java
@@ -0,0 +1,534 @@
+package org.ternhinge.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.locks.Lock;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.ternhinge.api.Submissions;
+import org.ternhinge.election.Election;
+import org.ternhinge.http.Request;
+import org.ternhinge.http.Response;
+import org.ternhinge.ledger.Authority;
+import org.ternhinge.ledger.Job;
+import org.ternhinge.ledger.Keys;
+import org.ternhinge.ledger.LedgerLoader;
+import org.ternhinge.ledger.RecordCodec;
+import org.ternhinge.limit.Lane;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.Revision;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Entry;
+import org.ternhinge.state.StateStore;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.JobState;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.Redirect;
+import org.ternhinge.wire.WireException;
+import org.ternhinge.wire.WorkerReport;
+
+/**
+ * One controller: takes users' requests and workers' reports, and leads while it holds the lease.
+ * Any node accepts jobs by itself, straight into the state service; cancels and progress are the
+ * leader's, and what the leader can't be asked is read from the state service.
+ */
+public final class Node {
+  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+  private static final int RETRY_AFTER_S = 1;
+  private static final double ASK_S = 0.8;
+  private static final double CANCEL_S = 4;
+  private static final int ACCEPT_TRIES = 3;
+
+  /** The way to the other nodes. */
+  public interface Peers {
+    void ask(String node, Request request, double timeoutS, Consumer<Response> answer);
+
+    void reset(String node);
+  }
+
+  /** Hears when this node's share of the state service's limits changes. */
+  public interface Share {
+    void leads(boolean leading);
+  }
+
+  private final Lead.Surroundings around;
+  private final Lock lock;
+  private final StateStore store;
+  private final Election election;
+  private final Peers peers;
+  private final Share share;
+  private final Map<String, Flavor> flavors = new LinkedHashMap<>();
+  private final int pieceSize;
+  private Lead lead;
+
+  public Node(Lead.Surroundings around, Election election, Peers peers, Share share) {
+    this.around = around;
+    this.lock = around.lock();
+    this.store = around.store();
+    this.election = election;
+    this.peers = peers;
+    this.share = share;
+    this.pieceSize = RecordCodec.pieceSize(around.settings().stateLimits().valueKb());
+  }
+
+  public void start() {
+    loadFlavors();
+    election.start(
+        new Election.Listener() {
+          @Override
+          public void elected(Authority authority) {
+            share.leads(true);
+            lead = new Lead(around, authority, flavors.values());
+            lead.start();
+          }
+
+          @Override
+          public void deposed(String why) {
+            share.leads(false);
+            lead.stop();
+            lead = null;
+          }
+        });
+    logMetrics();
+  }
+
+  private void logMetrics() {
+    around
+        .clock()
+        .after(
+            60,
+            () -> {
+              around.metrics().log();
+              logMetrics();
+            });
+  }
+
+  private void locked(Runnable action) {
+    lock.lock();
+    try {
+      action.run();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void later(double seconds, Runnable action) {
+    around.clock().after(seconds, () -> locked(action));
+  }
+
+  // ---- machine types ----------------------------------------------------------------------------
+
+  /** A copy in the state service spares a node that starts the wait for a cloud that is down. */
+  private void loadFlavors() {
+    store
+        .get(Keys.FLAVORS, Lane.BOOKKEEPING)
+        .whenComplete(
+            (o, e) ->
+                locked(
+                    () -> {
+                      if (o instanceof Outcome.Applied<StateStore.Read> read
+                          && read.value().entry().isPresent()) {
+                        try {
+                          learn(Flavor.readAll(read.value().entry().get().value()));
+                          return;
+                        } catch (WireException x) {
+                          LOG.warn("machine types in the state service: {}", x.getMessage());
+                        }
+                      }
+                      askCloud();
+                    }));
+  }
+
+  private void askCloud() {
+    around
+        .cloud()
+        .flavors()
+        .whenComplete(
+            (o, e) ->
+                locked(
+                    () -> {
+                      if (o instanceof Outcome.Applied<List<Flavor>> applied) {
+                        learn(applied.value());
+                        JsonNode value = Flavor.writeAll(applied.value());
+                        store.txn(
+                            new Txn(
+                                Map.of(Keys.FLAVORS, Revision.NONE),
+                                List.of(new Change.Put(Keys.FLAVORS, value, 0))),
+                            Lane.BOOKKEEPING);
+                      } else {
+                        later(1, this::loadFlavors);
+                      }
+                    }));
+  }
+
+  private void learn(List<Flavor> known) {
+    known.forEach(f -> flavors.put(f.name(), f));
+    if (lead != null) {
+      lead.learn(known);
+    }
+  }
+
+  // ---- requests ---------------------------------------------------------------------------------
+
+  /** Answers users, workers and health checks. */
+  public void handle(Request request, Consumer<Response> answer) {
+    locked(() -> route(request, false, answer));
+  }
+
+  /** Answers another node; what it asks is not passed on again. */
+  public void handlePeer(Request request, Consumer<Response> answer) {
+    locked(() -> route(request, true, answer));
+  }
+
+  private void route(Request request, boolean fromPeer, Consumer<Response> answer) {
+    String path = request.path();
+    if (path.equals("/agent/beat")) {
+      only("POST", request, answer, () -> report(request, answer));
+    } else if (path.equals("/submissions")) {
+      only("POST", request, answer, () -> submit(request, fromPeer, answer));
+    } else if (path.startsWith("/submissions/")) {
+      String rest = path.substring("/submissions/".length());
+      boolean cancels = rest.endsWith("/cancel");
+      String name = cancels ? rest.substring(0, rest.length() - "/cancel".length()) : rest;
+      if (!JobId.isValid(name)) {
+        answer.accept(Response.of(404));
+      } else if (cancels) {
+        only("POST", request, answer, () -> cancel(new JobId(name), request, fromPeer, answer));
+      } else {
+        only("GET", request, answer, () -> query(new JobId(name), request, fromPeer, answer));
+      }
+    } else if (path.equals("/healthz")) {
+      only("GET", request, answer, () -> answer.accept(health()));
+    } else {
+      answer.accept(Response.of(404));
+    }
+  }
+
+  private static void only(
+      String method, Request request, Consumer<Response> answer, Runnable then) {
+    if (request.method().equals(method)) {
+      then.run();
+    } else {
+      answer.accept(Response.of(405));
+    }
+  }
+
+  private Response health() {
+    return flavors.isEmpty() ? Response.busy(RETRY_AFTER_S) : Response.of(200);
+  }
+
+  private boolean leads() {
+    return lead != null && lead.ready() && election.valid();
+  }
+
+  private String otherLeader() {
+    String name = election.leaderNode();
+    return name == null || name.equals(around.settings().node()) ? null : name;
+  }
+
+  // ---- submissions ------------------------------------------------------------------------------
+
+  private void submit(Request request, boolean fromPeer, Consumer<Response> answer) {
+    JsonNode body;
+    JobId id;
+    try {
+      body = Json.parse(request.body());
+      String ref = body.isObject() ? Json.text(body, "ref") : null;
+      if (!JobId.isValid(ref)) {
+        throw new WireException("ref: not a job id");
+      }
+      id = new JobId(ref);
+    } catch (WireException e) {
+      answer.accept(error(400, e.getMessage()));
+      return;
+    }
+    JobState known = leads() ? lead.stateOf(id) : null;
+    if (known != null) {
+      answer.accept(Response.of(200, known.brief()));
+      return;
+    }
+    JobSpec spec;
+    try {
+      spec = JobSpec.read(body);
+    } catch (WireException e) {
+      unlessKnown(id, error(400, e.getMessage()), answer);
+      return;
+    }
+    if (flavors.isEmpty()) {
+      unlessKnown(id, Response.busy(RETRY_AFTER_S), answer);
+      return;
+    }
+    String against = Submissions.against(spec, around.settings(), flavors);
+    if (against != null) {
+      unlessKnown(id, error(422, against), answer);
+      return;
+    }
+    ObjectNode record = RecordCodec.fresh(spec, around.clock().wallMillis(), pieceSize);
+    accept(spec, record, request, fromPeer, ACCEPT_TRIES, answer);
+  }
+
+  /** A known job is answered with its state, whatever this repeat of its submission looks like. */
+  private void unlessKnown(JobId id, Response otherwise, Consumer<Response> answer) {
+    lookup(
+        id,
+        found -> {
+          if (found == null) {
+            answer.accept(Response.busy(RETRY_AFTER_S));
+          } else {
+            answer.accept(found.map(state -> Response.of(200, state.brief())).orElse(otherwise));
+          }
+        });
+  }
+
+  private void accept(
+      JobSpec spec,
+      ObjectNode record,
+      Request request,
+      boolean fromPeer,
+      int tries,
+      Consumer<Response> answer) {
+    JobId id = spec.id();
+    Map<String, Revision> none = new LinkedHashMap<>();
+    none.put(Keys.job(id), Revision.NONE);
+    none.put(Keys.end(id), Revision.NONE);
+    Txn txn = new Txn(none, List.of(new Change.Put(Keys.job(id), record, 0)));
+    store
+        .txn(txn, Lane.ACCEPT)
+        .whenComplete(
+            (o, e) ->
+                locked(
+                    () -> {
+                      if (o instanceof Outcome.Applied<Revision> applied) {
+                        adopt(record, applied.value());
+                        JobState queued = new JobState(id, JobState.Phase.QUEUED, 0, 0);
+                        answer.accept(Response.of(201, queued.brief()));
+                      } else if (o != null && o.isBecause(Reason.CONFLICT)) {
+                        unlessKnown(id, Response.busy(RETRY_AFTER_S), answer);
+                      } else if (o instanceof Outcome.NotApplied) {
+                        passOn(request, fromPeer, answer);
+                      } else if (tries > 1) {
+                        // Lost answer: the same again; if the first was carried out, its record is
+                        // found to stand already.
+                        accept(spec, record, request, fromPeer, tries - 1, answer);
+                      } else {
+                        answer.accept(Response.busy(RETRY_AFTER_S));
+                      }
+                    }));
+  }
+
+  private void adopt(JsonNode record, Revision revision) {
+    if (lead != null && lead.ready()) {
+      try {
+        Job job = LedgerLoader.read(record, revision, around.clock().now());
+        lead.adopt(job);
+      } catch (WireException e) {
+        throw new IllegalStateException("an own record can't be read", e);
+      }
+    }
+  }
+
+  /** This node can't reach the state service; the leader may. */
+  private void passOn(Request request, boolean fromPeer, Consumer<Response> answer) {
+    String leader = otherLeader();
+    if (fromPeer || leader == null) {
+      answer.accept(Response.busy(RETRY_AFTER_S));
+      return;
+    }
+    peers.ask(
+        leader,
+        request,
+        ASK_S,
+        r -> {
+          if (r == null) {
+            peers.reset(leader);
+          }
+          answer.accept(r == null ? Response.busy(RETRY_AFTER_S) : r);
+        });
+  }
+
+  private static Response error(int status, String message) {
+    return Response.of(status, Json.bytes(Json.object().put("error", message)));
+  }
+
+  // ---- queries ----------------------------------------------------------------------------------
+
+  private void query(JobId id, Request request, boolean fromPeer, Consumer<Response> answer) {
+    if (leads()) {
+      JobState state = lead.stateOf(id);
+      if (state != null) {
+        answer.accept(Response.of(200, state.full()));
+      } else {
+        queryStore(id, answer);
+      }
+      return;
+    }
+    String leader = otherLeader();
+    if (fromPeer) {
+      answer.accept(Response.busy(RETRY_AFTER_S));
+    } else if (leader == null) {
+      queryStore(id, answer);
+    } else {
+      peers.ask(
+          leader,
+          request,
+          ASK_S,
+          r -> {
+            if (r == null) {
+              peers.reset(leader);
+            }
+            if (r == null || r.status() == 503) {
+              locked(() -> queryStore(id, answer));
+            } else {
+              answer.accept(r);
+            }
+          });
+    }
+  }
+
+  private void queryStore(JobId id, Consumer<Response> answer) {
+    lookup(
+        id,
+        found -> {
+          if (found == null) {
+            answer.accept(Response.busy(RETRY_AFTER_S));
+          } else {
+            answer.accept(
+                found.map(s -> Response.of(200, s.full())).orElseGet(() -> Response.of(404)));
+          }
+        });
+  }
+
+  /**
+   * Reads a job's state from the state service: null when it can't be read, empty when the job does
+   * not exist. A job moves from its record to its end in one transaction, so reading in this order
+   * can't miss it.
+   */
+  private void lookup(JobId id, Consumer<Optional<JobState>> then) {
+    store
+        .get(Keys.job(id), Lane.QUERY)
+        .whenComplete(
+            (o, e) -> {
+              if (!(o instanceof Outcome.Applied<StateStore.Read> read)) {
+                then.accept(null);
+              } else if (read.value().entry().isPresent()) {
+                Entry entry = read.value().entry().get();
+                then.accept(Optional.of(RecordCodec.decodeState(id, entry.value())));
+              } else {
+                lookupEnd(id, then);
+              }
+            });
+  }
+
+  private void lookupEnd(JobId id, Consumer<Optional<JobState>> then) {
+    store
+        .get(Keys.end(id), Lane.QUERY)
+        .whenComplete(
+            (o, e) -> {
+              if (o instanceof Outcome.Applied<StateStore.Read> read) {
+                then.accept(read.value().entry().map(x -> RecordCodec.decodeEnd(id, x.value())));
+              } else {
+                then.accept(null);
+              }
+            });
+  }
+
+  // ---- cancels ----------------------------------------------------------------------------------
+
+  private void cancel(JobId id, Request request, boolean fromPeer, Consumer<Response> answer) {
+    if (leads()) {
+      cancelHere(id, answer);
+      return;
+    }
+    String leader = otherLeader();
+    if (fromPeer || leader == null) {
+      answer.accept(Response.busy(RETRY_AFTER_S));
+      return;
+    }
+    peers.ask(
+        leader,
+        request,
+        CANCEL_S,
+        r -> {
+          if (r == null) {
+            peers.reset(leader);
+          }
+          answer.accept(r == null ? Response.busy(RETRY_AFTER_S) : r);
+        });
+  }
+
+  private void cancelHere(JobId id, Consumer<Response> answer) {
+    Job job = lead.job(id);
+    if (job != null) {
+      Once once = new Once(answer);
+      lead.cancel(job, state -> once.accept(Response.of(200, state.brief())));
+      later(CANCEL_S - 0.5, () -> once.accept(Response.busy(RETRY_AFTER_S)));
+      return;
+    }
+    lookup(
+        id,
+        found -> {
+          if (found == null) {
+            answer.accept(Response.busy(RETRY_AFTER_S));
+          } else if (found.isEmpty()) {
+            answer.accept(Response.of(404));
+          } else if (found.get().phase() == JobState.Phase.DONE
+              || found.get().phase() == JobState.Phase.CANCELLED) {
+            answer.accept(Response.of(200, found.get().brief()));
+          } else {
+            answer.accept(Response.busy(RETRY_AFTER_S));
+          }
+        });
+  }
+
+  /** Lets only the first answer through. */
+  private static final class Once implements Consumer<Response> {
+    private Consumer<Response> answer;
+
+    Once(Consumer<Response> answer) {
+      this.answer = answer;
+    }
+
+    @Override
+    public void accept(Response response) {
+      if (answer != null) {
+        answer.accept(response);
+        answer = null;
+      }
+    }
+  }
+
+  // ---- reports ----------------------------------------------------------------------------------
+
+  private void report(Request request, Consumer<Response> answer) {
+    WorkerReport report;
+    try {
+      report = WorkerReport.read(Json.parse(request.body()));
+    } catch (WireException e) {
+      answer.accept(error(400, e.getMessage()));
+      return;
+    }
+    if (lead != null && election.mayAnswer()) {
+      List<Command> commands = lead.ready() ? lead.report(report, election.valid()) : List.of();
+      if (lead != null) {
+        answer.accept(Response.of(200, Command.answer(lead.authority().term(), commands)));
+        return;
+      }
+    }
+    String leader = otherLeader();
+    if (leader == null) {
+      answer.accept(Response.busy(RETRY_AFTER_S));
+    } else {
+      answer.accept(Response.of(421, new Redirect(leader).write()));
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/Rentals.java
@@ -0,0 +1,260 @@
+package org.ternhinge.controller;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.locks.Lock;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.ternhinge.cloud.Cloud;
+import org.ternhinge.ledger.Authority;
+import org.ternhinge.ledger.Keys;
+import org.ternhinge.ledger.LedgerWriter;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.schedule.Plan;
+import org.ternhinge.schedule.Snapshot;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.RentalRequest;
+
+/**
+ * Renting and returning machines. A rental's name and content are recorded before it is sent; a
+ * lost answer is Unknown and settled by repeating the same name, which the cloud answers the same.
+ * A return is recorded before it is sent and repeated until answered, so that no leader places
+ * anything on a machine that may vanish at any moment.
+ */
+final class Rentals {
+  private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
+  private static final double RETRY_S = 1.5;
+
+  private static final class Rental {
+    private final RentalRequest request;
+    private boolean maybeSent;
+    private Set<MachineId> unseen;
+
+    Rental(RentalRequest request) {
+      this.request = request;
+    }
+  }
+
+  private static final class Refusal {
+    private SteadyTime until;
+    private double pauseS;
+  }
+
+  private final Lead lead;
+  private final Cloud cloud;
+  private final LedgerWriter writer;
+  private final Authority authority;
+  private final Clock clock;
+  private final Lock lock;
+  private final Map<String, Rental> open = new LinkedHashMap<>();
+  private final Map<String, Refusal> refusals = new HashMap<>();
+  private long counter;
+
+  Rentals(
+      Lead lead, Cloud cloud, LedgerWriter writer, Authority authority, Clock clock, Lock lock) {
+    this.lead = lead;
+    this.cloud = cloud;
+    this.writer = writer;
+    this.authority = authority;
+    this.clock = clock;
+    this.lock = lock;
+  }
+
+  private void locked(Runnable action) {
+    lock.lock();
+    try {
+      action.run();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private static String offerKey(String type, String zone, boolean spot) {
+    return type + " " + zone + (spot ? " spot" : "");
+  }
+
+  void rent(Plan.Rent want) {
+    String key = offerKey(want.type(), want.zone(), want.spot());
+    for (Rental r : open.values()) {
+      RentalRequest q = r.request;
+      if (r.unseen == null && offerKey(q.type(), q.zone(), q.spot()).equals(key)) {
+        return;
+      }
+    }
+    String name = "t" + authority.term() + "-" + ++counter;
+    int count = Math.min(want.count(), RentalRequest.MAX_COUNT);
+    RentalRequest request = new RentalRequest(name, want.type(), want.zone(), want.spot(), count);
+    Rental rental = new Rental(request);
+    open.put(name, rental);
+    LOG.info("renting {} {} in {}{}", count, want.type(), want.zone(), want.spot() ? " spot" : "");
+    writer.write(Keys.rental(name), request.write(), () -> send(rental));
+  }
+
+  /** An earlier leader's rental whose fate is not known here. */
+  void resume(RentalRequest request) {
+    Rental rental = new Rental(request);
+    rental.maybeSent = true;
+    open.put(request.name(), rental);
+    send(rental);
+  }
+
+  private void send(Rental rental) {
+    if (!authority.valid()) {
+      lead.later(RETRY_S, () -> send(rental));
+      return;
+    }
+    cloud.rent(rental.request).whenComplete((o, e) -> locked(() -> answered(rental, o)));
+  }
+
+  private void answered(Rental rental, Outcome<List<MachineId>> outcome) {
+    RentalRequest q = rental.request;
+    String key = offerKey(q.type(), q.zone(), q.spot());
+    SteadyTime now = clock.now();
+    if (outcome instanceof Outcome.Applied<List<MachineId>> applied) {
+      rental.unseen = new HashSet<>();
+      for (MachineId id : applied.value()) {
+        if (lead.wasReturned(id)) {
+          continue;
+        }
+        Machine m = lead.machine(id, now);
+        if (m.type == null) {
+          m.type = q.type();
+          m.zoneName = q.zone();
+          m.zone = lead.settings().zones().indexOf(q.zone());
+          m.spot = q.spot();
+          m.rentedAt = now;
+        }
+        if (!m.reported && m.listedAt == null) {
+          rental.unseen.add(id);
+        }
+      }
+      if (applied.value().size() < q.count()) {
+        refuse(key, now);
+      } else {
+        refusals.remove(key);
+      }
+      finishIfSeen(rental);
+      lead.askRound();
+    } else if (outcome instanceof Outcome.NotApplied<List<MachineId>> not) {
+      boolean full = not.reason() == Reason.CONFLICT;
+      if (full || not.reason() == Reason.INVALID || !rental.maybeSent) {
+        if (not.reason() != Reason.HELD_BACK) {
+          refuse(key, now);
+        }
+        forget(rental);
+      } else {
+        lead.later(RETRY_S, () -> send(rental));
+      }
+    } else {
+      rental.maybeSent = true;
+      lead.later(RETRY_S, () -> send(rental));
+    }
+  }
+
+  private void refuse(String key, SteadyTime now) {
+    Refusal r = refusals.computeIfAbsent(key, k -> new Refusal());
+    r.pauseS = r.pauseS == 0 ? 5 : Math.min(30, r.pauseS * 2);
+    r.until = now.plusSeconds(r.pauseS);
+  }
+
+  private void forget(Rental rental) {
+    open.remove(rental.request.name());
+    writer.write(Keys.rental(rental.request.name()), null, null);
+  }
+
+  /** A machine has shown up by itself; its rental's record has done its duty. */
+  void seen(MachineId id) {
+    for (Rental r : List.copyOf(open.values())) {
+      if (r.unseen != null && r.unseen.remove(id)) {
+        finishIfSeen(r);
+      }
+    }
+  }
+
+  private void finishIfSeen(Rental r) {
+    if (r.unseen.isEmpty()) {
+      forget(r);
+    }
+  }
+
+  void listed(Set<MachineId> shown, SteadyTime now) {
+    shown.forEach(this::seen);
+  }
+
+  List<Snapshot.Offer> offers(Collection<Flavor> flavors, List<String> zones, SteadyTime now) {
+    List<Snapshot.Offer> out = new ArrayList<>();
+    for (Flavor f : flavors) {
+      for (String zone : f.zones()) {
+        int z = zones.indexOf(zone);
+        if (z < 0) {
+          continue;
+        }
+        for (boolean spot : new boolean[] {true, false}) {
+          Refusal r = refusals.get(offerKey(f.name(), zone, spot));
+          if (r == null || r.until.isBefore(now)) {
+            out.add(new Snapshot.Offer(f, z, zone, spot, 10));
+          }
+        }
+      }
+    }
+    return out;
+  }
+
+  /** Machines that never come up are charged until they are returned. */
+  void expire(SteadyTime now) {
+    for (Machine m : List.copyOf(lead.machines())) {
+      Flavor f = m.type == null ? null : lead.flavor(m.type);
+      if (f != null && !m.releasing && !m.gone && lead.idle(m)) {
+        boolean neverUp =
+            !m.reported
+                && now.secondsSince(m.rentedAt.max(lead.electedAt()))
+                    > Math.max(3 * f.bootS(), f.bootS() + 45);
+        boolean silent =
+            m.reported && m.leaseEnds.plusSeconds(lead.settings().workers().leaseS()).isBefore(now);
+        if (neverUp || silent || m.sick(now)) {
+          LOG.info("returning {}: {}", m.id, neverUp ? "never up" : silent ? "silent" : "sick");
+          release(m);
+        }
+      }
+    }
+  }
+
+  void release(Machine m) {
+    m.releasing = true;
+    writer.write(
+        Keys.release(m.id), Json.object().put("t", clock.wallMillis()), () -> resumeRelease(m));
+  }
+
+  /** Sends a return that is recorded, until it is answered. */
+  void resumeRelease(Machine m) {
+    if (!authority.valid()) {
+      lead.later(RETRY_S, () -> resumeRelease(m));
+      return;
+    }
+    cloud
+        .release(List.of(m.id))
+        .whenComplete(
+            (o, e) ->
+                locked(
+                    () -> {
+                      if (o instanceof Outcome.Applied<Integer>) {
+                        lead.drop(m);
+                        writer.write(Keys.release(m.id), null, null);
+                        lead.askRound();
+                      } else {
+                        lead.later(RETRY_S, () -> resumeRelease(m));
+                      }
+                    }));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/http/HttpCaller.java
@@ -0,0 +1,206 @@
+package org.ternhinge.http;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpClientCodec;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
+import java.util.concurrent.TimeUnit;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+
+/**
+ * HTTP requests over connections that are kept and used one request at a time. A request that was
+ * written and not answered is Unknown, never failed: it may have been carried out, or may yet be.
+ */
+public final class HttpCaller {
+  private static final int MAX_REPLY = 16 * 1024 * 1024;
+  private static final int MAX_IDLE = 4;
+  private static final int CONNECT_MS = 1500;
+
+  private final EventLoop loop;
+  private final Map<Endpoint, Deque<Channel>> idle = new HashMap<>();
+
+  public HttpCaller(EventLoop loop) {
+    this.loop = loop;
+  }
+
+  /** The future completes on the event loop. */
+  public CompletableFuture<Outcome<Reply>> call(
+      Endpoint to, String method, String path, byte[] body, double timeoutS) {
+    Call call = new Call(to, method, path, body);
+    if (loop.inEventLoop()) {
+      start(call, timeoutS);
+    } else {
+      loop.execute(() -> start(call, timeoutS));
+    }
+    return call.result;
+  }
+
+  private void start(Call call, double timeoutS) {
+    call.timer = loop.schedule(call::timeOut, (long) (timeoutS * 1000), TimeUnit.MILLISECONDS);
+    Deque<Channel> kept = idle.get(call.to);
+    while (kept != null && !kept.isEmpty()) {
+      Channel channel = kept.pollLast();
+      if (channel.isActive()) {
+        call.send(channel);
+        return;
+      }
+    }
+    ChannelFuture connecting =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+            .handler(
+                new ChannelInitializer<SocketChannel>() {
+                  @Override
+                  protected void initChannel(SocketChannel ch) {
+                    ch.pipeline()
+                        .addLast(new HttpClientCodec())
+                        .addLast(new HttpObjectAggregator(MAX_REPLY))
+                        .addLast(new Replies());
+                  }
+                })
+            .connect(call.to.host(), call.to.port());
+    connecting.addListener(
+        f -> {
+          if (!f.isSuccess()) {
+            call.finish(Outcome.notApplied(Reason.NO_CONNECTION, String.valueOf(f.cause())));
+          } else if (call.result.isDone()) {
+            keep(call.to, connecting.channel());
+          } else {
+            call.send(connecting.channel());
+          }
+        });
+  }
+
+  private void keep(Endpoint to, Channel channel) {
+    Deque<Channel> kept = idle.computeIfAbsent(to, k -> new ArrayDeque<>());
+    if (kept.size() >= MAX_IDLE) {
+      channel.close();
+    } else {
+      kept.addLast(channel);
+    }
+  }
+
+  /** Drops the kept connections to an address that is no longer of use. */
+  public void forget(Endpoint to) {
+    loop.execute(
+        () -> {
+          Deque<Channel> kept = idle.remove(to);
+          if (kept != null) {
+            kept.forEach(Channel::close);
+          }
+        });
+  }
+
+  private final class Call {
+    private final Endpoint to;
+    private final String method;
+    private final String path;
+    private final byte[] body;
+    private final CompletableFuture<Outcome<Reply>> result = new CompletableFuture<>();
+    private Future<?> timer;
+    private Channel channel;
+
+    Call(Endpoint to, String method, String path, byte[] body) {
+      this.to = to;
+      this.method = method;
+      this.path = path;
+      this.body = body;
+    }
+
+    void send(Channel on) {
+      channel = on;
+      channel.pipeline().get(Replies.class).call = this;
+      ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body);
+      FullHttpRequest request =
+          new DefaultFullHttpRequest(
+              HttpVersion.HTTP_1_1, HttpMethod.valueOf(method), path, content);
+      request.headers().set(HttpHeaderNames.HOST, to.toString());
+      request.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
+      if (body != null) {
+        request.headers().set(HttpHeaderNames.CONTENT_TYPE, "application/json");
+      }
+      channel.writeAndFlush(request);
+    }
+
+    void timeOut() {
+      if (channel == null) {
+        finish(Outcome.notApplied(Reason.NO_CONNECTION, "no connection in time"));
+      } else {
+        finish(Outcome.unknown("no answer in time"));
+        channel.close();
+      }
+    }
+
+    void finish(Outcome<Reply> outcome) {
+      timer.cancel(false);
+      result.complete(outcome);
+    }
+  }
+
+  private final class Replies extends SimpleChannelInboundHandler<FullHttpResponse> {
+    private Call call;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+      Call answered = call;
+      call = null;
+      if (answered == null || response.decoderResult().isFailure()) {
+        ctx.close();
+        if (answered != null) {
+          answered.finish(Outcome.unknown("unreadable answer"));
+        }
+        return;
+      }
+      byte[] body = new byte[response.content().readableBytes()];
+      response.content().readBytes(body);
+      if (HttpUtil.isKeepAlive(response)) {
+        keep(answered.to, ctx.channel());
+      } else {
+        ctx.close();
+      }
+      answered.finish(Outcome.applied(new Reply(response.status().code(), body)));
+    }
+
+    @Override
+    public void channelInactive(ChannelHandlerContext ctx) {
+      if (call != null) {
+        Call lost = call;
+        call = null;
+        lost.finish(Outcome.unknown("connection lost"));
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/http/HttpServer.java
@@ -0,0 +1,170 @@
+package org.ternhinge.http;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.SocketChannel;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateEvent;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.ternhinge.model.Endpoint;
+
+/**
+ * The HTTP side towards users and workers. Guards against clients that stall in the middle of a
+ * request, send too much, or hold more connections than there are sockets.
+ */
+public final class HttpServer {
+  private static final Logger LOG = LoggerFactory.getLogger(HttpServer.class);
+  private static final int MAX_BODY = 64 * 1024;
+  private static final int STALL_S = 20;
+
+  /** Answers requests; may answer later and from any thread. */
+  public interface Handler {
+    void handle(Request request, Consumer<Response> answer);
+  }
+
+  private final EventLoopGroup loop;
+  private final Handler handler;
+  private final int maxConnections;
+  private int connections;
+
+  public HttpServer(EventLoopGroup loop, Handler handler, int maxConnections) {
+    this.loop = loop;
+    this.handler = handler;
+    this.maxConnections = maxConnections;
+  }
+
+  public Channel listen(Endpoint endpoint) throws InterruptedException {
+    return new ServerBootstrap()
+        .group(loop)
+        .channel(NioServerSocketChannel.class)
+        .option(ChannelOption.SO_BACKLOG, 512)
+        .option(ChannelOption.SO_REUSEADDR, true)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childHandler(
+            new ChannelInitializer<SocketChannel>() {
+              @Override
+              protected void initChannel(SocketChannel ch) {
+                accept(ch);
+              }
+            })
+        .bind(endpoint.host(), endpoint.port())
+        .sync()
+        .channel();
+  }
+
+  private void accept(SocketChannel ch) {
+    if (connections >= maxConnections) {
+      ch.close();
+      return;
+    }
+    connections++;
+    ch.closeFuture().addListener(f -> connections--);
+    ch.pipeline()
+        .addLast(new IdleStateHandler(0, 0, STALL_S))
+        .addLast(new HttpServerCodec(new HttpDecoderConfig().setInitialBufferSize(256)))
+        .addLast(new Aggregator())
+        .addLast(new Connection());
+  }
+
+  /** A body that is too long will never be shorter: 400, so that the user does not try again. */
+  private static final class Aggregator extends HttpObjectAggregator {
+    Aggregator() {
+      super(MAX_BODY);
+    }
+
+    @Override
+    protected void handleOversizedMessage(ChannelHandlerContext ctx, HttpMessage oversized) {
+      FullHttpResponse r =
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST);
+      r.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+      r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      ctx.writeAndFlush(r).addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
+  private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+    private boolean busy;
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
+      boolean keep = HttpUtil.isKeepAlive(request);
+      if (request.decoderResult().isFailure()) {
+        send(ctx, Response.of(400), false);
+        return;
+      }
+      byte[] body = new byte[request.content().readableBytes()];
+      request.content().readBytes(body);
+      String uri = request.uri();
+      int query = uri.indexOf('?');
+      String path = query < 0 ? uri : uri.substring(0, query);
+      busy = true;
+      try {
+        handler.handle(
+            new Request(request.method().name(), path, body),
+            r -> ctx.executor().execute(() -> send(ctx, r, keep)));
+      } catch (RuntimeException e) {
+        LOG.error("request {} {} failed", request.method(), path, e);
+        send(ctx, Response.of(500), false);
+      }
+    }
+
+    private void send(ChannelHandlerContext ctx, Response response, boolean keep) {
+      busy = false;
+      if (!ctx.channel().isActive()) {
+        return;
+      }
+      FullHttpResponse r =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1,
+              HttpResponseStatus.valueOf(response.status()),
+              Unpooled.wrappedBuffer(response.body()));
+      r.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
+      r.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+      if (response.retryAfterS() > 0) {
+        r.headers().set(HttpHeaderNames.RETRY_AFTER, response.retryAfterS());
+      }
+      if (!keep) {
+        r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      }
+      var done = ctx.writeAndFlush(r);
+      if (!keep) {
+        done.addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext ctx, Object event) {
+      if (event instanceof IdleStateEvent && !busy) {
+        ctx.close();
+      }
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      LOG.debug("connection failed: {}", cause.toString());
+      ctx.close();
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/http/LoopClock.java
@@ -0,0 +1,30 @@
+package org.ternhinge.http;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.SteadyTime;
+
+/** The real clock; its timers run on the event loop. */
+public final class LoopClock implements Clock {
+  private final EventLoop loop;
+
+  public LoopClock(EventLoop loop) {
+    this.loop = loop;
+  }
+
+  @Override
+  public SteadyTime now() {
+    return new SteadyTime(System.nanoTime());
+  }
+
+  @Override
+  public long wallMillis() {
+    return System.currentTimeMillis();
+  }
+
+  @Override
+  public void after(double seconds, Runnable action) {
+    loop.schedule(action, (long) (seconds * 1e6), TimeUnit.MICROSECONDS);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/Authority.java
@@ -0,0 +1,18 @@
+package org.ternhinge.ledger;
+
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Term;
+
+/** The leadership that writes are made under. */
+public interface Authority {
+  Term term();
+
+  /** Version of the term's key; every write of a leader is conditional on it. */
+  Revision termRevision();
+
+  /** Whether the leadership certainly still holds, judged by this process alone. */
+  boolean valid();
+
+  /** The state service has shown that the leadership is over. */
+  void lost(String why);
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/Job.java
@@ -0,0 +1,188 @@
+package org.ternhinge.ledger;
+
+import it.unimi.dsi.fastutil.ints.Int2LongOpenHashMap;
+import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
+import java.util.BitSet;
+import java.util.Collection;
+import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.Revision;
+import org.ternhinge.wire.JobSpec;
+
+/**
+ * A job that is not yet over, with its open attempts. Its record in the state service is cut into
+ * pieces of a fixed number of tasks, so that a large array fits the limit on values; only the
+ * pieces that changed are written. Everything here is changed by the {@link Ledger} alone.
+ */
+public final class Job {
+  private final JobSpec spec;
+  private final long acceptedMillis;
+  private final int pieceSize;
+  private final BitSet done = new BitSet();
+  private final Int2ObjectOpenHashMap<Attempt> open = new Int2ObjectOpenHashMap<>();
+  private final BitSet dirty = new BitSet();
+  private final BitSet inFlight = new BitSet();
+  private final BitSet folded = new BitSet();
+  private final Int2LongOpenHashMap revisions = new Int2LongOpenHashMap();
+
+  private AttemptNumber highest = AttemptNumber.NONE;
+  private boolean cancelled;
+  private boolean cancelDurable;
+  private boolean over;
+  private boolean finalDurable;
+
+  Job(JobSpec spec, long acceptedMillis, int pieceSize) {
+    this.spec = spec;
+    this.acceptedMillis = acceptedMillis;
+    this.pieceSize = pieceSize;
+  }
+
+  public JobSpec spec() {
+    return spec;
+  }
+
+  public long acceptedMillis() {
+    return acceptedMillis;
+  }
+
+  public int pieceSize() {
+    return pieceSize;
+  }
+
+  public int pieces() {
+    return (spec.tasks() + pieceSize - 1) / pieceSize;
+  }
+
+  int pieceOf(int index) {
+    return index / pieceSize;
+  }
+
+  public boolean isDone(int index) {
+    return done.get(index);
+  }
+
+  public int doneCount() {
+    return done.cardinality();
+  }
+
+  BitSet done() {
+    return done;
+  }
+
+  public Attempt open(int index) {
+    return open.get(index);
+  }
+
+  public Collection<Attempt> openAttempts() {
+    return open.values();
+  }
+
+  Int2ObjectOpenHashMap<Attempt> openMap() {
+    return open;
+  }
+
+  public int runningCount() {
+    int n = 0;
+    for (Attempt a : open.values()) {
+      if (a.seen() == Attempt.Seen.RUNNING || a.seen() == Attempt.Seen.SAVING) {
+        n++;
+      }
+    }
+    return n;
+  }
+
+  public AttemptNumber highest() {
+    return highest;
+  }
+
+  void highest(AttemptNumber number) {
+    highest = number;
+  }
+
+  public boolean cancelled() {
+    return cancelled;
+  }
+
+  void markCancelled(boolean alreadyDurable) {
+    cancelled = true;
+    cancelDurable |= alreadyDurable;
+  }
+
+  /** Whether the state service holds the cancellation, so that users may be told. */
+  public boolean cancelDurable() {
+    return cancelDurable;
+  }
+
+  void cancelIsDurable() {
+    cancelDurable = true;
+  }
+
+  /** Whether nothing more is to be done for it. */
+  public boolean over() {
+    return over;
+  }
+
+  void markOver() {
+    over = true;
+  }
+
+  /** Whether the state service holds its final state. */
+  public boolean finalDurable() {
+    return finalDurable;
+  }
+
+  void finalIsDurable() {
+    finalDurable = true;
+  }
+
+  BitSet dirty() {
+    return dirty;
+  }
+
+  BitSet inFlight() {
+    return inFlight;
+  }
+
+  BitSet folded() {
+    return folded;
+  }
+
+  /** Whether what is known of this task is what the state service holds. */
+  public boolean recorded(int index) {
+    int piece = pieceOf(index);
+    return !dirty.get(piece) && !inFlight.get(piece);
+  }
+
+  Revision revision(int piece) {
+    return new Revision(revisions.get(piece));
+  }
+
+  void revision(int piece, Revision revision) {
+    if (revision.value() == 0) {
+      revisions.remove(piece);
+    } else {
+      revisions.put(piece, revision.value());
+    }
+  }
+
+  boolean pieceOver(int piece) {
+    int from = piece * pieceSize;
+    int to = Math.min(spec.tasks(), from + pieceSize);
+    if (!cancelled && done.nextClearBit(from) < to) {
+      return false;
+    }
+    for (Attempt a : open.values()) {
+      if (pieceOf(a.task().index()) == piece) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Pieces after the first that still have a key of their own. */
+  BitSet livePieces() {
+    BitSet live = new BitSet();
+    revisions.keySet().forEach(p -> live.set(p));
+    live.clear(0);
+    return live;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/Keys.java
@@ -0,0 +1,37 @@
+package org.ternhinge.ledger;
+
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+
+/** Names of the keys in the state service. */
+public final class Keys {
+  public static final String TERM = "term";
+  public static final String LEADER = "leader";
+  public static final String FLAVORS = "flavors";
+  public static final String JOBS = "j/";
+  public static final String FINALS = "f/";
+  public static final String RENTALS = "r/";
+  public static final String RELEASES = "x/";
+
+  private Keys() {}
+
+  public static String job(JobId id) {
+    return JOBS + id.value();
+  }
+
+  static String piece(JobId id, int piece) {
+    return piece == 0 ? job(id) : JOBS + id.value() + "/" + piece;
+  }
+
+  public static String end(JobId id) {
+    return FINALS + id.value();
+  }
+
+  public static String rental(String name) {
+    return RENTALS + name;
+  }
+
+  public static String release(MachineId machine) {
+    return RELEASES + machine.value();
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -0,0 +1,306 @@
+package org.ternhinge.ledger;
+
+import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ternhinge.config.Team;
+import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.JobState;
+
+/**
+ * Jobs and their attempts: the only door through which an attempt opens or closes. Whatever a
+ * policy asks, {@link #admit} decides; it counts every attempt that may still be anywhere.
+ *
+ * <p>Not safe for use by several threads; the controller's lock guards it.
+ */
+public final class Ledger {
+  private static final int FINALS_KEPT = 4096;
+
+  /** One task and where it is to go. */
+  public record Placement(int index, Site site) {}
+
+  private final Map<String, Team> teams;
+  private final int pieceSize;
+  private final Map<JobId, Job> jobs = new LinkedHashMap<>();
+  private final Map<String, Resources> teamUse = new HashMap<>();
+  private final Map<MachineId, Resources> machineUse = new HashMap<>();
+  private final Map<MachineId, Set<Attempt>> byMachine = new HashMap<>();
+  private final Object2ObjectLinkedOpenHashMap<JobId, JobState> finals =
+      new Object2ObjectLinkedOpenHashMap<>();
+  private final LinkedHashSet<Job> dirtyJobs = new LinkedHashSet<>();
+
+  public Ledger(Map<String, Team> teams, int pieceSize) {
+    this.teams = teams;
+    this.pieceSize = pieceSize;
+  }
+
+  public int pieceSize() {
+    return pieceSize;
+  }
+
+  public Job job(JobId id) {
+    return jobs.get(id);
+  }
+
+  public Collection<Job> jobs() {
+    return jobs.values();
+  }
+
+  /** The final state of a job that ended lately, or null. */
+  public JobState ended(JobId id) {
+    return finals.get(id);
+  }
+
+  public void rememberEnd(JobState state) {
+    finals.putAndMoveToLast(state.id(), state);
+    if (finals.size() > FINALS_KEPT) {
+      finals.removeFirst();
+    }
+  }
+
+  public Resources teamUse(String team) {
+    return teamUse.getOrDefault(team, Resources.ZERO);
+  }
+
+  public Resources machineUse(MachineId machine) {
+    return machineUse.getOrDefault(machine, Resources.ZERO);
+  }
+
+  public Collection<Attempt> attemptsOn(MachineId machine) {
+    return byMachine.getOrDefault(machine, Set.of());
+  }
+
+  /** Machines that attempts are open on, whether or not anything else is known of them. */
+  public Set<MachineId> machinesInUse() {
+    return new HashSet<>(byMachine.keySet());
+  }
+
+  /** Takes in a job that the state service holds. */
+  public void adopt(Job job) {
+    if (jobs.putIfAbsent(job.spec().id(), job) != null) {
+      return;
+    }
+    job.openAttempts().forEach(this::count);
+    settle(job);
+  }
+
+  /**
+   * Opens attempts for tasks of a job, all with one number, or says why not. Nothing may be started
+   * until the attempts are durable.
+   *
+   * @return null when the attempts are open, otherwise the reason against it
+   */
+  public String open(Job job, List<Placement> placements, Set<String> ghosts, SteadyTime now) {
+    String against = admit(job, placements, ghosts);
+    if (against != null) {
+      return against;
+    }
+    AttemptNumber number = job.highest().next();
+    job.highest(number);
+    job.dirty().set(0);
+    for (Placement p : placements) {
+      Site s = p.site();
+      Attempt a =
+          new Attempt(job, p.index(), number, s.machine(), s.session(), s.zone(), false, now);
+      job.openMap().put(p.index(), a);
+      job.dirty().set(job.pieceOf(p.index()));
+      count(a);
+    }
+    dirtyJobs.add(job);
+    return null;
+  }
+
+  /**
+   * The one admission check: job state, double starts, gangs whole, type, zone, kind of machine,
+   * the team's limit and the machine's room.
+   */
+  String admit(Job job, List<Placement> placements, Set<String> ghosts) {
+    JobSpec spec = job.spec();
+    if (placements.isEmpty()) {
+      return "nothing to place";
+    }
+    if (job.cancelled() || job.over()) {
+      return "job is over";
+    }
+    if (spec.isGang() && (placements.size() != spec.tasks() || !job.openMap().isEmpty())) {
+      return "a gang starts whole, after every task of its last attempt is gone";
+    }
+    Team team = teams.get(spec.team());
+    if (team == null) {
+      return "unknown team";
+    }
+    Map<Integer, Integer> perZone = new HashMap<>();
+    for (Attempt a : job.openAttempts()) {
+      perZone.merge(a.zone(), 1, Integer::sum);
+    }
+    Map<MachineId, Resources> room = new HashMap<>();
+    Set<Integer> indexes = new HashSet<>();
+    for (Placement p : placements) {
+      Site s = p.site();
+      if (p.index() < 0 || p.index() >= spec.tasks() || !indexes.add(p.index())) {
+        return "no such task";
+      }
+      if (job.isDone(p.index())) {
+        return "task is done";
+      }
+      if (job.open(p.index()) != null) {
+        return "task has an open attempt";
+      }
+      if (!ghosts.isEmpty() && ghosts.contains(spec.id().value() + "/" + p.index())) {
+        return "task still shows on a machine";
+      }
+      if (!spec.allowsType(s.type())
+          || (spec.zone() != null && !spec.zone().equals(s.zoneName()))
+          || (s.spot() && !spec.spotAllowed())) {
+        return "job does not permit this machine";
+      }
+      perZone.merge(s.zone(), 1, Integer::sum);
+      if (perZone.get(s.zone()) > spec.zoneLimit()) {
+        return "too many tasks in one zone";
+      }
+      if (spec.together() && perZone.size() > 1) {
+        return "tasks in several zones";
+      }
+      Resources left =
+          room.computeIfAbsent(s.machine(), m -> s.capacity().minus(machineUse(m)))
+              .minus(spec.need());
+      if (left.cpus() < 0 || left.gpus() < 0 || left.memory() < 0) {
+        return "no room on the machine";
+      }
+      room.put(s.machine(), left);
+    }
+    Resources use = teamUse(spec.team()).plus(spec.need().times(placements.size()));
+    if (!within(team, use)) {
+      return "team limit";
+    }
+    return null;
+  }
+
+  /** Whether so much use keeps to a team's limit; a limit of 0 limits nothing. */
+  public static boolean within(Team team, Resources use) {
+    return (team.cpusMax() == 0 || use.cpus() <= team.cpusMax())
+        && (team.gpusMax() == 0 || use.gpus() <= team.gpusMax());
+  }
+
+  /** There is proof that the attempt is gone. One finished task finishes its whole gang. */
+  public void close(Attempt a, boolean done) {
+    Job job = a.job();
+    if (!job.openMap().remove(a.task().index(), a)) {
+      return;
+    }
+    discount(a);
+    job.dirty().set(job.pieceOf(a.task().index()));
+    if (done) {
+      if (job.spec().isGang()) {
+        job.done().set(0, job.spec().tasks());
+        for (int p = 0; p < job.pieces(); p++) {
+          job.dirty().set(p);
+        }
+      } else {
+        job.done().set(a.task().index());
+      }
+    }
+    dirtyJobs.add(job);
+    settle(job);
+  }
+
+  /** The job's user has cancelled it; starts end at this instant. */
+  public void cancel(Job job) {
+    if (!job.cancelled()) {
+      job.markCancelled(false);
+      job.dirty().set(0);
+      dirtyJobs.add(job);
+      settle(job);
+    }
+  }
+
+  private void settle(Job job) {
+    for (int p = 1; p < job.pieces(); p++) {
+      if (!job.folded().get(p) && job.pieceOver(p)) {
+        job.folded().set(p);
+        job.dirty().set(0);
+        job.dirty().set(p);
+        dirtyJobs.add(job);
+      }
+    }
+    boolean complete = job.doneCount() == job.spec().tasks();
+    if (job.openMap().isEmpty() && (complete || job.cancelled())) {
+      job.markOver();
+      dirtyJobs.add(job);
+    }
+  }
+
+  private void count(Attempt a) {
+    Resources need = a.job().spec().need();
+    teamUse.merge(a.job().spec().team(), need, Resources::plus);
+    machineUse.merge(a.machine(), need, Resources::plus);
+    byMachine.computeIfAbsent(a.machine(), m -> new LinkedHashSet<>()).add(a);
+  }
+
+  private void discount(Attempt a) {
+    Resources need = a.job().spec().need();
+    teamUse.computeIfPresent(a.job().spec().team(), (t, r) -> r.minus(need));
+    Set<Attempt> there = byMachine.get(a.machine());
+    there.remove(a);
+    if (there.isEmpty()) {
+      byMachine.remove(a.machine());
+      machineUse.remove(a.machine());
+    } else {
+      machineUse.computeIfPresent(a.machine(), (m, r) -> r.minus(need));
+    }
+  }
+
+  /** Jobs with something to write, cancelled ones first. */
+  List<Job> takeDirty() {
+    List<Job> out = new ArrayList<>(dirtyJobs.size());
+    for (Job job : dirtyJobs) {
+      if (job.cancelled()) {
+        out.add(job);
+      }
+    }
+    for (Job job : dirtyJobs) {
+      if (!job.cancelled()) {
+        out.add(job);
+      }
+    }
+    return out;
+  }
+
+  boolean hasDirty() {
+    return !dirtyJobs.isEmpty();
+  }
+
+  void clean(Job job) {
+    dirtyJobs.remove(job);
+  }
+
+  void ended(Job job) {
+    jobs.remove(job.spec().id());
+    dirtyJobs.remove(job);
+    JobState.Phase phase = job.cancelled() ? JobState.Phase.CANCELLED : JobState.Phase.DONE;
+    rememberEnd(new JobState(job.spec().id(), phase, job.doneCount(), 0));
+  }
+
+  /** What the user of a job in this ledger may be told. */
+  public static JobState stateOf(Job job) {
+    JobId id = job.spec().id();
+    if (job.cancelDurable()) {
+      return new JobState(id, JobState.Phase.CANCELLED, job.doneCount(), 0);
+    }
+    int running = job.runningCount();
+    JobState.Phase phase = running > 0 ? JobState.Phase.RUNNING : JobState.Phase.QUEUED;
+    return new JobState(id, phase, job.doneCount(), running);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -0,0 +1,364 @@
+package org.ternhinge.ledger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.Lock;
+import java.util.function.Consumer;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.ternhinge.limit.Lane;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.Revision;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.StateStore;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Json;
+
+/**
+ * Writes the ledger's changes, one transaction at a time, many records to a transaction. Each is
+ * conditional on the term and on every key's version. A transaction whose answer was lost is sent
+ * again unchanged until its fate is known: with the version of each key in its conditions, a copy
+ * that is applied late can't undo what came after it.
+ */
+public final class LedgerWriter {
+  private static final Logger LOG = LoggerFactory.getLogger(LedgerWriter.class);
+  private static final int MAX_BYTES = 48 * 1024;
+  private static final double RETRY_S = 0.2;
+
+  private record Part(Job job, int piece, boolean cancels, boolean ends, List<Attempt> opens) {}
+
+  private record Extra(String key, JsonNode value, Runnable then) {}
+
+  private static final class Batch {
+    private final Map<String, Revision> conditions = new LinkedHashMap<>();
+    private final List<Change> changes = new ArrayList<>();
+    private final List<Part> parts = new ArrayList<>();
+    private final List<Extra> extras = new ArrayList<>();
+    private boolean mayBeApplied;
+    private int bytes;
+  }
+
+  private final Ledger ledger;
+  private final StateStore store;
+  private final Authority authority;
+  private final Clock clock;
+  private final Lock lock;
+  private final int txnOps;
+  private final Consumer<List<Attempt>> onDurable;
+  private final ArrayDeque<Extra> extras = new ArrayDeque<>();
+  private final Map<String, Revision> extraRevisions = new HashMap<>();
+  private Batch batch;
+  private boolean busy;
+  private boolean stopped;
+
+  /**
+   * @param lock guards the ledger; taken whenever an answer comes
+   * @param onDurable hears of the attempts that may now be started; called under the lock, also
+   *     with an empty list, after every write
+   */
+  public LedgerWriter(
+      Ledger ledger,
+      StateStore store,
+      Authority authority,
+      Clock clock,
+      Lock lock,
+      int txnOps,
+      Consumer<List<Attempt>> onDurable) {
+    this.ledger = ledger;
+    this.store = store;
+    this.authority = authority;
+    this.clock = clock;
+    this.lock = lock;
+    this.txnOps = txnOps;
+    this.onDurable = onDurable;
+  }
+
+  public void stop() {
+    stopped = true;
+  }
+
+  /** Tells the version of a key that was there before this leadership. */
+  public void known(String key, Revision revision) {
+    extraRevisions.put(key, revision);
+  }
+
+  /** Sets (or, with null, removes) a key beside the jobs' records. */
+  public void write(String key, JsonNode value, Runnable then) {
+    extras.add(new Extra(key, value, then));
+    pump();
+  }
+
+  /** Whether a change is waiting or under way. */
+  public boolean idle() {
+    return batch == null && extras.isEmpty() && !ledger.hasDirty();
+  }
+
+  /** Sends what there is to send; called under the lock after every change. */
+  public void pump() {
+    if (busy || stopped) {
+      return;
+    }
+    if (batch == null) {
+      batch = build();
+    }
+    if (batch == null) {
+      return;
+    }
+    if (!authority.valid()) {
+      retry(RETRY_S);
+      return;
+    }
+    double wait = store.secondsUntilTxn(batch.changes.size(), Lane.ATTEMPT);
+    if (wait > 0) {
+      retry(wait + 0.005);
+      return;
+    }
+    busy = true;
+    Batch sent = batch;
+    store
+        .txn(new Txn(sent.conditions, sent.changes), Lane.ATTEMPT)
+        .whenComplete((outcome, error) -> locked(() -> answered(sent, outcome, error)));
+  }
+
+  private void locked(Runnable action) {
+    lock.lock();
+    try {
+      action.run();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void retry(double seconds) {
+    busy = true;
+    clock.after(
+        seconds,
+        () ->
+            locked(
+                () -> {
+                  busy = false;
+                  pump();
+                }));
+  }
+
+  private void answered(Batch sent, Outcome<Revision> outcome, Throwable error) {
+    busy = false;
+    if (stopped) {
+      return;
+    }
+    if (outcome instanceof Outcome.Applied<Revision> applied) {
+      applied(sent, applied.value());
+      pump();
+    } else if (outcome instanceof Outcome.NotApplied<Revision> not) {
+      if (not.reason() == Reason.CONFLICT) {
+        if (sent.mayBeApplied) {
+          readBack(sent);
+        } else {
+          authority.lost("conflict on" + not.detail());
+        }
+      } else if (not.reason() == Reason.INVALID) {
+        LOG.error("state service calls a transaction invalid: {}", not.detail());
+        authority.lost("invalid transaction");
+      } else {
+        retry(RETRY_S);
+      }
+    } else {
+      if (error != null) {
+        LOG.warn("write failed: {}", error.toString());
+      }
+      sent.mayBeApplied = true;
+      retry(RETRY_S);
+    }
+  }
+
+  /** A lost answer was followed by a conflict: was it our own first copy? */
+  private void readBack(Batch sent) {
+    Change first = sent.changes.get(0);
+    busy = true;
+    store
+        .get(first.key(), Lane.ATTEMPT)
+        .whenComplete(
+            (outcome, error) ->
+                locked(
+                    () -> {
+                      busy = false;
+                      if (stopped) {
+                        return;
+                      }
+                      if (!(outcome instanceof Outcome.Applied<StateStore.Read> read)) {
+                        clock.after(RETRY_S, () -> locked(() -> readBack(sent)));
+                        busy = true;
+                        return;
+                      }
+                      var entry = read.value().entry();
+                      boolean ours;
+                      if (first instanceof Change.Put put) {
+                        ours = entry.isPresent() && entry.get().value().equals(put.value());
+                      } else {
+                        ours = entry.isEmpty();
+                      }
+                      if (ours && first instanceof Change.Put) {
+                        applied(sent, entry.get().revision());
+                        pump();
+                      } else {
+                        authority.lost("a write of ours was overtaken");
+                      }
+                    }));
+  }
+
+  private void applied(Batch done, Revision revision) {
+    batch = null;
+    List<Attempt> opened = new ArrayList<>();
+    for (Part part : done.parts) {
+      Job job = part.job;
+      job.inFlight().clear(part.piece);
+      if (part.ends) {
+        job.finalIsDurable();
+        ledger.ended(job);
+        continue;
+      }
+      boolean gone = part.piece > 0 && job.folded().get(part.piece);
+      job.revision(part.piece, gone ? Revision.NONE : revision);
+      if (part.cancels) {
+        job.cancelIsDurable();
+      }
+      for (Attempt a : part.opens) {
+        if (job.open(a.task().index()) == a) {
+          a.markDurable();
+          opened.add(a);
+        }
+      }
+    }
+    for (Extra extra : done.extras) {
+      extraRevisions.put(extra.key, extra.value == null ? Revision.NONE : revision);
+      if (extra.then != null) {
+        extra.then.run();
+      }
+    }
+    onDurable.accept(opened);
+  }
+
+  private Batch build() {
+    Batch b = new Batch();
+    b.conditions.put(Keys.TERM, authority.termRevision());
+    List<Job> dirty = ledger.takeDirty();
+    for (Job job : dirty) {
+      if (job.cancelled() && !add(b, job)) {
+        return b;
+      }
+    }
+    while (!extras.isEmpty() && b.changes.size() < txnOps) {
+      Extra extra = extras.peek();
+      Revision known = extraRevisions.getOrDefault(extra.key, Revision.NONE);
+      if (b.conditions.containsKey(extra.key)) {
+        break;
+      }
+      extras.poll();
+      b.conditions.put(extra.key, known);
+      b.extras.add(extra);
+      b.changes.add(
+          extra.value == null
+              ? new Change.Delete(extra.key)
+              : new Change.Put(extra.key, extra.value, 0));
+    }
+    for (Job job : dirty) {
+      if (!job.cancelled() && !add(b, job)) {
+        break;
+      }
+    }
+    return b.changes.isEmpty() ? null : b;
+  }
+
+  /** Adds what a job has to write; false when the transaction is full. */
+  private boolean add(Batch b, Job job) {
+    if (job.over()) {
+      return addEnd(b, job);
+    }
+    BitSet dirty = job.dirty();
+    for (int p = dirty.nextSetBit(0); p >= 0; p = dirty.nextSetBit(p + 1)) {
+      if (b.changes.size() >= txnOps) {
+        return false;
+      }
+      String key = Keys.piece(job.spec().id(), p);
+      boolean fold = p > 0 && job.folded().get(p);
+      if (fold && job.revision(p).value() == 0) {
+        dirty.clear(p);
+        continue;
+      }
+      if (fold) {
+        b.changes.add(new Change.Delete(key));
+      } else {
+        ObjectNode value = RecordCodec.encode(job, p);
+        int size = Json.bytes(value).length + key.length() + 80;
+        if (b.bytes + size > MAX_BYTES && !b.changes.isEmpty()) {
+          return false;
+        }
+        b.bytes += size;
+        b.changes.add(new Change.Put(key, value, 0));
+      }
+      b.conditions.put(key, job.revision(p));
+      b.parts.add(new Part(job, p, p == 0 && job.cancelled(), false, opensIn(job, p)));
+      dirty.clear(p);
+      job.inFlight().set(p);
+    }
+    ledger.clean(job);
+    return true;
+  }
+
+  private static List<Attempt> opensIn(Job job, int piece) {
+    List<Attempt> out = new ArrayList<>();
+    for (Attempt a : job.openAttempts()) {
+      if (!a.durable() && job.pieceOf(a.task().index()) == piece) {
+        out.add(a);
+      }
+    }
+    return out;
+  }
+
+  private boolean addEnd(Batch b, Job job) {
+    BitSet live = job.livePieces();
+    if (live.cardinality() + 2 > txnOps) {
+      int p = live.nextSetBit(0);
+      if (b.changes.size() >= txnOps) {
+        return false;
+      }
+      // Too many pieces for one transaction: remove some first, the job's end last.
+      job.folded().set(p);
+      job.dirty().set(p);
+      job.dirty().clear(0);
+      String key = Keys.piece(job.spec().id(), p);
+      b.conditions.put(key, job.revision(p));
+      b.changes.add(new Change.Delete(key));
+      b.parts.add(new Part(job, p, false, false, List.of()));
+      job.dirty().clear(p);
+      job.inFlight().set(p);
+      return true;
+    }
+    if (b.changes.size() + live.cardinality() + 2 > txnOps) {
+      return false;
+    }
+    String end = Keys.end(job.spec().id());
+    b.conditions.put(end, Revision.NONE);
+    b.changes.add(new Change.Put(end, RecordCodec.end(job), 0));
+    b.conditions.put(Keys.job(job.spec().id()), job.revision(0));
+    b.changes.add(new Change.Delete(Keys.job(job.spec().id())));
+    for (int p = live.nextSetBit(0); p >= 0; p = live.nextSetBit(p + 1)) {
+      String key = Keys.piece(job.spec().id(), p);
+      b.conditions.put(key, job.revision(p));
+      b.changes.add(new Change.Delete(key));
+    }
+    b.parts.add(new Part(job, 0, false, true, List.of()));
+    job.inFlight().set(0, job.pieces());
+    ledger.clean(job);
+    return true;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/RecordCodec.java
@@ -0,0 +1,159 @@
+package org.ternhinge.ledger;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.model.TaskRanges;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.JobState;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.WireException;
+
+/**
+ * The layout of records. Field names are short because values are limited: s job, t time of
+ * acceptance, p piece size, h highest attempt, c cancelled, f folded pieces, d done tasks, o open
+ * attempts as {@code attempt:machine:session:zone:ranges}.
+ */
+public final class RecordCodec {
+  /** Bytes kept for the job itself in the first piece. */
+  private static final int SPEC_BYTES = 3600;
+
+  private static final int BYTES_PER_TASK = 36;
+
+  private RecordCodec() {}
+
+  /** How many tasks fit in a piece, in the worst case of one machine per task. */
+  public static int pieceSize(double valueKb) {
+    return (int) Math.max(8, (valueKb * 1024 - SPEC_BYTES) / BYTES_PER_TASK);
+  }
+
+  /** The record of a job that was just accepted. */
+  public static ObjectNode fresh(JobSpec spec, long acceptedMillis, int pieceSize) {
+    return first(new Job(spec, acceptedMillis, pieceSize));
+  }
+
+  static ObjectNode encode(Job job, int piece) {
+    return piece == 0 ? first(job) : body(job, piece, Json.object());
+  }
+
+  private static ObjectNode first(Job job) {
+    ObjectNode out = Json.object();
+    out.set("s", job.spec().write());
+    out.put("t", job.acceptedMillis()).put("p", job.pieceSize()).put("h", job.highest().value());
+    if (job.cancelled()) {
+      out.put("c", true);
+    }
+    if (!job.folded().isEmpty()) {
+      out.put("f", TaskRanges.encode(job.folded(), 0, Integer.MAX_VALUE));
+    }
+    return body(job, 0, out);
+  }
+
+  private static ObjectNode body(Job job, int piece, ObjectNode out) {
+    int from = piece * job.pieceSize();
+    int to = Math.min(job.spec().tasks(), from + job.pieceSize());
+    out.put("d", TaskRanges.encode(job.done(), from, to));
+    Map<String, BitSet> groups = new LinkedHashMap<>();
+    for (int i = from; i < to; i++) {
+      Attempt a = job.open(i);
+      if (a != null) {
+        String head = a.number() + ":" + a.machine() + ":" + a.session() + ":" + a.zone() + ":";
+        groups.computeIfAbsent(head, k -> new BitSet()).set(i);
+      }
+    }
+    ArrayNode open = out.putArray("o");
+    groups.forEach((head, set) -> open.add(head + TaskRanges.encode(set, from, to)));
+    return out;
+  }
+
+  /** Reads the first piece. */
+  static Job decodeFirst(JsonNode value, Revision revision, SteadyTime now) throws WireException {
+    JsonNode spec = value.get("s");
+    if (spec == null) {
+      throw new WireException("s: missing");
+    }
+    int pieceSize = (int) Json.count(value, "p");
+    if (pieceSize < 1) {
+      throw new WireException("p: out of range");
+    }
+    Job job = new Job(JobSpec.read(spec), Json.count(value, "t"), pieceSize);
+    job.highest(new AttemptNumber(Json.count(value, "h")));
+    if (value.path("c").asBoolean()) {
+      job.markCancelled(true);
+    }
+    for (int piece : TaskRanges.decode(value.path("f").asText(""))) {
+      job.folded().set(piece);
+      if (!job.cancelled()) {
+        int from = piece * pieceSize;
+        job.done().set(from, Math.min(job.spec().tasks(), from + pieceSize));
+      }
+    }
+    decodeBody(job, 0, value, revision, now);
+    return job;
+  }
+
+  static void decodeBody(Job job, int piece, JsonNode value, Revision revision, SteadyTime now)
+      throws WireException {
+    job.revision(piece, revision);
+    if (job.folded().get(piece)) {
+      return;
+    }
+    for (int i : TaskRanges.decode(Json.text(value, "d"))) {
+      job.done().set(i);
+    }
+    for (JsonNode item : Json.list(value, "o")) {
+      String[] parts = item.asText().split(":", 5);
+      if (parts.length != 5) {
+        throw new WireException("o: " + item.asText());
+      }
+      AttemptNumber number = new AttemptNumber(Long.parseLong(parts[0]));
+      MachineId machine = new MachineId(parts[1]);
+      Session session = new Session(Long.parseLong(parts[2]));
+      int zone = Integer.parseInt(parts[3]);
+      for (int i : TaskRanges.decode(parts[4])) {
+        Attempt a = new Attempt(job, i, number, machine, session, zone, true, now);
+        job.openMap().put(i, a);
+      }
+    }
+  }
+
+  static ObjectNode end(Job job) {
+    boolean cancelled = job.cancelled();
+    ObjectNode out = Json.object();
+    out.put("s", cancelled ? "cancelled" : "done").put("n", job.doneCount());
+    return out;
+  }
+
+  /** Reads a job's final record. */
+  public static JobState decodeEnd(JobId id, JsonNode value) {
+    boolean cancelled = value.path("s").asText().equals("cancelled");
+    JobState.Phase phase = cancelled ? JobState.Phase.CANCELLED : JobState.Phase.DONE;
+    return new JobState(id, phase, value.path("n").asInt(), 0);
+  }
+
+  /** Reads what a user may be told from the first piece alone. */
+  public static JobState decodeState(JobId id, JsonNode value) {
+    if (value.path("c").asBoolean()) {
+      return new JobState(id, JobState.Phase.CANCELLED, 0, 0);
+    }
+    int done = TaskRanges.decode(value.path("d").asText("")).size();
+    int pieceSize = value.path("p").asInt();
+    done += TaskRanges.decode(value.path("f").asText("")).size() * pieceSize;
+    int open = 0;
+    for (JsonNode item : value.path("o")) {
+      String text = item.asText();
+      open += TaskRanges.decode(text.substring(text.lastIndexOf(':') + 1)).size();
+    }
+    JobState.Phase phase = open > 0 ? JobState.Phase.RUNNING : JobState.Phase.QUEUED;
+    return new JobState(id, phase, done, open);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/limit/Lane.java
@@ -0,0 +1,24 @@
+package org.ternhinge.limit;
+
+/**
+ * Who goes first when tokens run short. Each lane leaves a part of the bucket to those before it.
+ */
+public enum Lane {
+  RENEWAL(0),
+  CANCEL(0.05),
+  ACCEPT(0.08),
+  ATTEMPT(0.15),
+  ENDING(0.2),
+  BOOKKEEPING(0.3),
+  QUERY(0.4);
+
+  private final double reserve;
+
+  Lane(double reserve) {
+    this.reserve = reserve;
+  }
+
+  double reserve() {
+    return reserve;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/model/Outcome.java
@@ -0,0 +1,61 @@
+package org.ternhinge.model;
+
+import java.util.function.Function;
+
+/**
+ * What is known of a request to another system. The three cases are kept apart by type, because
+ * taking a lost answer for a failure is how a task is started twice.
+ */
+public sealed interface Outcome<T> {
+
+  /** The request was carried out. */
+  record Applied<T>(T value) implements Outcome<T> {}
+
+  /** The request was certainly not carried out. */
+  record NotApplied<T>(Reason reason, String detail) implements Outcome<T> {}
+
+  /** The request may have been carried out, or may yet be. */
+  record Unknown<T>(String detail) implements Outcome<T> {}
+
+  /** Why a request was not carried out. */
+  enum Reason {
+    /** A condition did not hold; the detail lists the keys. */
+    CONFLICT,
+    /** The other side answered that it can't at present. */
+    REFUSED,
+    /** Our own token bucket held it back. */
+    HELD_BACK,
+    /** No connection came about. */
+    NO_CONNECTION,
+    NOT_FOUND,
+    INVALID,
+    /** The revision asked for is no longer kept. */
+    TOO_OLD
+  }
+
+  static <T> Outcome<T> applied(T value) {
+    return new Applied<>(value);
+  }
+
+  static <T> Outcome<T> notApplied(Reason reason, String detail) {
+    return new NotApplied<>(reason, detail);
+  }
+
+  static <T> Outcome<T> unknown(String detail) {
+    return new Unknown<>(detail);
+  }
+
+  default <R> Outcome<R> map(Function<T, R> change) {
+    if (this instanceof Applied<T> a) {
+      return new Applied<>(change.apply(a.value()));
+    }
+    if (this instanceof NotApplied<T> n) {
+      return new NotApplied<>(n.reason(), n.detail());
+    }
+    return new Unknown<>(((Unknown<T>) this).detail());
+  }
+
+  default boolean isBecause(Reason reason) {
+    return this instanceof NotApplied<T> n && n.reason() == reason;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/model/TaskRanges.java
@@ -0,0 +1,46 @@
+package org.ternhinge.model;
+
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import it.unimi.dsi.fastutil.ints.IntList;
+import java.util.BitSet;
+
+/** Sets of task numbers written as ranges, such as {@code 0-12,15}, to keep records small. */
+public final class TaskRanges {
+  private TaskRanges() {}
+
+  public static String encode(BitSet set, int from, int to) {
+    StringBuilder out = new StringBuilder();
+    int first = set.nextSetBit(from);
+    while (first >= 0 && first < to) {
+      int last = Math.min(set.nextClearBit(first), to) - 1;
+      if (out.length() > 0) {
+        out.append(',');
+      }
+      out.append(first);
+      if (last > first) {
+        out.append('-').append(last);
+      }
+      first = set.nextSetBit(last + 1);
+    }
+    return out.toString();
+  }
+
+  public static IntList decode(String text) {
+    IntList out = new IntArrayList();
+    if (text.isEmpty()) {
+      return out;
+    }
+    for (String part : text.split(",")) {
+      int dash = part.indexOf('-');
+      int first = Integer.parseInt(dash < 0 ? part : part.substring(0, dash));
+      int last = dash < 0 ? first : Integer.parseInt(part.substring(dash + 1));
+      if (first < 0 || last < first || last >= 1_000_000) {
+        throw new IllegalArgumentException("not a task range: " + part);
+      }
+      for (int i = first; i <= last; i++) {
+        out.add(i);
+      }
+    }
+    return out;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -0,0 +1,76 @@
+package org.ternhinge.schedule;
+
+import it.unimi.dsi.fastutil.ints.IntList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ternhinge.config.Team;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.JobSpec;
+
+/**
+ * All that the planner decides from; nothing in it changes while it decides.
+ *
+ * @param spares jobs as they may arrive before a rented machine could be up
+ */
+public record Snapshot(
+    List<MachineView> machines,
+    List<JobView> jobs,
+    List<JobView> spares,
+    Map<String, Team> teams,
+    Map<String, Resources> teamUse,
+    List<Offer> offers,
+    double idleS) {
+
+  /**
+   * A machine.
+   *
+   * @param ready whether tasks may be placed on it now; otherwise it is expected to come up
+   * @param images images that it is known to hold or to fetch
+   * @param idleS how long no attempt has been open on it
+   */
+  public record MachineView(
+      MachineId id,
+      Flavor flavor,
+      int zone,
+      String zoneName,
+      boolean spot,
+      Resources free,
+      boolean ready,
+      Set<String> images,
+      double idleS,
+      double heldS,
+      List<AttemptView> attempts,
+      List<Reservation> reservations) {}
+
+  /** Room kept on a machine for a job, after tasks were stopped for it. */
+  public record Reservation(JobId job, Resources room) {}
+
+  /** An open attempt, as something that could be stopped. */
+  public record AttemptView(
+      JobSpec spec, int index, boolean stopping, boolean running, double ranS) {}
+
+  /**
+   * A job with tasks to place.
+   *
+   * @param pending tasks without an open attempt
+   * @param zoneOpen open attempts by zone
+   * @param guaranteed whether it lies within its team's guarantee
+   * @param avoid machines that it failed on
+   */
+  public record JobView(
+      JobSpec spec,
+      long order,
+      boolean guaranteed,
+      IntList pending,
+      int[] zoneOpen,
+      boolean blocked,
+      Set<MachineId> avoid,
+      int reservedTasks) {}
+
+  /** A machine type that can be rented in a zone, as spot or ordinary. */
+  public record Offer(Flavor flavor, int zone, String zoneName, boolean spot, int most) {}
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/state/HttpStateStore.java
@@ -0,0 +1,185 @@
+package org.ternhinge.state;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.ternhinge.http.HttpCaller;
+import org.ternhinge.http.Reply;
+import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.TokenBucket;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.Revision;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.WireException;
+
+/** The state service over HTTP, within its published limits. */
+public final class HttpStateStore implements StateStore {
+  private static final double READ_S = 1.5;
+  private static final double WRITE_S = 1.5;
+
+  private final HttpCaller http;
+  private final Endpoint endpoint;
+  private final TokenBucket requests;
+  private final TokenBucket writes;
+
+  public HttpStateStore(
+      HttpCaller http, Endpoint endpoint, TokenBucket requests, TokenBucket writes) {
+    this.http = http;
+    this.endpoint = endpoint;
+    this.requests = requests;
+    this.writes = writes;
+  }
+
+  /** Turns a readable answer into a value. */
+  private interface Reader<T> {
+    T read(JsonNode body) throws WireException;
+  }
+
+  private <T> CompletableFuture<Outcome<T>> send(
+      String method, String path, byte[] body, double timeoutS, Lane lane, Reader<T> reader) {
+    if (!requests.tryTake(lane, 1)) {
+      return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, "no tokens"));
+    }
+    return http.call(endpoint, method, path, body, timeoutS).thenApply(o -> settle(o, reader));
+  }
+
+  private <T> Outcome<T> settle(Outcome<Reply> outcome, Reader<T> reader) {
+    if (outcome instanceof Outcome.NotApplied<Reply> n) {
+      return Outcome.notApplied(n.reason(), n.detail());
+    }
+    if (outcome instanceof Outcome.Unknown<Reply> u) {
+      return Outcome.unknown(u.detail());
+    }
+    Reply reply = ((Outcome.Applied<Reply>) outcome).value();
+    try {
+      return switch (reply.status()) {
+        case 200 -> Outcome.applied(reader.read(Json.parse(reply.body())));
+        case 404 -> Outcome.notApplied(Reason.NOT_FOUND, "");
+        case 409 -> Outcome.notApplied(Reason.CONFLICT, failed(reply.body()));
+        case 410 -> Outcome.notApplied(Reason.TOO_OLD, "");
+        case 400 ->
+            Outcome.notApplied(
+                Reason.INVALID, new String(reply.body(), java.nio.charset.StandardCharsets.UTF_8));
+        case 429 -> {
+          requests.drain();
+          yield Outcome.notApplied(Reason.REFUSED, "429");
+        }
+        case 503 -> Outcome.notApplied(Reason.REFUSED, "503");
+        default -> Outcome.unknown("status " + reply.status());
+      };
+    } catch (WireException e) {
+      return Outcome.unknown(e.getMessage());
+    }
+  }
+
+  private static String failed(byte[] body) throws WireException {
+    StringBuilder out = new StringBuilder(" ");
+    Json.parse(body).path("failed").forEach(k -> out.append(k.asText()).append(' '));
+    return out.toString();
+  }
+
+  private static Entry entry(JsonNode item) throws WireException {
+    return new Entry(
+        Json.text(item, "path"), item.get("v"), new Revision(Json.count(item, "utgafunumer")));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Read>> get(String key, Lane lane) {
+    return this.<Read>send(
+            "GET", "/keys/" + key, null, READ_S, lane, b -> new Read(Optional.of(entry(b))))
+        .thenApply(
+            o -> o.isBecause(Reason.NOT_FOUND) ? Outcome.applied(new Read(Optional.empty())) : o);
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Page>> list(String prefix, String after, int limit, Lane lane) {
+    String path = "/keys?prefix=" + prefix + (after == null ? "" : "&from=" + after);
+    return send(
+        "GET",
+        path + "&page=" + limit,
+        null,
+        5,
+        lane,
+        body -> {
+          List<Entry> entries = new ArrayList<>();
+          for (JsonNode item : Json.list(body, "rows")) {
+            entries.add(entry(item));
+          }
+          return new Page(
+              entries,
+              body.path("more").asBoolean(),
+              new Revision(Json.count(body, "breytingatal")));
+        });
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
+    int changes = txn.changes().size();
+    if (changes > 0 && !writes.tryTake(lane, changes)) {
+      return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, "no tokens"));
+    }
+    return this.<Revision>send(
+            "POST",
+            "/txn",
+            txn.write(),
+            WRITE_S,
+            lane,
+            b -> new Revision(Json.count(b, "breytingatal")))
+        .thenApply(
+            o -> {
+              if (o instanceof Outcome.NotApplied<Revision> n && n.detail().equals("429")) {
+                writes.drain();
+              }
+              return o;
+            });
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Long>> grant(long millis) {
+    byte[] body = Json.bytes(Json.object().put("life_ms", millis));
+    return send("POST", "/holds", body, 1.0, Lane.RENEWAL, b -> Json.count(b, "leiga"));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Long>> renew(long lease) {
+    byte[] none = new byte[] {'{', '}'};
+    return send("POST", "/holds/" + lease + "/extend", none, 1.0, Lane.RENEWAL, b -> lease);
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Long>> revoke(long lease) {
+    return send("DELETE", "/holds/" + lease, null, 1.0, Lane.BOOKKEEPING, b -> lease);
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Changes>> follow(String prefix, Revision from, double waitS) {
+    String path = "/follow?prefix=" + prefix + "&from=" + from + "&wait_ms=" + (int) (waitS * 1000);
+    return send(
+        "GET",
+        path,
+        null,
+        waitS + 5,
+        Lane.BOOKKEEPING,
+        body -> {
+          List<Change.Seen> changes = new ArrayList<>();
+          for (JsonNode item : Json.list(body, "log")) {
+            Revision rev = new Revision(Json.count(item, "utgafunumer"));
+            String put = Json.textOrNull(item, "set");
+            changes.add(
+                put != null
+                    ? new Change.Seen(put, item.get("v"), rev)
+                    : new Change.Seen(Json.text(item, "remove"), null, rev));
+          }
+          return new Changes(new Revision(Json.count(body, "breytingatal")), changes);
+        });
+  }
+
+  @Override
+  public double secondsUntilTxn(int changes, Lane lane) {
+    return Math.max(requests.secondsUntil(lane, 1), writes.secondsUntil(lane, changes));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/state/StateStore.java
@@ -0,0 +1,38 @@
+package org.ternhinge.state;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import org.ternhinge.limit.Lane;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Revision;
+
+/** The state service as the rest of the program sees it. */
+public interface StateStore {
+
+  /** A page of keys; the revision is that of the whole store as it was read. */
+  record Page(List<Entry> entries, boolean more, Revision revision) {}
+
+  /** What a watch has seen. */
+  record Changes(Revision revision, List<Change.Seen> changes) {}
+
+  /** A key as it was read, and the revision of the store then. */
+  record Read(Optional<Entry> entry) {}
+
+  CompletableFuture<Outcome<Read>> get(String key, Lane lane);
+
+  CompletableFuture<Outcome<Page>> list(String prefix, String after, int limit, Lane lane);
+
+  CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane);
+
+  CompletableFuture<Outcome<Long>> grant(long millis);
+
+  CompletableFuture<Outcome<Long>> renew(long lease);
+
+  CompletableFuture<Outcome<Long>> revoke(long lease);
+
+  CompletableFuture<Outcome<Changes>> follow(String prefix, Revision from, double waitS);
+
+  /** Seconds until a transaction of so many changes would find tokens. */
+  double secondsUntilTxn(int changes, Lane lane);
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/wire/JobSpec.java
@@ -0,0 +1,155 @@
+package org.ternhinge.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.Resources;
+
+/**
+ * A job as its user submits it.
+ *
+ * @param types allowed machine types, or null for any
+ * @param zone the only allowed zone, or null
+ * @param deadlineS measured from the submission, or null
+ */
+public record JobSpec(
+    JobId id,
+    String jobClass,
+    String team,
+    JobKind kind,
+    Priority priority,
+    int tasks,
+    Resources need,
+    double cpus,
+    double gpus,
+    double memoryGb,
+    String image,
+    double imageGb,
+    List<String> types,
+    String zone,
+    boolean together,
+    boolean scatter,
+    boolean spotAllowed,
+    double estimateS,
+    double checkpointS,
+    double saveS,
+    Double deadlineS) {
+
+  public static final int MAX_TASKS = 100_000;
+  private static final int MAX_NAME = 128;
+  private static final int MAX_TYPES = 16;
+
+  /** Reads a submission; every field that may not be null has to be there. */
+  public static JobSpec read(JsonNode body) throws WireException {
+    if (!body.isObject()) {
+      throw new WireException("not an object");
+    }
+    String id = Json.text(body, "ref");
+    if (!JobId.isValid(id)) {
+      throw new WireException("ref: not a job id");
+    }
+    long tasks = Json.count(body, "verkbitar");
+    if (tasks < 1 || tasks > MAX_TASKS) {
+      throw new WireException("verkbitar: out of range");
+    }
+    double cpus = Json.amount(body, "cpus");
+    double gpus = Json.amount(body, "accelerators");
+    double memory = Json.amount(body, "memory_gb");
+    if (cpus <= 0) {
+      throw new WireException("cpus: out of range");
+    }
+    return new JobSpec(
+        new JobId(id),
+        name(body, "runflokkur"),
+        name(body, "eigandi"),
+        JobKind.of(Json.text(body, "gerd")),
+        Priority.of(Json.text(body, "forgang")),
+        (int) tasks,
+        Resources.need(cpus, gpus, memory),
+        cpus,
+        gpus,
+        memory,
+        name(body, "mynd"),
+        Json.amount(body, "pull_gb"),
+        types(body),
+        nameOrNull(body, "svaedi"),
+        Json.flag(body, "together"),
+        Json.flag(body, "scatter"),
+        Json.flag(body, "lanvelar"),
+        Json.amount(body, "aaetlun_s"),
+        Json.amount(body, "vista_bil_s"),
+        Json.amount(body, "vistun_s"),
+        Json.amountOrNull(body, "skiladagur_s"));
+  }
+
+  private static String name(JsonNode body, String field) throws WireException {
+    String text = Json.text(body, field);
+    if (text.isEmpty() || text.length() > MAX_NAME) {
+      throw new WireException(field + ": too short or too long");
+    }
+    return text;
+  }
+
+  private static String nameOrNull(JsonNode body, String field) throws WireException {
+    return Json.textOrNull(body, field) == null ? null : name(body, field);
+  }
+
+  private static List<String> types(JsonNode body) throws WireException {
+    JsonNode node = body.get("velagerdir");
+    if (node == null || node.isNull()) {
+      return null;
+    }
+    List<String> types = new ArrayList<>();
+    for (JsonNode item : Json.list(body, "velagerdir")) {
+      if (!item.isTextual() || item.textValue().length() > MAX_NAME) {
+        throw new WireException("velagerdir: names are needed");
+      }
+      types.add(item.textValue());
+    }
+    if (types.isEmpty() || types.size() > MAX_TYPES) {
+      throw new WireException("velagerdir: too few or too many");
+    }
+    return List.copyOf(types);
+  }
+
+  public ObjectNode write() {
+    ObjectNode out = Json.object();
+    out.put("ref", id.value()).put("runflokkur", jobClass).put("eigandi", team);
+    out.put("gerd", kind.word()).put("forgang", priority.word()).put("verkbitar", tasks);
+    out.put("cpus", cpus).put("accelerators", gpus).put("memory_gb", memoryGb);
+    out.put("mynd", image).put("pull_gb", imageGb);
+    if (types != null) {
+      ArrayNode names = out.putArray("velagerdir");
+      types.forEach(names::add);
+    }
+    if (zone != null) {
+      out.put("svaedi", zone);
+    }
+    out.put("together", together).put("scatter", scatter).put("lanvelar", spotAllowed);
+    out.put("aaetlun_s", estimateS).put("vista_bil_s", checkpointS).put("vistun_s", saveS);
+    if (deadlineS != null) {
+      out.put("skiladagur_s", deadlineS);
+    }
+    return out;
+  }
+
+  public boolean isGang() {
+    return kind == JobKind.GANG;
+  }
+
+  public boolean isService() {
+    return kind == JobKind.SERVICE;
+  }
+
+  /** The most tasks that one zone may hold. */
+  public int zoneLimit() {
+    return scatter ? (tasks + 1) / 2 : tasks;
+  }
+
+  public boolean allowsType(String type) {
+    return types == null || types.contains(type);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/wire/RentalRequest.java
@@ -0,0 +1,43 @@
+package org.ternhinge.wire;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.ternhinge.model.MachineId;
+
+/** A request for machines; its name makes a repeat harmless. */
+public record RentalRequest(String name, String type, String zone, boolean spot, int count) {
+
+  public static final int MAX_COUNT = 50;
+
+  public ObjectNode write() {
+    ObjectNode out = Json.object().put("leigubeidni", name).put("velagerd", type);
+    return out.put("svaedi", zone).put("lanvelar", spot).put("count", count);
+  }
+
+  public static RentalRequest read(JsonNode body) throws WireException {
+    return new RentalRequest(
+        Json.text(body, "leigubeidni"),
+        Json.text(body, "velagerd"),
+        Json.text(body, "svaedi"),
+        Json.flag(body, "lanvelar"),
+        (int) Json.count(body, "count"));
+  }
+
+  public static List<MachineId> readAnswer(JsonNode body) throws WireException {
+    List<MachineId> out = new ArrayList<>();
+    for (JsonNode item : Json.list(body, "velar")) {
+      out.add(new MachineId(item.asText()));
+    }
+    return out;
+  }
+
+  public static byte[] release(List<MachineId> machines) {
+    ObjectNode out = Json.object();
+    ArrayNode names = out.putArray("velar");
+    machines.forEach(m -> names.add(m.value()));
+    return Json.bytes(out);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/worker/HttpWorkers.java
@@ -0,0 +1,60 @@
+package org.ternhinge.worker;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.ternhinge.http.HttpCaller;
+import org.ternhinge.http.Reply;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.Term;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.WireException;
+import org.ternhinge.wire.WorkerReport;
+
+/** Direct orders over HTTP. */
+public final class HttpWorkers implements Workers {
+  private static final double TIMEOUT_S = 3;
+
+  private final HttpCaller http;
+
+  public HttpWorkers(HttpCaller http) {
+    this.http = http;
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Answer>> order(
+      Endpoint worker, Term term, Session session, List<Command> commands) {
+    byte[] body = Command.order(term, session, commands);
+    return http.call(worker, "POST", "/commands", body, TIMEOUT_S).thenApply(HttpWorkers::settle);
+  }
+
+  private static Outcome<Answer> settle(Outcome<Reply> outcome) {
+    if (outcome instanceof Outcome.NotApplied<Reply> n) {
+      return Outcome.notApplied(n.reason(), n.detail());
+    }
+    if (outcome instanceof Outcome.Unknown<Reply> u) {
+      return Outcome.unknown(u.detail());
+    }
+    Reply reply = ((Outcome.Applied<Reply>) outcome).value();
+    try {
+      return switch (reply.status()) {
+        case 200 ->
+            Outcome.applied(new Answer.Executed(WorkerReport.read(Json.parse(reply.body()))));
+        case 409 ->
+            Outcome.applied(new Answer.Refused(WorkerReport.read(Json.parse(reply.body()))));
+        case 400 -> Outcome.notApplied(Reason.INVALID, "400");
+        default -> Outcome.unknown("status " + reply.status());
+      };
+    } catch (WireException e) {
+      return Outcome.unknown(e.getMessage());
+    }
+  }
+
+  @Override
+  public void forget(Endpoint worker) {
+    http.forget(worker);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/worker/Workers.java
@@ -0,0 +1,31 @@
+package org.ternhinge.worker;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.Term;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.WorkerReport;
+
+/** Direct orders to workers. */
+public interface Workers {
+
+  /** What a worker said to an order. */
+  sealed interface Answer {
+    WorkerReport report();
+
+    /** The commands were carried out; the report was made after them. */
+    record Executed(WorkerReport report) implements Answer {}
+
+    /** Nothing was carried out: the token or the session did not fit. */
+    record Refused(WorkerReport report) implements Answer {}
+  }
+
+  CompletableFuture<Outcome<Answer>> order(
+      Endpoint worker, Term term, Session session, List<Command> commands);
+
+  /** The worker at this address is of no more use. */
+  void forget(Endpoint worker);
+}
