--- a/src/main/java/org/ternhinge/cli/Main.java
+++ b/src/main/java/org/ternhinge/cli/Main.java
@@ -1,10 +1,12 @@
 package org.ternhinge.cli;
 
+import java.io.IOException;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.SettingsException;
 import org.ternhinge.config.Tuning;
+import org.ternhinge.wire.WireException;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -69,6 +71,16 @@
     return 0;
   }
 
+  @Command(
+      name = "rehearse",
+      hidden = true,
+      description = "Runs for two seconds on loopback; the build archives the classes it loads.")
+  int rehearse() throws IOException, InterruptedException, WireException {
+    Rehearsal.run();
+    System.exit(0);
+    return 0;
+  }
+
   private record Loaded(Settings settings, Tuning tuning) {}
 
   private static Loaded load(Path config, Path tuning) {
--- a/src/main/java/org/ternhinge/cli/Service.java
+++ b/src/main/java/org/ternhinge/cli/Service.java
@@ -45,6 +45,8 @@
     System.setProperty("io.netty.allocator.type", "unpooled");
     System.setProperty("io.netty.noPreferDirect", "true");
     System.setProperty("io.netty.leakDetection.level", "disabled");
+    // Netty would look through the network interfaces for a name of its own for this machine.
+    System.setProperty("io.netty.machineId", "02:00:00:00:00:01");
     EventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     EventLoop loop = group.next();
     ExecutorService scheduler = Executors.newSingleThreadExecutor();
