--- a/src/main/java/org/ternhinge/config/Tuning.java
+++ b/src/main/java/org/ternhinge/config/Tuning.java
@@ -30,7 +30,7 @@
     double graceS,
     double idleS) {
 
-  public static final Tuning DEFAULT = new Tuning(1.0, 0.1, 6.0, 2.0, 0.3, 30.0, 60.0);
+  public static final Tuning DEFAULT = new Tuning(1.0, 0.1, 6.0, 2.0, 0.3, 30.0, 40.0);
 
   /** Reads the file; a file that was named has to be there. */
   public static Tuning load(Path file) throws SettingsException {
--- a/src/main/java/org/ternhinge/controller/Arrivals.java
+++ b/src/main/java/org/ternhinge/controller/Arrivals.java
@@ -54,7 +54,7 @@
       }
       double span = Math.max(60, Math.min(WINDOW_S, now.secondsSince(q.peekFirst().at())));
       double expected = q.size() / span * AHEAD_S;
-      int keep = (int) Math.min(q.size(), Math.ceil(expected));
+      int keep = (int) Math.min(q.size(), expected + Math.sqrt(expected));
       var latest = q.descendingIterator();
       for (int i = 0; i < keep; i++) {
         JobSpec spec = latest.next().spec();
--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -69,6 +69,7 @@
   private static final int MAX_COMMANDS = 400;
   private static final double FOLLOW_S = 20;
   private static final double RESERVE_S = 12;
+  private static final double DESCRIBE_S = 20;
 
   private final Settings settings;
   private final Tuning tuning;
@@ -98,6 +99,7 @@
   private boolean roundAsked;
   private boolean roundRunning;
   private SteadyTime lastRound;
+  private SteadyTime described;
   private Revision watched;
 
   /** What went wrong with a job's tasks, apart from any machine's fault. */
@@ -132,6 +134,7 @@
     this.metrics = s.metrics();
     this.electedAt = clock.now();
     this.lastRound = electedAt;
+    this.described = electedAt;
     double lease = settings.workers().leaseS() * (1 + DRIFT) + tuning.marginS();
     // An earlier leader may have gone on answering reports for the grace that it was allowed.
     this.silentBy = electedAt.plusSeconds(tuning.graceS() * (1 + DRIFT) + lease);
@@ -757,9 +760,31 @@
 
   private void tick() {
     askRound();
+    if (LOG.isDebugEnabled() && clock.now().secondsSince(described) >= DESCRIBE_S) {
+      described = clock.now();
+      machines.values().forEach(this::describe);
+    }
     later(tuning.roundS(), this::tick);
   }
 
+  /** One line a machine, for whoever reads the log to see what runs where. */
+  private void describe(Machine m) {
+    Map<String, Integer> classes = new TreeMap<>();
+    for (Attempt a : ledger.attemptsOn(m.id)) {
+      classes.merge(a.job().spec().jobClass() + " " + a.seen(), 1, Integer::sum);
+    }
+    LOG.debug(
+        "fleet {} {} {}{} {} {}{}{}",
+        m.id,
+        m.type,
+        m.zoneName,
+        m.spot ? " spot" : "",
+        classes,
+        m.reported ? "" : "not up ",
+        m.releasing ? "releasing " : "",
+        placeable(m, clock.now()) ? "" : "closed");
+  }
+
   void askRound() {
     if (roundAsked || !ready || stopped) {
       return;
@@ -921,6 +946,7 @@
         settings.teams(),
         use,
         rentals.offers(flavors.values(), settings.zones(), now),
+        now.secondsSince(electedAt) > 2 * settings.workers().reportS(),
         tuning.idleS());
   }
 
@@ -1007,6 +1033,9 @@
         LOG.debug("{} not placed: {}", p.job(), against);
         continue;
       }
+      if (LOG.isDebugEnabled()) {
+        LOG.debug("{} {} goes to {}", p.job(), job.spec().jobClass(), p.machines());
+      }
       for (Ledger.Placement placed : placements) {
         Machine m = machines.get(placed.site().machine());
         dropReservation(m, p.job());
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -17,6 +17,7 @@
 import org.ternhinge.schedule.Snapshot.Offer;
 import org.ternhinge.schedule.Snapshot.Reservation;
 import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Priority;
 
@@ -37,6 +38,9 @@
 
   private static final double SIBLING_S = 4;
 
+  /** Score, in seconds, in favour of a place that was made for the job. */
+  private static final double KEPT_S = 1000;
+
   private final Snapshot snapshot;
   private final Plan plan = new Plan();
   private final List<Bin> bins = new ArrayList<>();
@@ -44,12 +48,54 @@
   private final Map<JobId, int[]> zoneOpen = new HashMap<>();
   private final List<Demand> unmet = new ArrayList<>();
 
+  /** What the tasks with accelerators that are about look like, or null if there are none. */
+  private final Resources acceleratorTask;
+
   private Planner(Snapshot snapshot) {
     this.snapshot = snapshot;
     this.teamUse = new HashMap<>(snapshot.teamUse());
     for (MachineView m : snapshot.machines()) {
       bins.add(new Bin(m));
     }
+    this.acceleratorTask = acceleratorTask();
+  }
+
+  private Resources acceleratorTask() {
+    for (JobView job : snapshot.jobs()) {
+      if (job.spec().need().gpus() > 0) {
+        return job.spec().need();
+      }
+    }
+    for (MachineView m : snapshot.machines()) {
+      for (AttemptView a : m.attempts()) {
+        if (a.spec().need().gpus() > 0) {
+          return a.spec().need();
+        }
+      }
+    }
+    for (JobView job : snapshot.spares()) {
+      if (job.spec().need().gpus() > 0) {
+        return job.spec().need();
+      }
+    }
+    return null;
+  }
+
+  /** How many tasks with accelerators lose their place on a machine to this one. */
+  private int blocks(JobSpec spec, Bin bin) {
+    Resources capacity = bin.flavor.capacity();
+    if (capacity.gpus() == 0 || spec.need().gpus() > 0) {
+      return 0;
+    }
+    Resources task = acceleratorTask;
+    if (task == null) {
+      // None are about: suppose that one takes an accelerator and nearly its share of the rest.
+      long gpus = Math.max(1, capacity.gpus() / 1000);
+      task = new Resources(capacity.cpus() * 7 / 8 / gpus, 1000, capacity.memory() * 3 / 4 / gpus);
+    }
+    // A service stays, while arrays next to it go soon: it is judged by the room without them.
+    Resources room = spec.isService() ? bin.free.plus(bin.passing()) : bin.free;
+    return task.timesIn(room) - task.timesIn(room.minus(spec.need()));
   }
 
   public static Plan plan(Snapshot snapshot) {
@@ -75,6 +121,7 @@
     private final String zoneName;
     private final boolean spot;
     private Resources free;
+    private Resources placedArrays = Resources.ZERO;
     private Set<String> images;
     private final Map<JobId, Integer> siblings = new HashMap<>();
     private boolean used;
@@ -113,6 +160,18 @@
       return view != null && view.ready();
     }
 
+    /** Whether others were stopped here to make room for this job. */
+    boolean keptFor(JobId job) {
+      if (view != null) {
+        for (Reservation r : view.reservations()) {
+          if (r.job().equals(job)) {
+            return true;
+          }
+        }
+      }
+      return false;
+    }
+
     Resources roomFor(JobId job) {
       Resources room = free;
       if (view != null) {
@@ -125,8 +184,24 @@
       return room;
     }
 
+    /** Room of array tasks, which end by themselves before long. */
+    Resources passing() {
+      Resources sum = placedArrays;
+      if (view != null) {
+        for (AttemptView a : view.attempts()) {
+          if (a.spec().kind() == JobKind.ARRAY) {
+            sum = sum.plus(a.spec().need());
+          }
+        }
+      }
+      return sum;
+    }
+
     void take(JobSpec spec) {
       free = free.minus(spec.need());
+      if (spec.kind() == JobKind.ARRAY) {
+        placedArrays = placedArrays.plus(spec.need());
+      }
       siblings.merge(spec.id(), 1, Integer::sum);
       used = true;
       if (!images.contains(spec.image())) {
@@ -179,7 +254,7 @@
     int[] zones = zoneOpen.get(spec.id());
     int placed = 0;
     while (placed < allowed) {
-      Bin bin = best(spec, zones, -1);
+      Bin bin = best(spec, zones, -1, false);
       if (bin == null) {
         break;
       }
@@ -192,14 +267,40 @@
       plan.places().add(new Plan.Place(spec.id(), tasks, machines));
     }
     int left = allowed - placed - job.reservedTasks();
-    while (left > 0 && preempt(job, zones)) {
+    while (left > 0 && preempt(job, zones, false)) {
       left--;
     }
+    if (spec.priority() == Priority.PRODUCTION && snapshot.settled()) {
+      // Last resort: places that tasks with accelerators will miss.
+      left -= placeBlocking(job, placed, left);
+      while (left > 0 && preempt(job, zones, true)) {
+        left--;
+      }
+    }
     if (left > 0) {
       unmet.add(new Demand(job, left));
     }
   }
 
+  private int placeBlocking(JobView job, int from, int most) {
+    List<Integer> tasks = new ArrayList<>();
+    List<MachineId> machines = new ArrayList<>();
+    int[] zones = zoneOpen.get(job.spec().id());
+    for (int i = 0; i < most && from + i < job.pending().size(); i++) {
+      Bin bin = best(job.spec(), zones, -1, true);
+      if (bin == null) {
+        break;
+      }
+      take(bin, job.spec(), zones);
+      tasks.add(job.pending().getInt(from + i));
+      machines.add(bin.view.id());
+    }
+    if (!tasks.isEmpty()) {
+      plan.places().add(new Plan.Place(job.spec().id(), tasks, machines));
+    }
+    return tasks.size();
+  }
+
   private void take(Bin bin, JobSpec spec, int[] zones) {
     bin.take(spec);
     zones[bin.zone]++;
@@ -234,20 +335,23 @@
     return true;
   }
 
-  private Bin best(JobSpec spec, int[] zones, int onlyZone) {
+  private Bin best(JobSpec spec, int[] zones, int onlyZone, boolean mayBlock) {
     Bin best = null;
     double least = Double.MAX_VALUE;
-    JobView view = null;
     for (Bin bin : bins) {
       if (!bin.ready()
           || !bin.allows(spec)
           || (onlyZone >= 0 && bin.zone != onlyZone)
           || !zoneFits(spec, zones, bin.zone)
           || !spec.need().fitsIn(bin.roomFor(spec.id()))
-          || avoided(spec, bin)) {
+          || avoided(spec, bin)
+          || (!mayBlock && blocks(spec, bin) > 0 && !bin.keptFor(spec.id()))) {
         continue;
       }
       double score = score(spec, bin);
+      if (bin.keptFor(spec.id())) {
+        score -= KEPT_S;
+      }
       if (score < least) {
         least = score;
         best = bin;
@@ -274,22 +378,12 @@
   }
 
   /** Seconds of waiting and waste, as far as they can be told; the least is the best. */
-  private static double score(JobSpec spec, Bin bin) {
+  private double score(JobSpec spec, Bin bin) {
     double score = 0;
     if (!bin.images.contains(spec.image())) {
       score += bin.flavor.fetchSeconds(spec.imageGb());
     }
-    long gpus = bin.flavor.capacity().gpus();
-    if (gpus > 0 && spec.need().gpus() == 0) {
-      // A task without accelerators may take what tasks with accelerators leave over, seen from
-      // an even share of the machine for each accelerator.
-      double perGpu = (double) bin.flavor.capacity().cpus() / gpus;
-      double gpusFree = bin.free.gpus();
-      double after = bin.free.cpus() - spec.need().cpus();
-      if (after < gpusFree * perGpu * 0.85) {
-        score += ACCELERATOR_S;
-      }
-    }
+    score += ACCELERATOR_S * blocks(spec, bin);
     if (spec.spotAllowed() && !bin.spot) {
       score += ORDINARY_S;
     }
@@ -321,7 +415,7 @@
     List<Integer> tasks = new ArrayList<>();
     List<MachineId> machines = new ArrayList<>();
     for (int i = 0; i < spec.tasks(); i++) {
-      Bin bin = best(spec, zones, zone);
+      Bin bin = best(spec, zones, zone, false);
       if (bin == null) {
         for (int k = taken.size() - 1; k >= 0; k--) {
           taken.get(k).free = before.get(k);
@@ -350,7 +444,7 @@
     if (job.reservedTasks() >= job.spec().tasks()) {
       return true;
     }
-    return job.spec().tasks() == 1 && preempt(job, job.zoneOpen().clone());
+    return job.spec().tasks() == 1 && preempt(job, job.zoneOpen().clone(), false);
   }
 
   private boolean mayStop(JobView job, AttemptView victim) {
@@ -384,7 +478,7 @@
         + 1000.0 * (Priority.LOW.ordinal() - a.spec().priority().ordinal());
   }
 
-  private boolean preempt(JobView job, int[] zones) {
+  private boolean preempt(JobView job, int[] zones, boolean mayBlock) {
     JobSpec spec = job.spec();
     Bin best = null;
     List<AttemptView> bestVictims = null;
@@ -394,13 +488,16 @@
           || !bin.allows(spec)
           || !zoneFits(spec, zones, bin.zone)
           || bin.stoppedFor.contains(spec.id())
+          || (!mayBlock && blocks(spec, bin) > 0)
           || avoided(spec, bin)) {
         continue;
       }
       List<AttemptView> candidates = new ArrayList<>();
       for (AttemptView a : bin.view.attempts()) {
-        if (mayStop(job, a) && a.spec().kind() != org.ternhinge.wire.JobKind.GANG
-            || mayStop(job, a) && a.spec().tasks() == 1) {
+        boolean accelerated = a.spec().need().gpus() > 0 && spec.need().gpus() == 0;
+        if (mayStop(job, a)
+            && (a.spec().kind() != JobKind.GANG || a.spec().tasks() == 1)
+            && (mayBlock || !accelerated)) {
           candidates.add(a);
         }
       }
@@ -441,7 +538,7 @@
   private void rentFor(Demand demand, List<Bin> coming, boolean spare) {
     JobSpec spec = demand.job.spec();
     int tasks = demand.tasks;
-    if (spec.kind() == org.ternhinge.wire.JobKind.ARRAY) {
+    if (spec.kind() == JobKind.ARRAY) {
       tasks = (int) Math.ceil(tasks * Math.min(1, Math.max(1, spec.estimateS()) / ARRAY_TURN_S));
     }
     int[] zones = zoneOpen.getOrDefault(spec.id(), new int[demand.job.zoneOpen().length]).clone();
@@ -476,6 +573,7 @@
       if (fits == 0
           || !bin.allows(spec)
           || !zoneFits(spec, zones, bin.zone)
+          || (spec.priority() != Priority.PRODUCTION && blocks(spec, bin) > 0)
           || rented.getOrDefault(offer, 0) >= offer.most()) {
         continue;
       }
@@ -532,8 +630,7 @@
   private static Resources stoppable(Bin bin, JobSpec spec) {
     Resources room = bin.free;
     for (AttemptView a : bin.view.attempts()) {
-      if (a.spec().priority().compareTo(spec.priority()) > 0
-          && a.spec().kind() != org.ternhinge.wire.JobKind.GANG) {
+      if (a.spec().priority().compareTo(spec.priority()) > 0 && a.spec().kind() != JobKind.GANG) {
         room = room.plus(a.spec().need());
       }
     }
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -15,6 +15,7 @@
  * All that the planner decides from; nothing in it changes while it decides.
  *
  * @param spares jobs as they may arrive before a rented machine could be up
+ * @param settled whether this leadership is old enough for every live machine to have reported
  */
 public record Snapshot(
     List<MachineView> machines,
@@ -23,6 +24,7 @@
     Map<String, Team> teams,
     Map<String, Resources> teamUse,
     List<Offer> offers,
+    boolean settled,
     double idleS) {
 
   /**
