--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -49,7 +49,7 @@
   private final List<Demand> unmet = new ArrayList<>();
 
   /** What the tasks with accelerators that are about look like, or null if there are none. */
-  private final Resources acceleratorTask;
+  private final JobSpec acceleratorJob;
 
   private Planner(Snapshot snapshot) {
     this.snapshot = snapshot;
@@ -57,25 +57,25 @@
     for (MachineView m : snapshot.machines()) {
       bins.add(new Bin(m));
     }
-    this.acceleratorTask = acceleratorTask();
+    this.acceleratorJob = acceleratorJob();
   }
 
-  private Resources acceleratorTask() {
+  private JobSpec acceleratorJob() {
     for (JobView job : snapshot.jobs()) {
       if (job.spec().need().gpus() > 0) {
-        return job.spec().need();
+        return job.spec();
       }
     }
     for (MachineView m : snapshot.machines()) {
       for (AttemptView a : m.attempts()) {
         if (a.spec().need().gpus() > 0) {
-          return a.spec().need();
+          return a.spec();
         }
       }
     }
     for (JobView job : snapshot.spares()) {
       if (job.spec().need().gpus() > 0) {
-        return job.spec().need();
+        return job.spec();
       }
     }
     return null;
@@ -87,7 +87,10 @@
     if (capacity.gpus() == 0 || spec.need().gpus() > 0) {
       return 0;
     }
-    Resources task = acceleratorTask;
+    if (acceleratorJob != null && !bin.allows(acceleratorJob)) {
+      return 0;
+    }
+    Resources task = acceleratorJob == null ? null : acceleratorJob.need();
     if (task == null) {
       // None are about: suppose that one takes an accelerator and nearly its share of the rest.
       long gpus = Math.max(1, capacity.gpus() / 1000);
