--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -276,6 +276,7 @@
     JobId id = job.spec().id();
     if (ledger.job(id) == null && ledger.ended(id) == null) {
       ledger.adopt(job);
+      LOG.debug("accepted {} of {}", id, job.spec().jobClass());
       arrivals.saw(job.spec(), clock.now());
       askRound();
     }
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -242,13 +242,20 @@
     JobSpec spec = job.spec();
     int allowed = Math.min(job.pending().size(), limitLeft(spec));
     if (spec.isGang()) {
-      if (job.pending().size() < spec.tasks() || allowed < spec.tasks()) {
+      if (job.pending().size() < spec.tasks()) {
+        return;
+      }
+      if (allowed < spec.tasks()) {
+        if (limitLeft(spec, passingUse(spec.team())) >= spec.tasks()) {
+          hold(spec, spec.tasks());
+        }
         return;
       }
       if (!placeGang(job)) {
         if (!preemptGang(job)) {
           unmet.add(new Demand(job, spec.tasks()));
         }
+        hold(spec, spec.tasks());
       }
       return;
     }
@@ -270,19 +277,45 @@
       plan.places().add(new Plan.Place(spec.id(), tasks, machines));
     }
     int left = allowed - placed - job.reservedTasks();
-    while (left > 0 && preempt(job, zones, false)) {
+    while (left > 0 && preempt(job, zones, false, false)) {
       left--;
     }
     if (spec.priority() == Priority.PRODUCTION && snapshot.settled()) {
       // Last resort: places that tasks with accelerators will miss.
       left -= placeBlocking(job, placed, left);
-      while (left > 0 && preempt(job, zones, true)) {
+      while (left > 0 && preempt(job, zones, true, false)) {
         left--;
       }
     }
     if (left > 0) {
       unmet.add(new Demand(job, left));
     }
+    // What keeps the rest may be the team's limit, taken up by its own lesser work.
+    int over = job.pending().size() - Math.max(allowed, placed + job.reservedTasks());
+    while (over > 0 && spec.priority() != Priority.LOW && preempt(job, zones, false, true)) {
+      over--;
+    }
+    hold(spec, Math.min(job.reservedTasks(), job.pending().size() - placed));
+  }
+
+  /** Keeps a part of a team's limit from jobs that come later in order. */
+  private void hold(JobSpec spec, int tasks) {
+    if (tasks > 0) {
+      teamUse.merge(spec.team(), spec.need().times(tasks), Resources::plus);
+    }
+  }
+
+  /** What a team's array tasks use; they end by themselves before long. */
+  private Resources passingUse(String team) {
+    Resources sum = Resources.ZERO;
+    for (MachineView m : snapshot.machines()) {
+      for (AttemptView a : m.attempts()) {
+        if (a.spec().kind() == JobKind.ARRAY && a.spec().team().equals(team)) {
+          sum = sum.plus(a.spec().need());
+        }
+      }
+    }
+    return sum;
   }
 
   private int placeBlocking(JobView job, int from, int most) {
@@ -312,8 +345,12 @@
 
   /** How many more tasks of this size the team's limit permits. */
   private int limitLeft(JobSpec spec) {
+    return limitLeft(spec, Resources.ZERO);
+  }
+
+  private int limitLeft(JobSpec spec, Resources without) {
     Team team = snapshot.teams().get(spec.team());
-    Resources use = teamUse.getOrDefault(spec.team(), Resources.ZERO);
+    Resources use = teamUse.getOrDefault(spec.team(), Resources.ZERO).minus(without);
     long n = Integer.MAX_VALUE;
     if (team.cpusMax() > 0) {
       n = Math.min(n, Math.floorDiv(team.cpusMax() - use.cpus(), spec.need().cpus()));
@@ -447,7 +484,7 @@
     if (job.reservedTasks() >= job.spec().tasks()) {
       return true;
     }
-    return job.spec().tasks() == 1 && preempt(job, job.zoneOpen().clone(), false);
+    return job.spec().tasks() == 1 && preempt(job, job.zoneOpen().clone(), false, false);
   }
 
   private boolean mayStop(JobView job, AttemptView victim) {
@@ -481,7 +518,7 @@
         + 1000.0 * (Priority.LOW.ordinal() - a.spec().priority().ordinal());
   }
 
-  private boolean preempt(JobView job, int[] zones, boolean mayBlock) {
+  private boolean preempt(JobView job, int[] zones, boolean mayBlock, boolean ownTeam) {
     JobSpec spec = job.spec();
     Bin best = null;
     List<AttemptView> bestVictims = null;
@@ -500,7 +537,8 @@
         boolean accelerated = a.spec().need().gpus() > 0 && spec.need().gpus() == 0;
         if (mayStop(job, a)
             && (a.spec().kind() != JobKind.GANG || a.spec().tasks() == 1)
-            && (mayBlock || !accelerated)) {
+            && (mayBlock || !accelerated)
+            && (!ownTeam || a.spec().team().equals(spec.team()))) {
           candidates.add(a);
         }
       }
@@ -508,15 +546,18 @@
       Resources room = bin.roomFor(spec.id());
       List<AttemptView> victims = new ArrayList<>();
       double cost = score(spec, bin);
+      Resources freed = Resources.ZERO;
       for (AttemptView a : candidates) {
-        if (spec.need().fitsIn(room)) {
+        if (spec.need().fitsIn(room) && (!ownTeam || spec.need().cpus() <= freed.cpus())) {
           break;
         }
         victims.add(a);
+        freed = freed.plus(a.spec().need());
         room = room.plus(a.spec().need());
         cost += loss(a);
       }
-      if (!victims.isEmpty() && spec.need().fitsIn(room) && cost < least) {
+      boolean enough = !ownTeam || spec.need().cpus() <= freed.cpus();
+      if (!victims.isEmpty() && enough && spec.need().fitsIn(room) && cost < least) {
         least = cost;
         best = bin;
         bestVictims = victims;
