--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -116,6 +116,21 @@
 
   private record Demand(JobView job, int tasks) {}
 
+  /**
+   * How far to go for a place.
+   *
+   * @param mayBlock also where tasks with accelerators would miss it
+   * @param ownTeam only by stopping work of the job's own team, which frees its limit too
+   * @param cached only where the image lies
+   */
+  private record Reach(boolean mayBlock, boolean ownTeam, boolean cached) {
+    private static final Reach PLAIN = new Reach(false, false, false);
+    private static final Reach CACHED = new Reach(false, false, true);
+    private static final Reach LAST = new Reach(true, false, false);
+    private static final Reach OWN = new Reach(false, true, false);
+    private static final Reach OWN_LAST = new Reach(true, true, false);
+  }
+
   /** A machine with the room that is left as the plan grows. */
   private static final class Bin {
     private final MachineView view;
@@ -259,31 +274,30 @@
       }
       return;
     }
-    List<Integer> tasks = new ArrayList<>();
-    List<MachineId> machines = new ArrayList<>();
     int[] zones = zoneOpen.get(spec.id());
+    boolean production = spec.priority() == Priority.PRODUCTION;
     int placed = 0;
-    while (placed < allowed) {
-      Bin bin = best(spec, zones, -1, false);
-      if (bin == null) {
-        break;
+    int left = allowed;
+    if (production) {
+      // An image takes longer to fetch than lesser work to stop: first all places that have it.
+      placed += place(job, placed, left, zones, Reach.CACHED);
+      left = allowed - placed - job.reservedTasks();
+      while (left > 0 && preempt(job, zones, Reach.CACHED)) {
+        left--;
       }
-      take(bin, spec, zones);
-      tasks.add(job.pending().getInt(placed));
-      machines.add(bin.view.id());
-      placed++;
     }
-    if (placed > 0) {
-      plan.places().add(new Plan.Place(spec.id(), tasks, machines));
-    }
-    int left = allowed - placed - job.reservedTasks();
-    while (left > 0 && preempt(job, zones, false, false)) {
+    int more = place(job, placed, left, zones, Reach.PLAIN);
+    placed += more;
+    left -= more + (production ? 0 : job.reservedTasks());
+    while (left > 0 && preempt(job, zones, Reach.PLAIN)) {
       left--;
     }
-    if (spec.priority() == Priority.PRODUCTION && snapshot.settled()) {
+    if (production && snapshot.settled()) {
       // Last resort: places that tasks with accelerators will miss.
-      left -= placeBlocking(job, placed, left);
-      while (left > 0 && preempt(job, zones, true, false)) {
+      more = place(job, placed, left, zones, Reach.LAST);
+      placed += more;
+      left -= more;
+      while (left > 0 && preempt(job, zones, Reach.LAST)) {
         left--;
       }
     }
@@ -292,7 +306,10 @@
     }
     // What keeps the rest may be the team's limit, taken up by its own lesser work.
     int over = job.pending().size() - Math.max(allowed, placed + job.reservedTasks());
-    while (over > 0 && spec.priority() != Priority.LOW && preempt(job, zones, false, true)) {
+    while (over > 0 && spec.priority() != Priority.LOW && preempt(job, zones, Reach.OWN)) {
+      over--;
+    }
+    while (over > 0 && production && preempt(job, zones, Reach.OWN_LAST)) {
       over--;
     }
     hold(spec, Math.min(job.reservedTasks(), job.pending().size() - placed));
@@ -318,21 +335,21 @@
     return sum;
   }
 
-  private int placeBlocking(JobView job, int from, int most) {
+  private int place(JobView job, int from, int most, int[] zones, Reach reach) {
+    JobSpec spec = job.spec();
     List<Integer> tasks = new ArrayList<>();
     List<MachineId> machines = new ArrayList<>();
-    int[] zones = zoneOpen.get(job.spec().id());
     for (int i = 0; i < most && from + i < job.pending().size(); i++) {
-      Bin bin = best(job.spec(), zones, -1, true);
+      Bin bin = best(spec, zones, -1, reach);
       if (bin == null) {
         break;
       }
-      take(bin, job.spec(), zones);
+      take(bin, spec, zones);
       tasks.add(job.pending().getInt(from + i));
       machines.add(bin.view.id());
     }
     if (!tasks.isEmpty()) {
-      plan.places().add(new Plan.Place(job.spec().id(), tasks, machines));
+      plan.places().add(new Plan.Place(spec.id(), tasks, machines));
     }
     return tasks.size();
   }
@@ -375,7 +392,7 @@
     return true;
   }
 
-  private Bin best(JobSpec spec, int[] zones, int onlyZone, boolean mayBlock) {
+  private Bin best(JobSpec spec, int[] zones, int onlyZone, Reach reach) {
     Bin best = null;
     double least = Double.MAX_VALUE;
     for (Bin bin : bins) {
@@ -385,7 +402,7 @@
           || !zoneFits(spec, zones, bin.zone)
           || !spec.need().fitsIn(bin.roomFor(spec.id()))
           || avoided(spec, bin)
-          || (!mayBlock && blocks(spec, bin) > 0 && !bin.keptFor(spec.id()))) {
+          || (!bin.keptFor(spec.id()) && !within(reach, spec, bin))) {
         continue;
       }
       double score = score(spec, bin);
@@ -400,6 +417,11 @@
     return best;
   }
 
+  private boolean within(Reach reach, JobSpec spec, Bin bin) {
+    return (reach.mayBlock || blocks(spec, bin) <= 0)
+        && (!reach.cached || bin.images.contains(spec.image()));
+  }
+
   private boolean avoided(JobSpec spec, Bin bin) {
     Set<MachineId> avoid = avoidOf(spec.id());
     return !avoid.isEmpty() && avoid.contains(bin.view.id());
@@ -455,7 +477,7 @@
     List<Integer> tasks = new ArrayList<>();
     List<MachineId> machines = new ArrayList<>();
     for (int i = 0; i < spec.tasks(); i++) {
-      Bin bin = best(spec, zones, zone, false);
+      Bin bin = best(spec, zones, zone, Reach.PLAIN);
       if (bin == null) {
         for (int k = taken.size() - 1; k >= 0; k--) {
           taken.get(k).free = before.get(k);
@@ -484,7 +506,7 @@
     if (job.reservedTasks() >= job.spec().tasks()) {
       return true;
     }
-    return job.spec().tasks() == 1 && preempt(job, job.zoneOpen().clone(), false, false);
+    return job.spec().tasks() == 1 && preempt(job, job.zoneOpen().clone(), Reach.PLAIN);
   }
 
   private boolean mayStop(JobView job, AttemptView victim) {
@@ -518,7 +540,7 @@
         + 1000.0 * (Priority.LOW.ordinal() - a.spec().priority().ordinal());
   }
 
-  private boolean preempt(JobView job, int[] zones, boolean mayBlock, boolean ownTeam) {
+  private boolean preempt(JobView job, int[] zones, Reach reach) {
     JobSpec spec = job.spec();
     Bin best = null;
     List<AttemptView> bestVictims = null;
@@ -528,7 +550,7 @@
           || !bin.allows(spec)
           || !zoneFits(spec, zones, bin.zone)
           || bin.stoppedFor.contains(spec.id())
-          || (!mayBlock && blocks(spec, bin) > 0)
+          || !within(reach, spec, bin)
           || avoided(spec, bin)) {
         continue;
       }
@@ -537,8 +559,8 @@
         boolean accelerated = a.spec().need().gpus() > 0 && spec.need().gpus() == 0;
         if (mayStop(job, a)
             && (a.spec().kind() != JobKind.GANG || a.spec().tasks() == 1)
-            && (mayBlock || !accelerated)
-            && (!ownTeam || a.spec().team().equals(spec.team()))) {
+            && (reach.mayBlock || !accelerated)
+            && (!reach.ownTeam || a.spec().team().equals(spec.team()))) {
           candidates.add(a);
         }
       }
@@ -548,7 +570,7 @@
       double cost = score(spec, bin);
       Resources freed = Resources.ZERO;
       for (AttemptView a : candidates) {
-        if (spec.need().fitsIn(room) && (!ownTeam || spec.need().cpus() <= freed.cpus())) {
+        if (spec.need().fitsIn(room) && (!reach.ownTeam || spec.need().cpus() <= freed.cpus())) {
           break;
         }
         victims.add(a);
@@ -556,7 +578,7 @@
         room = room.plus(a.spec().need());
         cost += loss(a);
       }
-      boolean enough = !ownTeam || spec.need().cpus() <= freed.cpus();
+      boolean enough = !reach.ownTeam || spec.need().cpus() <= freed.cpus();
       if (!victims.isEmpty() && enough && spec.need().fitsIn(room) && cost < least) {
         least = cost;
         best = bin;
