--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/Net.java
@@ -0,0 +1,54 @@
+package org.ternhinge.sim;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+
+/** A network that delays, loses and holds back messages, by the seed. */
+final class Net {
+  private final SimClock clock;
+  private final RandomGenerator random;
+  double lossShare;
+
+  Net(SimClock clock, RandomGenerator random) {
+    this.clock = clock;
+    this.random = random;
+  }
+
+  /** Sends a request; the work is done where it arrives. */
+  <T> CompletableFuture<Outcome<T>> call(
+      Supplier<Boolean> cut, double timeoutS, Consumer<Consumer<Outcome<T>>> work) {
+    CompletableFuture<Outcome<T>> result = new CompletableFuture<>();
+    if (cut.get()) {
+      if (random.nextDouble() < 0.5) {
+        clock.after(1, () -> result.complete(Outcome.notApplied(Reason.NO_CONNECTION, "cut")));
+        return result;
+      }
+      // Held back by the cut and delivered long after the sender has given up.
+      clock.after(timeoutS, () -> result.complete(Outcome.unknown("cut")));
+      clock.after(5 + random.nextDouble() * 60, () -> work.accept(o -> {}));
+      return result;
+    }
+    boolean late = random.nextDouble() < lossShare;
+    boolean lost = random.nextDouble() < lossShare;
+    double there = late ? timeoutS * (0.5 + random.nextDouble() * 8) : delay();
+    clock.after(timeoutS, () -> result.complete(Outcome.unknown("timeout")));
+    clock.after(
+        there,
+        () ->
+            work.accept(
+                o -> {
+                  if (!lost) {
+                    clock.after(delay(), () -> result.complete(o));
+                  }
+                }));
+    return result;
+  }
+
+  private double delay() {
+    return 0.001 + random.nextDouble() * (random.nextDouble() < 0.02 ? 0.4 : 0.006);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/SimClock.java
@@ -0,0 +1,45 @@
+package org.ternhinge.sim;
+
+import java.util.PriorityQueue;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.SteadyTime;
+
+/** Virtual time: events run in order of their time, then of their making. */
+public final class SimClock implements Clock {
+  private record Event(long at, long order, Runnable action) {}
+
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(
+          (a, b) -> a.at != b.at ? Long.compare(a.at, b.at) : Long.compare(a.order, b.order));
+  private long nanos = 1_000_000_000L;
+  private long made;
+
+  @Override
+  public SteadyTime now() {
+    return new SteadyTime(nanos);
+  }
+
+  public double seconds() {
+    return nanos / 1e9 - 1;
+  }
+
+  @Override
+  public long wallMillis() {
+    return 1_700_000_000_000L + nanos / 1_000_000;
+  }
+
+  @Override
+  public void after(double seconds, Runnable action) {
+    events.add(new Event(nanos + Math.max(0, (long) (seconds * 1e9)), made++, action));
+  }
+
+  public void runFor(double seconds) {
+    long end = nanos + (long) (seconds * 1e9);
+    while (!events.isEmpty() && events.peek().at <= end) {
+      Event e = events.poll();
+      nanos = Math.max(nanos, e.at);
+      e.action.run();
+    }
+    nanos = end;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -0,0 +1,285 @@
+package org.ternhinge.sim;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.ternhinge.http.Request;
+import org.ternhinge.http.Response;
+import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.model.Term;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.EndReason;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.TaskReport;
+import org.ternhinge.wire.TaskState;
+import org.ternhinge.wire.WireException;
+import org.ternhinge.wire.WorkerReport;
+import org.ternhinge.worker.Workers;
+
+/** A worker as the protocol page gives it: sessions, tokens, leases, tasks. */
+final class SimWorker {
+  private static final double FETCH_S = 1;
+
+  private final class Task {
+    private final TaskId id;
+    private final AttemptNumber attempt;
+    private TaskState state = TaskState.FETCHING;
+    private EndReason why;
+
+    Task(TaskId id, AttemptNumber attempt) {
+      this.id = id;
+      this.attempt = attempt;
+    }
+
+    void end(EndReason reason) {
+      if (state == TaskState.RUNNING) {
+        world.left(SimWorker.this, id);
+      }
+      state = TaskState.ENDED;
+      why = reason;
+      changed();
+    }
+  }
+
+  final World world;
+  final MachineId id;
+  final Flavor flavor;
+  final String zone;
+  final boolean spot;
+  private final Map<String, Task> tasks = new LinkedHashMap<>();
+  private int session = 1;
+  private long sequence;
+  private Term token = Term.NONE;
+  private SteadyTime leaseFrom;
+  private int target;
+  private int reports;
+  boolean dead;
+  SteadyTime cutUntil;
+
+  SimWorker(World world, MachineId id, Flavor flavor, String zone, boolean spot) {
+    this.world = world;
+    this.id = id;
+    this.flavor = flavor;
+    this.zone = zone;
+    this.spot = spot;
+    this.target = world.random.nextInt(World.NODES);
+    this.leaseFrom = world.clock.now();
+    watchLease();
+    report();
+  }
+
+  boolean cut() {
+    return cutUntil != null && world.clock.now().isBefore(cutUntil);
+  }
+
+  private void watchLease() {
+    world.clock.after(
+        0.5,
+        () -> {
+          if (dead) {
+            return;
+          }
+          if (world.clock.now().secondsSince(leaseFrom) > World.LEASE_S) {
+            tasks.values().forEach(this::kill);
+            tasks.clear();
+            session++;
+            leaseFrom = world.clock.now();
+          }
+          watchLease();
+        });
+  }
+
+  private void kill(Task t) {
+    if (t.state == TaskState.RUNNING) {
+      world.left(this, t.id);
+    }
+    t.state = TaskState.ENDED;
+  }
+
+  void die() {
+    dead = true;
+    tasks.values().forEach(this::kill);
+    tasks.clear();
+  }
+
+  private void changed() {
+    int before = reports;
+    world.clock.after(
+        0.5,
+        () -> {
+          if (!dead && reports == before) {
+            report();
+          }
+        });
+  }
+
+  private WorkerReport reportNow() {
+    List<TaskReport> list = new ArrayList<>();
+    for (Task t : tasks.values()) {
+      list.add(new TaskReport(t.id, t.attempt, t.state, t.why, false));
+    }
+    return new WorkerReport(
+        id,
+        "10.9.0.1:" + (1000 + Integer.parseInt(id.value().substring(2))),
+        flavor.name(),
+        zone,
+        spot,
+        new Session(session),
+        ++sequence,
+        token,
+        null,
+        list);
+  }
+
+  private void report() {
+    if (dead) {
+      return;
+    }
+    int mine = ++reports;
+    int asked = target;
+    int inSession = session;
+    SteadyTime sent = world.clock.now();
+    byte[] body = Json.bytes(reportNow().write());
+    world
+        .net
+        .<Response>call(
+            () -> cut() || world.nodeCutFromWorkers(asked),
+            4,
+            to ->
+                world.deliver(
+                    asked,
+                    new Request("POST", "/agent/beat", body),
+                    r -> to.accept(Outcome.applied(r))))
+        .thenAccept(
+            o -> {
+              if (!dead) {
+                answered(o, inSession, sent, mine);
+              }
+            });
+  }
+
+  private void answered(Outcome<Response> o, int inSession, SteadyTime sent, int mine) {
+    double next = World.REPORT_S * (0.75 + world.random.nextDouble() / 2);
+    if (o instanceof Outcome.Applied<Response> a && a.value().status() == 200) {
+      if (inSession == session) {
+        obey(a.value().body(), sent);
+      }
+    } else if (o instanceof Outcome.Applied<Response> a && a.value().status() == 421) {
+      try {
+        String name = Json.textOrNull(Json.parse(a.value().body()), "tilkynna_til");
+        int to = name == null ? target : Integer.parseInt(name.substring(5));
+        next = to == target ? 1 : 0.2;
+        target = to == target ? (target + 1) % World.NODES : to;
+      } catch (WireException e) {
+        throw new IllegalStateException(e);
+      }
+    } else {
+      target = (target + 1) % World.NODES;
+      next = 1;
+    }
+    world.clock.after(
+        next,
+        () -> {
+          if (reports == mine) {
+            report();
+          }
+        });
+  }
+
+  private void obey(byte[] body, SteadyTime sent) {
+    try {
+      var json = Json.parse(body);
+      Term t = new Term(Json.count(json, "valdmerki"));
+      if (t.compareTo(token) < 0) {
+        return;
+      }
+      if (t.compareTo(token) > 0) {
+        token = t;
+        changed();
+      }
+      leaseFrom = sent;
+      Command.read(json).forEach(this::run);
+    } catch (WireException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** A direct order arrives, perhaps long after it was sent. */
+  void order(Term t, Session s, List<Command> commands, Consumer<Outcome<Workers.Answer>> to) {
+    if (dead) {
+      return;
+    }
+    if (t.compareTo(token) < 0 || s.value() != session) {
+      to.accept(Outcome.applied(new Workers.Answer.Refused(reportNow())));
+      return;
+    }
+    token = t;
+    commands.forEach(this::run);
+    to.accept(Outcome.applied(new Workers.Answer.Executed(reportNow())));
+  }
+
+  private void run(Command c) {
+    String key = c.task() + "#" + c.attempt();
+    Task t = tasks.get(key);
+    switch (c.op()) {
+      case START -> {
+        if (t == null) {
+          start(key, c);
+        }
+      }
+      case STOP -> {
+        if (t != null && t.state != TaskState.ENDED) {
+          t.end(EndReason.STOPPED);
+        }
+      }
+      default -> {
+        if (t != null && t.state == TaskState.ENDED) {
+          tasks.remove(key);
+        }
+      }
+    }
+  }
+
+  private void start(String key, Command c) {
+    Task t = new Task(c.task(), c.attempt());
+    boolean busy = false;
+    for (Task other : tasks.values()) {
+      busy |= other.id.equals(t.id) && other.state != TaskState.ENDED;
+    }
+    tasks.put(key, t);
+    if (busy) {
+      t.end(EndReason.BUSY);
+      return;
+    }
+    changed();
+    JobSpec spec = world.spec(c.task().job());
+    world.clock.after(
+        FETCH_S,
+        () -> {
+          if (!dead && tasks.get(key) == t && t.state == TaskState.FETCHING) {
+            t.state = TaskState.RUNNING;
+            world.started(this, t.id, spec);
+            changed();
+            if (!spec.isService()) {
+              world.clock.after(
+                  spec.estimateS(),
+                  () -> {
+                    if (!dead && tasks.get(key) == t && t.state == TaskState.RUNNING) {
+                      world.completed(t.id);
+                      t.end(EndReason.DONE);
+                    }
+                  });
+            }
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/Specs.java
@@ -0,0 +1,29 @@
+package org.ternhinge.sim;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.WireException;
+
+/** Submissions for tests: a plain one, to be changed field by field. */
+public final class Specs {
+  private Specs() {}
+
+  public static ObjectNode json(String id, String kind, int tasks) {
+    ObjectNode o = Json.object().put("ref", id).put("runflokkur", "c").put("eigandi", "red");
+    o.put("gerd", kind).put("forgang", "normal").put("verkbitar", tasks);
+    o.put("cpus", 1.0).put("accelerators", 0.0).put("memory_gb", 1.0);
+    o.put("mynd", "img-1").put("pull_gb", 1.0).putNull("velagerdir").putNull("svaedi");
+    o.put("together", false).put("scatter", false).put("lanvelar", true);
+    o.put("aaetlun_s", 10.0).put("vista_bil_s", 0.0).put("vistun_s", 0.0);
+    return o.putNull("skiladagur_s");
+  }
+
+  public static JobSpec of(ObjectNode json) {
+    try {
+      return JobSpec.read(json);
+    } catch (WireException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/StoreCore.java
@@ -0,0 +1,189 @@
+package org.ternhinge.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Entry;
+import org.ternhinge.state.StateStore;
+import org.ternhinge.state.Txn;
+
+/** The state service's behaviour as its protocol page gives it, without a network. */
+public final class StoreCore {
+  private record Value(JsonNode value, long revision, long lease) {}
+
+  private record Lease(double lifeS, SteadyTime ends) {}
+
+  private record Watch(String prefix, long from, Consumer<StateStore.Changes> to) {}
+
+  private final Clock clock;
+  private final TreeMap<String, Value> keys = new TreeMap<>();
+  private final Map<Long, Lease> leases = new HashMap<>();
+  private final List<Change.Seen> log = new ArrayList<>();
+  private final List<Watch> watches = new ArrayList<>();
+  private long revision = 1;
+  private long lastLease;
+
+  public StoreCore(Clock clock) {
+    this.clock = clock;
+  }
+
+  public StateStore.Read get(String key) {
+    Value v = keys.get(key);
+    return new StateStore.Read(
+        v == null
+            ? java.util.Optional.empty()
+            : java.util.Optional.of(new Entry(key, v.value, new Revision(v.revision))));
+  }
+
+  public StateStore.Page list(String prefix, String after, int limit) {
+    List<Entry> out = new ArrayList<>();
+    boolean more = false;
+    for (var e : keys.tailMap(after == null ? prefix : after, after == null).entrySet()) {
+      if (!e.getKey().startsWith(prefix)) {
+        break;
+      }
+      if (out.size() == limit) {
+        more = true;
+        break;
+      }
+      out.add(new Entry(e.getKey(), e.getValue().value, new Revision(e.getValue().revision)));
+    }
+    return new StateStore.Page(out, more, new Revision(revision));
+  }
+
+  public Outcome<Revision> txn(Txn txn) {
+    StringBuilder failed = new StringBuilder(" ");
+    txn.conditions()
+        .forEach(
+            (key, rev) -> {
+              Value v = keys.get(key);
+              if ((v == null ? 0 : v.revision) != rev.value()) {
+                failed.append(key).append(' ');
+              }
+            });
+    if (failed.length() > 1) {
+      return Outcome.notApplied(Reason.CONFLICT, failed.toString());
+    }
+    for (Change c : txn.changes()) {
+      if (c instanceof Change.Put put && put.lease() != 0 && !leases.containsKey(put.lease())) {
+        return Outcome.notApplied(Reason.INVALID, "no such lease");
+      }
+    }
+    revision++;
+    Set<String> touched = new HashSet<>();
+    for (Change c : txn.changes()) {
+      if (!touched.add(c.key())) {
+        throw new IllegalStateException("a key stands twice in a transaction: " + c.key());
+      }
+      if (c instanceof Change.Put put) {
+        keys.put(put.key(), new Value(put.value(), revision, put.lease()));
+        log.add(new Change.Seen(put.key(), put.value(), new Revision(revision)));
+      } else if (keys.remove(c.key()) != null) {
+        log.add(new Change.Seen(c.key(), null, new Revision(revision)));
+      }
+    }
+    wake();
+    return Outcome.applied(new Revision(revision));
+  }
+
+  public long grant(long millis) {
+    long id = ++lastLease;
+    leases.put(id, new Lease(millis / 1000.0, clock.now().plusSeconds(millis / 1000.0)));
+    expireLater(id, millis / 1000.0);
+    return id;
+  }
+
+  private void expireLater(long id, double seconds) {
+    clock.after(
+        seconds + 0.05,
+        () -> {
+          Lease lease = leases.get(id);
+          if (lease != null && lease.ends.isBefore(clock.now())) {
+            revoke(id);
+          }
+        });
+  }
+
+  public Outcome<Long> renew(long id) {
+    Lease lease = leases.get(id);
+    if (lease == null) {
+      return Outcome.notApplied(Reason.NOT_FOUND, "");
+    }
+    leases.put(id, new Lease(lease.lifeS, clock.now().plusSeconds(lease.lifeS)));
+    expireLater(id, lease.lifeS);
+    return Outcome.applied(id);
+  }
+
+  /** After an outage every lease has its full time again. */
+  public void renewAll() {
+    List.copyOf(leases.keySet()).forEach(this::renew);
+  }
+
+  /** During an outage no lease ends. */
+  public void hold(double seconds) {
+    leases.replaceAll((id, l) -> new Lease(l.lifeS, clock.now().plusSeconds(seconds + l.lifeS)));
+  }
+
+  public void revoke(long id) {
+    if (leases.remove(id) == null) {
+      return;
+    }
+    revision++;
+    for (var it = keys.entrySet().iterator(); it.hasNext(); ) {
+      var e = it.next();
+      if (e.getValue().lease == id) {
+        it.remove();
+        log.add(new Change.Seen(e.getKey(), null, new Revision(revision)));
+      }
+    }
+    wake();
+  }
+
+  public void follow(String prefix, long from, double waitS, Consumer<StateStore.Changes> to) {
+    Watch watch = new Watch(prefix, from, to);
+    if (!answer(watch, false)) {
+      watches.add(watch);
+      clock.after(
+          waitS,
+          () -> {
+            if (watches.remove(watch)) {
+              answer(watch, true);
+            }
+          });
+    }
+  }
+
+  private boolean answer(Watch w, boolean anyway) {
+    List<Change.Seen> out = new ArrayList<>();
+    for (Change.Seen c : log) {
+      if (c.revision().value() > w.from && c.key().startsWith(w.prefix)) {
+        out.add(c);
+      }
+    }
+    if (out.isEmpty() && !anyway) {
+      return false;
+    }
+    w.to.accept(new StateStore.Changes(new Revision(revision), out));
+    return true;
+  }
+
+  private void wake() {
+    for (Watch w : List.copyOf(watches)) {
+      if (answer(w, false)) {
+        watches.remove(w);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -0,0 +1,539 @@
+package org.ternhinge.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import org.ternhinge.cloud.Cloud;
+import org.ternhinge.config.Settings;
+import org.ternhinge.config.Team;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.controller.Lead;
+import org.ternhinge.controller.Node;
+import org.ternhinge.election.Election;
+import org.ternhinge.http.Request;
+import org.ternhinge.http.Response;
+import org.ternhinge.limit.Lane;
+import org.ternhinge.metrics.Metrics;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.model.Term;
+import org.ternhinge.state.StateStore;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.HostInfo;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.RentalRequest;
+import org.ternhinge.worker.Workers;
+
+/**
+ * Three controllers with stand-ins for everything around them, in virtual time. What ran where is
+ * kept by the stand-ins, and the rules are checked on that, not on anything the service says.
+ */
+public final class World {
+  public static final int NODES = 3;
+  static final double LEASE_S = 24;
+  static final double REPORT_S = 3;
+  static final double CANCEL_S = 44;
+  private static final List<String> ZONES = List.of("east", "west");
+
+  public final SimClock clock = new SimClock();
+  final SplittableRandom random;
+  final Net net;
+  private final StoreCore store = new StoreCore(clock);
+  private final Incarnation[] nodes = new Incarnation[NODES];
+  private final SteadyTime[] stateCut = new SteadyTime[NODES];
+  private final SteadyTime[] workerCut = new SteadyTime[NODES];
+  private SteadyTime outageUntil;
+  private final Map<MachineId, SimWorker> workers = new TreeMap<>();
+  private final Map<String, List<MachineId>> rentals = new HashMap<>();
+  private int machinesMade;
+  private final Map<JobId, JobSpec> specs = new LinkedHashMap<>();
+
+  private final Map<TaskId, Set<MachineId>> running = new HashMap<>();
+  private final Set<TaskId> completed = new HashSet<>();
+  private final Map<JobId, Double> cancelledAt = new HashMap<>();
+  private final Map<String, Resources> use = new HashMap<>();
+  public final List<String> broken = new ArrayList<>();
+  public int starts;
+
+  public static final List<Flavor> FLAVORS =
+      List.of(
+          new Flavor("small", Resources.offer(4, 0, 16), 4, 0, 16, 50, 1, 0.2, 0.1, 5, ZONES),
+          new Flavor("fast", Resources.offer(16, 2, 64), 16, 2, 64, 50, 1, 3, 1, 8, ZONES));
+
+  public static Settings settings(String node) {
+    Map<String, Endpoint> peers = new LinkedHashMap<>();
+    for (int i = 0; i < NODES; i++) {
+      if (!node.equals("node-" + i)) {
+        peers.put("node-" + i, new Endpoint("10.0.0." + (i + 1), 8081));
+      }
+    }
+    Map<String, Team> teams = new LinkedHashMap<>();
+    teams.put("red", new Team("red", 8000, 24000, 2000, 4000));
+    teams.put("blue", new Team("blue", 8000, 12000, 0, 0));
+    Endpoint any = new Endpoint("10.0.0.9", 1);
+    return new Settings(
+        node,
+        "east",
+        any,
+        any,
+        peers,
+        any,
+        any,
+        ZONES,
+        teams,
+        List.of(),
+        new Settings.Workers(REPORT_S, LEASE_S, 30, 5, CANCEL_S),
+        new Settings.StateLimits(80, 30, 8, 16),
+        new Settings.CloudLimits(4, 10),
+        1000,
+        0.025);
+  }
+
+  public World(long seed, double lossShare) {
+    random = new SplittableRandom(seed);
+    net = new Net(clock, random.split());
+    net.lossShare = lossShare;
+    for (int i = 0; i < NODES; i++) {
+      start(i);
+    }
+  }
+
+  // ---- controllers ----------------------------------------------------------------------------
+
+  /** One process of a controller; when it is killed, nothing reaches it any more. */
+  private final class Incarnation implements Clock {
+    private final int index;
+    private boolean alive = true;
+    private final Node node;
+
+    Incarnation(int index) {
+      this.index = index;
+      ReentrantLock lock = new ReentrantLock();
+      Settings settings = settings("node-" + index);
+      Lead.Surroundings around =
+          new Lead.Surroundings(
+              settings,
+              Tuning.DEFAULT,
+              new Store(this),
+              new CloudFacade(this),
+              new Orders(this),
+              this,
+              lock,
+              r -> after(0.001, r),
+              new Metrics());
+      Election election =
+          new Election(settings.node(), around.store(), this, Tuning.DEFAULT, lock, random.split());
+      Node.Peers peers =
+          new Node.Peers() {
+            @Override
+            public void ask(
+                String to, Request request, double timeoutS, Consumer<Response> answer) {
+              World.this.ask(Incarnation.this, to, request, timeoutS, answer);
+            }
+
+            @Override
+            public void reset(String to) {}
+          };
+      node = new Node(around, election, peers, leading -> {});
+    }
+
+    <T> CompletableFuture<T> guard(CompletableFuture<T> from) {
+      CompletableFuture<T> out = new CompletableFuture<>();
+      from.thenAccept(
+          v -> {
+            if (alive) {
+              out.complete(v);
+            }
+          });
+      return out;
+    }
+
+    @Override
+    public SteadyTime now() {
+      return clock.now();
+    }
+
+    @Override
+    public long wallMillis() {
+      return clock.wallMillis();
+    }
+
+    @Override
+    public void after(double seconds, Runnable action) {
+      clock.after(
+          seconds,
+          () -> {
+            if (alive) {
+              action.run();
+            }
+          });
+    }
+  }
+
+  private void start(int i) {
+    nodes[i] = new Incarnation(i);
+    nodes[i].node.start();
+  }
+
+  public void crash(int i, double backAfterS) {
+    if (nodes[i] == null) {
+      return;
+    }
+    nodes[i].alive = false;
+    nodes[i] = null;
+    clock.after(backAfterS, () -> start(i));
+  }
+
+  public void cutState(int i, double seconds) {
+    stateCut[i] = clock.now().plusSeconds(seconds);
+  }
+
+  public void cutWorkers(int i, double seconds) {
+    workerCut[i] = clock.now().plusSeconds(seconds);
+  }
+
+  public void outage(double seconds) {
+    outageUntil = clock.now().plusSeconds(seconds);
+    store.hold(seconds);
+    clock.after(seconds, store::renewAll);
+  }
+
+  private boolean past(SteadyTime until) {
+    return until == null || until.isBefore(clock.now());
+  }
+
+  boolean nodeCutFromWorkers(int i) {
+    return !past(workerCut[i]);
+  }
+
+  /** Brings a request to a node; a dead one never answers. */
+  void deliver(int i, Request request, Consumer<Response> to) {
+    Incarnation at = nodes[i];
+    if (at != null) {
+      at.node.handle(
+          request,
+          r -> {
+            if (at.alive) {
+              to.accept(r);
+            }
+          });
+    }
+  }
+
+  private void ask(
+      Incarnation from, String to, Request request, double timeoutS, Consumer<Response> answer) {
+    int i = Integer.parseInt(to.substring(5));
+    from.guard(
+            net.<Response>call(
+                () -> false,
+                timeoutS,
+                back -> {
+                  Incarnation at = nodes[i];
+                  if (at != null) {
+                    at.node.handlePeer(request, r -> back.accept(Outcome.applied(r)));
+                  }
+                }))
+        .thenAccept(
+            o -> answer.accept(o instanceof Outcome.Applied<Response> a ? a.value() : null));
+  }
+
+  // ---- outside systems ------------------------------------------------------------------------
+
+  private final class Store implements StateStore {
+    private final Incarnation owner;
+
+    Store(Incarnation owner) {
+      this.owner = owner;
+    }
+
+    private <T> CompletableFuture<Outcome<T>> send(double timeoutS, Supplier<Outcome<T>> work) {
+      return owner.guard(
+          net.<T>call(
+              () -> false,
+              timeoutS,
+              to -> {
+                boolean down = !past(outageUntil) || !past(stateCut[owner.index]);
+                to.accept(down ? Outcome.notApplied(Reason.REFUSED, "503") : work.get());
+              }));
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Read>> get(String key, Lane lane) {
+      return send(1.5, () -> Outcome.applied(store.get(key)));
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Page>> list(
+        String prefix, String after, int limit, Lane lane) {
+      return send(5, () -> Outcome.applied(store.list(prefix, after, limit)));
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
+      return send(1.5, () -> store.txn(txn));
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Long>> grant(long millis) {
+      return send(1, () -> Outcome.applied(store.grant(millis)));
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Long>> renew(long lease) {
+      return send(1, () -> store.renew(lease));
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Long>> revoke(long lease) {
+      return send(
+          1,
+          () -> {
+            store.revoke(lease);
+            return Outcome.applied(lease);
+          });
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Changes>> follow(String prefix, Revision from, double waitS) {
+      return owner.guard(
+          net.<Changes>call(
+              () -> false,
+              waitS + 5,
+              to -> store.follow(prefix, from.value(), waitS, c -> to.accept(Outcome.applied(c)))));
+    }
+
+    @Override
+    public double secondsUntilTxn(int changes, Lane lane) {
+      return 0;
+    }
+  }
+
+  private final class CloudFacade implements Cloud {
+    private final Incarnation owner;
+
+    CloudFacade(Incarnation owner) {
+      this.owner = owner;
+    }
+
+    @Override
+    public CompletableFuture<Outcome<List<Flavor>>> flavors() {
+      return owner.guard(
+          net.<List<Flavor>>call(() -> false, 5, to -> to.accept(Outcome.applied(FLAVORS))));
+    }
+
+    @Override
+    public CompletableFuture<Outcome<List<MachineId>>> rent(RentalRequest request) {
+      return owner.guard(
+          net.<List<MachineId>>call(
+              () -> false, 5, to -> to.accept(Outcome.applied(rentNow(request)))));
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Integer>> release(List<MachineId> ids) {
+      return owner.guard(
+          net.<Integer>call(
+              () -> false,
+              5,
+              to -> {
+                ids.forEach(
+                    id -> {
+                      SimWorker w = workers.remove(id);
+                      if (w != null) {
+                        w.die();
+                      }
+                    });
+                to.accept(Outcome.applied(ids.size()));
+              }));
+    }
+
+    @Override
+    public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
+      List<HostInfo> hosts = new ArrayList<>();
+      for (SimWorker w : workers.values()) {
+        hosts.add(
+            new HostInfo(w.id, null, w.flavor.name(), w.zone, w.spot, HostInfo.State.RUNNING, 30));
+      }
+      HostInfo.Page page = new HostInfo.Page(hosts, false);
+      CompletableFuture<Outcome<HostInfo.Page>> out = new CompletableFuture<>();
+      // The list lags.
+      clock.after(1, () -> out.complete(Outcome.applied(page)));
+      return owner.guard(out);
+    }
+  }
+
+  private List<MachineId> rentNow(RentalRequest q) {
+    return rentals.computeIfAbsent(
+        q.name(),
+        k -> {
+          List<MachineId> out = new ArrayList<>();
+          for (int i = 0; i < q.count() && workers.size() + out.size() < 14; i++) {
+            MachineId id = new MachineId(String.format("n-%06d", machinesMade++));
+            out.add(id);
+            Flavor f = FLAVORS.get(q.type().equals("small") ? 0 : 1);
+            clock.after(
+                f.bootS() * (0.6 + random.nextDouble()),
+                () -> workers.put(id, new SimWorker(this, id, f, q.zone(), q.spot())));
+          }
+          return out;
+        });
+  }
+
+  private final class Orders implements Workers {
+    private final Incarnation owner;
+
+    Orders(Incarnation owner) {
+      this.owner = owner;
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Answer>> order(
+        Endpoint worker, Term term, Session session, List<Command> commands) {
+      MachineId id = new MachineId(String.format("n-%06d", worker.port() - 1000));
+      SimWorker w = workers.get(id);
+      return owner.guard(
+          net.<Answer>call(
+              () -> w == null || w.cut() || nodeCutFromWorkers(owner.index),
+              3,
+              to -> {
+                if (w != null) {
+                  w.order(term, session, commands, to);
+                }
+              }));
+    }
+
+    @Override
+    public void forget(Endpoint worker) {}
+  }
+
+  // ---- users ----------------------------------------------------------------------------------
+
+  /** Sends a request to some node, as the load balancer would, and gives the answer or null. */
+  public void user(Request request, Consumer<Response> answer) {
+    int i = random.nextInt(NODES);
+    net.<Response>call(
+            () -> false, 5, to -> deliver(i, request, r -> to.accept(Outcome.applied(r))))
+        .thenAccept(
+            o -> answer.accept(o instanceof Outcome.Applied<Response> a ? a.value() : null));
+  }
+
+  public void know(JobSpec spec) {
+    specs.put(spec.id(), spec);
+  }
+
+  public void toldCancelled(JobId id) {
+    cancelledAt.putIfAbsent(id, clock.seconds());
+    clock.after(
+        CANCEL_S + 0.5,
+        () ->
+            running.forEach(
+                (task, where) -> {
+                  if (task.job().equals(id) && !where.isEmpty()) {
+                    broken.add("ran_cancelled: " + task + " on " + where);
+                  }
+                }));
+  }
+
+  public boolean allCompleted(JobId id) {
+    for (int i = 0; i < specs.get(id).tasks(); i++) {
+      if (!completed.contains(new TaskId(id, i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  JobSpec spec(JobId id) {
+    return specs.get(id);
+  }
+
+  // ---- what ran where -------------------------------------------------------------------------
+
+  void started(SimWorker on, TaskId task, JobSpec spec) {
+    starts++;
+    Set<MachineId> where = running.computeIfAbsent(task, k -> new HashSet<>());
+    if (!where.isEmpty()) {
+      broken.add("ran_twice: " + task + " on " + on.id + " while on " + where);
+    }
+    where.add(on.id);
+    Double cancelled = cancelledAt.get(task.job());
+    if (cancelled != null && clock.seconds() > cancelled + CANCEL_S) {
+      broken.add("ran_cancelled: " + task + " started");
+    }
+    if (!spec.allowsType(on.flavor.name())
+        || (spec.zone() != null && !spec.zone().equals(on.zone))
+        || (on.spot && !spec.spotAllowed())) {
+      broken.add("wrong_place: " + task + " on " + on.id);
+    }
+    Map<String, Integer> zones = new HashMap<>();
+    running.forEach(
+        (t, ids) -> {
+          if (t.job().equals(task.job())) {
+            ids.forEach(m -> zones.merge(workers.get(m).zone, 1, Integer::sum));
+          }
+        });
+    if (spec.together() && zones.size() > 1) {
+      broken.add("wrong_place: " + task + " apart from its gang");
+    }
+    if (zones.get(on.zone) > spec.zoneLimit()) {
+      broken.add("wrong_place: " + task + " too many in " + on.zone);
+    }
+    Resources sum = use.merge(spec.team(), spec.need(), Resources::plus);
+    Team team = settings("node-0").teams().get(spec.team());
+    if (sum.cpus() > team.cpusMax() || (team.gpusMax() > 0 && sum.gpus() > team.gpusMax())) {
+      broken.add("quota: " + spec.team() + " uses " + sum);
+    }
+  }
+
+  void left(SimWorker on, TaskId task) {
+    running.get(task).remove(on.id);
+    use.computeIfPresent(spec(task.job()).team(), (t, r) -> r.minus(spec(task.job()).need()));
+  }
+
+  void completed(TaskId task) {
+    completed.add(task);
+  }
+
+  public List<SimWorker> liveWorkers() {
+    return List.copyOf(workers.values());
+  }
+
+  /** Cuts a random worker off, or kills it. */
+  public void hurtSomeWorker(double cutS) {
+    List<SimWorker> live = liveWorkers();
+    if (live.isEmpty()) {
+      return;
+    }
+    SimWorker w = live.get(random.nextInt(live.size()));
+    if (cutS > 0) {
+      w.cutUntil = clock.now().plusSeconds(cutS);
+    } else {
+      workers.remove(w.id);
+      w.die();
+    }
+  }
+
+  public int nextInt(int bound) {
+    return random.nextInt(bound);
+  }
+}
