--- a/src/main/java/org/ternhinge/cli/Service.java
+++ b/src/main/java/org/ternhinge/cli/Service.java
@@ -82,7 +82,15 @@
             lock,
             scheduler,
             new Metrics());
-    Election election = new Election(settings.node(), store, clock, tuning, lock, random);
+    Election election =
+        new Election(
+            settings.node(),
+            store,
+            clock,
+            tuning,
+            Election.grace(tuning, settings.workers()),
+            lock,
+            random);
     Node node = new Node(around, election, new Peers(link), share);
     new HttpServer(group, node::handle, settings.maxSockets() * 7 / 10)
         .listen(settings.clientListen());
--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -21,6 +22,7 @@
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Team;
 import org.ternhinge.config.Tuning;
+import org.ternhinge.election.Election;
 import org.ternhinge.ledger.Attempt;
 import org.ternhinge.ledger.Authority;
 import org.ternhinge.ledger.Job;
@@ -88,12 +90,13 @@
   private final Set<MachineId> returned = new HashSet<>();
   private final Map<String, Flavor> flavors = new LinkedHashMap<>();
   private final Map<JobId, Trouble> troubles = new HashMap<>();
-  private final Map<Job, List<Consumer<JobState>>> cancelWaits = new HashMap<>();
+  private final Map<Job, List<Consumer<JobState>>> cancelWaits = new LinkedHashMap<>();
   private final Rentals rentals;
   private final Arrivals arrivals;
   private final SteadyTime electedAt;
   private final SteadyTime silentBy;
 
+  private final List<Runnable> waiting = new ArrayList<>();
   private boolean ready;
   private boolean stopped;
   private boolean roundAsked;
@@ -101,6 +104,7 @@
   private SteadyTime lastRound;
   private SteadyTime described;
   private Revision watched;
+  private Revision loadedAt;
 
   /** What went wrong with a job's tasks, apart from any machine's fault. */
   private static final class Trouble {
@@ -137,7 +141,8 @@
     this.described = electedAt;
     double lease = settings.workers().leaseS() * (1 + DRIFT) + tuning.marginS();
     // An earlier leader may have gone on answering reports for the grace that it was allowed.
-    this.silentBy = electedAt.plusSeconds(tuning.graceS() * (1 + DRIFT) + lease);
+    this.silentBy =
+        electedAt.plusSeconds(Election.grace(tuning, settings.workers()) * (1 + DRIFT) + lease);
     known.forEach(f -> flavors.put(f.name(), f));
     this.ledger =
         new Ledger(settings.teams(), RecordCodec.pieceSize(settings.stateLimits().valueKb()));
@@ -157,12 +162,24 @@
   void stop() {
     stopped = true;
     writer.stop();
+    runWaiting();
+  }
+
+  private void runWaiting() {
+    List<Runnable> actions = List.copyOf(waiting);
+    waiting.clear();
+    actions.forEach(Runnable::run);
   }
 
   boolean ready() {
     return ready;
   }
 
+  /** Runs an action when the ledger is there, or when this leadership has ended before. */
+  void whenReady(Runnable action) {
+    waiting.add(action);
+  }
+
   Authority authority() {
     return authority;
   }
@@ -218,6 +235,7 @@
       machine(id, now);
     }
     watched = loaded.revision();
+    loadedAt = loaded.revision();
     ready = true;
     metrics.takeOver(clock.now().secondsSince(electedAt));
     LOG.info(
@@ -225,6 +243,7 @@
         authority.term(),
         ledger.jobs().size(),
         machines.size());
+    runWaiting();
     follow();
     list();
     refreshFlavors();
@@ -265,16 +284,20 @@
       return;
     }
     try {
-      adopt(LedgerLoader.read(value, revision, clock.now()));
+      adopt(LedgerLoader.read(value, revision, clock.now()), revision);
     } catch (WireException | IllegalArgumentException e) {
       LOG.error("job record {} is unreadable: {}", key, e.getMessage());
     }
   }
 
-  /** Takes in a job whose record was just created, here or by another node. */
-  void adopt(Job job) {
+  /**
+   * Takes in a job whose record was just created, here or by another node. A record from before the
+   * load was part of it, or had ended by then: the answer to its acceptance may come late, and must
+   * not bring an ended job back.
+   */
+  void adopt(Job job, Revision created) {
     JobId id = job.spec().id();
-    if (ledger.job(id) == null && ledger.ended(id) == null) {
+    if (created.compareTo(loadedAt) > 0 && ledger.job(id) == null && ledger.ended(id) == null) {
       ledger.adopt(job);
       LOG.debug("accepted {} of {}", id, job.spec().jobClass());
       arrivals.saw(job.spec(), clock.now());
@@ -284,10 +307,17 @@
 
   // ---- users ----------------------------------------------------------------------------------
 
-  /** The state of a job, or null where only the state service can tell. */
+  /**
+   * The state of a job, or null where only the state service can tell: a write whose answer is
+   * still out may be carried out already, and another node may have told a user so.
+   */
   JobState stateOf(JobId id) {
     Job job = ledger.job(id);
-    return job != null ? Ledger.stateOf(job) : ledger.ended(id);
+    if (job == null) {
+      return ledger.ended(id);
+    }
+    boolean unsure = job.over() || (job.cancelled() && !job.cancelDurable());
+    return unsure ? null : Ledger.stateOf(job);
   }
 
   /**
@@ -344,6 +374,19 @@
     return flavors.get(type);
   }
 
+  /**
+   * Whether a worker's lease may be renewed while no commands may be given: not while something on
+   * it has to be stopped, for the lease's end is then what stops it.
+   */
+  boolean mayKeepAlive(WorkerReport r) {
+    for (Attempt a : ledger.attemptsOn(r.machine())) {
+      if (a.stopping() || a.job().cancelled()) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   /** Takes in a report and says what the worker is to do. */
   List<Command> report(WorkerReport r, boolean mayCommand) {
     SteadyTime now = clock.now();
@@ -383,6 +426,8 @@
       m.strayStarts.clear();
       m.outbox.clear();
       m.session = r.session();
+      // A session may have begun just now, and lasts a whole lease without any answer.
+      m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
     }
     m.sequence = r.sequence();
     if (r.token().compareTo(m.token) > 0) {
@@ -611,7 +656,7 @@
   /** The state service holds these attempts: their starts may go out. */
   private void nowDurable(List<Attempt> attempts) {
     answerCancels();
-    Set<Machine> touched = new HashSet<>();
+    Set<Machine> touched = new LinkedHashSet<>();
     for (Attempt a : attempts) {
       Machine m = machines.get(a.machine());
       if (m == null || !a.session().equals(m.session)) {
@@ -1132,6 +1177,7 @@
       }
       if (m.listedAt == null) {
         m.rentedAt = now.plusSeconds(-h.ageS());
+        greet(m, h);
       }
       m.listedAt = now;
       rentals.seen(m.id);
@@ -1159,6 +1205,47 @@
     askRound();
   }
 
+  /**
+   * Tells a worker that has not reported yet of this term. It may still report to an earlier leader
+   * that is cut off from everything else; having seen this term it turns away from it.
+   */
+  private void greet(Machine m, HostInfo h) {
+    if (m.reported || h.state() != HostInfo.State.RUNNING || h.endpoint() == null) {
+      return;
+    }
+    Endpoint endpoint;
+    try {
+      endpoint = Endpoint.parse(h.endpoint());
+    } catch (IllegalArgumentException e) {
+      LOG.warn("machine {} is listed without a usable endpoint", m.id);
+      return;
+    }
+    greet(m, endpoint, m.session, 2);
+  }
+
+  private void greet(Machine m, Endpoint endpoint, Session session, int tries) {
+    if (!authority.valid()) {
+      return;
+    }
+    workers
+        .order(endpoint, authority.term(), session, List.of())
+        .whenComplete(
+            (o, e) ->
+                locked(
+                    () -> {
+                      if (!(o instanceof Outcome.Applied<Workers.Answer> applied)) {
+                        return;
+                      }
+                      WorkerReport r = applied.value().report();
+                      take(m, r, false, clock.now());
+                      if (applied.value() instanceof Workers.Answer.Refused
+                          && r.token().compareTo(authority.term()) <= 0
+                          && tries > 1) {
+                        greet(m, endpoint, r.session(), tries - 1);
+                      }
+                    }));
+  }
+
   private void lost(Machine m, String why) {
     m.gone = true;
     m.tasks.clear();
--- a/src/main/java/org/ternhinge/controller/Node.java
+++ b/src/main/java/org/ternhinge/controller/Node.java
@@ -95,8 +95,9 @@
           @Override
           public void deposed(String why) {
             share.leads(false);
-            lead.stop();
+            Lead over = lead;
             lead = null;
+            over.stop();
           }
         });
     logMetrics();
@@ -330,7 +331,7 @@
     if (lead != null && lead.ready()) {
       try {
         Job job = LedgerLoader.read(record, revision, around.clock().now());
-        lead.adopt(job);
+        lead.adopt(job, revision);
       } catch (WireException e) {
         throw new IllegalStateException("an own record can't be read", e);
       }
@@ -517,8 +518,18 @@
       answer.accept(error(400, e.getMessage()));
       return;
     }
-    if (lead != null && election.mayAnswer()) {
-      List<Command> commands = lead.ready() ? lead.report(report, election.valid()) : List.of();
+    beat(report, answer);
+  }
+
+  private void beat(WorkerReport report, Consumer<Response> answer) {
+    boolean valid = election.valid();
+    if (lead != null && !lead.ready()) {
+      // Without the ledger a lease must not be renewed: a cancelled task might live on by it.
+      lead.whenReady(() -> beat(report, answer));
+      return;
+    }
+    if (lead != null && election.mayAnswer() && (valid || lead.mayKeepAlive(report))) {
+      List<Command> commands = lead.report(report, valid);
       if (lead != null) {
         answer.accept(Response.of(200, Command.answer(lead.authority().term(), commands)));
         return;
--- a/src/main/java/org/ternhinge/election/Election.java
+++ b/src/main/java/org/ternhinge/election/Election.java
@@ -9,6 +9,7 @@
 import java.util.random.RandomGenerator;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.ternhinge.config.Settings;
 import org.ternhinge.config.Tuning;
 import org.ternhinge.ledger.Authority;
 import org.ternhinge.ledger.Keys;
@@ -49,6 +50,7 @@
   private final StateStore store;
   private final Clock clock;
   private final Tuning tuning;
+  private final double graceS;
   private final Lock lock;
   private final RandomGenerator random;
   private Listener listener;
@@ -61,6 +63,7 @@
       StateStore store,
       Clock clock,
       Tuning tuning,
+      double graceS,
       Lock lock,
       RandomGenerator random) {
     this.node = node;
@@ -68,6 +71,7 @@
     this.store = store;
     this.clock = clock;
     this.tuning = tuning;
+    this.graceS = graceS;
     this.lock = lock;
     this.random = random;
   }
@@ -94,7 +98,16 @@
    * term drop the answer.
    */
   public boolean mayAnswer() {
-    return held != null && clock.now().isBefore(held.validUntil.plusSeconds(tuning.graceS()));
+    return held != null && clock.now().isBefore(held.validUntil.plusSeconds(graceS));
+  }
+
+  /**
+   * How long reports may be answered past the end of validity. A job cancelled by the next leader
+   * has to be gone in time even where the earlier one has kept its worker's lease alive to the end.
+   */
+  public static double grace(Tuning tuning, Settings.Workers workers) {
+    double most = workers.cancelS() - workers.leaseS() * (1 + 2 * DRIFT) - 4 * tuning.marginS();
+    return Math.max(0, Math.min(tuning.graceS(), most));
   }
 
   private void locked(Runnable action) {
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -216,9 +216,12 @@
     settle(job);
   }
 
-  /** The job's user has cancelled it; starts end at this instant. */
+  /**
+   * The job's user has cancelled it; starts end at this instant. A job that is over stays what it
+   * is: the record that says so may be on its way to the state service already.
+   */
   public void cancel(Job job) {
-    if (!job.cancelled()) {
+    if (!job.cancelled() && !job.over()) {
       job.markCancelled(false);
       job.dirty().set(0);
       dirtyJobs.add(job);
--- a/src/test/java/org/ternhinge/controller/FaultTest.java
+++ b/src/test/java/org/ternhinge/controller/FaultTest.java
@@ -67,8 +67,10 @@
       world.clock.runFor(3);
     }
     world.clock.runFor(200);
-    accepted.forEach(this::poll);
-    world.clock.runFor(10);
+    for (int i = 0; i < 6; i++) {
+      accepted.forEach(this::poll);
+      world.clock.runFor(6);
+    }
     assertEquals(List.of(), world.broken);
     assertTrue(world.starts > 20, "only " + world.starts + " starts");
     for (JobId id : accepted) {
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -122,6 +122,10 @@
         });
   }
 
+  String endpoint() {
+    return "10.9.0.1:" + (1000 + Integer.parseInt(id.value().substring(2)));
+  }
+
   private WorkerReport reportNow() {
     List<TaskReport> list = new ArrayList<>();
     for (Task t : tasks.values()) {
@@ -129,7 +133,7 @@
     }
     return new WorkerReport(
         id,
-        "10.9.0.1:" + (1000 + Integer.parseInt(id.value().substring(2))),
+        endpoint(),
         flavor.name(),
         zone,
         spot,
--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -143,7 +143,14 @@
               r -> after(0.001, r),
               new Metrics());
       Election election =
-          new Election(settings.node(), around.store(), this, Tuning.DEFAULT, lock, random.split());
+          new Election(
+              settings.node(),
+              around.store(),
+              this,
+              Tuning.DEFAULT,
+              Election.grace(Tuning.DEFAULT, settings.workers()),
+              lock,
+              random.split());
       Node.Peers peers =
           new Node.Peers() {
             @Override
@@ -372,7 +379,8 @@
       List<HostInfo> hosts = new ArrayList<>();
       for (SimWorker w : workers.values()) {
         hosts.add(
-            new HostInfo(w.id, null, w.flavor.name(), w.zone, w.spot, HostInfo.State.RUNNING, 30));
+            new HostInfo(
+                w.id, w.endpoint(), w.flavor.name(), w.zone, w.spot, HostInfo.State.RUNNING, 30));
       }
       HostInfo.Page page = new HostInfo.Page(hosts, false);
       CompletableFuture<Outcome<HostInfo.Page>> out = new CompletableFuture<>();
@@ -510,8 +518,14 @@
     use.computeIfPresent(spec(task.job()).team(), (t, r) -> r.minus(spec(task.job()).need()));
   }
 
+  /** The tasks of a gang complete together. */
   void completed(TaskId task) {
-    completed.add(task);
+    JobSpec spec = spec(task.job());
+    for (int i = 0; i < spec.tasks(); i++) {
+      if (spec.isGang() || i == task.index()) {
+        completed.add(new TaskId(task.job(), i));
+      }
+    }
   }
 
   public List<SimWorker> liveWorkers() {
