Fence stray starts by raising the own term; hand the duty of cancels to the next leader

Found by seeded faults (FaultTest): a start held back by a cut ran 52 s after its job's cancellation was told, and attempts of a cancelled job were not stopped again after a change of leader.

--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -72,6 +72,8 @@
   private static final double FOLLOW_S = 20;
   private static final double RESERVE_S = 12;
   private static final double DESCRIBE_S = 20;
+  private static final double FENCE_AFTER_S = 4;
+  private static final double FENCE_PAUSE_S = 10;
 
   private final Settings settings;
   private final Tuning tuning;
@@ -103,6 +105,8 @@
   private boolean roundRunning;
   private SteadyTime lastRound;
   private SteadyTime described;
+  private SteadyTime fencedAt;
+  private boolean raising;
   private Revision watched;
   private Revision loadedAt;
 
@@ -234,6 +238,12 @@
     for (MachineId id : ledger.machinesInUse()) {
       machine(id, now);
     }
+    for (Job job : ledger.jobs()) {
+      if (job.cancelled()) {
+        // The duty to end a cancelled job's tasks passes from leader to leader.
+        job.openAttempts().forEach(a -> a.stop(0, now));
+      }
+    }
     watched = loaded.revision();
     loadedAt = loaded.revision();
     ready = true;
@@ -423,7 +433,7 @@
           close(a, false, "session over");
         }
       }
-      m.strayStarts.clear();
+      m.forgetStrays();
       m.outbox.clear();
       m.session = r.session();
       // A session may have begun just now, and lasts a whole lease without any answer.
@@ -433,6 +443,7 @@
     if (r.token().compareTo(m.token) > 0) {
       m.token = r.token();
     }
+    m.sawToken(r.token());
     m.type = r.type();
     m.zoneName = r.zone();
     m.zone = settings.zones().indexOf(r.zone());
@@ -891,16 +902,47 @@
           close(a, false, "lease over");
         }
         m.deadSession = last;
-        m.strayStarts.clear();
+        m.forgetStrays();
         m.outbox.clear();
       }
+      boolean fence = false;
       for (Attempt a : List.copyOf(there)) {
         stopLate(m, a, now);
+        fence |= needsFence(m, a, now);
+      }
+      if (fence) {
+        raiseTerm(now);
       }
     }
     rentals.expire(now);
   }
 
+  /**
+   * An attempt is to stop, but a start of it whose answer was lost may still arrive, even minutes
+   * late. Raising the own term makes the worker refuse it.
+   */
+  private boolean needsFence(Machine m, Attempt a, SteadyTime now) {
+    return a.stopping()
+        && a.seen() == Attempt.Seen.UNSEEN
+        && now.secondsSince(a.stopAt()) > FENCE_AFTER_S
+        && m.strayStarts.getInt(Machine.key(a)) > 0
+        && m.fencedStrays.getInt(Machine.key(a)) == 0;
+  }
+
+  private void raiseTerm(SteadyTime now) {
+    if (raising || (fencedAt != null && now.secondsSince(fencedAt) < FENCE_PAUSE_S)) {
+      return;
+    }
+    raising = true;
+    fencedAt = now;
+    writer.raiseTerm(
+        () -> {
+          raising = false;
+          LOG.info("raised the term to {} against stray starts", authority.term());
+          machines.values().forEach(m -> m.fenceStrays(authority.term()));
+        });
+  }
+
   /** A stop that is not obeyed in time is repeated without grace. */
   private void stopLate(Machine m, Attempt a, SteadyTime now) {
     if (a.stopping()
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -63,6 +63,11 @@
   /** Direct starts whose answers were lost: such a start may still arrive. */
   final Object2IntOpenHashMap<String> strayStarts = new Object2IntOpenHashMap<>();
 
+  /** Strays of an older term; none can arrive once the worker has shown the fencing term. */
+  final Object2IntOpenHashMap<String> fencedStrays = new Object2IntOpenHashMap<>();
+
+  Term fence = Term.NONE;
+
   final ArrayDeque<Command> outbox = new ArrayDeque<>();
   boolean orderInFlight;
   SteadyTime directAfter;
@@ -92,6 +97,33 @@
     return c.task() + "#" + c.attempt();
   }
 
+  /** The term was raised: the strays so far are of an older one. */
+  void fenceStrays(Term by) {
+    fencedStrays.clear();
+    fencedStrays.putAll(strayStarts);
+    fence = by;
+  }
+
+  /** The worker has shown a token. */
+  void sawToken(Term shown) {
+    if (!fencedStrays.isEmpty() && shown.compareTo(fence) >= 0) {
+      fencedStrays
+          .object2IntEntrySet()
+          .forEach(
+              e -> {
+                if (strayStarts.addTo(e.getKey(), -e.getIntValue()) <= e.getIntValue()) {
+                  strayStarts.removeInt(e.getKey());
+                }
+              });
+      fencedStrays.clear();
+    }
+  }
+
+  void forgetStrays() {
+    strayStarts.clear();
+    fencedStrays.clear();
+  }
+
   boolean sick(SteadyTime now) {
     return sickUntil != null && now.isBefore(sickUntil);
   }
--- a/src/main/java/org/ternhinge/election/Election.java
+++ b/src/main/java/org/ternhinge/election/Election.java
@@ -256,8 +256,8 @@
 
   /** A leadership of this node. */
   private final class Held implements Authority {
-    private final Term term;
-    private final Revision termRevision;
+    private Term term;
+    private Revision termRevision;
     private final long lease;
     private SteadyTime validUntil;
 
@@ -306,6 +306,12 @@
       return termRevision;
     }
 
+    @Override
+    public void raised(Term to, Revision revision) {
+      term = to;
+      termRevision = revision;
+    }
+
     @Override
     public boolean valid() {
       return held == this && clock.now().isBefore(validUntil);
--- a/src/main/java/org/ternhinge/ledger/Authority.java
+++ b/src/main/java/org/ternhinge/ledger/Authority.java
@@ -13,6 +13,9 @@
   /** Whether the leadership certainly still holds, judged by this process alone. */
   boolean valid();
 
+  /** The term's key was raised by this leadership itself, to fence its own stray commands. */
+  void raised(Term term, Revision revision);
+
   /** The state service has shown that the leadership is over. */
   void lost(String why);
 }
--- a/src/main/java/org/ternhinge/ledger/LedgerWriter.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -18,7 +18,9 @@
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.Revision;
+import org.ternhinge.model.Term;
 import org.ternhinge.state.Change;
+import org.ternhinge.state.Entry;
 import org.ternhinge.state.StateStore;
 import org.ternhinge.state.Txn;
 import org.ternhinge.wire.Json;
@@ -97,6 +99,16 @@
     pump();
   }
 
+  /**
+   * Raises the term, so that workers which have seen the new one refuse whatever was sent under the
+   * old one, however late it arrives.
+   */
+  public void raiseTerm(Runnable then) {
+    Term next = authority.term().next();
+    extras.add(new Extra(Keys.TERM, Json.object().put("n", next.value()), then));
+    pump();
+  }
+
   /** Whether a change is waiting or under way. */
   public boolean idle() {
     return batch == null && extras.isEmpty() && !ledger.hasDirty();
@@ -183,9 +195,16 @@
   /** A lost answer was followed by a conflict: was it our own first copy? */
   private void readBack(Batch sent) {
     Change first = sent.changes.get(0);
+    for (Change c : sent.changes) {
+      if (c instanceof Change.Put) {
+        first = c;
+        break;
+      }
+    }
+    Change probe = first;
     busy = true;
     store
-        .get(first.key(), Lane.ATTEMPT)
+        .get(probe.key(), Lane.ATTEMPT)
         .whenComplete(
             (outcome, error) ->
                 locked(
@@ -201,13 +220,13 @@
                       }
                       var entry = read.value().entry();
                       boolean ours;
-                      if (first instanceof Change.Put put) {
+                      if (probe instanceof Change.Put put) {
                         ours = entry.isPresent() && entry.get().value().equals(put.value());
                       } else {
                         ours = entry.isEmpty();
                       }
-                      if (ours && first instanceof Change.Put) {
-                        applied(sent, entry.get().revision());
+                      if (ours) {
+                        applied(sent, entry.map(Entry::revision).orElse(Revision.NONE));
                         pump();
                       } else {
                         authority.lost("a write of ours was overtaken");
@@ -239,6 +258,9 @@
       }
     }
     for (Extra extra : done.extras) {
+      if (extra.key.equals(Keys.TERM)) {
+        authority.raised(authority.term().next(), revision);
+      }
       extraRevisions.put(extra.key, extra.value == null ? Revision.NONE : revision);
       if (extra.then != null) {
         extra.then.run();
@@ -259,7 +281,9 @@
     while (!extras.isEmpty() && b.changes.size() < txnOps) {
       Extra extra = extras.peek();
       Revision known = extraRevisions.getOrDefault(extra.key, Revision.NONE);
-      if (b.conditions.containsKey(extra.key)) {
+      if (extra.key.equals(Keys.TERM)) {
+        known = authority.termRevision();
+      } else if (b.conditions.containsKey(extra.key)) {
         break;
       }
       extras.poll();
