--- a/src/main/java/org/ternhinge/controller/Node.java
+++ b/src/main/java/org/ternhinge/controller/Node.java
@@ -420,6 +420,7 @@
         .whenComplete(
             (o, e) -> {
               if (!(o instanceof Outcome.Applied<StateStore.Read> read)) {
+                LOG.debug("{} can't be looked up: {}", id, o);
                 then.accept(null);
               } else if (read.value().entry().isPresent()) {
                 Entry entry = read.value().entry().get();
--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/LedgerTest.java
@@ -0,0 +1,158 @@
+package org.ternhinge.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.config.Team;
+import org.ternhinge.ledger.Ledger.Placement;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.Json;
+
+class LedgerTest {
+  private static final SteadyTime NOW = new SteadyTime(0);
+  private final Ledger ledger =
+      new Ledger(Map.of("red", new Team("red", 4000, 10_000, 0, 0)), RecordCodec.pieceSize(8));
+
+  private Job job(ObjectNode json) {
+    Job job = new Job(Specs.of(json), 1, ledger.pieceSize());
+    ledger.adopt(job);
+    return job;
+  }
+
+  private static Site site(String name, int zone, String type, boolean spot) {
+    return new Site(
+        new MachineId(name),
+        new Session(1),
+        type,
+        zone,
+        zone == 0 ? "east" : "west",
+        spot,
+        Resources.offer(8, 0, 64));
+  }
+
+  private static final Site A = site("n-1", 0, "small", false);
+  private static final Site B = site("n-2", 1, "small", false);
+
+  @ParameterizedTest(name = "{0}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "fine | batch | {} | 0A 1A |",
+        "twice in one go | batch | {} | 0A 0B | no such task",
+        "not of the job | batch | {} | 9A | no such task",
+        "wrong type | batch | {\"velagerdir\":[\"big\"]} | 0A | job does not permit this machine",
+        "wrong zone | batch | {\"svaedi\":\"west\"} | 0A | job does not permit this machine",
+        "spot refused | batch | {\"lanvelar\":false} | 0S | job does not permit this machine",
+        "too many in a zone | daemon | {\"scatter\":true} | 0A 1A 2A | too many tasks in one zone",
+        "half in a zone | daemon | {\"scatter\":true} | 0A 1A 2B |",
+        "gang in part | group | {} | 0A 1A | a gang starts whole",
+        "gang whole | group | {} | 0A 1A 2A 3B |",
+        "gang apart | group | {\"together\":true} | 0A 1A 2A 3B | tasks in several zones",
+        "machine full | batch | {\"cpus\":3.0} | 0A 1A 2A | no room on the machine",
+        "limit of the team | batch | {\"cpus\":3.0} | 0A 1A 2B 3B | team limit"
+      })
+  void admission(String name, String kind, String change, String places, String against)
+      throws Exception {
+    ObjectNode json = Specs.json("wk-1", kind, 4);
+    json.setAll((ObjectNode) Json.parse(change.getBytes()));
+    Job job = job(json);
+    List<Placement> list = new ArrayList<>();
+    for (String p : places.split(" ")) {
+      Site s = p.endsWith("A") ? A : p.endsWith("B") ? B : site("n-3", 0, "small", true);
+      list.add(new Placement(p.charAt(0) - '0', s));
+    }
+    String said = ledger.open(job, list, Set.of(), NOW);
+    if (against == null) {
+      assertNull(said);
+      assertEquals(list.size(), job.openAttempts().size());
+    } else {
+      assertTrue(said != null && said.startsWith(against), said);
+      assertEquals(0, job.openAttempts().size(), "nothing opens in part");
+    }
+  }
+
+  @Test
+  void anOpenAttemptBlocksTheTaskUntilItIsGoneAndNumbersNeverRepeat() {
+    Job job = job(Specs.json("wk-1", "batch", 2));
+    assertNull(ledger.open(job, List.of(new Placement(0, A)), Set.of(), NOW));
+    Attempt first = job.open(0);
+    assertEquals(
+        "task has an open attempt", ledger.open(job, List.of(new Placement(0, B)), Set.of(), NOW));
+    ledger.close(first, false);
+    assertEquals(
+        "task still shows on a machine",
+        ledger.open(job, List.of(new Placement(0, B)), Set.of("wk-1/0"), NOW));
+    assertNull(ledger.open(job, List.of(new Placement(0, B)), Set.of(), NOW));
+    assertTrue(job.open(0).number().compareTo(first.number()) > 0);
+    ledger.close(job.open(0), true);
+    assertEquals("task is done", ledger.open(job, List.of(new Placement(0, A)), Set.of(), NOW));
+    assertEquals(Resources.ZERO, ledger.teamUse("red"));
+  }
+
+  @Test
+  void aCancelledJobOpensNothingAndAJobThatIsOverIsNotCancelled() {
+    Job job = job(Specs.json("wk-1", "batch", 2));
+    ledger.cancel(job);
+    assertEquals("job is over", ledger.open(job, List.of(new Placement(0, A)), Set.of(), NOW));
+    Job done = job(Specs.json("wk-2", "batch", 1));
+    ledger.open(done, List.of(new Placement(0, A)), Set.of(), NOW);
+    ledger.close(done.open(0), true);
+    ledger.cancel(done);
+    assertTrue(done.over() && !done.cancelled(), "its end may be recorded already");
+  }
+
+  @Test
+  void oneFinishedTaskFinishesItsGang() {
+    Job gang = job(Specs.json("wk-1", "group", 3));
+    List<Placement> all = List.of(new Placement(0, A), new Placement(1, A), new Placement(2, B));
+    assertNull(ledger.open(gang, all, Set.of(), NOW));
+    ledger.close(gang.open(1), true);
+    assertEquals(3, gang.doneCount());
+    assertTrue(!gang.over(), "the others may still be on their machines");
+    ledger.close(gang.open(0), false);
+    ledger.close(gang.open(2), false);
+    assertTrue(gang.over());
+  }
+
+  @Test
+  void piecesOfTheLargestArrayFitTheLimitAndReadBack() throws Exception {
+    ObjectNode json = Specs.json("wk-99999999999999999999", "batch", 100_000);
+    json.put("runflokkur", "c".repeat(128)).put("mynd", "m".repeat(128));
+    var types = json.putArray("velagerdir");
+    for (int i = 0; i < 16; i++) {
+      types.add("t".repeat(128));
+    }
+    int size = RecordCodec.pieceSize(8);
+    Job job = new Job(Specs.of(json), 1, size);
+    for (int i = 0; i < 2 * size; i++) {
+      MachineId m = new MachineId(String.format("n-%06d", 990_000 + i));
+      var number = new org.ternhinge.model.AttemptNumber(12_345 + i);
+      job.openMap().put(i, new Attempt(job, i, number, m, new Session(12), 1, false, NOW));
+    }
+    job.highest(new org.ternhinge.model.AttemptNumber(99_999));
+    for (int piece = 0; piece < 2; piece++) {
+      int bytes = Json.bytes(RecordCodec.encode(job, piece)).length;
+      assertTrue(bytes <= 8 * 1024, "piece " + piece + " takes " + bytes);
+    }
+    Job back = RecordCodec.decodeFirst(RecordCodec.encode(job, 0), new Revision(5), NOW);
+    RecordCodec.decodeBody(back, 1, RecordCodec.encode(job, 1), new Revision(6), NOW);
+    assertEquals(job.openMap().keySet(), back.openMap().keySet());
+    assertEquals(job.highest(), back.highest());
+    assertEquals(job.open(size).machine(), back.open(size).machine());
+    assertTrue(back.open(size).recovered() && back.open(size).durable());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/schedule/PlannerTest.java
@@ -0,0 +1,178 @@
+package org.ternhinge.schedule;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.ternhinge.config.Team;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.schedule.Snapshot.AttemptView;
+import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.schedule.Snapshot.MachineView;
+import org.ternhinge.schedule.Snapshot.Offer;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.JobSpec;
+
+class PlannerTest {
+  private static final List<String> ZONES = List.of("east", "west");
+  private static final Flavor PLAIN =
+      new Flavor("plain", Resources.offer(4, 0, 16), 4, 0, 16, 50, 0.5, 0.2, 0.05, 20, ZONES);
+  private static final Flavor FAST =
+      new Flavor("fast", Resources.offer(16, 2, 64), 16, 2, 64, 50, 0.5, 5, 1.5, 40, ZONES);
+
+  private final List<MachineView> machines = new ArrayList<>();
+  private final List<JobView> jobs = new ArrayList<>();
+  private final List<Offer> offers = new ArrayList<>();
+  private final Map<String, Resources> use = new HashMap<>();
+
+  private MachineView machine(
+      String name, Flavor f, int zone, Set<String> images, AttemptView... there) {
+    Resources free = f.capacity();
+    for (AttemptView a : there) {
+      free = free.minus(a.spec().need());
+      use.merge(a.spec().team(), a.spec().need(), Resources::plus);
+    }
+    MachineView m =
+        new MachineView(
+            new MachineId(name),
+            f,
+            zone,
+            ZONES.get(zone),
+            false,
+            free,
+            true,
+            images,
+            there.length == 0 ? 100 : 0,
+            200,
+            List.of(there),
+            List.of());
+    machines.add(m);
+    return m;
+  }
+
+  private static JobSpec spec(String id, String kind, int tasks, Map<String, Object> changes) {
+    ObjectNode o = Specs.json(id, kind, tasks);
+    changes.forEach(
+        (k, v) -> {
+          if (v instanceof String s) {
+            o.put(k, s);
+          } else if (v instanceof Boolean b) {
+            o.put(k, b);
+          } else {
+            o.put(k, ((Number) v).doubleValue());
+          }
+        });
+    return Specs.of(o);
+  }
+
+  private void job(JobSpec spec, boolean guaranteed) {
+    IntArrayList pending = new IntArrayList();
+    for (int i = 0; i < spec.tasks(); i++) {
+      pending.add(i);
+    }
+    jobs.add(new JobView(spec, jobs.size(), guaranteed, pending, new int[2], false, Set.of(), 0));
+  }
+
+  private Plan plan() {
+    Map<String, Team> teams =
+        Map.of(
+            "red", new Team("red", 8000, 40_000, 0, 0),
+            "blue", new Team("blue", 8000, 40_000, 0, 0));
+    return Planner.plan(new Snapshot(machines, jobs, List.of(), teams, use, offers, true, 40));
+  }
+
+  private static List<String> on(Plan plan) {
+    List<String> out = new ArrayList<>();
+    plan.places().forEach(p -> p.machines().forEach(m -> out.add(m.value())));
+    return out;
+  }
+
+  @Test
+  void aTaskGoesWhereItsImageLies() {
+    machine("n-1", PLAIN, 0, Set.of());
+    machine("n-2", PLAIN, 0, Set.of("img-1"));
+    job(spec("wk-1", "batch", 1, Map.of()), true);
+    assertEquals(List.of("n-2"), on(plan()));
+  }
+
+  @Test
+  void plainTasksLeaveAcceleratedPlacesAlone() {
+    machine("n-1", FAST, 0, Set.of("img-1"));
+    job(spec("wk-1", "batch", 4, Map.of()), true);
+    job(spec("wk-2", "group", 1, Map.of("cpus", 14.0, "accelerators", 2.0)), true);
+    Plan plan = plan();
+    assertEquals(3, on(plan).size(), "two plain tasks beside the accelerated one");
+  }
+
+  @Test
+  void gangsStartWholeOrNotAtAllAndTogether() {
+    machine("n-1", PLAIN, 0, Set.of());
+    machine("n-2", PLAIN, 1, Set.of());
+    Map<String, Object> apart = Map.of("cpus", 3.0, "together", true);
+    job(spec("wk-1", "group", 2, apart), true);
+    assertEquals(List.of(), on(plan()));
+    machine("n-3", PLAIN, 1, Set.of());
+    assertEquals(Set.of("n-2", "n-3"), Set.copyOf(on(plan())));
+  }
+
+  @Test
+  void scatteredReplicasFillNoZoneByMoreThanHalf() {
+    machine("n-1", PLAIN, 0, Set.of());
+    machine("n-2", PLAIN, 0, Set.of());
+    job(spec("wk-1", "daemon", 3, Map.of("scatter", true)), true);
+    assertEquals(2, on(plan()).size(), "the third waits for another zone");
+  }
+
+  @Test
+  void onlyHigherPriorityOrAGuaranteeMakesRoom() {
+    JobSpec low = spec("wk-9", "batch", 4, Map.of("eigandi", "blue", "cpus", 2.0));
+    machine(
+        "n-1",
+        PLAIN,
+        0,
+        Set.of("img-1"),
+        new AttemptView(low, 0, false, true, 5),
+        new AttemptView(low, 1, false, true, 5));
+    job(spec("wk-1", "batch", 1, Map.of("cpus", 2.0)), true);
+    assertEquals(0, plan().stops().size(), "blue is within its guarantee");
+    use.put("blue", new Resources(12_000, 0, 0));
+    assertEquals(1, plan().stops().size(), "blue exceeds it");
+    jobs.clear();
+    job(spec("wk-1", "batch", 1, Map.of("cpus", 2.0)), false);
+    assertEquals(0, plan().stops().size(), "red has no claim beyond its own");
+    jobs.clear();
+    job(spec("wk-1", "daemon", 1, Map.of("cpus", 2.0, "forgang", "production")), false);
+    assertEquals(1, plan().stops().get(0).victims().size(), "one is enough");
+  }
+
+  @Test
+  void rentsTheCheapestThatIsPermitted() {
+    offers.add(new Offer(FAST, 0, "east", false, 10));
+    offers.add(new Offer(PLAIN, 0, "east", false, 10));
+    offers.add(new Offer(PLAIN, 0, "east", true, 10));
+    job(spec("wk-1", "daemon", 2, Map.of("cpus", 4.0, "lanvelar", false)), true);
+    assertEquals(List.of(new Plan.Rent("plain", "east", false, 2)), plan().rents());
+    jobs.clear();
+    job(spec("wk-1", "daemon", 2, Map.of("cpus", 4.0)), true);
+    assertEquals(List.of(new Plan.Rent("plain", "east", true, 2)), plan().rents());
+  }
+
+  @Test
+  void returnsWhatIdlesButNotWhatIsAboutToBeUsed() {
+    machine("n-1", PLAIN, 0, Set.of());
+    machine("n-2", PLAIN, 0, Set.of());
+    job(spec("wk-1", "batch", 1, Map.of()), true);
+    Plan plan = plan();
+    assertEquals(1, plan.releases().size());
+    assertTrue(!on(plan).contains(plan.releases().get(0).value()));
+  }
+}
--- a/src/test/java/org/ternhinge/sim/StoreCore.java
+++ b/src/test/java/org/ternhinge/sim/StoreCore.java
@@ -144,8 +144,10 @@
     for (var it = keys.entrySet().iterator(); it.hasNext(); ) {
       var e = it.next();
       if (e.getValue().lease == id) {
+        // The key first: a tree's entry may hold another key after its removal.
+        String key = e.getKey();
         it.remove();
-        log.add(new Change.Seen(e.getKey(), null, new Revision(revision)));
+        log.add(new Change.Seen(key, null, new Revision(revision)));
       }
     }
     wake();
--- /dev/null
+++ b/src/test/java/org/ternhinge/wire/JobSpecTest.java
@@ -0,0 +1,83 @@
+package org.ternhinge.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ternhinge.sim.Specs;
+
+class JobSpecTest {
+
+  private static JsonNode parse(String text) throws WireException {
+    return Json.parse(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "ref | \"job 1\"",
+        "ref | \"wk-\"",
+        "ref | 12",
+        "gerd | \"swarm\"",
+        "forgang | \"urgent\"",
+        "verkbitar | 0",
+        "verkbitar | 100001",
+        "verkbitar | 2.5",
+        "verkbitar | -1",
+        "cpus | 0",
+        "cpus | -1",
+        "cpus | \"4\"",
+        "cpus | 1e300",
+        "memory_gb | null",
+        "together | \"yes\"",
+        "velagerdir | []",
+        "velagerdir | [1]",
+        "svaedi | 7",
+        "skiladagur_s | -5",
+        "mynd | \"\""
+      })
+  void invalidFieldsAreNamed(String field, String value) throws WireException {
+    ObjectNode body = Specs.json("wk-1", "batch", 3);
+    body.set(field, parse(value));
+    WireException e = assertThrows(WireException.class, () -> JobSpec.read(body));
+    assertTrue(e.getMessage().startsWith(field + ":"), e.getMessage());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"verkbitar", "cpus", "mynd", "together", "aaetlun_s", "eigandi"})
+  void missingFieldsAreRefused(String field) {
+    ObjectNode body = Specs.json("wk-1", "batch", 3);
+    body.remove(field);
+    assertThrows(WireException.class, () -> JobSpec.read(body));
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", "{", "nul", "{}x", "NaN", "[1,"})
+  void whatIsNoJsonIsRefused(String text) {
+    assertThrows(WireException.class, () -> parse(text));
+  }
+
+  @Test
+  void nullableFieldsMayBeOmittedAndUnknownOnesAreIgnored() throws WireException {
+    ObjectNode body = Specs.json("wk-1", "daemon", 5);
+    body.remove(java.util.List.of("velagerdir", "svaedi", "skiladagur_s"));
+    body.put("extra", 1).put("scatter", true);
+    JobSpec spec = JobSpec.read(body);
+    assertEquals(3, spec.zoneLimit());
+    assertEquals(spec, JobSpec.read(spec.write()), "what is written reads back the same");
+  }
+
+  @Test
+  void deepNestingDoesNoHarm() {
+    String deep = "[".repeat(5000) + "]".repeat(5000);
+    assertThrows(WireException.class, () -> parse(deep));
+  }
+}
