--- a/src/main/java/org/ternhinge/controller/Node.java
+++ b/src/main/java/org/ternhinge/controller/Node.java
@@ -49,6 +49,9 @@
   private static final double CANCEL_S = 4;
   private static final int ACCEPT_TRIES = 3;
 
+  /** Shorter than the time after which a worker drops the answer. */
+  private static final double RELAY_S = 2.5;
+
   /** The way to the other nodes. */
   public interface Peers {
     void ask(String node, Request request, double timeoutS, Consumer<Response> answer);
@@ -69,6 +72,7 @@
   private final Share share;
   private final Map<String, Flavor> flavors = new LinkedHashMap<>();
   private final int pieceSize;
+  private final Detours detours = new Detours();
   private Lead lead;
 
   public Node(Lead.Surroundings around, Election election, Peers peers, Share share) {
@@ -194,7 +198,7 @@
   private void route(Request request, boolean fromPeer, Consumer<Response> answer) {
     String path = request.path();
     if (path.equals("/agent/beat")) {
-      only("POST", request, answer, () -> report(request, answer));
+      only("POST", request, answer, () -> report(request, fromPeer, answer));
     } else if (path.equals("/submissions")) {
       only("POST", request, answer, () -> submit(request, fromPeer, answer));
     } else if (path.startsWith("/submissions/")) {
@@ -511,7 +515,7 @@
 
   // ---- reports ----------------------------------------------------------------------------------
 
-  private void report(Request request, Consumer<Response> answer) {
+  private void report(Request request, boolean fromPeer, Consumer<Response> answer) {
     WorkerReport report;
     try {
       report = WorkerReport.read(Json.parse(request.body()));
@@ -519,14 +523,15 @@
       answer.accept(error(400, e.getMessage()));
       return;
     }
-    beat(report, answer);
+    beat(report, request, fromPeer, answer);
   }
 
-  private void beat(WorkerReport report, Consumer<Response> answer) {
+  private void beat(
+      WorkerReport report, Request request, boolean fromPeer, Consumer<Response> answer) {
     boolean valid = election.valid();
     if (lead != null && !lead.ready()) {
       // Without the ledger a lease must not be renewed: a cancelled task might live on by it.
-      lead.whenReady(() -> beat(report, answer));
+      lead.whenReady(() -> beat(report, request, fromPeer, answer));
       return;
     }
     if (lead != null && election.mayAnswer() && (valid || lead.mayKeepAlive(report))) {
@@ -537,10 +542,26 @@
       }
     }
     String leader = otherLeader();
-    if (leader == null) {
+    if (leader == null || fromPeer) {
       answer.accept(Response.busy(RETRY_AFTER_S));
+    } else if (detours.relays(report.machine(), around.clock().now())) {
+      relay(leader, request, answer);
     } else {
       answer.accept(Response.of(421, new Redirect(leader).write()));
     }
   }
+
+  /** Passes a report on and its live answer back, for a worker that can't reach the leader. */
+  private void relay(String leader, Request request, Consumer<Response> answer) {
+    peers.ask(
+        leader,
+        request,
+        RELAY_S,
+        r -> {
+          if (r == null) {
+            peers.reset(leader);
+          }
+          answer.accept(r == null ? Response.busy(RETRY_AFTER_S) : r);
+        });
+  }
 }
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/DetoursTest.java
@@ -0,0 +1,31 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.SteadyTime;
+
+class DetoursTest {
+  private static final MachineId WORKER = new MachineId("n-1");
+
+  @ParameterizedTest
+  @CsvSource({
+    "'0', R", // sent to the leader
+    "'0 6', R-", // back soon: it found nobody
+    "'0 6 9 35', R---", // relayed for a while
+    "'0 6 37', R-R", // then sent to the leader again
+    "'0 6 37 43', R-R-", // still cut
+    "'0 60', RR" // a report much later says nothing of the leader
+  })
+  void aWorkerThatComesBackSoonIsRelayed(String times, String expected) {
+    Detours detours = new Detours();
+    StringBuilder seen = new StringBuilder();
+    for (String t : times.split(" ")) {
+      SteadyTime at = new SteadyTime(0).plusSeconds(Double.parseDouble(t));
+      seen.append(detours.relays(WORKER, at) ? '-' : 'R');
+    }
+    assertEquals(expected, seen.toString());
+  }
+}
