--- a/src/main/java/org/ternhinge/cli/Logging.java
+++ b/src/main/java/org/ternhinge/cli/Logging.java
@@ -9,6 +9,12 @@
 
   private Logging() {}
 
+  /** Has each line begin with the time of day. */
+  static void showTimes() {
+    System.setProperty("org.slf4j.simpleLogger.showDateTime", "true");
+    System.setProperty("org.slf4j.simpleLogger.dateTimeFormat", "yyyy-MM-dd'T'HH:mm:ss.SSSXXX");
+  }
+
   static void set(String level) {
     String wanted = level == null ? "" : level.toLowerCase(Locale.ROOT);
     String chosen = LEVELS.contains(wanted) ? wanted : "info";
--- a/src/main/java/org/ternhinge/cli/Main.java
+++ b/src/main/java/org/ternhinge/cli/Main.java
@@ -56,6 +56,9 @@
     if (loaded == null) {
       return 2;
     }
+    if (loaded.tuning.logTimes()) {
+      Logging.showTimes();
+    }
     Service.run(loaded.settings, loaded.tuning);
     return 0;
   }
--- a/src/main/java/org/ternhinge/config/Tuning.java
+++ b/src/main/java/org/ternhinge/config/Tuning.java
@@ -20,6 +20,7 @@
  * @param graceS how long a leader that can't renew goes on answering reports; a new leader adds it
  *     to its wait for silent workers
  * @param idleS how long a machine stays idle before it is returned
+ * @param logTimes whether lines of the log carry the time of day
  */
 public record Tuning(
     double roundS,
@@ -28,9 +29,10 @@
     double renewS,
     double marginS,
     double graceS,
-    double idleS) {
+    double idleS,
+    boolean logTimes) {
 
-  public static final Tuning DEFAULT = new Tuning(1.0, 0.1, 6.0, 2.0, 0.3, 30.0, 40.0);
+  public static final Tuning DEFAULT = new Tuning(1.0, 0.1, 6.0, 2.0, 0.3, 30.0, 40.0, false);
 
   /** Reads the file; a file that was named has to be there. */
   public static Tuning load(Path file) throws SettingsException {
@@ -60,7 +62,8 @@
             take(values, "renew_s", d.renewS, 0.1, 200),
             take(values, "margin_s", d.marginS, 0.05, 10),
             take(values, "grace_s", d.graceS, 0, 600),
-            take(values, "idle_s", d.idleS, 1, 86_400));
+            take(values, "idle_s", d.idleS, 1, 86_400),
+            flag(values, "log_times", d.logTimes));
     if (!values.isEmpty()) {
       throw new SettingsException("tuning: unknown name " + values.keySet().iterator().next());
     }
@@ -70,6 +73,18 @@
     return out;
   }
 
+  private static boolean flag(Map<String, Object> values, String name, boolean otherwise)
+      throws SettingsException {
+    Object value = values.remove(name);
+    if (value == null) {
+      return otherwise;
+    }
+    if (!(value instanceof Boolean set)) {
+      throw new SettingsException("tuning: " + name + ": true or false is needed");
+    }
+    return set;
+  }
+
   private static double take(
       Map<String, Object> values, String name, double otherwise, double least, double most)
       throws SettingsException {
--- a/src/test/java/org/ternhinge/config/ConfigTest.java
+++ b/src/test/java/org/ternhinge/config/ConfigTest.java
@@ -72,6 +72,7 @@
         "rounds = 1 | unknown name rounds",
         "grace_s = \"long\" | grace_s",
         "renew_s = 5 | renew_s",
+        "log_times = 1 | log_times",
         "leadership_s = { | leadership_s"
       })
   void tuningErrorsNameTheValue(String hcl, String message) {
