--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -96,9 +96,19 @@
       long gpus = Math.max(1, capacity.gpus() / 1000);
       task = new Resources(capacity.cpus() * 7 / 8 / gpus, 1000, capacity.memory() * 3 / 4 / gpus);
     }
-    // A service stays, while arrays next to it go soon: it is judged by the room without them.
-    Resources room = spec.isService() ? bin.free.plus(bin.passing()) : bin.free;
-    return task.timesIn(room) - task.timesIn(room.minus(spec.need()));
+    // Judged by the room without arrays, which end soon: a service takes what will be free for
+    // good,
+    // and arrays may fill only what no accelerated task could use once they have ended. Judging
+    // them
+    // by the room of the moment let one short task give a place away for as long as arrays came.
+    Resources arrays = bin.passing();
+    Resources room = bin.free.plus(arrays);
+    int places = task.timesIn(room);
+    if (spec.kind() == JobKind.ARRAY) {
+      Resources spare = room.minus(task.times(places));
+      return places == 0 || arrays.plus(spec.need()).fitsIn(spare) ? 0 : 1;
+    }
+    return places - task.timesIn(room.minus(spec.need()));
   }
 
   public static Plan plan(Snapshot snapshot) {
