--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -90,6 +90,12 @@
     if (acceleratorJob != null && !bin.allows(acceleratorJob)) {
       return 0;
     }
+    if (acceleratorJob != null
+        && spec.kind() == JobKind.ARRAY
+        && spec.priority().compareTo(acceleratorJob.priority()) > 0) {
+      // Lesser arrays are stopped when an accelerated task comes.
+      return 0;
+    }
     Resources task = acceleratorJob == null ? null : acceleratorJob.need();
     if (task == null) {
       // None are about: suppose that one takes an accelerator and nearly its share of the rest.
