--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -53,6 +53,7 @@
 import org.ternhinge.wire.EndReason;
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.HostInfo;
+import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
 import org.ternhinge.wire.RentalRequest;
@@ -72,6 +73,10 @@
   private static final double FOLLOW_S = 20;
   private static final double RESERVE_S = 12;
   private static final double DESCRIBE_S = 20;
+
+  /** Keeps new arrays comparable before they have waited. */
+  private static final double RANK_AGE_S = 30;
+
   private static final double FENCE_AFTER_S = 4;
   private static final double FENCE_PAUSE_S = 10;
 
@@ -1080,7 +1085,7 @@
       out.add(
           new Snapshot.JobView(
               spec,
-              out.size(),
+              rank(job, out.size()),
               guaranteed,
               pending,
               zones,
@@ -1091,6 +1096,21 @@
     return out;
   }
 
+  /**
+   * Place in the queue among jobs alike in priority and guarantee: gangs and services by arrival,
+   * then arrays by the work they have left against the time they have waited. In a full cluster
+   * arrival order makes every array late; this lets most be in time and starves none.
+   */
+  private double rank(Job job, int arrival) {
+    JobSpec spec = job.spec();
+    if (spec.kind() != JobKind.ARRAY) {
+      return arrival - 1e6;
+    }
+    double work = (spec.tasks() - job.doneCount()) * spec.cpus() * Math.max(1, spec.estimateS());
+    double age = Math.max(0, clock.wallMillis() - job.acceptedMillis()) / 1000.0;
+    return work / (age + RANK_AGE_S);
+  }
+
   private void apply(Plan plan) {
     SteadyTime now = clock.now();
     Set<String> ghosts = ghosts();
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -128,7 +128,7 @@
       Comparator.comparing((JobView j) -> j.spec().priority() != Priority.PRODUCTION)
           .thenComparing(j -> !j.guaranteed())
           .thenComparing(j -> j.spec().priority())
-          .thenComparingLong(JobView::order);
+          .thenComparingDouble(JobView::rank);
 
   private record Demand(JobView job, int tasks) {}
 
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -58,6 +58,7 @@
   /**
    * A job with tasks to place.
    *
+   * @param rank place in the queue, lowest first, among jobs of one priority and guarantee
    * @param pending tasks without an open attempt
    * @param zoneOpen open attempts by zone
    * @param guaranteed whether it lies within its team's guarantee
@@ -65,7 +66,7 @@
    */
   public record JobView(
       JobSpec spec,
-      long order,
+      double rank,
       boolean guaranteed,
       IntList pending,
       int[] zoneOpen,
