--- a/src/main/java/org/ternhinge/controller/Node.java
+++ b/src/main/java/org/ternhinge/controller/Node.java
@@ -349,16 +349,7 @@
       answer.accept(Response.busy(RETRY_AFTER_S));
       return;
     }
-    peers.ask(
-        leader,
-        request,
-        ASK_S,
-        r -> {
-          if (r == null) {
-            peers.reset(leader);
-          }
-          answer.accept(r == null ? Response.busy(RETRY_AFTER_S) : r);
-        });
+    askLeader(leader, request, ASK_S, answer);
   }
 
   private static Response error(int status, String message) {
@@ -460,16 +451,7 @@
       answer.accept(Response.busy(RETRY_AFTER_S));
       return;
     }
-    peers.ask(
-        leader,
-        request,
-        CANCEL_S,
-        r -> {
-          if (r == null) {
-            peers.reset(leader);
-          }
-          answer.accept(r == null ? Response.busy(RETRY_AFTER_S) : r);
-        });
+    askLeader(leader, request, CANCEL_S, answer);
   }
 
   private void cancelHere(JobId id, Consumer<Response> answer) {
@@ -545,18 +527,20 @@
     if (leader == null || fromPeer) {
       answer.accept(Response.busy(RETRY_AFTER_S));
     } else if (detours.relays(report.machine(), around.clock().now())) {
-      relay(leader, request, answer);
+      // This worker can't reach the leader.
+      askLeader(leader, request, RELAY_S, answer);
     } else {
       answer.accept(Response.of(421, new Redirect(leader).write()));
     }
   }
 
-  /** Passes a report on and its live answer back, for a worker that can't reach the leader. */
-  private void relay(String leader, Request request, Consumer<Response> answer) {
+  /** Hands a request to the leader and its live answer back; 503 where none comes. */
+  private void askLeader(
+      String leader, Request request, double timeoutS, Consumer<Response> answer) {
     peers.ask(
         leader,
         request,
-        RELAY_S,
+        timeoutS,
         r -> {
           if (r == null) {
             peers.reset(leader);
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -261,7 +261,7 @@
       }
     }
     for (Demand demand : unmet) {
-      rentFor(demand, coming, false);
+      rentFor(demand, coming);
     }
     for (JobView spare : snapshot.spares()) {
       keepFor(spare, coming);
@@ -617,7 +617,7 @@
   }
 
   /** Sends what waits to machines that are coming, then rents for the rest. */
-  private void rentFor(Demand demand, List<Bin> coming, boolean spare) {
+  private void rentFor(Demand demand, List<Bin> coming) {
     JobSpec spec = demand.job.spec();
     int tasks = demand.tasks;
     if (spec.kind() == JobKind.ARRAY) {
@@ -688,7 +688,6 @@
   /** Keeps room for a job that may come, on what is there or coming, else rents. */
   private void keepFor(JobView spare, List<Bin> coming) {
     JobSpec spec = spare.spec();
-    int[] zones = new int[spare.zoneOpen().length];
     int left = spec.tasks();
     for (int pass = 0; pass < 2 && left > 0; pass++) {
       for (Bin bin : bins) {
@@ -703,9 +702,8 @@
       }
     }
     if (left > 0) {
-      rentFor(new Demand(spare, left), coming, true);
+      rentFor(new Demand(spare, left), coming);
     }
-    zones[0] = 0;
   }
 
   /** The room that a production job could get on a machine, others stopped. */
