--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -586,7 +586,6 @@
     m.errorsInARow++;
     m.errorJobs.add(job.spec().id());
     if (m.errorsInARow >= 2 && !m.sick(now)) {
-      m.timesSick++;
       m.sickUntil = now.plusSeconds(600);
       LOG.info("machine {} fails its tasks and is set aside", m.id);
     }
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -75,7 +75,6 @@
   int errorsInARow;
   final Set<JobId> errorJobs = new HashSet<>();
   SteadyTime sickUntil;
-  int timesSick;
   SteadyTime noRoomUntil;
 
   Machine(MachineId id, SteadyTime now, SteadyTime leaseEnds) {
