--- a/src/main/java/org/ternhinge/controller/Arrivals.java
+++ b/src/main/java/org/ternhinge/controller/Arrivals.java
@@ -60,7 +60,7 @@
         JobSpec spec = latest.next().spec();
         out.add(
             new Snapshot.JobView(
-                spec, i, false, IntArrayList.of(), new int[zones], false, Set.of(), 0));
+                spec, i, false, IntArrayList.of(), 0, new int[zones], false, Set.of(), 0));
       }
     }
     return out;
--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -1,8 +1,7 @@
 package org.ternhinge.controller;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import it.unimi.dsi.fastutil.ints.IntArrayList;
-import it.unimi.dsi.fastutil.ints.IntList;
+import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -20,7 +19,6 @@
 import org.slf4j.LoggerFactory;
 import org.ternhinge.cloud.Cloud;
 import org.ternhinge.config.Settings;
-import org.ternhinge.config.Team;
 import org.ternhinge.config.Tuning;
 import org.ternhinge.election.Election;
 import org.ternhinge.ledger.Attempt;
@@ -39,10 +37,10 @@
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
-import org.ternhinge.model.Resources;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.Session;
 import org.ternhinge.model.SteadyTime;
+import org.ternhinge.model.TaskId;
 import org.ternhinge.schedule.Plan;
 import org.ternhinge.schedule.Planner;
 import org.ternhinge.schedule.Snapshot;
@@ -53,7 +51,6 @@
 import org.ternhinge.wire.EndReason;
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.HostInfo;
-import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
 import org.ternhinge.wire.RentalRequest;
@@ -74,8 +71,11 @@
   private static final double RESERVE_S = 12;
   private static final double DESCRIBE_S = 20;
 
-  /** Keeps new arrays comparable before they have waited. */
-  private static final double RANK_AGE_S = 30;
+  /** How often leases and reservations are looked at. */
+  private static final double WATCH_S = 0.5;
+
+  /** Rounds take at most one part in so many of the time. */
+  private static final double ROUND_PAUSE = 4;
 
   private static final double FENCE_AFTER_S = 4;
   private static final double FENCE_PAUSE_S = 10;
@@ -93,7 +93,12 @@
 
   private final Ledger ledger;
   private final LedgerWriter writer;
+  private final Views views;
   private final Map<MachineId, Machine> machines = new TreeMap<>();
+
+  /** How many machines show each task that has not ended. */
+  private final Object2IntOpenHashMap<TaskId> shown = new Object2IntOpenHashMap<>();
+
   private final Set<MachineId> returned = new HashSet<>();
   private final Map<String, Flavor> flavors = new LinkedHashMap<>();
   private final Map<JobId, Trouble> troubles = new HashMap<>();
@@ -109,19 +114,13 @@
   private boolean roundAsked;
   private boolean roundRunning;
   private SteadyTime lastRound;
+  private double roundTookS;
   private SteadyTime described;
   private SteadyTime fencedAt;
   private boolean raising;
   private Revision watched;
   private Revision loadedAt;
 
-  /** What went wrong with a job's tasks, apart from any machine's fault. */
-  private static final class Trouble {
-    private int errors;
-    private SteadyTime until;
-    private final Set<MachineId> machines = new HashSet<>();
-  }
-
   /** Everything around a leadership that outlives it. */
   public record Surroundings(
       Settings settings,
@@ -166,6 +165,7 @@
             this::nowDurable);
     this.rentals = new Rentals(this, cloud, writer, authority, clock, lock);
     this.arrivals = new Arrivals(settings.objectives());
+    this.views = new Views(s, authority, ledger, flavors, troubles);
   }
 
   void stop() {
@@ -263,6 +263,7 @@
     list();
     refreshFlavors();
     writer.pump();
+    watch();
     tick();
   }
 
@@ -449,46 +450,79 @@
       m.token = r.token();
     }
     m.sawToken(r.token());
-    m.type = r.type();
-    m.zoneName = r.zone();
-    m.zone = settings.zones().indexOf(r.zone());
-    m.spot = r.spot();
+    if (!r.type().equals(m.type) || !r.zone().equals(m.zoneName) || m.spot != r.spot()) {
+      m.type = r.type();
+      m.zoneName = r.zone();
+      m.zone = settings.zones().indexOf(r.zone());
+      m.spot = r.spot();
+      m.view = null;
+    }
     m.lastReport = now;
     if (!m.reported) {
       m.reported = true;
+      m.view = null;
       if (m.rentedAt != null && ledger.attemptsOn(m.id).isEmpty()) {
         m.idleSince = now;
       }
       rentals.seen(m.id);
       askRound();
     }
-    try {
-      m.endpoint = Endpoint.parse(r.endpoint());
-    } catch (IllegalArgumentException e) {
-      LOG.warn("machine {} reports no usable endpoint", m.id);
+    if (m.endpoint == null || !m.endpointText.equals(r.endpoint())) {
+      try {
+        m.endpoint = Endpoint.parse(r.endpoint());
+        m.endpointText = r.endpoint();
+      } catch (IllegalArgumentException e) {
+        LOG.warn("machine {} reports no usable endpoint", m.id);
+      }
     }
     if (r.noticeS() != null && m.noticeAt == null) {
       m.noticeAt = now.plusSeconds(r.noticeS());
       noticed(m, r.noticeS());
     }
-    m.tasks.clear();
-    for (TaskReport t : r.tasks()) {
-      m.tasks.put(Machine.key(t), t);
+    if (!m.tasks.equals(r.tasks())) {
+      show(m, r.tasks());
+      observeAll(m, r, now);
     }
     for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
-      if (a.session().equals(r.session())) {
-        observe(m, a, m.tasks.get(Machine.key(a)), r, isReport, now);
+      if (a.shownIn() != m.shownIn && a.session().equals(r.session())) {
+        absent(m, a, r, isReport);
       }
     }
     return true;
   }
 
-  private void observe(
-      Machine m, Attempt a, TaskReport t, WorkerReport r, boolean isReport, SteadyTime now) {
-    if (t == null) {
-      absent(m, a, r, isReport);
-      return;
+  /** Keeps count of what the machines show, by the difference to a machine's last message. */
+  private void show(Machine m, List<TaskReport> tasks) {
+    for (TaskReport t : m.tasks) {
+      if (!t.ended() && shown.addTo(t.task(), -1) <= 1) {
+        shown.removeInt(t.task());
+      }
     }
+    for (TaskReport t : tasks) {
+      if (!t.ended()) {
+        shown.addTo(t.task(), 1);
+      }
+    }
+    m.tasks = tasks;
+    m.shownIn = ++m.messages;
+    m.view = null;
+  }
+
+  private void observeAll(Machine m, WorkerReport r, SteadyTime now) {
+    for (TaskReport t : r.tasks()) {
+      Job job = ledger.job(t.task().job());
+      Attempt a = job == null ? null : job.open(t.task().index());
+      if (a != null
+          && a.number().equals(t.attempt())
+          && a.machine().equals(m.id)
+          && a.session().equals(r.session())) {
+        a.shownIn(m.shownIn);
+        observe(m, a, t, now);
+      }
+    }
+  }
+
+  private void observe(Machine m, Attempt a, TaskReport t, SteadyTime now) {
     if (t.ended()) {
       ended(m, a, t, now);
       return;
@@ -577,7 +611,6 @@
    */
   private void failed(Machine m, Job job, SteadyTime now) {
     Trouble t = trouble(job);
-    t.errors++;
     t.machines.add(m.id);
     if (t.machines.size() >= 3) {
       t.until = now.plusSeconds(Math.min(60, 2 * Math.pow(2, t.machines.size() - 3)));
@@ -612,6 +645,9 @@
     }
     ledger.close(a, done);
     Machine m = machines.get(a.machine());
+    if (m != null) {
+      m.view = null;
+    }
     if (m != null && ledger.attemptsOn(m.id).isEmpty()) {
       m.idleSince = clock.now();
     }
@@ -634,6 +670,9 @@
     }
     a.stop(graceS, clock.now());
     Machine m = machines.get(a.machine());
+    if (m != null) {
+      m.view = null;
+    }
     if (m != null && a.seen() != Attempt.Seen.UNSEEN) {
       m.outbox.add(new Command(Command.Op.STOP, a.task(), a.number(), graceS));
       order(m);
@@ -679,6 +718,7 @@
       }
       if (a.stopping() || a.job().cancelled()) {
         a.stop(0, clock.now());
+        m.view = null;
         if (unsent(a)) {
           close(a, false, "never sent");
         }
@@ -819,6 +859,13 @@
 
   // ---- rounds ---------------------------------------------------------------------------------
 
+  private void watch() {
+    if (authority.valid()) {
+      expire(clock.now());
+    }
+    later(WATCH_S, this::watch);
+  }
+
   private void tick() {
     askRound();
     if (LOG.isDebugEnabled() && clock.now().secondsSince(described) >= DESCRIBE_S) {
@@ -843,7 +890,7 @@
         classes,
         m.reported ? "" : "not up ",
         m.releasing ? "releasing " : "",
-        placeable(m, clock.now()) ? "" : "closed");
+        views.placeable(m, clock.now()) ? "" : "closed");
   }
 
   void askRound() {
@@ -851,8 +898,9 @@
       return;
     }
     roundAsked = true;
-    double since = clock.now().secondsSince(lastRound);
-    double wait = Math.max(0.01, tuning.roundGapS() - since);
+    // A long round is followed by a longer pause: reports and the renewal come first.
+    double gap = Math.max(tuning.roundGapS(), Math.min(tuning.roundS(), roundTookS * ROUND_PAUSE));
+    double wait = Math.max(0.01, gap - clock.now().secondsSince(lastRound));
     clock.after(wait, () -> scheduler.execute(this::round));
   }
 
@@ -865,12 +913,11 @@
         return;
       }
       lastRound = clock.now();
-      expire(lastRound);
       if (!authority.valid() || flavors.isEmpty()) {
         return;
       }
       roundRunning = true;
-      snapshot = snapshot(lastRound);
+      snapshot = views.snapshot(machines.values(), arrivals, rentals, electedAt, lastRound);
     } finally {
       lock.unlock();
     }
@@ -886,6 +933,9 @@
       if (!stopped && plan != null && authority.valid()) {
         apply(plan);
       }
+      SteadyTime now = clock.now();
+      roundTookS = now.secondsSince(lastRound);
+      metrics.round(roundTookS, plan == null ? 0 : plan.steps());
     } finally {
       lock.unlock();
     }
@@ -893,34 +943,57 @@
 
   /** Leases that have run out, and machines and reservations whose time is over. */
   private void expire(SteadyTime now) {
+    boolean fence = false;
     for (Machine m : List.copyOf(machines.values())) {
-      m.kept.removeIf(k -> k.until().isBefore(now));
+      if (!m.kept.isEmpty() && m.kept.removeIf(k -> k.until().isBefore(now))) {
+        m.view = null;
+        askRound();
+      }
       Collection<Attempt> there = ledger.attemptsOn(m.id);
-      if (!there.isEmpty() && m.leaseEnds.isBefore(now)) {
-        LOG.info("machine {} has been silent past its lease", m.id);
-        Session last = m.session;
-        for (Attempt a : List.copyOf(there)) {
-          if (a.session().compareTo(last) > 0) {
-            last = a.session();
-          }
-          close(a, false, "lease over");
-        }
-        m.deadSession = last;
-        m.forgetStrays();
-        m.outbox.clear();
+      if (there.isEmpty()) {
+        continue;
+      }
+      if (m.leaseEnds.isBefore(now)) {
+        leaseOver(m, List.copyOf(there));
+        continue;
       }
-      boolean fence = false;
-      for (Attempt a : List.copyOf(there)) {
-        stopLate(m, a, now);
-        fence |= needsFence(m, a, now);
+      List<Attempt> stopping = null;
+      for (Attempt a : there) {
+        if (a.stopping()) {
+          stopping = stopping == null ? new ArrayList<>() : stopping;
+          stopping.add(a);
+        }
       }
-      if (fence) {
-        raiseTerm(now);
+      if (stopping != null) {
+        for (Attempt a : stopping) {
+          stopLate(m, a, now);
+          fence |= needsFence(m, a, now);
+        }
       }
     }
+    if (fence) {
+      raiseTerm(now);
+    }
     rentals.expire(now);
   }
 
+  /** The worker has killed what it ran; nothing that it showed before is there any more. */
+  private void leaseOver(Machine m, List<Attempt> there) {
+    LOG.info("machine {} has been silent past its lease", m.id);
+    Session last = m.session;
+    for (Attempt a : there) {
+      if (a.session().compareTo(last) > 0) {
+        last = a.session();
+      }
+      close(a, false, "lease over");
+    }
+    m.deadSession = last;
+    m.forgetStrays();
+    m.outbox.clear();
+    // Otherwise its tasks would count as still shown, and could not start elsewhere.
+    show(m, List.of());
+  }
+
   /**
    * An attempt is to stop, but a start of it whose answer was lost may still arrive, even minutes
    * late. Raising the own term makes the worker refuse it.
@@ -957,162 +1030,13 @@
     }
   }
 
-  private Set<String> ghosts() {
-    Set<String> ghosts = new HashSet<>();
-    for (Machine m : machines.values()) {
-      for (TaskReport t : m.tasks.values()) {
-        if (!t.ended()) {
-          Job job = ledger.job(t.task().job());
-          Attempt a = job == null ? null : job.open(t.task().index());
-          if (a == null || !a.number().equals(t.attempt())) {
-            ghosts.add(t.task().toString());
-          }
-        }
-      }
-    }
-    return ghosts;
-  }
-
-  private boolean placeable(Machine m, SteadyTime now) {
-    return m.reported
-        && !m.gone
-        && !m.releasing
-        && m.noticeAt == null
-        && m.zone >= 0
-        && m.type != null
-        && flavors.containsKey(m.type)
-        && m.endpoint != null
-        && m.session.compareTo(m.deadSession) > 0
-        && !m.sick(now)
-        && (m.noRoomUntil == null || m.noRoomUntil.isBefore(now))
-        && m.token.equals(authority.term())
-        && now.secondsSince(m.lastReport) < settings.workers().reportS() * 2.2;
-  }
-
-  private Snapshot snapshot(SteadyTime now) {
-    Map<JobId, Integer> reserved = new HashMap<>();
-    List<Snapshot.MachineView> views = new ArrayList<>();
-    for (Machine m : machines.values()) {
-      Flavor f = m.type == null ? null : flavors.get(m.type);
-      if (f == null || m.gone || m.releasing || m.zone < 0 || m.noticeAt != null || m.sick(now)) {
-        continue;
-      }
-      boolean ready = placeable(m, now);
-      if (!ready && m.reported && now.secondsSince(m.lastReport) > 15) {
-        continue;
-      }
-      List<Snapshot.AttemptView> attempts = new ArrayList<>();
-      for (Attempt a : ledger.attemptsOn(m.id)) {
-        boolean runs = a.runningSince() != null;
-        double ran = runs ? now.secondsSince(a.runningSince()) : 0;
-        attempts.add(
-            new Snapshot.AttemptView(a.job().spec(), a.task().index(), a.stopping(), runs, ran));
-      }
-      List<Snapshot.Reservation> kept = new ArrayList<>();
-      for (Machine.Kept k : m.kept) {
-        kept.add(new Snapshot.Reservation(k.job(), k.room()));
-        reserved.merge(k.job(), 1, Integer::sum);
-      }
-      double idle = attempts.isEmpty() ? now.secondsSince(m.idleSince) : 0;
-      views.add(
-          new Snapshot.MachineView(
-              m.id,
-              f,
-              m.zone,
-              m.zoneName,
-              m.spot,
-              f.capacity().minus(ledger.machineUse(m.id)),
-              ready,
-              Set.copyOf(m.images.keySet()),
-              idle,
-              now.secondsSince(m.rentedAt),
-              attempts,
-              kept));
-    }
-    Map<String, Resources> use = new HashMap<>();
-    settings.teams().keySet().forEach(t -> use.put(t, ledger.teamUse(t)));
-    return new Snapshot(
-        views,
-        jobViews(now, reserved),
-        arrivals.spares(now, settings.zones().size()),
-        settings.teams(),
-        use,
-        rentals.offers(flavors.values(), settings.zones(), now),
-        now.secondsSince(electedAt) > 2 * settings.workers().reportS(),
-        tuning.idleS());
-  }
-
-  private List<Snapshot.JobView> jobViews(SteadyTime now, Map<JobId, Integer> reserved) {
-    List<Job> jobs = new ArrayList<>(ledger.jobs());
-    jobs.sort(
-        (a, b) -> {
-          int c = Long.compare(a.acceptedMillis(), b.acceptedMillis());
-          return c != 0 ? c : a.spec().id().compareTo(b.spec().id());
-        });
-    Map<String, Resources> asked = new HashMap<>();
-    List<Snapshot.JobView> out = new ArrayList<>();
-    for (Job job : jobs) {
-      JobSpec spec = job.spec();
-      if (job.cancelled() || job.over()) {
-        continue;
-      }
-      Team team = settings.teams().get(spec.team());
-      if (team == null) {
-        continue;
-      }
-      Resources sum = asked.merge(spec.team(), spec.need().times(spec.tasks()), Resources::plus);
-      boolean guaranteed =
-          sum.cpus() <= team.cpus() && (team.gpus() == 0 || sum.gpus() <= team.gpus());
-      IntList pending = new IntArrayList();
-      int limit = 2000;
-      for (int i = 0; i < spec.tasks() && pending.size() < limit; i++) {
-        if (!job.isDone(i) && job.open(i) == null) {
-          pending.add(i);
-        }
-      }
-      if (pending.isEmpty()) {
-        continue;
-      }
-      int[] zones = new int[settings.zones().size()];
-      for (Attempt a : job.openAttempts()) {
-        if (a.zone() >= 0 && a.zone() < zones.length) {
-          zones[a.zone()]++;
-        }
-      }
-      Trouble t = troubles.get(spec.id());
-      boolean blocked = t != null && t.until != null && now.isBefore(t.until);
-      out.add(
-          new Snapshot.JobView(
-              spec,
-              rank(job, out.size()),
-              guaranteed,
-              pending,
-              zones,
-              blocked,
-              t == null ? Set.of() : Set.copyOf(t.machines),
-              reserved.getOrDefault(spec.id(), 0)));
-    }
-    return out;
-  }
-
-  /**
-   * Place in the queue among jobs alike in priority and guarantee: gangs and services by arrival,
-   * then arrays by the work they have left against the time they have waited. In a full cluster
-   * arrival order makes every array late; this lets most be in time and starves none.
-   */
-  private double rank(Job job, int arrival) {
-    JobSpec spec = job.spec();
-    if (spec.kind() != JobKind.ARRAY) {
-      return arrival - 1e6;
-    }
-    double work = (spec.tasks() - job.doneCount()) * spec.cpus() * Math.max(1, spec.estimateS());
-    double age = Math.max(0, clock.wallMillis() - job.acceptedMillis()) / 1000.0;
-    return work / (age + RANK_AGE_S);
+  /** Whether a machine shows a task which, having no open attempt, should be nowhere. */
+  private boolean ghost(TaskId task) {
+    return shown.containsKey(task);
   }
 
   private void apply(Plan plan) {
     SteadyTime now = clock.now();
-    Set<String> ghosts = ghosts();
     for (Plan.Place p : plan.places()) {
       Job job = ledger.job(p.job());
       if (job == null) {
@@ -1121,7 +1045,9 @@
       List<Ledger.Placement> placements = new ArrayList<>();
       for (int i = 0; i < p.tasks().size(); i++) {
         Machine m = machines.get(p.machines().get(i));
-        if (m != null && placeable(m, now)) {
+        // One task that still shows somewhere must not keep the rest of its array waiting.
+        boolean waits = !job.spec().isGang() && ghost(new TaskId(p.job(), p.tasks().get(i)));
+        if (m != null && !waits && views.placeable(m, now)) {
           Site site =
               new Site(
                   m.id,
@@ -1135,7 +1061,7 @@
         }
       }
       String against =
-          placements.isEmpty() ? "no machine" : ledger.open(job, placements, ghosts, now);
+          placements.isEmpty() ? "no machine" : ledger.open(job, placements, this::ghost, now);
       if (against != null) {
         LOG.debug("{} not placed: {}", p.job(), against);
         continue;
@@ -1145,6 +1071,7 @@
       }
       for (Ledger.Placement placed : placements) {
         Machine m = machines.get(placed.site().machine());
+        m.view = null;
         dropReservation(m, p.job());
         Flavor f = flavors.get(m.type);
         m.hasImage(job.spec().image(), job.spec().imageGb(), f.cacheGb());
@@ -1152,6 +1079,7 @@
     }
     for (Plan.Stop s : plan.stops()) {
       Machine m = machines.get(s.machine());
+      m.view = null;
       m.kept.add(new Machine.Kept(s.forJob(), s.room(), now.plusSeconds(RESERVE_S)));
       for (Plan.Victim v : s.victims()) {
         Job job = ledger.job(v.job());
@@ -1238,6 +1166,7 @@
       }
       if (m.listedAt == null) {
         m.rentedAt = now.plusSeconds(-h.ageS());
+        m.view = null;
         greet(m, h);
       }
       m.listedAt = now;
@@ -1309,7 +1238,7 @@
 
   private void lost(Machine m, String why) {
     m.gone = true;
-    m.tasks.clear();
+    show(m, List.of());
     for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
       close(a, false, why);
     }
@@ -1318,6 +1247,7 @@
   /** A machine that is certainly gone; its name never comes back. */
   void drop(Machine m) {
     m.gone = true;
+    show(m, List.of());
     for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
       close(a, false, "machine gone");
     }
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -3,11 +3,9 @@
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import org.ternhinge.ledger.Attempt;
 import org.ternhinge.model.Endpoint;
@@ -17,6 +15,7 @@
 import org.ternhinge.model.Session;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.model.Term;
+import org.ternhinge.schedule.Snapshot;
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.TaskReport;
 
@@ -32,6 +31,7 @@
   String zoneName;
   boolean spot;
   Endpoint endpoint;
+  String endpointText;
 
   Session session = Session.NONE;
 
@@ -56,7 +56,18 @@
 
   SteadyTime idleSince;
 
-  final Map<String, TaskReport> tasks = new HashMap<>();
+  /** Its tasks by its newest message. */
+  List<TaskReport> tasks = List.of();
+
+  /** Counts its messages that were newer than all before. */
+  long messages;
+
+  /** The message that changed its tasks last. */
+  long shownIn;
+
+  /** What the planner is shown of it, or null when something has changed since. */
+  Snapshot.MachineView view;
+
   final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
   final List<Kept> kept = new ArrayList<>();
 
@@ -129,7 +140,10 @@
 
   /** Remembers an image that the machine has, dropping the ones unused longest. */
   void hasImage(String image, double gb, double cacheGb) {
-    images.put(image, gb);
+    if (images.put(image, gb) != null) {
+      return;
+    }
+    view = null;
     double sum = 0;
     for (double size : images.values()) {
       sum += size;
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/Views.java
@@ -0,0 +1,212 @@
+package org.ternhinge.controller;
+
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import it.unimi.dsi.fastutil.ints.IntList;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ternhinge.config.Settings;
+import org.ternhinge.config.Team;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.ledger.Attempt;
+import org.ternhinge.ledger.Authority;
+import org.ternhinge.ledger.Job;
+import org.ternhinge.ledger.Ledger;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.schedule.Snapshot;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.JobKind;
+import org.ternhinge.wire.JobSpec;
+
+/**
+ * What the planner is shown. A machine's view is kept until something on the machine changes, so
+ * that a round costs by what has changed since the last one and not by the size of the fleet.
+ */
+final class Views {
+  /** Tasks of one job that a round may start; more come with the next round. */
+  private static final int MOST_PENDING = 400;
+
+  /** A machine without a report for so long is not counted on. */
+  private static final double SILENT_S = 15;
+
+  /** Keeps new arrays comparable before they have waited. */
+  private static final double RANK_AGE_S = 30;
+
+  private final Settings settings;
+  private final Tuning tuning;
+  private final Authority authority;
+  private final Clock clock;
+  private final Ledger ledger;
+  private final Map<String, Flavor> flavors;
+  private final Map<JobId, Trouble> troubles;
+
+  Views(
+      Lead.Surroundings around,
+      Authority authority,
+      Ledger ledger,
+      Map<String, Flavor> flavors,
+      Map<JobId, Trouble> troubles) {
+    this.settings = around.settings();
+    this.tuning = around.tuning();
+    this.clock = around.clock();
+    this.authority = authority;
+    this.ledger = ledger;
+    this.flavors = flavors;
+    this.troubles = troubles;
+  }
+
+  /** Whether tasks may be placed on a machine now. */
+  boolean placeable(Machine m, SteadyTime now) {
+    return m.reported
+        && !m.gone
+        && !m.releasing
+        && m.noticeAt == null
+        && m.zone >= 0
+        && m.type != null
+        && flavors.containsKey(m.type)
+        && m.endpoint != null
+        && m.session.compareTo(m.deadSession) > 0
+        && !m.sick(now)
+        && (m.noRoomUntil == null || m.noRoomUntil.isBefore(now))
+        && m.token.equals(authority.term())
+        && now.secondsSince(m.lastReport) < settings.workers().reportS() * 2.2;
+  }
+
+  Snapshot snapshot(
+      Collection<Machine> machines,
+      Arrivals arrivals,
+      Rentals rentals,
+      SteadyTime electedAt,
+      SteadyTime now) {
+    Map<JobId, Integer> reserved = new HashMap<>();
+    List<Snapshot.MachineView> views = new ArrayList<>(machines.size());
+    for (Machine m : machines) {
+      Flavor f = m.type == null ? null : flavors.get(m.type);
+      if (f == null || m.gone || m.releasing || m.zone < 0 || m.noticeAt != null || m.sick(now)) {
+        continue;
+      }
+      boolean ready = placeable(m, now);
+      if (!ready && m.reported && now.secondsSince(m.lastReport) > SILENT_S) {
+        continue;
+      }
+      for (Machine.Kept k : m.kept) {
+        reserved.merge(k.job(), 1, Integer::sum);
+      }
+      if (m.view == null || m.view.ready() != ready) {
+        m.view = view(m, f, ready);
+      }
+      views.add(m.view);
+    }
+    Map<String, Resources> use = new HashMap<>();
+    settings.teams().keySet().forEach(t -> use.put(t, ledger.teamUse(t)));
+    return new Snapshot(
+        views,
+        jobViews(now, reserved),
+        arrivals.spares(now, settings.zones().size()),
+        settings.teams(),
+        use,
+        rentals.offers(flavors.values(), settings.zones(), now),
+        now.secondsSince(electedAt) > 2 * settings.workers().reportS(),
+        tuning.idleS(),
+        now);
+  }
+
+  private Snapshot.MachineView view(Machine m, Flavor f, boolean ready) {
+    List<Snapshot.AttemptView> attempts = new ArrayList<>();
+    for (Attempt a : ledger.attemptsOn(m.id)) {
+      attempts.add(
+          new Snapshot.AttemptView(
+              a.job().spec(), a.task().index(), a.stopping(), a.runningSince()));
+    }
+    List<Snapshot.Reservation> kept = new ArrayList<>();
+    for (Machine.Kept k : m.kept) {
+      kept.add(new Snapshot.Reservation(k.job(), k.room()));
+    }
+    return new Snapshot.MachineView(
+        m.id,
+        f,
+        m.zone,
+        m.zoneName,
+        m.spot,
+        f.capacity().minus(ledger.machineUse(m.id)),
+        ready,
+        Set.copyOf(m.images.keySet()),
+        m.idleSince,
+        m.rentedAt,
+        attempts,
+        kept);
+  }
+
+  private List<Snapshot.JobView> jobViews(SteadyTime now, Map<JobId, Integer> reserved) {
+    List<Job> jobs = new ArrayList<>(ledger.jobs());
+    jobs.sort(
+        (a, b) -> {
+          int c = Long.compare(a.acceptedMillis(), b.acceptedMillis());
+          return c != 0 ? c : a.spec().id().compareTo(b.spec().id());
+        });
+    Map<String, Resources> asked = new HashMap<>();
+    List<Snapshot.JobView> out = new ArrayList<>();
+    for (Job job : jobs) {
+      JobSpec spec = job.spec();
+      Team team = settings.teams().get(spec.team());
+      if (job.cancelled() || job.over() || team == null) {
+        continue;
+      }
+      Resources sum = asked.merge(spec.team(), spec.need().times(spec.tasks()), Resources::plus);
+      int waiting = job.waitingCount();
+      if (waiting == 0) {
+        continue;
+      }
+      boolean guaranteed =
+          sum.cpus() <= team.cpus() && (team.gpus() == 0 || sum.gpus() <= team.gpus());
+      IntList pending = new IntArrayList(Math.min(waiting, MOST_PENDING));
+      for (int i = job.nextWaiting(0); i >= 0; i = job.nextWaiting(i + 1)) {
+        pending.add(i);
+        if (pending.size() == MOST_PENDING && !spec.isGang()) {
+          break;
+        }
+      }
+      int[] zones = new int[settings.zones().size()];
+      for (Attempt a : job.openAttempts()) {
+        if (a.zone() >= 0 && a.zone() < zones.length) {
+          zones[a.zone()]++;
+        }
+      }
+      Trouble t = troubles.get(spec.id());
+      boolean blocked = t != null && t.until != null && now.isBefore(t.until);
+      out.add(
+          new Snapshot.JobView(
+              spec,
+              rank(job, out.size()),
+              guaranteed,
+              pending,
+              waiting,
+              zones,
+              blocked,
+              t == null ? Set.of() : Set.copyOf(t.machines),
+              reserved.getOrDefault(spec.id(), 0)));
+    }
+    return out;
+  }
+
+  /**
+   * Place in the queue among jobs alike in priority and guarantee: gangs and services by arrival,
+   * then arrays by the work they have left against the time they have waited. In a full cluster
+   * arrival order makes every array late; this lets most be in time and starves none.
+   */
+  private double rank(Job job, int arrival) {
+    JobSpec spec = job.spec();
+    if (spec.kind() != JobKind.ARRAY) {
+      return arrival - 1e6;
+    }
+    double work = (spec.tasks() - job.doneCount()) * spec.cpus() * Math.max(1, spec.estimateS());
+    double age = Math.max(0, clock.wallMillis() - job.acceptedMillis()) / 1000.0;
+    return work / (age + RANK_AGE_S);
+  }
+}
--- a/src/main/java/org/ternhinge/ledger/Attempt.java
+++ b/src/main/java/org/ternhinge/ledger/Attempt.java
@@ -38,6 +38,7 @@
   private double stopGraceS;
   private SteadyTime stopAt;
   private long startAnswered = -1;
+  private long shownIn = -1;
 
   Attempt(
       Job job,
@@ -138,6 +139,15 @@
     }
   }
 
+  /** The message of its machine that showed it last, by the leader's own count. */
+  public long shownIn() {
+    return shownIn;
+  }
+
+  public void shownIn(long message) {
+    shownIn = message;
+  }
+
   /** Sequence of the report whose answer carried the start, or -1. */
   public long startAnswered() {
     return startAnswered;
--- a/src/main/java/org/ternhinge/ledger/Job.java
+++ b/src/main/java/org/ternhinge/ledger/Job.java
@@ -80,6 +80,25 @@
     return open;
   }
 
+  /** Tasks that are not done and have no open attempt. */
+  public int waitingCount() {
+    int done = doneCount();
+    if (done == spec.tasks()) {
+      return 0;
+    }
+    return spec.tasks() - done - open.size();
+  }
+
+  /** The first such task from a number on, or -1. */
+  public int nextWaiting(int from) {
+    for (int i = done.nextClearBit(from); i < spec.tasks(); i = done.nextClearBit(i + 1)) {
+      if (!open.containsKey(i)) {
+        return i;
+      }
+    }
+    return -1;
+  }
+
   public int runningCount() {
     int n = 0;
     for (Attempt a : open.values()) {
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -10,12 +10,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.ternhinge.config.Team;
 import org.ternhinge.model.AttemptNumber;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Resources;
 import org.ternhinge.model.SteadyTime;
+import org.ternhinge.model.TaskId;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
 
@@ -100,9 +102,11 @@
    * Opens attempts for tasks of a job, all with one number, or says why not. Nothing may be started
    * until the attempts are durable.
    *
+   * @param ghosts whether a machine still shows a task that has no open attempt
    * @return null when the attempts are open, otherwise the reason against it
    */
-  public String open(Job job, List<Placement> placements, Set<String> ghosts, SteadyTime now) {
+  public String open(
+      Job job, List<Placement> placements, Predicate<TaskId> ghosts, SteadyTime now) {
     String against = admit(job, placements, ghosts);
     if (against != null) {
       return against;
@@ -126,7 +130,7 @@
    * The one admission check: job state, double starts, gangs whole, type, zone, kind of machine,
    * the team's limit and the machine's room.
    */
-  String admit(Job job, List<Placement> placements, Set<String> ghosts) {
+  String admit(Job job, List<Placement> placements, Predicate<TaskId> ghosts) {
     JobSpec spec = job.spec();
     if (placements.isEmpty()) {
       return "nothing to place";
@@ -158,7 +162,7 @@
       if (job.open(p.index()) != null) {
         return "task has an open attempt";
       }
-      if (!ghosts.isEmpty() && ghosts.contains(spec.id().value() + "/" + p.index())) {
+      if (ghosts.test(new TaskId(spec.id(), p.index()))) {
         return "task still shows on a machine";
       }
       if (!spec.allowsType(s.type())
--- a/src/main/java/org/ternhinge/metrics/Metrics.java
+++ b/src/main/java/org/ternhinge/metrics/Metrics.java
@@ -7,10 +7,13 @@
 /** Where time goes, as histograms in milliseconds, told in the log now and then. */
 public final class Metrics {
   private static final Logger LOG = LoggerFactory.getLogger(Metrics.class);
+  private static final long MOST_STEPS = 100_000_000;
   private static final long MOST_MS = 3_600_000;
 
   private final Histogram starts = new Histogram(MOST_MS, 2);
   private final Histogram orders = new Histogram(MOST_MS, 2);
+  private final Histogram rounds = new Histogram(MOST_MS, 2);
+  private final Histogram planSteps = new Histogram(MOST_STEPS, 2);
   private final Histogram takeOvers = new Histogram(MOST_MS, 2);
 
   /** From the decision to open an attempt to the first sight of it running. */
@@ -18,6 +21,12 @@
     record(starts, seconds);
   }
 
+  /** A round's time, from its snapshot to its plan's end, and its planner's steps. */
+  public synchronized void round(double seconds, long steps) {
+    record(rounds, seconds);
+    planSteps.recordValue(Math.min(MOST_STEPS, steps));
+  }
+
   /** Round trip of a direct order. */
   public synchronized void ordered(double seconds) {
     record(orders, seconds);
@@ -37,6 +46,8 @@
     if (LOG.isInfoEnabled() && starts.getTotalCount() + takeOvers.getTotalCount() > 0) {
       LOG.info("open to running ms: {}", line(starts));
       LOG.info("direct order ms: {}", line(orders));
+      LOG.info("round ms: {}", line(rounds));
+      LOG.info("round steps: {}", line(planSteps));
       LOG.info("election to ready ms: {}", line(takeOvers));
     }
   }
--- /dev/null
+++ b/src/main/java/org/ternhinge/schedule/AcceleratedPlaces.java
@@ -0,0 +1,77 @@
+package org.ternhinge.schedule;
+
+import org.ternhinge.model.Resources;
+import org.ternhinge.schedule.Snapshot.AttemptView;
+import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.schedule.Snapshot.MachineView;
+import org.ternhinge.wire.JobKind;
+import org.ternhinge.wire.JobSpec;
+
+/** Keeps the places that tasks with accelerators need from being used up by others. */
+final class AcceleratedPlaces {
+  /** What the tasks with accelerators that are about look like, or null if there are none. */
+  private final JobSpec job;
+
+  AcceleratedPlaces(Snapshot snapshot) {
+    this.job = find(snapshot);
+  }
+
+  private static JobSpec find(Snapshot snapshot) {
+    for (JobView j : snapshot.jobs()) {
+      if (j.spec().need().gpus() > 0) {
+        return j.spec();
+      }
+    }
+    for (MachineView m : snapshot.machines()) {
+      for (AttemptView a : m.attempts()) {
+        if (a.spec().need().gpus() > 0) {
+          return a.spec();
+        }
+      }
+    }
+    for (JobView j : snapshot.spares()) {
+      if (j.spec().need().gpus() > 0) {
+        return j.spec();
+      }
+    }
+    return null;
+  }
+
+  /** How many tasks with accelerators lose their place on a machine to this one. */
+  int lost(JobSpec spec, Bin bin) {
+    Resources capacity = bin.flavor.capacity();
+    if (capacity.gpus() == 0 || spec.need().gpus() > 0) {
+      return 0;
+    }
+    if (job != null) {
+      if (!bin.allows(job)) {
+        return 0;
+      }
+      if (spec.kind() == JobKind.ARRAY && spec.priority().compareTo(job.priority()) > 0) {
+        // Lesser arrays are stopped when an accelerated task comes.
+        return 0;
+      }
+    }
+    Resources task = job == null ? null : job.need();
+    if (task == null) {
+      // None are about: suppose that one takes an accelerator and nearly its share of the rest.
+      long gpus = Math.max(1, capacity.gpus() / 1000);
+      task = new Resources(capacity.cpus() * 7 / 8 / gpus, 1000, capacity.memory() * 3 / 4 / gpus);
+    }
+    // Judged by the room without arrays, which end soon: a service takes what will be free for
+    // good, and arrays may fill only what no accelerated task could use once they have ended.
+    // Judging them by the room of the moment let one short task give a place away for as long as
+    // arrays came.
+    Resources room = bin.freeAndPassing();
+    int places = task.timesIn(room);
+    if (spec.kind() == JobKind.ARRAY) {
+      if (places == 0) {
+        return 0;
+      }
+      Resources spare = room.minus(task.times(places));
+      Resources arrays = room.minus(bin.free());
+      return arrays.plus(spec.need()).fitsIn(spare) ? 0 : 1;
+    }
+    return places - task.timesIn(room.minus(spec.need()));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/schedule/Draft.java
@@ -0,0 +1,141 @@
+package org.ternhinge.schedule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ternhinge.config.Team;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.schedule.Snapshot.AttemptView;
+import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.schedule.Snapshot.MachineView;
+import org.ternhinge.wire.JobKind;
+import org.ternhinge.wire.JobSpec;
+
+/** A plan in the making: what is decided so far, and the room and limits that it leaves. */
+final class Draft {
+  /** Seconds' worth of score for taking a place that a task with accelerators would need. */
+  static final double ACCELERATOR_S = 120;
+
+  /** Score, in seconds, of using an ordinary machine for what spot machines could run. */
+  private static final double ORDINARY_S = 3;
+
+  final Snapshot snapshot;
+  final Plan plan = new Plan();
+  final List<Bin> bins = new ArrayList<>();
+  final AcceleratedPlaces accelerated;
+  private final Map<String, Resources> teamUse;
+  private final Map<JobId, int[]> zoneOpen = new HashMap<>();
+  private Map<String, Resources> passingUse;
+  private long steps;
+
+  Draft(Snapshot snapshot) {
+    this.snapshot = snapshot;
+    this.teamUse = new HashMap<>(snapshot.teamUse());
+    this.accelerated = new AcceleratedPlaces(snapshot);
+    for (MachineView m : snapshot.machines()) {
+      bins.add(new Bin(m));
+    }
+  }
+
+  /** Counts looks at a machine, the unit that a round's work is bounded in. */
+  void step() {
+    steps++;
+  }
+
+  long steps() {
+    return steps;
+  }
+
+  /** Tasks by zone of a job, as the plan stands. */
+  int[] zones(JobView job) {
+    return zoneOpen.computeIfAbsent(job.spec().id(), k -> job.zoneOpen().clone());
+  }
+
+  Resources use(String team) {
+    return teamUse.getOrDefault(team, Resources.ZERO);
+  }
+
+  void charge(JobSpec spec, int tasks) {
+    if (tasks > 0) {
+      teamUse.merge(spec.team(), spec.need().times(tasks), Resources::plus);
+    }
+  }
+
+  /** How many more tasks of this size the team's limit permits. */
+  int limitLeft(JobSpec spec) {
+    return limitLeft(spec, Resources.ZERO);
+  }
+
+  /** The same, once the team's arrays have ended, which they do before long. */
+  int limitLeftWithoutArrays(JobSpec spec) {
+    if (passingUse == null) {
+      passingUse = new HashMap<>();
+      for (MachineView m : snapshot.machines()) {
+        for (AttemptView a : m.attempts()) {
+          if (a.spec().kind() == JobKind.ARRAY) {
+            passingUse.merge(a.spec().team(), a.spec().need(), Resources::plus);
+          }
+        }
+      }
+    }
+    return limitLeft(spec, passingUse.getOrDefault(spec.team(), Resources.ZERO));
+  }
+
+  private int limitLeft(JobSpec spec, Resources without) {
+    Team team = snapshot.teams().get(spec.team());
+    Resources use = use(spec.team()).minus(without);
+    long n = Integer.MAX_VALUE;
+    if (team.cpusMax() > 0) {
+      n = Math.min(n, Math.floorDiv(team.cpusMax() - use.cpus(), spec.need().cpus()));
+    }
+    if (team.gpusMax() > 0 && spec.need().gpus() > 0) {
+      n = Math.min(n, Math.floorDiv(team.gpusMax() - use.gpus(), spec.need().gpus()));
+    }
+    return (int) Math.max(0, n);
+  }
+
+  static boolean zoneFits(JobSpec spec, int[] zones, int zone) {
+    if (zones[zone] >= spec.zoneLimit()) {
+      return false;
+    }
+    if (spec.together()) {
+      for (int z = 0; z < zones.length; z++) {
+        if (z != zone && zones[z] > 0) {
+          return false;
+        }
+      }
+    }
+    return true;
+  }
+
+  boolean within(Reach reach, JobSpec spec, Bin bin) {
+    return (!reach.cached() || bin.hasImage(spec.image()))
+        && (reach.mayBlock() || accelerated.lost(spec, bin) <= 0);
+  }
+
+  static boolean avoided(JobView job, Bin bin) {
+    return !job.avoid().isEmpty() && job.avoid().contains(bin.view.id());
+  }
+
+  /** Seconds of waiting and waste, as far as they can be told; the least is the best. */
+  double score(JobSpec spec, Bin bin) {
+    double score = 0;
+    if (!bin.hasImage(spec.image())) {
+      score += bin.flavor.fetchSeconds(spec.imageGb());
+    }
+    int lost = accelerated.lost(spec, bin);
+    if (lost > 0) {
+      score += ACCELERATOR_S * lost;
+    }
+    if (spec.spotAllowed() && !bin.spot) {
+      score += ORDINARY_S;
+    }
+    if (spec.isService()) {
+      score += bin.siblingSeconds(spec);
+    }
+    long cap = Math.max(1, bin.flavor.capacity().cpus());
+    return score + 2.0 * (bin.freeCpus() - spec.need().cpus()) / cap;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/schedule/Placing.java
@@ -0,0 +1,171 @@
+package org.ternhinge.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.wire.JobSpec;
+
+/**
+ * Finds room for tasks among what is free. Each job looks at each machine with room once and then
+ * fills the best ones; asking every machine for every task took a round's whole time with hundreds
+ * of machines and arrays of hundreds of tasks.
+ */
+final class Placing {
+  /** Score, in seconds, in favour of a place that was made for the job. */
+  private static final double KEPT_S = 1000;
+
+  private record Choice(Bin bin, int order, double score) {}
+
+  private final Draft draft;
+  private List<Bin> roomy = new ArrayList<>();
+  private final long leastCpus;
+
+  Placing(Draft draft) {
+    this.draft = draft;
+    long least = Long.MAX_VALUE;
+    for (JobView j : draft.snapshot.jobs()) {
+      least = Math.min(least, j.spec().need().cpus());
+    }
+    this.leastCpus = least;
+    for (Bin bin : draft.bins) {
+      if (bin.ready() && bin.freeCpus() >= leastCpus) {
+        roomy.add(bin);
+      }
+    }
+  }
+
+  private List<Bin> roomy() {
+    int full = 0;
+    for (Bin bin : roomy) {
+      if (bin.freeCpus() < leastCpus) {
+        full++;
+      }
+    }
+    if (full * 4 > roomy.size()) {
+      List<Bin> left = new ArrayList<>(roomy.size() - full);
+      for (Bin bin : roomy) {
+        if (bin.freeCpus() >= leastCpus) {
+          left.add(bin);
+        }
+      }
+      roomy = left;
+    }
+    return roomy;
+  }
+
+  private boolean eligible(JobView job, Bin bin, int[] zones, int onlyZone, Reach reach) {
+    JobSpec spec = job.spec();
+    return bin.fits(spec)
+        && bin.allows(spec)
+        && (onlyZone < 0 || bin.zone == onlyZone)
+        && Draft.zoneFits(spec, zones, bin.zone)
+        && !Draft.avoided(job, bin)
+        && (draft.within(reach, spec, bin) || bin.keptFor(spec.id()));
+  }
+
+  private double score(JobSpec spec, Bin bin) {
+    double score = draft.score(spec, bin);
+    return bin.keptFor(spec.id()) ? score - KEPT_S : score;
+  }
+
+  private PriorityQueue<Choice> choices(JobView job, int[] zones, int onlyZone, Reach reach) {
+    PriorityQueue<Choice> out =
+        new PriorityQueue<>(
+            (a, b) -> {
+              int c = Double.compare(a.score, b.score);
+              return c != 0 ? c : Integer.compare(a.order, b.order);
+            });
+    int order = 0;
+    for (Bin bin : roomy()) {
+      order++;
+      draft.step();
+      if (eligible(job, bin, zones, onlyZone, reach)) {
+        out.add(new Choice(bin, order, score(job.spec(), bin)));
+      }
+    }
+    return out;
+  }
+
+  /** Places up to so many tasks, from a position among the pending ones on; says how many. */
+  int place(JobView job, int from, int most, Reach reach) {
+    int wanted = Math.min(most, job.pending().size() - from);
+    if (wanted <= 0) {
+      return 0;
+    }
+    JobSpec spec = job.spec();
+    int[] zones = draft.zones(job);
+    List<Integer> tasks = new ArrayList<>();
+    List<MachineId> machines = new ArrayList<>();
+    PriorityQueue<Choice> choices = choices(job, zones, -1, reach);
+    while (tasks.size() < wanted && !choices.isEmpty()) {
+      Choice best = choices.poll();
+      Bin bin = best.bin;
+      bin.take(spec);
+      zones[bin.zone]++;
+      tasks.add(job.pending().getInt(from + tasks.size()));
+      machines.add(bin.view.id());
+      draft.step();
+      // A zone may be full by now, so the next in line is looked at again as well.
+      if (eligible(job, bin, zones, -1, reach)) {
+        choices.add(new Choice(bin, best.order, score(spec, bin)));
+      }
+      while (!choices.isEmpty() && !Draft.zoneFits(spec, zones, choices.peek().bin.zone)) {
+        choices.poll();
+      }
+    }
+    if (!tasks.isEmpty()) {
+      draft.charge(spec, tasks.size());
+      draft.plan.places().add(new Plan.Place(spec.id(), tasks, machines));
+    }
+    return tasks.size();
+  }
+
+  /** Places a whole gang or nothing of it. */
+  boolean placeGang(JobView job) {
+    if (!job.spec().together()) {
+      return tryGang(job, -1);
+    }
+    for (int z = 0; z < job.zoneOpen().length; z++) {
+      if (tryGang(job, z)) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private boolean tryGang(JobView job, int zone) {
+    JobSpec spec = job.spec();
+    int[] zones = new int[job.zoneOpen().length];
+    PriorityQueue<Choice> choices = choices(job, zones, zone, Reach.PLAIN);
+    List<Bin> taken = new ArrayList<>();
+    while (taken.size() < spec.tasks() && !choices.isEmpty()) {
+      Choice best = choices.poll();
+      best.bin.reserve(spec);
+      zones[best.bin.zone]++;
+      taken.add(best.bin);
+      draft.step();
+      if (eligible(job, best.bin, zones, zone, Reach.PLAIN)) {
+        choices.add(new Choice(best.bin, best.order, score(spec, best.bin)));
+      }
+      while (!choices.isEmpty() && !Draft.zoneFits(spec, zones, choices.peek().bin.zone)) {
+        choices.poll();
+      }
+    }
+    if (taken.size() < spec.tasks()) {
+      taken.forEach(bin -> bin.giveBack(spec));
+      return false;
+    }
+    List<Integer> tasks = new ArrayList<>();
+    List<MachineId> machines = new ArrayList<>();
+    for (Bin bin : taken) {
+      bin.settle(spec);
+      tasks.add(tasks.size());
+      machines.add(bin.view.id());
+    }
+    draft.charge(spec, spec.tasks());
+    draft.plan.places().add(new Plan.Place(spec.id(), tasks, machines));
+    return true;
+  }
+}
--- a/src/main/java/org/ternhinge/schedule/Plan.java
+++ b/src/main/java/org/ternhinge/schedule/Plan.java
@@ -7,13 +7,7 @@
 import org.ternhinge.model.Resources;
 
 /** What the planner wants done; admission has the last word on each. */
-public record Plan(
-    List<Place> places, List<Stop> stops, List<Rent> rents, List<MachineId> releases) {
-
-  public Plan() {
-    this(new ArrayList<>(), new ArrayList<>(), new ArrayList<>(), new ArrayList<>());
-  }
-
+public final class Plan {
   /** Tasks of a job to open together, each on the machine at its position. */
   public record Place(JobId job, List<Integer> tasks, List<MachineId> machines) {}
 
@@ -25,4 +19,35 @@
 
   /** Machines to rent. */
   public record Rent(String type, String zone, boolean spot, int count) {}
+
+  private final List<Place> places = new ArrayList<>();
+  private final List<Stop> stops = new ArrayList<>();
+  private final List<Rent> rents = new ArrayList<>();
+  private final List<MachineId> releases = new ArrayList<>();
+  private long steps;
+
+  public List<Place> places() {
+    return places;
+  }
+
+  public List<Stop> stops() {
+    return stops;
+  }
+
+  public List<Rent> rents() {
+    return rents;
+  }
+
+  public List<MachineId> releases() {
+    return releases;
+  }
+
+  /** Looks at a machine that this plan took. */
+  public long steps() {
+    return steps;
+  }
+
+  void steps(long count) {
+    steps = count;
+  }
 }
--- /dev/null
+++ b/src/main/java/org/ternhinge/schedule/Preemption.java
@@ -0,0 +1,156 @@
+package org.ternhinge.schedule;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.ternhinge.config.Team;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.schedule.Snapshot.AttemptView;
+import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.schedule.Snapshot.MachineView;
+import org.ternhinge.wire.JobKind;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Priority;
+
+/** Makes room by stopping tasks, as far as priorities and guarantees permit. */
+final class Preemption {
+  private record Option(Bin bin, List<AttemptView> victims, double cost) {}
+
+  private final Draft draft;
+  private Priority lowest;
+
+  Preemption(Draft draft) {
+    this.draft = draft;
+    for (MachineView m : draft.snapshot.machines()) {
+      for (AttemptView a : m.attempts()) {
+        if (lowest == null || a.spec().priority().compareTo(lowest) > 0) {
+          lowest = a.spec().priority();
+        }
+      }
+    }
+  }
+
+  /** Whether anything that runs could have to give way to this job. */
+  private boolean hopeless(JobView job) {
+    return lowest == null || (!job.guaranteed() && lowest.compareTo(job.spec().priority()) <= 0);
+  }
+
+  private boolean mayStop(JobView job, AttemptView victim) {
+    if (victim.stopping()) {
+      return false;
+    }
+    JobSpec v = victim.spec();
+    if (v.priority().compareTo(job.spec().priority()) > 0) {
+      return true;
+    }
+    return job.guaranteed()
+        && v.priority() != Priority.PRODUCTION
+        && !v.team().equals(job.spec().team())
+        && exceeds(v.team(), v);
+  }
+
+  private boolean exceeds(String teamName, JobSpec victim) {
+    Team team = draft.snapshot.teams().get(teamName);
+    if (team == null) {
+      return false;
+    }
+    Resources use = draft.use(teamName).minus(victim.need());
+    boolean gpu = victim.need().gpus() > 0 && team.gpus() > 0;
+    return use.cpus() >= team.cpus() && (!gpu || use.gpus() >= team.gpus());
+  }
+
+  private static double loss(AttemptView a, SteadyTime now) {
+    double lost = a.runningSince() == null ? 0 : now.secondsSince(a.runningSince());
+    if (a.spec().checkpointS() > 0) {
+      lost = Math.min(lost, a.spec().saveS() + 5);
+    }
+    return lost * Math.max(1, a.spec().cpus())
+        + (a.spec().isService() ? 10_000 : 0)
+        + 1000.0 * (Priority.LOW.ordinal() - a.spec().priority().ordinal());
+  }
+
+  /** Makes room for up to so many tasks, one a machine; says for how many. */
+  int makeRoom(JobView job, int most, Reach reach) {
+    if (most <= 0 || hopeless(job)) {
+      return 0;
+    }
+    JobSpec spec = job.spec();
+    int[] zones = draft.zones(job);
+    List<Option> options = new ArrayList<>();
+    for (Bin bin : draft.bins) {
+      Option option = option(job, bin, zones, reach);
+      if (option != null) {
+        options.add(option);
+      }
+    }
+    options.sort(Comparator.comparingDouble(Option::cost));
+    int made = 0;
+    for (Option o : options) {
+      if (made == most) {
+        break;
+      }
+      if (!Draft.zoneFits(spec, zones, o.bin.zone)) {
+        continue;
+      }
+      List<Plan.Victim> victims = new ArrayList<>();
+      for (AttemptView a : o.victims) {
+        victims.add(new Plan.Victim(a.spec().id(), a.index()));
+      }
+      draft.plan.stops().add(new Plan.Stop(o.bin.view.id(), spec.id(), spec.need(), victims));
+      o.bin.stop(spec, o.victims);
+      zones[o.bin.zone]++;
+      draft.charge(spec, 1);
+      made++;
+    }
+    return made;
+  }
+
+  /** The cheapest stops on one machine that make room for one task, or null. */
+  private Option option(JobView job, Bin bin, int[] zones, Reach reach) {
+    JobSpec spec = job.spec();
+    draft.step();
+    if (!bin.ready()
+        || bin.view.attempts().isEmpty()
+        || bin.stoppedFor(spec.id())
+        || !bin.allows(spec)
+        || !Draft.zoneFits(spec, zones, bin.zone)
+        || Draft.avoided(job, bin)) {
+      return null;
+    }
+    SteadyTime now = draft.snapshot.now();
+    List<AttemptView> candidates = null;
+    for (AttemptView a : bin.view.attempts()) {
+      boolean accelerated = a.spec().need().gpus() > 0 && spec.need().gpus() == 0;
+      if (mayStop(job, a)
+          && !bin.stops(a)
+          && (a.spec().kind() != JobKind.GANG || a.spec().tasks() == 1)
+          && (reach.mayBlock() || !accelerated)
+          && (!reach.ownTeam() || a.spec().team().equals(spec.team()))) {
+        candidates = candidates == null ? new ArrayList<>() : candidates;
+        candidates.add(a);
+      }
+    }
+    if (candidates == null || !draft.within(reach, spec, bin)) {
+      return null;
+    }
+    candidates.sort(Comparator.comparingDouble(a -> loss(a, now)));
+    Resources room = bin.roomAfterStops(spec.id());
+    List<AttemptView> victims = new ArrayList<>();
+    double cost = draft.score(spec, bin);
+    long freed = 0;
+    for (AttemptView a : candidates) {
+      if (spec.need().fitsIn(room) && (!reach.ownTeam() || spec.need().cpus() <= freed)) {
+        break;
+      }
+      victims.add(a);
+      freed += a.spec().need().cpus();
+      room = room.plus(a.spec().need());
+      cost += loss(a, now);
+    }
+    boolean enough = !reach.ownTeam() || spec.need().cpus() <= freed;
+    return !victims.isEmpty() && enough && spec.need().fitsIn(room)
+        ? new Option(bin, victims, cost)
+        : null;
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/schedule/Renting.java
@@ -0,0 +1,157 @@
+package org.ternhinge.schedule;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.ternhinge.model.Resources;
+import org.ternhinge.schedule.Snapshot.AttemptView;
+import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.schedule.Snapshot.MachineView;
+import org.ternhinge.schedule.Snapshot.Offer;
+import org.ternhinge.wire.JobKind;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Priority;
+
+/** Rents for what found no room, keeps room for what may come, returns what is idle. */
+final class Renting {
+  /** An array this long in the queue is worth a machine of its own for each task. */
+  private static final double ARRAY_TURN_S = 60;
+
+  private final Draft draft;
+  private final List<Bin> coming = new ArrayList<>();
+  private final int[] rented;
+
+  Renting(Draft draft) {
+    this.draft = draft;
+    this.rented = new int[draft.snapshot.offers().size()];
+    for (Bin bin : draft.bins) {
+      if (!bin.ready()) {
+        coming.add(bin);
+      }
+    }
+  }
+
+  /** Sends what waits to machines that are coming, then rents for the rest. */
+  void rentFor(JobView job, int tasks) {
+    JobSpec spec = job.spec();
+    int left = tasks;
+    if (spec.kind() == JobKind.ARRAY) {
+      left = (int) Math.ceil(tasks * Math.min(1, Math.max(1, spec.estimateS()) / ARRAY_TURN_S));
+    }
+    int[] zones = draft.zones(job).clone();
+    for (int i = 0; i < coming.size() && left > 0; i++) {
+      left -= fill(coming.get(i), spec, zones, left);
+    }
+    while (left > 0) {
+      Bin bin = rent(spec, zones, left);
+      if (bin == null) {
+        return;
+      }
+      coming.add(bin);
+      left -= fill(bin, spec, zones, left);
+    }
+  }
+
+  private int fill(Bin bin, JobSpec spec, int[] zones, int most) {
+    draft.step();
+    int n = 0;
+    while (n < most
+        && bin.fits(spec)
+        && bin.allows(spec)
+        && Draft.zoneFits(spec, zones, bin.zone)) {
+      bin.take(spec);
+      zones[bin.zone]++;
+      n++;
+    }
+    return n;
+  }
+
+  private Bin rent(JobSpec spec, int[] zones, int wanted) {
+    List<Offer> offers = draft.snapshot.offers();
+    int best = -1;
+    double least = Double.MAX_VALUE;
+    for (int i = 0; i < rented.length; i++) {
+      Offer offer = offers.get(i);
+      draft.step();
+      int fits = spec.need().timesIn(offer.flavor().capacity());
+      if (fits == 0 || !Draft.zoneFits(spec, zones, offer.zone()) || rented[i] >= offer.most()) {
+        continue;
+      }
+      Bin bin = new Bin(offer);
+      if (!bin.allows(spec)
+          || (spec.priority() != Priority.PRODUCTION && draft.accelerated.lost(spec, bin) > 0)) {
+        continue;
+      }
+      double price = offer.flavor().price(offer.spot()) / Math.min(fits, Math.max(1, wanted));
+      double waits = offer.flavor().bootS() + offer.flavor().fetchSeconds(spec.imageGb());
+      double cost = price * (1 + waits / 120);
+      if (cost < least) {
+        least = cost;
+        best = i;
+      }
+    }
+    if (best < 0) {
+      return null;
+    }
+    rented[best]++;
+    return new Bin(offers.get(best));
+  }
+
+  /** Keeps room for a job that may come, on what is there or coming, else rents. */
+  void keepFor(JobView spare) {
+    JobSpec spec = spare.spec();
+    int left = spec.tasks();
+    for (int pass = 0; pass < 2 && left > 0; pass++) {
+      for (Bin bin : draft.bins) {
+        boolean idle = bin.view.attempts().isEmpty() && !bin.used();
+        if (left == 0 || idle != (pass == 1) || !bin.allows(spec)) {
+          continue;
+        }
+        draft.step();
+        if (draft.score(spec, bin) >= Draft.ACCELERATOR_S) {
+          continue;
+        }
+        Resources room = stoppable(bin, spec);
+        while (left > 0 && spec.need().fitsIn(room)) {
+          bin.take(spec);
+          room = room.minus(spec.need());
+          left--;
+        }
+      }
+    }
+    if (left > 0) {
+      rentFor(spare, left);
+    }
+  }
+
+  /** The room that a production job could get on a machine, others stopped. */
+  private static Resources stoppable(Bin bin, JobSpec spec) {
+    Resources room = bin.free();
+    for (AttemptView a : bin.view.attempts()) {
+      if (a.spec().priority().compareTo(spec.priority()) > 0 && a.spec().kind() != JobKind.GANG) {
+        room = room.plus(a.spec().need());
+      }
+    }
+    return room;
+  }
+
+  /** Writes down what is to be rented and returned. */
+  void finish() {
+    for (int i = 0; i < rented.length; i++) {
+      if (rented[i] > 0) {
+        Offer o = draft.snapshot.offers().get(i);
+        draft.plan.rents().add(new Plan.Rent(o.flavor().name(), o.zoneName(), o.spot(), rented[i]));
+      }
+    }
+    for (Bin bin : draft.bins) {
+      MachineView m = bin.view;
+      if (m.ready()
+          && !bin.used()
+          && m.attempts().isEmpty()
+          && m.reservations().isEmpty()
+          && draft.snapshot.now().secondsSince(m.idleSince()) > draft.snapshot.idleS()
+          && draft.snapshot.now().secondsSince(m.rentedAt()) > 60) {
+        draft.plan.releases().add(m.id());
+      }
+    }
+  }
+}
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -8,6 +8,7 @@
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Resources;
+import org.ternhinge.model.SteadyTime;
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobSpec;
 
@@ -25,14 +26,15 @@
     Map<String, Resources> teamUse,
     List<Offer> offers,
     boolean settled,
-    double idleS) {
+    double idleS,
+    SteadyTime now) {
 
   /**
    * A machine.
    *
    * @param ready whether tasks may be placed on it now; otherwise it is expected to come up
    * @param images images that it is known to hold or to fetch
-   * @param idleS how long no attempt has been open on it
+   * @param idleSince since when no attempt has been open on it
    */
   public record MachineView(
       MachineId id,
@@ -43,23 +45,27 @@
       Resources free,
       boolean ready,
       Set<String> images,
-      double idleS,
-      double heldS,
+      SteadyTime idleSince,
+      SteadyTime rentedAt,
       List<AttemptView> attempts,
       List<Reservation> reservations) {}
 
   /** Room kept on a machine for a job, after tasks were stopped for it. */
   public record Reservation(JobId job, Resources room) {}
 
-  /** An open attempt, as something that could be stopped. */
-  public record AttemptView(
-      JobSpec spec, int index, boolean stopping, boolean running, double ranS) {}
+  /**
+   * An open attempt, as something that could be stopped.
+   *
+   * @param runningSince null while it does not run
+   */
+  public record AttemptView(JobSpec spec, int index, boolean stopping, SteadyTime runningSince) {}
 
   /**
    * A job with tasks to place.
    *
    * @param rank place in the queue, lowest first, among jobs of one priority and guarantee
-   * @param pending tasks without an open attempt
+   * @param pending the first tasks without an open attempt, as many as a round may start
+   * @param waiting how many tasks are without an open attempt
    * @param zoneOpen open attempts by zone
    * @param guaranteed whether it lies within its team's guarantee
    * @param avoid machines that it failed on
@@ -69,6 +75,7 @@
       double rank,
       boolean guaranteed,
       IntList pending,
+      int waiting,
       int[] zoneOpen,
       boolean blocked,
       Set<MachineId> avoid,
--- a/src/test/java/org/ternhinge/ledger/LedgerTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerTest.java
@@ -8,7 +8,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -75,7 +74,7 @@
       Site s = p.endsWith("A") ? A : p.endsWith("B") ? B : site("n-3", 0, "small", true);
       list.add(new Placement(p.charAt(0) - '0', s));
     }
-    String said = ledger.open(job, list, Set.of(), NOW);
+    String said = ledger.open(job, list, t -> false, NOW);
     if (against == null) {
       assertNull(said);
       assertEquals(list.size(), job.openAttempts().size());
@@ -88,18 +87,19 @@
   @Test
   void anOpenAttemptBlocksTheTaskUntilItIsGoneAndNumbersNeverRepeat() {
     Job job = job(Specs.json("wk-1", "batch", 2));
-    assertNull(ledger.open(job, List.of(new Placement(0, A)), Set.of(), NOW));
+    assertNull(ledger.open(job, List.of(new Placement(0, A)), t -> false, NOW));
     Attempt first = job.open(0);
     assertEquals(
-        "task has an open attempt", ledger.open(job, List.of(new Placement(0, B)), Set.of(), NOW));
+        "task has an open attempt",
+        ledger.open(job, List.of(new Placement(0, B)), t -> false, NOW));
     ledger.close(first, false);
     assertEquals(
         "task still shows on a machine",
-        ledger.open(job, List.of(new Placement(0, B)), Set.of("wk-1/0"), NOW));
-    assertNull(ledger.open(job, List.of(new Placement(0, B)), Set.of(), NOW));
+        ledger.open(job, List.of(new Placement(0, B)), t -> t.toString().equals("wk-1/0"), NOW));
+    assertNull(ledger.open(job, List.of(new Placement(0, B)), t -> false, NOW));
     assertTrue(job.open(0).number().compareTo(first.number()) > 0);
     ledger.close(job.open(0), true);
-    assertEquals("task is done", ledger.open(job, List.of(new Placement(0, A)), Set.of(), NOW));
+    assertEquals("task is done", ledger.open(job, List.of(new Placement(0, A)), t -> false, NOW));
     assertEquals(Resources.ZERO, ledger.teamUse("red"));
   }
 
@@ -107,9 +107,9 @@
   void aCancelledJobOpensNothingAndAJobThatIsOverIsNotCancelled() {
     Job job = job(Specs.json("wk-1", "batch", 2));
     ledger.cancel(job);
-    assertEquals("job is over", ledger.open(job, List.of(new Placement(0, A)), Set.of(), NOW));
+    assertEquals("job is over", ledger.open(job, List.of(new Placement(0, A)), t -> false, NOW));
     Job done = job(Specs.json("wk-2", "batch", 1));
-    ledger.open(done, List.of(new Placement(0, A)), Set.of(), NOW);
+    ledger.open(done, List.of(new Placement(0, A)), t -> false, NOW);
     ledger.close(done.open(0), true);
     ledger.cancel(done);
     assertTrue(done.over() && !done.cancelled(), "its end may be recorded already");
@@ -119,7 +119,7 @@
   void oneFinishedTaskFinishesItsGang() {
     Job gang = job(Specs.json("wk-1", "group", 3));
     List<Placement> all = List.of(new Placement(0, A), new Placement(1, A), new Placement(2, B));
-    assertNull(ledger.open(gang, all, Set.of(), NOW));
+    assertNull(ledger.open(gang, all, t -> false, NOW));
     ledger.close(gang.open(1), true);
     assertEquals(3, gang.doneCount());
     assertTrue(!gang.over(), "the others may still be on their machines");
--- a/src/test/java/org/ternhinge/schedule/PlannerTest.java
+++ b/src/test/java/org/ternhinge/schedule/PlannerTest.java
@@ -14,6 +14,7 @@
 import org.ternhinge.config.Team;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Resources;
+import org.ternhinge.model.SteadyTime;
 import org.ternhinge.schedule.Snapshot.AttemptView;
 import org.ternhinge.schedule.Snapshot.JobView;
 import org.ternhinge.schedule.Snapshot.MachineView;
@@ -29,6 +30,8 @@
   private static final Flavor FAST =
       new Flavor("fast", Resources.offer(16, 2, 64), 16, 2, 64, 50, 0.5, 5, 1.5, 40, ZONES);
 
+  private static final SteadyTime NOW = new SteadyTime(1_000_000_000_000L);
+
   private final List<MachineView> machines = new ArrayList<>();
   private final List<JobView> jobs = new ArrayList<>();
   private final List<Offer> offers = new ArrayList<>();
@@ -51,8 +54,8 @@
             free,
             true,
             images,
-            there.length == 0 ? 100 : 0,
-            200,
+            NOW.plusSeconds(there.length == 0 ? -100 : 0),
+            NOW.plusSeconds(-200),
             List.of(there),
             List.of());
     machines.add(m);
@@ -79,7 +82,17 @@
     for (int i = 0; i < spec.tasks(); i++) {
       pending.add(i);
     }
-    jobs.add(new JobView(spec, jobs.size(), guaranteed, pending, new int[2], false, Set.of(), 0));
+    jobs.add(
+        new JobView(
+            spec,
+            jobs.size(),
+            guaranteed,
+            pending,
+            pending.size(),
+            new int[2],
+            false,
+            Set.of(),
+            0));
   }
 
   private Plan plan() {
@@ -87,7 +100,7 @@
         Map.of(
             "red", new Team("red", 8000, 40_000, 0, 0),
             "blue", new Team("blue", 8000, 40_000, 0, 0));
-    return Planner.plan(new Snapshot(machines, jobs, List.of(), teams, use, offers, true, 40));
+    return Planner.plan(new Snapshot(machines, jobs, List.of(), teams, use, offers, true, 40, NOW));
   }
 
   private static List<String> on(Plan plan) {
@@ -140,8 +153,8 @@
         PLAIN,
         0,
         Set.of("img-1"),
-        new AttemptView(low, 0, false, true, 5),
-        new AttemptView(low, 1, false, true, 5));
+        new AttemptView(low, 0, false, NOW.plusSeconds(-5)),
+        new AttemptView(low, 1, false, NOW.plusSeconds(-5)));
     job(spec("wk-1", "batch", 1, Map.of("cpus", 2.0)), true);
     assertEquals(0, plan().stops().size(), "blue is within its guarantee");
     use.put("blue", new Resources(12_000, 0, 0));
