--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -53,7 +53,6 @@
 import org.ternhinge.wire.HostInfo;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
-import org.ternhinge.wire.RentalRequest;
 import org.ternhinge.wire.TaskReport;
 import org.ternhinge.wire.WireException;
 import org.ternhinge.wire.WorkerReport;
@@ -71,6 +70,11 @@
   private static final double RESERVE_S = 12;
   private static final double DESCRIBE_S = 20;
 
+  /** More than a rental or a return takes in its record. */
+  private static final double RENTAL_BYTES = 400;
+
+  private static final double RETURN_BYTES = 160;
+
   /** How often leases and reservations are looked at. */
   private static final double WATCH_S = 0.5;
 
@@ -104,6 +108,7 @@
   private final Map<JobId, Trouble> troubles = new HashMap<>();
   private final Map<Job, List<Consumer<JobState>>> cancelWaits = new LinkedHashMap<>();
   private final Rentals rentals;
+  private final Returns returns;
   private final Arrivals arrivals;
   private final SteadyTime electedAt;
   private final SteadyTime silentBy;
@@ -163,7 +168,11 @@
             lock,
             settings.stateLimits().txnOps(),
             this::nowDurable);
-    this.rentals = new Rentals(this, cloud, writer, authority, clock, lock);
+    double value = settings.stateLimits().valueKb() * 1024;
+    Slots rented = new Slots(writer, Keys.RENTALS, (int) (value / RENTAL_BYTES));
+    Slots returning = new Slots(writer, Keys.RELEASES, (int) (value / RETURN_BYTES));
+    this.rentals = new Rentals(this, cloud, rented, authority, clock, lock);
+    this.returns = new Returns(this, cloud, authority, lock, returning);
     this.arrivals = new Arrivals(settings.objectives());
     this.views = new Views(s, authority, ledger, flavors, troubles);
   }
@@ -226,19 +235,10 @@
       ledger.adopt(job);
     }
     for (Entry e : loaded.releases()) {
-      MachineId id = new MachineId(e.key().substring(Keys.RELEASES.length()));
-      writer.known(e.key(), e.revision());
-      Machine m = machine(id, now);
-      m.releasing = true;
-      rentals.resumeRelease(m);
+      returns.resume(e);
     }
     for (Entry e : loaded.rentals()) {
-      writer.known(e.key(), e.revision());
-      try {
-        rentals.resume(RentalRequest.read(e.value()));
-      } catch (WireException x) {
-        LOG.error("rental record {} is unreadable: {}", e.key(), x.getMessage());
-      }
+      rentals.resume(e);
     }
     for (MachineId id : ledger.machinesInUse()) {
       machine(id, now);
@@ -974,7 +974,7 @@
     if (fence) {
       raiseTerm(now);
     }
-    rentals.expire(now);
+    rentals.expire(now, returns);
   }
 
   /** The worker has killed what it ran; nothing that it showed before is there any more. */
@@ -1101,7 +1101,7 @@
     for (MachineId id : plan.releases()) {
       Machine m = machines.get(id);
       if (m != null && ledger.attemptsOn(id).isEmpty() && !m.releasing) {
-        rentals.release(m);
+        returns.release(m);
       }
     }
   }
@@ -1175,7 +1175,7 @@
         LOG.info("machine {} has failed", m.id);
         lost(m, "machine failed");
         if (!m.releasing) {
-          rentals.release(m);
+          returns.release(m);
         }
       }
     }
--- a/src/main/java/org/ternhinge/controller/Rentals.java
+++ b/src/main/java/org/ternhinge/controller/Rentals.java
@@ -13,8 +13,6 @@
 import org.slf4j.LoggerFactory;
 import org.ternhinge.cloud.Cloud;
 import org.ternhinge.ledger.Authority;
-import org.ternhinge.ledger.Keys;
-import org.ternhinge.ledger.LedgerWriter;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
@@ -22,19 +20,19 @@
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.schedule.Plan;
 import org.ternhinge.schedule.Snapshot;
+import org.ternhinge.state.Entry;
 import org.ternhinge.wire.Flavor;
-import org.ternhinge.wire.Json;
 import org.ternhinge.wire.RentalRequest;
+import org.ternhinge.wire.WireException;
 
 /**
- * Renting and returning machines. A rental's name and content are recorded before it is sent; a
- * lost answer is Unknown and settled by repeating the same name, which the cloud answers the same.
- * A return is recorded before it is sent and repeated until answered, so that no leader places
- * anything on a machine that may vanish at any moment.
+ * Rents machines. A rental's name and content are recorded before it is sent; a lost answer is
+ * Unknown and settled by repeating the same name, which the cloud answers the same.
  */
 final class Rentals {
   private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
   private static final double RETRY_S = 1.5;
+  private static final double HELD_BACK_S = 0.3;
 
   private static final class Rental {
     private final RentalRequest request;
@@ -53,7 +51,7 @@
 
   private final Lead lead;
   private final Cloud cloud;
-  private final LedgerWriter writer;
+  private final Slots record;
   private final Authority authority;
   private final Clock clock;
   private final Lock lock;
@@ -61,11 +59,10 @@
   private final Map<String, Refusal> refusals = new HashMap<>();
   private long counter;
 
-  Rentals(
-      Lead lead, Cloud cloud, LedgerWriter writer, Authority authority, Clock clock, Lock lock) {
+  Rentals(Lead lead, Cloud cloud, Slots record, Authority authority, Clock clock, Lock lock) {
     this.lead = lead;
     this.cloud = cloud;
-    this.writer = writer;
+    this.record = record;
     this.authority = authority;
     this.clock = clock;
     this.lock = lock;
@@ -98,11 +95,23 @@
     Rental rental = new Rental(request);
     open.put(name, rental);
     LOG.info("renting {} {} in {}{}", count, want.type(), want.zone(), want.spot() ? " spot" : "");
-    writer.write(Keys.rental(name), request.write(), () -> send(rental));
+    record.put(name, request.write(), () -> send(rental));
   }
 
-  /** An earlier leader's rental whose fate is not known here. */
-  void resume(RentalRequest request) {
+  /** Earlier leaders' rentals whose fate is not known here. */
+  void resume(Entry entry) {
+    record.known(
+        entry,
+        (name, value) -> {
+          try {
+            resume(RentalRequest.read(value));
+          } catch (WireException x) {
+            LOG.error("rental {} is unreadable: {}", name, x.getMessage());
+          }
+        });
+  }
+
+  private void resume(RentalRequest request) {
     Rental rental = new Rental(request);
     rental.maybeSent = true;
     open.put(request.name(), rental);
@@ -146,12 +155,13 @@
       }
       finishIfSeen(rental);
       lead.askRound();
+    } else if (outcome != null && outcome.isBecause(Reason.HELD_BACK)) {
+      // The cloud's rate is used up; the recorded request only waits for its turn.
+      lead.later(HELD_BACK_S, () -> send(rental));
     } else if (outcome instanceof Outcome.NotApplied<List<MachineId>> not) {
       boolean full = not.reason() == Reason.CONFLICT;
       if (full || not.reason() == Reason.INVALID || !rental.maybeSent) {
-        if (not.reason() != Reason.HELD_BACK) {
-          refuse(key, now);
-        }
+        refuse(key, now);
         forget(rental);
       } else {
         lead.later(RETRY_S, () -> send(rental));
@@ -170,7 +180,7 @@
 
   private void forget(Rental rental) {
     open.remove(rental.request.name());
-    writer.write(Keys.rental(rental.request.name()), null, null);
+    record.remove(rental.request.name());
   }
 
   /** A machine has shown up by itself; its rental's record has done its duty. */
@@ -203,7 +213,7 @@
         for (boolean spot : new boolean[] {true, false}) {
           Refusal r = refusals.get(offerKey(f.name(), zone, spot));
           if (r == null || r.until.isBefore(now)) {
-            out.add(new Snapshot.Offer(f, z, zone, spot, 10));
+            out.add(new Snapshot.Offer(f, z, zone, spot, RentalRequest.MAX_COUNT));
           }
         }
       }
@@ -211,8 +221,23 @@
     return out;
   }
 
+  /** Machines asked for whose names are not known yet: as good as coming. */
+  List<Snapshot.Coming> coming(Map<String, Flavor> flavors, List<String> zones) {
+    List<Snapshot.Coming> out = new ArrayList<>();
+    for (Rental r : open.values()) {
+      RentalRequest q = r.request;
+      Flavor f = flavors.get(q.type());
+      int zone = zones.indexOf(q.zone());
+      if (r.unseen == null && f != null && zone >= 0) {
+        Snapshot.Offer offer = new Snapshot.Offer(f, zone, q.zone(), q.spot(), q.count());
+        out.add(new Snapshot.Coming(offer, q.count()));
+      }
+    }
+    return out;
+  }
+
   /** Machines that never come up are charged until they are returned. */
-  void expire(SteadyTime now) {
+  void expire(SteadyTime now, Returns returns) {
     for (Machine m : List.copyOf(lead.machines())) {
       Flavor f = m.type == null ? null : lead.flavor(m.type);
       if (f != null && !m.releasing && !m.gone && lead.idle(m)) {
@@ -224,37 +249,9 @@
             m.reported && m.leaseEnds.plusSeconds(lead.settings().workers().leaseS()).isBefore(now);
         if (neverUp || silent || m.sick(now)) {
           LOG.info("returning {}: {}", m.id, neverUp ? "never up" : silent ? "silent" : "sick");
-          release(m);
+          returns.release(m);
         }
       }
     }
   }
-
-  void release(Machine m) {
-    m.releasing = true;
-    writer.write(
-        Keys.release(m.id), Json.object().put("t", clock.wallMillis()), () -> resumeRelease(m));
-  }
-
-  /** Sends a return that is recorded, until it is answered. */
-  void resumeRelease(Machine m) {
-    if (!authority.valid()) {
-      lead.later(RETRY_S, () -> resumeRelease(m));
-      return;
-    }
-    cloud
-        .release(List.of(m.id))
-        .whenComplete(
-            (o, e) ->
-                locked(
-                    () -> {
-                      if (o instanceof Outcome.Applied<Integer>) {
-                        lead.drop(m);
-                        writer.write(Keys.release(m.id), null, null);
-                        lead.askRound();
-                      } else {
-                        lead.later(RETRY_S, () -> resumeRelease(m));
-                      }
-                    }));
-  }
 }
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/Returns.java
@@ -0,0 +1,108 @@
+package org.ternhinge.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.BooleanNode;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.concurrent.locks.Lock;
+import org.ternhinge.cloud.Cloud;
+import org.ternhinge.ledger.Authority;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.state.Entry;
+
+/**
+ * Returns machines. A return is recorded before it is sent and repeated until answered, so that no
+ * leader places anything on a machine that may vanish at any moment. All that are due go in one
+ * call: the cloud takes few calls a second and up to a hundred names in each.
+ */
+final class Returns {
+  private static final double RETRY_S = 1.5;
+  private static final int MOST_NAMES = 100;
+
+  private final Lead lead;
+  private final Cloud cloud;
+  private final Authority authority;
+  private final Lock lock;
+  private final Slots record;
+  private final LinkedHashSet<Machine> due = new LinkedHashSet<>();
+  private boolean calling;
+
+  Returns(Lead lead, Cloud cloud, Authority authority, Lock lock, Slots record) {
+    this.lead = lead;
+    this.cloud = cloud;
+    this.authority = authority;
+    this.lock = lock;
+    this.record = record;
+  }
+
+  /** Goes on with what an earlier leader has begun. */
+  void resume(Entry entry) {
+    record.known(
+        entry,
+        (name, value) -> {
+          Machine m = lead.machine(new MachineId(name), lead.electedAt());
+          m.releasing = true;
+          due(m);
+        });
+  }
+
+  void release(Machine m) {
+    m.releasing = true;
+    JsonNode noted = BooleanNode.TRUE;
+    record.put(m.id.value(), noted, () -> due(m));
+  }
+
+  private void due(Machine m) {
+    due.add(m);
+    call();
+  }
+
+  private void call() {
+    if (calling || due.isEmpty()) {
+      return;
+    }
+    calling = true;
+    if (!authority.valid()) {
+      again();
+      return;
+    }
+    List<Machine> some = new ArrayList<>();
+    for (Machine m : due) {
+      if (some.size() < MOST_NAMES) {
+        some.add(m);
+      }
+    }
+    cloud.release(some.stream().map(m -> m.id).toList()).whenComplete((o, e) -> answered(some, o));
+  }
+
+  private void answered(List<Machine> some, Outcome<Integer> outcome) {
+    lock.lock();
+    try {
+      if (!(outcome instanceof Outcome.Applied<Integer>)) {
+        again();
+        return;
+      }
+      calling = false;
+      for (Machine m : some) {
+        due.remove(m);
+        lead.drop(m);
+        record.remove(m.id.value());
+      }
+      lead.askRound();
+      call();
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  private void again() {
+    lead.later(
+        RETRY_S,
+        () -> {
+          calling = false;
+          call();
+        });
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/Slots.java
@@ -0,0 +1,95 @@
+package org.ternhinge.controller;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiConsumer;
+import org.ternhinge.ledger.LedgerWriter;
+import org.ternhinge.state.Entry;
+import org.ternhinge.wire.Json;
+
+/**
+ * Many small facts in few records. A change of a record costs one of the state service's scarce
+ * changes however much of it is new: with a record for each, the rentals of a start from nothing
+ * took the changes that hundreds of services were waiting for.
+ */
+final class Slots {
+  private static final class Slot {
+    private final String key;
+    private final Map<String, JsonNode> items = new HashMap<>();
+
+    Slot(String key) {
+      this.key = key;
+    }
+
+    JsonNode value() {
+      ObjectNode out = Json.object();
+      items.forEach(out::set);
+      return out;
+    }
+  }
+
+  private final LedgerWriter writer;
+  private final String prefix;
+  private final int most;
+  private final List<Slot> slots = new ArrayList<>();
+  private final Map<String, Slot> where = new HashMap<>();
+
+  /**
+   * @param prefix of the records' keys, which end in a number
+   * @param most facts in a record
+   */
+  Slots(LedgerWriter writer, String prefix, int most) {
+    this.writer = writer;
+    this.prefix = prefix;
+    this.most = Math.max(1, most);
+  }
+
+  /** Takes over a record of an earlier leader. */
+  void known(Entry entry, BiConsumer<String, JsonNode> each) {
+    writer.known(entry.key(), entry.revision());
+    int index = Integer.parseInt(entry.key().substring(prefix.length()));
+    Slot slot = slot(index);
+    entry
+        .value()
+        .properties()
+        .forEach(
+            e -> {
+              slot.items.put(e.getKey(), e.getValue());
+              where.put(e.getKey(), slot);
+            });
+    // What each fact asks for may remove it at once, so the record has to be whole before.
+    entry.value().properties().forEach(e -> each.accept(e.getKey(), e.getValue()));
+  }
+
+  private Slot slot(int index) {
+    while (slots.size() <= index) {
+      slots.add(new Slot(prefix + slots.size()));
+    }
+    return slots.get(index);
+  }
+
+  /** Notes a fact; the action follows once the state service holds it. */
+  void put(String name, JsonNode value, Runnable durable) {
+    Slot free = null;
+    for (int i = 0; free == null; i++) {
+      Slot slot = slot(i);
+      free = slot.items.size() < most ? slot : null;
+    }
+    free.items.put(name, value);
+    where.put(name, free);
+    writer.write(free.key, free::value, durable);
+  }
+
+  /** Forgets a fact that has done its duty. */
+  void remove(String name) {
+    Slot slot = where.remove(name);
+    if (slot != null) {
+      slot.items.remove(name);
+      writer.write(slot.key, slot::value, null);
+    }
+  }
+}
--- a/src/main/java/org/ternhinge/controller/Views.java
+++ b/src/main/java/org/ternhinge/controller/Views.java
@@ -112,6 +112,7 @@
         settings.teams(),
         use,
         rentals.offers(flavors.values(), settings.zones(), now),
+        rentals.coming(flavors, settings.zones()),
         now.secondsSince(electedAt) > 2 * settings.workers().reportS(),
         tuning.idleS(),
         now);
--- a/src/main/java/org/ternhinge/ledger/Keys.java
+++ b/src/main/java/org/ternhinge/ledger/Keys.java
@@ -1,7 +1,6 @@
 package org.ternhinge.ledger;
 
 import org.ternhinge.model.JobId;
-import org.ternhinge.model.MachineId;
 
 /** Names of the keys in the state service. */
 public final class Keys {
@@ -26,12 +25,4 @@
   public static String end(JobId id) {
     return FINALS + id.value();
   }
-
-  public static String rental(String name) {
-    return RENTALS + name;
-  }
-
-  public static String release(MachineId machine) {
-    return RELEASES + machine.value();
-  }
 }
--- a/src/main/java/org/ternhinge/ledger/LedgerWriter.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.HashMap;
@@ -11,6 +10,7 @@
 import java.util.Map;
 import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.ternhinge.limit.Lane;
@@ -18,7 +18,6 @@
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.Revision;
-import org.ternhinge.model.Term;
 import org.ternhinge.state.Change;
 import org.ternhinge.state.Entry;
 import org.ternhinge.state.StateStore;
@@ -38,7 +37,8 @@
 
   private record Part(Job job, int piece, boolean cancels, boolean ends, List<Attempt> opens) {}
 
-  private record Extra(String key, JsonNode value, Runnable then) {}
+  /** A key beside the jobs' records; what it is set to is asked for when it is written. */
+  private record Extra(String key, Supplier<JsonNode> value, List<Runnable> then) {}
 
   private static final class Batch {
     private final Map<String, Revision> conditions = new LinkedHashMap<>();
@@ -56,7 +56,7 @@
   private final Lock lock;
   private final int txnOps;
   private final Consumer<List<Attempt>> onDurable;
-  private final ArrayDeque<Extra> extras = new ArrayDeque<>();
+  private final Map<String, Extra> extras = new LinkedHashMap<>();
   private final Map<String, Revision> extraRevisions = new HashMap<>();
   private Batch batch;
   private boolean busy;
@@ -93,9 +93,17 @@
     extraRevisions.put(key, revision);
   }
 
-  /** Sets (or, with null, removes) a key beside the jobs' records. */
-  public void write(String key, JsonNode value, Runnable then) {
-    extras.add(new Extra(key, value, then));
+  /**
+   * Sets a key beside the jobs' records. Several calls for a key before it is written make one
+   * change.
+   *
+   * @param then runs once the state service holds it; may be null
+   */
+  public void write(String key, Supplier<JsonNode> value, Runnable then) {
+    Extra extra = extras.computeIfAbsent(key, k -> new Extra(k, value, new ArrayList<>()));
+    if (then != null) {
+      extra.then.add(then);
+    }
     pump();
   }
 
@@ -104,9 +112,7 @@
    * old one, however late it arrives.
    */
   public void raiseTerm(Runnable then) {
-    Term next = authority.term().next();
-    extras.add(new Extra(Keys.TERM, Json.object().put("n", next.value()), then));
-    pump();
+    write(Keys.TERM, () -> Json.object().put("n", authority.term().next().value()), then);
   }
 
   /** Whether a change is waiting or under way. */
@@ -261,10 +267,8 @@
       if (extra.key.equals(Keys.TERM)) {
         authority.raised(authority.term().next(), revision);
       }
-      extraRevisions.put(extra.key, extra.value == null ? Revision.NONE : revision);
-      if (extra.then != null) {
-        extra.then.run();
-      }
+      extraRevisions.put(extra.key, revision);
+      extra.then.forEach(Runnable::run);
     }
     onDurable.accept(opened);
   }
@@ -278,21 +282,15 @@
         return b;
       }
     }
-    while (!extras.isEmpty() && b.changes.size() < txnOps) {
-      Extra extra = extras.peek();
+    var waiting = extras.values().iterator();
+    while (waiting.hasNext() && b.changes.size() < txnOps) {
+      Extra extra = waiting.next();
+      waiting.remove();
+      boolean term = extra.key.equals(Keys.TERM);
       Revision known = extraRevisions.getOrDefault(extra.key, Revision.NONE);
-      if (extra.key.equals(Keys.TERM)) {
-        known = authority.termRevision();
-      } else if (b.conditions.containsKey(extra.key)) {
-        break;
-      }
-      extras.poll();
-      b.conditions.put(extra.key, known);
+      b.conditions.put(extra.key, term ? authority.termRevision() : known);
       b.extras.add(extra);
-      b.changes.add(
-          extra.value == null
-              ? new Change.Delete(extra.key)
-              : new Change.Put(extra.key, extra.value, 0));
+      b.changes.add(new Change.Put(extra.key, extra.value.get(), 0));
     }
     for (Job job : dirty) {
       if (!job.cancelled() && !add(b, job)) {
--- a/src/main/java/org/ternhinge/schedule/Renting.java
+++ b/src/main/java/org/ternhinge/schedule/Renting.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import org.ternhinge.model.Resources;
 import org.ternhinge.schedule.Snapshot.AttemptView;
+import org.ternhinge.schedule.Snapshot.Coming;
 import org.ternhinge.schedule.Snapshot.JobView;
 import org.ternhinge.schedule.Snapshot.MachineView;
 import org.ternhinge.schedule.Snapshot.Offer;
@@ -28,6 +29,12 @@
         coming.add(bin);
       }
     }
+    // Without these each round until the cloud's answer would rent for the same need once more.
+    for (Coming c : draft.snapshot.coming()) {
+      for (int i = 0; i < c.count(); i++) {
+        coming.add(new Bin(c.of()));
+      }
+    }
   }
 
   /** Sends what waits to machines that are coming, then rents for the rest. */
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -25,6 +25,7 @@
     Map<String, Team> teams,
     Map<String, Resources> teamUse,
     List<Offer> offers,
+    List<Coming> coming,
     boolean settled,
     double idleS,
     SteadyTime now) {
@@ -81,6 +82,9 @@
       Set<MachineId> avoid,
       int reservedTasks) {}
 
+  /** Machines that were asked for and whose names are not known yet. */
+  public record Coming(Offer of, int count) {}
+
   /** A machine type that can be rented in a zone, as spot or ordinary. */
   public record Offer(Flavor flavor, int zone, String zoneName, boolean spot, int most) {}
 }
--- a/src/test/java/org/ternhinge/schedule/PlannerTest.java
+++ b/src/test/java/org/ternhinge/schedule/PlannerTest.java
@@ -100,7 +100,8 @@
         Map.of(
             "red", new Team("red", 8000, 40_000, 0, 0),
             "blue", new Team("blue", 8000, 40_000, 0, 0));
-    return Planner.plan(new Snapshot(machines, jobs, List.of(), teams, use, offers, true, 40, NOW));
+    return Planner.plan(
+        new Snapshot(machines, jobs, List.of(), teams, use, offers, List.of(), true, 40, NOW));
   }
 
   private static List<String> on(Plan plan) {
