--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -158,7 +158,8 @@
         electedAt.plusSeconds(Election.grace(tuning, settings.workers()) * (1 + DRIFT) + lease);
     known.forEach(f -> flavors.put(f.name(), f));
     this.ledger =
-        new Ledger(settings.teams(), RecordCodec.pieceSize(settings.stateLimits().valueKb()));
+        new Ledger(
+            settings.teams(), RecordCodec.pieceSize(settings.stateLimits().valueKb()), clock);
     this.writer =
         new LedgerWriter(
             ledger,
--- a/src/main/java/org/ternhinge/ledger/Job.java
+++ b/src/main/java/org/ternhinge/ledger/Job.java
@@ -6,6 +6,7 @@
 import java.util.Collection;
 import org.ternhinge.model.AttemptNumber;
 import org.ternhinge.model.Revision;
+import org.ternhinge.model.SteadyTime;
 import org.ternhinge.wire.JobSpec;
 
 /**
@@ -29,6 +30,8 @@
   private boolean cancelDurable;
   private boolean over;
   private boolean finalDurable;
+  private boolean opening;
+  private SteadyTime dirtySince;
 
   Job(JobSpec spec, long acceptedMillis, int pieceSize) {
     this.spec = spec;
@@ -157,6 +160,24 @@
     return dirty;
   }
 
+  /** Whether attempts were opened that are not written yet. */
+  boolean opening() {
+    return opening;
+  }
+
+  void opening(boolean value) {
+    opening = value;
+  }
+
+  /** Since when it has something to write. */
+  SteadyTime dirtySince() {
+    return dirtySince;
+  }
+
+  void dirtySince(SteadyTime at) {
+    dirtySince = at;
+  }
+
   BitSet inFlight() {
     return inFlight;
   }
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -13,6 +13,7 @@
 import java.util.function.Predicate;
 import org.ternhinge.config.Team;
 import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Resources;
@@ -20,6 +21,7 @@
 import org.ternhinge.model.TaskId;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
+import org.ternhinge.wire.Priority;
 
 /**
  * Jobs and their attempts: the only door through which an attempt opens or closes. Whatever a
@@ -35,6 +37,7 @@
 
   private final Map<String, Team> teams;
   private final int pieceSize;
+  private final Clock clock;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<String, Resources> teamUse = new HashMap<>();
   private final Map<MachineId, Resources> machineUse = new HashMap<>();
@@ -43,7 +46,8 @@
       new Object2ObjectLinkedOpenHashMap<>();
   private final LinkedHashSet<Job> dirtyJobs = new LinkedHashSet<>();
 
-  public Ledger(Map<String, Team> teams, int pieceSize) {
+  public Ledger(Map<String, Team> teams, int pieceSize, Clock clock) {
+    this.clock = clock;
     this.teams = teams;
     this.pieceSize = pieceSize;
   }
@@ -113,6 +117,7 @@
     }
     AttemptNumber number = job.highest().next();
     job.highest(number);
+    job.opening(true);
     job.dirty().set(0);
     for (Placement p : placements) {
       Site s = p.site();
@@ -122,7 +127,7 @@
       job.dirty().set(job.pieceOf(p.index()));
       count(a);
     }
-    dirtyJobs.add(job);
+    dirty(job);
     return null;
   }
 
@@ -216,7 +221,7 @@
         job.done().set(a.task().index());
       }
     }
-    dirtyJobs.add(job);
+    dirty(job);
     settle(job);
   }
 
@@ -228,7 +233,7 @@
     if (!job.cancelled() && !job.over()) {
       job.markCancelled(false);
       job.dirty().set(0);
-      dirtyJobs.add(job);
+      dirty(job);
       settle(job);
     }
   }
@@ -239,13 +244,13 @@
         job.folded().set(p);
         job.dirty().set(0);
         job.dirty().set(p);
-        dirtyJobs.add(job);
+        dirty(job);
       }
     }
     boolean complete = job.doneCount() == job.spec().tasks();
     if (job.openMap().isEmpty() && (complete || job.cancelled())) {
       job.markOver();
-      dirtyJobs.add(job);
+      dirty(job);
     }
   }
 
@@ -269,28 +274,64 @@
     }
   }
 
-  /** Jobs with something to write, cancelled ones first. */
-  List<Job> takeDirty() {
-    List<Job> out = new ArrayList<>(dirtyJobs.size());
-    for (Job job : dirtyJobs) {
-      if (job.cancelled()) {
-        out.add(job);
-      }
+  /** What a job has to write, the most urgent first. */
+  enum Urgency {
+    CANCELS,
+    PRODUCTION_OPENS,
+    ENDS,
+    OPENS,
+    ENDINGS
+  }
+
+  /**
+   * Jobs with something to write, by urgency, those that have waited longest first.
+   *
+   * @param gathered endings that came later than this go on being gathered
+   * @param late endings that came before this wait behind nobody's opens any more
+   */
+  List<List<Job>> takeDirty(SteadyTime gathered, SteadyTime late) {
+    List<List<Job>> out = new ArrayList<>();
+    for (int i = 0; i < Urgency.values().length; i++) {
+      out.add(new ArrayList<>());
     }
     for (Job job : dirtyJobs) {
-      if (!job.cancelled()) {
-        out.add(job);
+      Urgency urgency = urgency(job);
+      if (urgency == Urgency.ENDINGS && job.dirtySince().isBefore(late)) {
+        urgency = Urgency.OPENS;
+      }
+      if (urgency != Urgency.ENDINGS || !gathered.isBefore(job.dirtySince())) {
+        out.get(urgency.ordinal()).add(job);
       }
     }
     return out;
   }
 
+  private static Urgency urgency(Job job) {
+    if (job.cancelled()) {
+      return Urgency.CANCELS;
+    }
+    if (job.over()) {
+      return Urgency.ENDS;
+    }
+    if (!job.opening()) {
+      return Urgency.ENDINGS;
+    }
+    return job.spec().priority() == Priority.PRODUCTION ? Urgency.PRODUCTION_OPENS : Urgency.OPENS;
+  }
+
+  private void dirty(Job job) {
+    if (dirtyJobs.add(job)) {
+      job.dirtySince(clock.now());
+    }
+  }
+
   boolean hasDirty() {
     return !dirtyJobs.isEmpty();
   }
 
   void clean(Job job) {
     dirtyJobs.remove(job);
+    job.opening(false);
   }
 
   void ended(Job job) {
--- a/src/main/java/org/ternhinge/ledger/LedgerWriter.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -15,9 +15,11 @@
 import org.slf4j.LoggerFactory;
 import org.ternhinge.limit.Lane;
 import org.ternhinge.model.Clock;
+import org.ternhinge.model.JobId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.Revision;
+import org.ternhinge.model.SteadyTime;
 import org.ternhinge.state.Change;
 import org.ternhinge.state.Entry;
 import org.ternhinge.state.StateStore;
@@ -34,6 +36,12 @@
   private static final Logger LOG = LoggerFactory.getLogger(LedgerWriter.class);
   private static final int MAX_BYTES = 48 * 1024;
   private static final double RETRY_S = 0.2;
+  private static final double LOOK_S = 0.05;
+
+  /** How long endings are gathered before they are written. */
+  private static final double GATHER_S = 0.4;
+
+  private static final double LATE_S = 2;
 
   private record Part(Job job, int piece, boolean cancels, boolean ends, List<Attempt> opens) {}
 
@@ -45,8 +53,16 @@
     private final List<Change> changes = new ArrayList<>();
     private final List<Part> parts = new ArrayList<>();
     private final List<Extra> extras = new ArrayList<>();
+    private final int limit;
     private boolean mayBeApplied;
     private int bytes;
+
+    /**
+     * @param limit changes that it may carry
+     */
+    Batch(int limit) {
+      this.limit = limit;
+    }
   }
 
   private final Ledger ledger;
@@ -60,6 +76,7 @@
   private final Map<String, Revision> extraRevisions = new HashMap<>();
   private Batch batch;
   private boolean busy;
+  private boolean looking;
   private boolean stopped;
 
   /**
@@ -126,9 +143,15 @@
       return;
     }
     if (batch == null) {
-      batch = build();
+      int limit = Math.min(txnOps, store.changesNow(Lane.ATTEMPT));
+      if (limit > 0) {
+        batch = build(limit);
+      }
     }
     if (batch == null) {
+      if (!idle()) {
+        lookAgain();
+      }
       return;
     }
     if (!authority.valid()) {
@@ -137,6 +160,7 @@
     }
     double wait = store.secondsUntilTxn(batch.changes.size(), Lane.ATTEMPT);
     if (wait > 0) {
+      // Only a batch that is sent again can come here: a new one was cut to the tokens at hand.
       retry(wait + 0.005);
       return;
     }
@@ -147,6 +171,22 @@
         .whenComplete((outcome, error) -> locked(() -> answered(sent, outcome, error)));
   }
 
+  /** Something waits for tokens or for its time; whatever is more urgent may still come before. */
+  private void lookAgain() {
+    if (looking) {
+      return;
+    }
+    looking = true;
+    clock.after(
+        LOOK_S,
+        () ->
+            locked(
+                () -> {
+                  looking = false;
+                  pump();
+                }));
+  }
+
   private void locked(Runnable action) {
     lock.lock();
     try {
@@ -273,17 +313,40 @@
     onDurable.accept(opened);
   }
 
-  private Batch build() {
-    Batch b = new Batch();
+  /**
+   * Picks what goes first while changes are scarce: cancellations, then what users wait for most.
+   * What only notes endings waits a moment, so that one change carries many of them.
+   */
+  private Batch build(int limit) {
+    Batch b = new Batch(limit);
     b.conditions.put(Keys.TERM, authority.termRevision());
-    List<Job> dirty = ledger.takeDirty();
-    for (Job job : dirty) {
-      if (job.cancelled() && !add(b, job)) {
-        return b;
+    SteadyTime now = clock.now();
+    List<List<Job>> queues = ledger.takeDirty(now.plusSeconds(-GATHER_S), now.plusSeconds(-LATE_S));
+    for (Ledger.Urgency urgency : Ledger.Urgency.values()) {
+      if (urgency == Ledger.Urgency.OPENS && !addExtras(b)) {
+        break;
+      }
+      boolean full = false;
+      for (Job job : queues.get(urgency.ordinal())) {
+        if (!add(b, job)) {
+          full = true;
+          break;
+        }
+      }
+      if (full) {
+        break;
       }
     }
+    return b.changes.isEmpty() ? null : b;
+  }
+
+  /** False when the transaction is full. */
+  private boolean addExtras(Batch b) {
     var waiting = extras.values().iterator();
-    while (waiting.hasNext() && b.changes.size() < txnOps) {
+    while (waiting.hasNext()) {
+      if (b.changes.size() >= b.limit) {
+        return false;
+      }
       Extra extra = waiting.next();
       waiting.remove();
       boolean term = extra.key.equals(Keys.TERM);
@@ -292,12 +355,7 @@
       b.extras.add(extra);
       b.changes.add(new Change.Put(extra.key, extra.value.get(), 0));
     }
-    for (Job job : dirty) {
-      if (!job.cancelled() && !add(b, job)) {
-        break;
-      }
-    }
-    return b.changes.isEmpty() ? null : b;
+    return true;
   }
 
   /** Adds what a job has to write; false when the transaction is full. */
@@ -307,7 +365,7 @@
     }
     BitSet dirty = job.dirty();
     for (int p = dirty.nextSetBit(0); p >= 0; p = dirty.nextSetBit(p + 1)) {
-      if (b.changes.size() >= txnOps) {
+      if (b.changes.size() >= b.limit) {
         return false;
       }
       String key = Keys.piece(job.spec().id(), p);
@@ -348,25 +406,8 @@
 
   private boolean addEnd(Batch b, Job job) {
     BitSet live = job.livePieces();
-    if (live.cardinality() + 2 > txnOps) {
-      int p = live.nextSetBit(0);
-      if (b.changes.size() >= txnOps) {
-        return false;
-      }
-      // Too many pieces for one transaction: remove some first, the job's end last.
-      job.folded().set(p);
-      job.dirty().set(p);
-      job.dirty().clear(0);
-      String key = Keys.piece(job.spec().id(), p);
-      b.conditions.put(key, job.revision(p));
-      b.changes.add(new Change.Delete(key));
-      b.parts.add(new Part(job, p, false, false, List.of()));
-      job.dirty().clear(p);
-      job.inFlight().set(p);
-      return true;
-    }
-    if (b.changes.size() + live.cardinality() + 2 > txnOps) {
-      return false;
+    if (b.changes.size() + live.cardinality() + 2 > b.limit) {
+      return addSomeOfEnd(b, job, live);
     }
     String end = Keys.end(job.spec().id());
     b.conditions.put(end, Revision.NONE);
@@ -383,4 +424,35 @@
     ledger.clean(job);
     return true;
   }
+
+  /**
+   * The end doesn't fit as a whole: pieces go first, as many as fit, the job's end last. The first
+   * piece has to say that they are done before they may go: a leader that came in between would
+   * take their tasks for tasks that never ran.
+   */
+  private boolean addSomeOfEnd(Batch b, Job job, BitSet live) {
+    if (live.isEmpty() || b.changes.size() >= b.limit) {
+      return false;
+    }
+    JobId id = job.spec().id();
+    if (job.dirty().get(0) && job.revision(0).value() > 0) {
+      b.conditions.put(Keys.job(id), job.revision(0));
+      b.changes.add(new Change.Put(Keys.job(id), RecordCodec.encode(job, 0), 0));
+      b.parts.add(new Part(job, 0, job.cancelled(), false, List.of()));
+      job.dirty().clear(0);
+      job.inFlight().set(0);
+    }
+    for (int p = live.nextSetBit(0); p >= 0; p = live.nextSetBit(p + 1)) {
+      if (b.changes.size() >= b.limit) {
+        break;
+      }
+      job.folded().set(p);
+      b.conditions.put(Keys.piece(id, p), job.revision(p));
+      b.changes.add(new Change.Delete(Keys.piece(id, p)));
+      b.parts.add(new Part(job, p, false, false, List.of()));
+      job.dirty().clear(p);
+      job.inFlight().set(p);
+    }
+    return true;
+  }
 }
--- a/src/main/java/org/ternhinge/limit/TokenBucket.java
+++ b/src/main/java/org/ternhinge/limit/TokenBucket.java
@@ -34,6 +34,12 @@
     return true;
   }
 
+  /** How many tokens this lane could take now. */
+  public synchronized int available(Lane lane) {
+    fill();
+    return (int) Math.max(0, Math.floor(tokens - size * lane.reserve() + 1e-9));
+  }
+
   /** Seconds until so many tokens can be had in this lane. */
   public synchronized double secondsUntil(Lane lane, int count) {
     fill();
--- a/src/main/java/org/ternhinge/state/HttpStateStore.java
+++ b/src/main/java/org/ternhinge/state/HttpStateStore.java
@@ -178,6 +178,11 @@
         });
   }
 
+  @Override
+  public int changesNow(Lane lane) {
+    return requests.available(lane) > 0 ? writes.available(lane) : 0;
+  }
+
   @Override
   public double secondsUntilTxn(int changes, Lane lane) {
     return Math.max(requests.secondsUntil(lane, 1), writes.secondsUntil(lane, changes));
--- a/src/main/java/org/ternhinge/state/StateStore.java
+++ b/src/main/java/org/ternhinge/state/StateStore.java
@@ -33,6 +33,9 @@
 
   CompletableFuture<Outcome<Changes>> follow(String prefix, Revision from, double waitS);
 
+  /** How many changes a transaction may carry now; 0 while none may be sent. */
+  int changesNow(Lane lane);
+
   /** Seconds until a transaction of so many changes would find tokens. */
   double secondsUntilTxn(int changes, Lane lane);
 }
--- a/src/test/java/org/ternhinge/ledger/LedgerTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerTest.java
@@ -18,13 +18,17 @@
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.Session;
 import org.ternhinge.model.SteadyTime;
+import org.ternhinge.sim.SimClock;
 import org.ternhinge.sim.Specs;
 import org.ternhinge.wire.Json;
 
 class LedgerTest {
   private static final SteadyTime NOW = new SteadyTime(0);
   private final Ledger ledger =
-      new Ledger(Map.of("red", new Team("red", 4000, 10_000, 0, 0)), RecordCodec.pieceSize(8));
+      new Ledger(
+          Map.of("red", new Team("red", 4000, 10_000, 0, 0)),
+          RecordCodec.pieceSize(8),
+          new SimClock());
 
   private Job job(ObjectNode json) {
     Job job = new Job(Specs.of(json), 1, ledger.pieceSize());
--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -330,6 +330,11 @@
               to -> store.follow(prefix, from.value(), waitS, c -> to.accept(Outcome.applied(c)))));
     }
 
+    @Override
+    public int changesNow(Lane lane) {
+      return 16;
+    }
+
     @Override
     public double secondsUntilTxn(int changes, Lane lane) {
       return 0;
