--- a/src/main/java/org/ternhinge/controller/Arrivals.java
+++ b/src/main/java/org/ternhinge/controller/Arrivals.java
@@ -1,12 +1,10 @@
 package org.ternhinge.controller;
 
-import it.unimi.dsi.fastutil.ints.IntArrayList;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import org.ternhinge.config.Objective;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.schedule.Snapshot;
@@ -58,9 +56,7 @@
       var latest = q.descendingIterator();
       for (int i = 0; i < keep; i++) {
         JobSpec spec = latest.next().spec();
-        out.add(
-            new Snapshot.JobView(
-                spec, i, false, IntArrayList.of(), 0, new int[zones], false, Set.of(), 0));
+        out.add(Snapshot.JobView.expected(spec, i, new int[zones]));
       }
     }
     return out;
--- /dev/null
+++ b/src/main/java/org/ternhinge/schedule/Gathering.java
@@ -0,0 +1,174 @@
+package org.ternhinge.schedule;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.IdentityHashMap;
+import java.util.List;
+import java.util.Map;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.schedule.Snapshot.AttemptView;
+import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.wire.JobSpec;
+
+/**
+ * Moves services that lie spread over accelerated machines to where their room costs less, a few at
+ * a time. A service takes the room beside accelerated tasks and stays when they have ended: eighty
+ * machines of the dearest type were kept through half a day for one replica each.
+ */
+final class Gathering {
+  /** Part of all replicas that may be on the move: their users miss them meanwhile. */
+  private static final double MOVING_SHARE = 0.005;
+
+  /** A replica that has just come is left alone; its start would not count for its users. */
+  private static final double SETTLED_S = 60;
+
+  /** A place has to cost less than this part of the present one to be worth a move. */
+  private static final double WORTH = 0.6;
+
+  private final Draft draft;
+
+  /** Replicas of each service by zone. */
+  private final Map<JobSpec, int[]> zones = new IdentityHashMap<>();
+
+  private final int zoneCount;
+
+  /** Replicas that found no cheaper room, with what a place for them may cost. */
+  record Homeless(JobView job, double price) {}
+
+  Gathering(Draft draft) {
+    this.draft = draft;
+    int most = 0;
+    for (Bin bin : draft.bins) {
+      most = Math.max(most, bin.zone);
+    }
+    for (Snapshot.Offer o : draft.snapshot.offers()) {
+      most = Math.max(most, o.zone());
+    }
+    this.zoneCount = most + 1;
+  }
+
+  private static double price(Bin bin) {
+    return bin.flavor.price(bin.spot);
+  }
+
+  /** What one replica costs on a machine that holds nothing else. */
+  private static double share(Bin bin) {
+    return price(bin) / bin.view.attempts().size();
+  }
+
+  private boolean movable(Bin bin) {
+    if (!bin.ready()
+        || bin.used()
+        || bin.flavor.capacity().gpus() == 0
+        || bin.view.attempts().isEmpty()
+        || !bin.view.reservations().isEmpty()) {
+      return false;
+    }
+    SteadyTime now = draft.snapshot.now();
+    for (AttemptView a : bin.view.attempts()) {
+      if (!a.spec().isService()
+          || a.stopping()
+          || a.runningSince() == null
+          || now.secondsSince(a.runningSince()) < SETTLED_S) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  /** Moves what may move now and says for what cheaper room should be rented. */
+  List<Homeless> run() {
+    List<Homeless> homeless = new ArrayList<>();
+    List<Bin> sources = new ArrayList<>();
+    int replicas = 0;
+    int moving = 0;
+    for (Bin bin : draft.bins) {
+      for (AttemptView a : bin.view.attempts()) {
+        if (a.spec().isService()) {
+          replicas++;
+          zones.computeIfAbsent(a.spec(), k -> new int[zoneCount])[bin.zone]++;
+          moving += a.stopping() || a.runningSince() == null ? 1 : 0;
+        }
+      }
+      if (movable(bin)) {
+        sources.add(bin);
+      }
+    }
+    for (JobView job : draft.snapshot.jobs()) {
+      moving += job.spec().isService() ? job.waiting() : 0;
+    }
+    int may = (int) Math.ceil(replicas * MOVING_SHARE) - moving;
+    sources.sort(Comparator.comparingDouble(Gathering::share).reversed());
+    for (Bin source : sources) {
+      if (source.used()) {
+        // Something moves here already.
+        continue;
+      }
+      for (AttemptView a : source.view.attempts()) {
+        Bin target = target(a, source);
+        if (target == null) {
+          JobView job = JobView.expected(a.spec(), 0, zones.get(a.spec()).clone());
+          homeless.add(new Homeless(job, share(source) * WORTH));
+          continue;
+        }
+        zones.get(a.spec())[source.zone]--;
+        zones.get(a.spec())[target.zone]++;
+        // Room is kept also for those whose turn comes later, so that it is not returned.
+        target.stop(a.spec(), List.of());
+        if (may > 0) {
+          may--;
+          Plan.Victim victim = new Plan.Victim(a.spec().id(), a.index());
+          draft
+              .plan
+              .stops()
+              .add(
+                  new Plan.Stop(target.view.id(), a.spec().id(), a.spec().need(), List.of(victim)));
+        }
+      }
+    }
+    return homeless;
+  }
+
+  private Bin target(AttemptView a, Bin source) {
+    JobSpec spec = a.spec();
+    Bin best = null;
+    double least = Double.MAX_VALUE;
+    double most = share(source) * WORTH;
+    for (Bin bin : draft.bins) {
+      draft.step();
+      if (bin == source
+          || !bin.ready()
+          || !bin.fits(spec)
+          || !bin.allows(spec)
+          || cost(bin, spec) > most
+          || !zoneAllows(spec, source, bin)) {
+        continue;
+      }
+      double score = draft.score(spec, bin);
+      if (score < least) {
+        least = score;
+        best = bin;
+      }
+    }
+    return best;
+  }
+
+  /** What a place costs: nothing more on a machine that services keep anyhow. */
+  private static double cost(Bin bin, JobSpec spec) {
+    double whole = price(bin) / Math.max(1, spec.need().timesIn(bin.flavor.capacity()));
+    if (bin.flavor.capacity().gpus() == 0) {
+      return whole;
+    }
+    int services = 0;
+    for (AttemptView a : bin.view.attempts()) {
+      services += a.spec().isService() ? 1 : 0;
+    }
+    return services == bin.view.attempts().size() && services > 0
+        ? price(bin) / (services + 1)
+        : Double.MAX_VALUE;
+  }
+
+  private boolean zoneAllows(JobSpec spec, Bin from, Bin to) {
+    return from.zone == to.zone || !spec.scatter() || zones.get(spec)[to.zone] < spec.zoneLimit();
+  }
+}
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -56,6 +56,11 @@
     for (Demand demand : unmet) {
       renting.rentFor(demand.job, demand.tasks);
     }
+    if (draft.snapshot.settled()) {
+      for (Gathering.Homeless h : new Gathering(draft).run()) {
+        renting.rentFor(h.job(), 1, h.price());
+      }
+    }
     draft.snapshot.spares().forEach(renting::keepFor);
     renting.finish();
     draft.plan.steps(draft.steps());
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -80,7 +80,13 @@
       int[] zoneOpen,
       boolean blocked,
       Set<MachineId> avoid,
-      int reservedTasks) {}
+      int reservedTasks) {
+
+    /** A job of which nothing waits yet, to keep or rent room for. */
+    public static JobView expected(JobSpec spec, double rank, int[] zones) {
+      return new JobView(spec, rank, false, IntList.of(), 0, zones, false, Set.of(), 0);
+    }
+  }
 
   /** Machines that were asked for and whose names are not known yet. */
   public record Coming(Offer of, int count) {}
