--- a/src/main/java/org/ternhinge/schedule/Gathering.java
+++ b/src/main/java/org/ternhinge/schedule/Gathering.java
@@ -32,9 +32,6 @@
 
   private final int zoneCount;
 
-  /** Replicas that found no cheaper room, with what a place for them may cost. */
-  record Homeless(JobView job, double price) {}
-
   Gathering(Draft draft) {
     this.draft = draft;
     int most = 0;
@@ -76,9 +73,11 @@
     return true;
   }
 
-  /** Moves what may move now and says for what cheaper room should be rented. */
-  List<Homeless> run() {
-    List<Homeless> homeless = new ArrayList<>();
+  /**
+   * Moves what may move now. Nothing is rented for it: machines rented for replicas that had to
+   * wait for their move idled, were returned and were rented again.
+   */
+  void run() {
     List<Bin> sources = new ArrayList<>();
     int replicas = 0;
     int moving = 0;
@@ -107,16 +106,18 @@
       for (AttemptView a : source.view.attempts()) {
         Bin target = target(a, source);
         if (target == null) {
-          JobView job = JobView.expected(a.spec(), 0, zones.get(a.spec()).clone());
-          homeless.add(new Homeless(job, share(source) * WORTH));
           continue;
         }
         zones.get(a.spec())[source.zone]--;
         zones.get(a.spec())[target.zone]++;
         // Room is kept also for those whose turn comes later, so that it is not returned.
         target.stop(a.spec(), List.of());
-        if (may > 0) {
+        // Where the image has to be fetched a replica is missed for seconds, not for a moment: then
+        // only one moves at a time.
+        boolean quick = target.hasImage(a.spec().image());
+        if (quick ? may > 0 : moving == 0) {
           may--;
+          moving++;
           Plan.Victim victim = new Plan.Victim(a.spec().id(), a.index());
           draft
               .plan
@@ -126,7 +127,6 @@
         }
       }
     }
-    return homeless;
   }
 
   private Bin target(AttemptView a, Bin source) {
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -57,9 +57,7 @@
       renting.rentFor(demand.job, demand.tasks);
     }
     if (draft.snapshot.settled()) {
-      for (Gathering.Homeless h : new Gathering(draft).run()) {
-        renting.rentFor(h.job(), 1, h.price());
-      }
+      new Gathering(draft).run();
     }
     draft.snapshot.spares().forEach(renting::keepFor);
     renting.finish();
--- a/src/main/java/org/ternhinge/schedule/Renting.java
+++ b/src/main/java/org/ternhinge/schedule/Renting.java
@@ -8,7 +8,6 @@
 import org.ternhinge.schedule.Snapshot.JobView;
 import org.ternhinge.schedule.Snapshot.MachineView;
 import org.ternhinge.schedule.Snapshot.Offer;
-import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Priority;
@@ -40,11 +39,6 @@
 
   /** Sends what waits to machines that are coming, then rents for the rest. */
   void rentFor(JobView job, int tasks) {
-    rentFor(job, tasks, Double.MAX_VALUE);
-  }
-
-  /** The same, where a task's place may cost only so much an hour. */
-  void rentFor(JobView job, int tasks, double price) {
     JobSpec spec = job.spec();
     int left = tasks;
     if (spec.kind() == JobKind.ARRAY) {
@@ -52,13 +46,10 @@
     }
     int[] zones = draft.zones(job).clone();
     for (int i = 0; i < coming.size() && left > 0; i++) {
-      Bin bin = coming.get(i);
-      if (placePrice(spec, bin.flavor, bin.spot) <= price) {
-        left -= fill(bin, spec, zones, left);
-      }
+      left -= fill(coming.get(i), spec, zones, left);
     }
     while (left > 0) {
-      Bin bin = rent(spec, zones, left, price);
+      Bin bin = rent(spec, zones, left);
       if (bin == null) {
         return;
       }
@@ -81,12 +72,7 @@
     return n;
   }
 
-  /** What one task's place costs on a machine that is full of such tasks. */
-  private static double placePrice(JobSpec spec, Flavor flavor, boolean spot) {
-    return flavor.price(spot) / Math.max(1, spec.need().timesIn(flavor.capacity()));
-  }
-
-  private Bin rent(JobSpec spec, int[] zones, int wanted, double most) {
+  private Bin rent(JobSpec spec, int[] zones, int wanted) {
     List<Offer> offers = draft.snapshot.offers();
     int best = -1;
     double least = Double.MAX_VALUE;
