--- a/src/main/java/org/ternhinge/cli/Service.java
+++ b/src/main/java/org/ternhinge/cli/Service.java
@@ -39,6 +39,9 @@
   /** Of the state service's limits, what the leader uses; the rest is for the others. */
   private static final double LEADER_SHARE = 0.7;
 
+  /** One part in so many of the sockets may be kept connections to other systems. */
+  private static final int KEPT_PART = 6;
+
   private Service() {}
 
   static void run(Settings settings, Tuning tuning) throws InterruptedException {
@@ -52,7 +55,7 @@
     ExecutorService scheduler = Executors.newSingleThreadExecutor();
     Clock clock = new LoopClock(loop);
     Lock lock = new ReentrantLock();
-    HttpCaller http = new HttpCaller(loop);
+    HttpCaller http = new HttpCaller(loop, settings.maxSockets() / KEPT_PART);
 
     int others = Math.max(1, settings.peers().size());
     double follower = (1 - LEADER_SHARE) / others;
--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -66,6 +66,10 @@
   private static final Logger LOG = LoggerFactory.getLogger(Lead.class);
   private static final double DRIFT = 0.001;
   private static final int MAX_COMMANDS = 400;
+
+  /** Workers told of the term by one listing. */
+  private static final int MOST_GREETS = 40;
+
   private static final double FOLLOW_S = 20;
   private static final double RESERVE_S = 12;
   private static final double DESCRIBE_S = 20;
@@ -1080,6 +1084,10 @@
     }
     for (Plan.Stop s : plan.stops()) {
       Machine m = machines.get(s.machine());
+      if (m == null) {
+        // Gone while the plan was made.
+        continue;
+      }
       m.view = null;
       m.kept.add(new Machine.Kept(s.forJob(), s.room(), now.plusSeconds(RESERVE_S)));
       for (Plan.Victim v : s.victims()) {
@@ -1150,6 +1158,10 @@
   private void listed() {
     SteadyTime now = clock.now();
     Set<MachineId> shown = new HashSet<>();
+    // Most workers find their way by themselves; those that have not after a while are told, few
+    // at a time, since a new leader has better things to do than to call hundreds of machines.
+    boolean soon = now.secondsSince(electedAt) < 2 * settings.workers().reportS();
+    int greets = soon ? 0 : MOST_GREETS;
     for (HostInfo h : listing) {
       shown.add(h.machine());
       if (returned.contains(h.machine())) {
@@ -1168,7 +1180,10 @@
       if (m.listedAt == null) {
         m.rentedAt = now.plusSeconds(-h.ageS());
         m.view = null;
-        greet(m, h);
+      }
+      if (!m.greeted && greets > 0 && greet(m, h)) {
+        m.greeted = true;
+        greets--;
       }
       m.listedAt = now;
       rentals.seen(m.id);
@@ -1200,18 +1215,19 @@
    * Tells a worker that has not reported yet of this term. It may still report to an earlier leader
    * that is cut off from everything else; having seen this term it turns away from it.
    */
-  private void greet(Machine m, HostInfo h) {
+  private boolean greet(Machine m, HostInfo h) {
     if (m.reported || h.state() != HostInfo.State.RUNNING || h.endpoint() == null) {
-      return;
+      return false;
     }
     Endpoint endpoint;
     try {
       endpoint = Endpoint.parse(h.endpoint());
     } catch (IllegalArgumentException e) {
       LOG.warn("machine {} is listed without a usable endpoint", m.id);
-      return;
+      return false;
     }
     greet(m, endpoint, m.session, 2);
+    return true;
   }
 
   private void greet(Machine m, Endpoint endpoint, Session session, int tries) {
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -54,6 +54,9 @@
   /** When a list last showed it, or null. */
   SteadyTime listedAt;
 
+  /** Whether it was told of this term without having reported. */
+  boolean greeted;
+
   SteadyTime idleSince;
 
   /** Its tasks by its newest message. */
--- a/src/main/java/org/ternhinge/controller/Views.java
+++ b/src/main/java/org/ternhinge/controller/Views.java
@@ -185,6 +185,7 @@
           new Snapshot.JobView(
               spec,
               rank(job, out.size()),
+              ageS(job),
               guaranteed,
               pending,
               waiting,
@@ -196,6 +197,10 @@
     return out;
   }
 
+  private double ageS(Job job) {
+    return Math.max(0, clock.wallMillis() - job.acceptedMillis()) / 1000.0;
+  }
+
   /**
    * Place in the queue among jobs alike in priority and guarantee: gangs and services by arrival,
    * then arrays by the work they have left against the time they have waited. In a full cluster
@@ -207,7 +212,7 @@
       return arrival - 1e6;
     }
     double work = (spec.tasks() - job.doneCount()) * spec.cpus() * Math.max(1, spec.estimateS());
-    double age = Math.max(0, clock.wallMillis() - job.acceptedMillis()) / 1000.0;
+    double age = ageS(job);
     return work / (age + RANK_AGE_S);
   }
 }
--- a/src/main/java/org/ternhinge/http/HttpCaller.java
+++ b/src/main/java/org/ternhinge/http/HttpCaller.java
@@ -24,6 +24,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
@@ -43,9 +44,16 @@
 
   private final EventLoop loop;
   private final Map<Endpoint, Deque<Channel>> idle = new HashMap<>();
-
-  public HttpCaller(EventLoop loop) {
+  private final Map<Channel, Endpoint> leastUsed = new LinkedHashMap<>();
+  private final int maxIdle;
+
+  /**
+   * @param maxIdle connections kept in all; with one to each of hundreds of workers and one from
+   *     each, a process would come close to its sockets' limit
+   */
+  public HttpCaller(EventLoop loop, int maxIdle) {
     this.loop = loop;
+    this.maxIdle = maxIdle;
   }
 
   /** The future completes on the event loop. */
@@ -65,6 +73,7 @@
     Deque<Channel> kept = idle.get(call.to);
     while (kept != null && !kept.isEmpty()) {
       Channel channel = kept.pollLast();
+      leastUsed.remove(channel);
       if (channel.isActive()) {
         call.send(channel);
         return;
@@ -105,6 +114,17 @@
       channel.close();
     } else {
       kept.addLast(channel);
+      leastUsed.put(channel, to);
+      if (leastUsed.size() > maxIdle) {
+        var eldest = leastUsed.entrySet().iterator().next();
+        Deque<Channel> its = idle.get(eldest.getValue());
+        its.remove(eldest.getKey());
+        if (its.isEmpty()) {
+          idle.remove(eldest.getValue());
+        }
+        leastUsed.remove(eldest.getKey());
+        eldest.getKey().close();
+      }
     }
   }
 
@@ -114,6 +134,7 @@
         () -> {
           Deque<Channel> kept = idle.remove(to);
           if (kept != null) {
+            kept.forEach(leastUsed::remove);
             kept.forEach(Channel::close);
           }
         });
--- /dev/null
+++ b/src/main/java/org/ternhinge/schedule/GangRoom.java
@@ -0,0 +1,113 @@
+package org.ternhinge.schedule;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.ternhinge.schedule.Snapshot.AttemptView;
+import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.wire.JobSpec;
+
+/**
+ * Room for gangs that don't fit into what is free. Others are stopped only when that makes room for
+ * the whole gang; a gang that has waited long keeps the places that are free for it, or smaller
+ * ones that come later would take each as it falls free, and the largest would never start.
+ */
+final class GangRoom {
+  /**
+   * After this a gang keeps places. Its users see the largest start within four minutes only if
+   * renting, booting and fetching still fit in after it.
+   */
+  private static final double KEEP_AFTER_S = 45;
+
+  /** A place for one task; the victims have to be stopped for it. */
+  record Spot(Bin bin, List<AttemptView> victims, double cost) {}
+
+  /** Tasks that no place is in sight for; the zones count the places that are. */
+  record Missing(int tasks, int[] zones) {}
+
+  private final Draft draft;
+  private final Preemption preemption;
+
+  GangRoom(Draft draft, Preemption preemption) {
+    this.draft = draft;
+    this.preemption = preemption;
+  }
+
+  /** Stops others for a whole gang; otherwise says what is missing. */
+  Missing make(JobView job) {
+    JobSpec spec = job.spec();
+    int zones = job.zoneOpen().length;
+    List<Spot> best = null;
+    int bestZone = -1;
+    double least = Double.MAX_VALUE;
+    for (int z = spec.together() ? 0 : -1; z < (spec.together() ? zones : 0); z++) {
+      List<Spot> spots = spots(job, z);
+      boolean whole = spots.size() == spec.tasks();
+      double cost = 0;
+      for (Spot s : spots) {
+        cost += s.cost;
+      }
+      // Zones without room for the whole gang are compared by how little is missing.
+      double value = whole ? cost : 1e12 * (1 + spec.tasks() - spots.size());
+      if (value < least) {
+        least = value;
+        best = spots;
+        bestZone = z;
+      }
+    }
+    if (best != null && best.size() == spec.tasks()) {
+      for (Spot s : best) {
+        claim(job, s);
+      }
+      return null;
+    }
+    return missing(job, best == null ? List.of() : best, bestZone);
+  }
+
+  private void claim(JobView job, Spot spot) {
+    JobSpec spec = job.spec();
+    List<Plan.Victim> victims = new ArrayList<>();
+    for (AttemptView a : spot.victims) {
+      victims.add(new Plan.Victim(a.spec().id(), a.index()));
+    }
+    draft.plan.stops().add(new Plan.Stop(spot.bin.view.id(), spec.id(), spec.need(), victims));
+    spot.bin.stop(spec, spot.victims);
+  }
+
+  private Missing missing(JobView job, List<Spot> spots, int zone) {
+    JobSpec spec = job.spec();
+    int[] zones = new int[job.zoneOpen().length];
+    int free = 0;
+    for (Spot s : spots) {
+      if (s.victims.isEmpty()) {
+        free++;
+        if (job.ageS() > KEEP_AFTER_S) {
+          s.bin.stop(spec, List.of());
+        }
+      }
+    }
+    if (zone >= 0) {
+      zones[zone] = free;
+    }
+    return new Missing(spec.tasks() - free, zones);
+  }
+
+  private List<Spot> spots(JobView job, int zone) {
+    JobSpec spec = job.spec();
+    List<Spot> out = new ArrayList<>();
+    for (Bin bin : draft.bins) {
+      draft.step();
+      if (bin.ready()
+          && (zone < 0 || bin.zone == zone)
+          && bin.allows(spec)
+          && spec.need().fitsIn(bin.flavor.capacity())
+          && !Draft.avoided(job, bin)) {
+        preemption.places(job, bin, out);
+      }
+    }
+    // Places of one machine come in the order in which they were found, for they cost more and
+    // more.
+    out.sort(Comparator.comparingDouble(Spot::cost));
+    return out.size() > spec.tasks() ? out.subList(0, spec.tasks()) : out;
+  }
+}
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -19,17 +19,20 @@
    */
   public static final int MOST_STEPS = 60_000;
 
-  private record Demand(JobView job, int tasks) {}
+  /** Tasks that found no room; the zones count what their job has or is kept room for. */
+  private record Demand(JobView job, int tasks, int[] zones) {}
 
   private final Draft draft;
   private final Placing placing;
   private final Preemption preemption;
+  private final GangRoom gangRoom;
   private final List<Demand> unmet = new ArrayList<>();
 
   private Planner(Snapshot snapshot) {
     this.draft = new Draft(snapshot);
     this.placing = new Placing(draft);
     this.preemption = new Preemption(draft);
+    this.gangRoom = new GangRoom(draft, preemption);
   }
 
   public static Plan plan(Snapshot snapshot) {
@@ -54,7 +57,7 @@
     }
     Renting renting = new Renting(draft);
     for (Demand demand : unmet) {
-      renting.rentFor(demand.job, demand.tasks);
+      renting.rentFor(demand.job, demand.tasks, demand.zones);
     }
     if (draft.snapshot.settled()) {
       new Gathering(draft).run();
@@ -87,14 +90,13 @@
     if (placing.placeGang(job)) {
       return;
     }
+    draft.charge(spec, spec.tasks());
     if (job.reservedTasks() < spec.tasks()) {
-      // Only gangs of one task have room made for them; larger ones wait for what is rented.
-      if (spec.tasks() == 1 && preemption.makeRoom(job, 1, Reach.PLAIN) == 1) {
-        return;
+      GangRoom.Missing missing = gangRoom.make(job);
+      if (missing != null) {
+        unmet.add(new Demand(job, missing.tasks(), missing.zones()));
       }
-      unmet.add(new Demand(job, spec.tasks()));
     }
-    draft.charge(spec, spec.tasks());
   }
 
   private void serveTasks(JobView job) {
@@ -121,7 +123,7 @@
       left -= preemption.makeRoom(job, left, Reach.LAST);
     }
     if (left > 0) {
-      unmet.add(new Demand(job, left));
+      unmet.add(new Demand(job, left, draft.zones(job)));
     }
     // What keeps the rest may be the team's limit, taken up by its own lesser work.
     int over = job.waiting() - Math.max(allowed, placed + job.reservedTasks());
--- a/src/main/java/org/ternhinge/schedule/Preemption.java
+++ b/src/main/java/org/ternhinge/schedule/Preemption.java
@@ -106,6 +106,57 @@
     return made;
   }
 
+  /** What may be stopped on a machine, the least loss first. */
+  private List<AttemptView> candidates(JobView job, Bin bin, Reach reach) {
+    JobSpec spec = job.spec();
+    List<AttemptView> out = List.of();
+    for (AttemptView a : bin.view.attempts()) {
+      boolean accelerated = a.spec().need().gpus() > 0 && spec.need().gpus() == 0;
+      if (mayStop(job, a)
+          && !bin.stops(a)
+          && (a.spec().kind() != JobKind.GANG || a.spec().tasks() == 1)
+          && (reach.mayBlock() || !accelerated)
+          && (!reach.ownTeam() || a.spec().team().equals(spec.team()))) {
+        out = out.isEmpty() ? new ArrayList<>() : out;
+        out.add(a);
+      }
+    }
+    if (out.size() > 1) {
+      SteadyTime now = draft.snapshot.now();
+      out.sort(Comparator.comparingDouble(a -> loss(a, now)));
+    }
+    return out;
+  }
+
+  /**
+   * Places for tasks of a gang on one machine: first those that are free, then those that stops
+   * would make, each dearer than the one before.
+   */
+  void places(JobView job, Bin bin, List<GangRoom.Spot> into) {
+    JobSpec spec = job.spec();
+    Resources room = bin.roomAfterStops(spec.id());
+    double cost = draft.score(spec, bin);
+    while (spec.need().fitsIn(room)) {
+      into.add(new GangRoom.Spot(bin, List.of(), cost));
+      room = room.minus(spec.need());
+    }
+    if (hopeless(job) || bin.view.attempts().isEmpty()) {
+      return;
+    }
+    SteadyTime now = draft.snapshot.now();
+    List<AttemptView> victims = new ArrayList<>();
+    for (AttemptView a : candidates(job, bin, Reach.PLAIN)) {
+      victims.add(a);
+      room = room.plus(a.spec().need());
+      cost += 1 + loss(a, now);
+      if (spec.need().fitsIn(room)) {
+        into.add(new GangRoom.Spot(bin, List.copyOf(victims), cost));
+        room = room.minus(spec.need());
+        victims.clear();
+      }
+    }
+  }
+
   /** The cheapest stops on one machine that make room for one task, or null. */
   private Option option(JobView job, Bin bin, int[] zones, Reach reach) {
     JobSpec spec = job.spec();
@@ -119,22 +170,10 @@
       return null;
     }
     SteadyTime now = draft.snapshot.now();
-    List<AttemptView> candidates = null;
-    for (AttemptView a : bin.view.attempts()) {
-      boolean accelerated = a.spec().need().gpus() > 0 && spec.need().gpus() == 0;
-      if (mayStop(job, a)
-          && !bin.stops(a)
-          && (a.spec().kind() != JobKind.GANG || a.spec().tasks() == 1)
-          && (reach.mayBlock() || !accelerated)
-          && (!reach.ownTeam() || a.spec().team().equals(spec.team()))) {
-        candidates = candidates == null ? new ArrayList<>() : candidates;
-        candidates.add(a);
-      }
-    }
-    if (candidates == null || !draft.within(reach, spec, bin)) {
+    List<AttemptView> candidates = candidates(job, bin, reach);
+    if (candidates.isEmpty() || !draft.within(reach, spec, bin)) {
       return null;
     }
-    candidates.sort(Comparator.comparingDouble(a -> loss(a, now)));
     Resources room = bin.roomAfterStops(spec.id());
     List<AttemptView> victims = new ArrayList<>();
     double cost = draft.score(spec, bin);
--- a/src/main/java/org/ternhinge/schedule/Renting.java
+++ b/src/main/java/org/ternhinge/schedule/Renting.java
@@ -37,14 +37,18 @@
     }
   }
 
-  /** Sends what waits to machines that are coming, then rents for the rest. */
-  void rentFor(JobView job, int tasks) {
+  /**
+   * Sends what waits to machines that are coming, then rents for the rest.
+   *
+   * @param has the job's tasks by zone
+   */
+  void rentFor(JobView job, int tasks, int[] has) {
     JobSpec spec = job.spec();
     int left = tasks;
     if (spec.kind() == JobKind.ARRAY) {
       left = (int) Math.ceil(tasks * Math.min(1, Math.max(1, spec.estimateS()) / ARRAY_TURN_S));
     }
-    int[] zones = draft.zones(job).clone();
+    int[] zones = has.clone();
     for (int i = 0; i < coming.size() && left > 0; i++) {
       left -= fill(coming.get(i), spec, zones, left);
     }
@@ -126,7 +130,7 @@
       }
     }
     if (left > 0) {
-      rentFor(spare, left);
+      rentFor(spare, left, spare.zoneOpen());
     }
   }
 
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -68,12 +68,14 @@
    * @param pending the first tasks without an open attempt, as many as a round may start
    * @param waiting how many tasks are without an open attempt
    * @param zoneOpen open attempts by zone
+   * @param ageS seconds since it was accepted
    * @param guaranteed whether it lies within its team's guarantee
    * @param avoid machines that it failed on
    */
   public record JobView(
       JobSpec spec,
       double rank,
+      double ageS,
       boolean guaranteed,
       IntList pending,
       int waiting,
@@ -84,7 +86,7 @@
 
     /** A job of which nothing waits yet, to keep or rent room for. */
     public static JobView expected(JobSpec spec, double rank, int[] zones) {
-      return new JobView(spec, rank, false, IntList.of(), 0, zones, false, Set.of(), 0);
+      return new JobView(spec, rank, 0, false, IntList.of(), 0, zones, false, Set.of(), 0);
     }
   }
 
--- a/src/test/java/org/ternhinge/schedule/PlannerTest.java
+++ b/src/test/java/org/ternhinge/schedule/PlannerTest.java
@@ -35,6 +35,7 @@
   private final List<MachineView> machines = new ArrayList<>();
   private final List<JobView> jobs = new ArrayList<>();
   private final List<Offer> offers = new ArrayList<>();
+  private final List<Snapshot.Coming> coming = new ArrayList<>();
   private final Map<String, Resources> use = new HashMap<>();
 
   private MachineView machine(
@@ -78,6 +79,10 @@
   }
 
   private void job(JobSpec spec, boolean guaranteed) {
+    job(spec, guaranteed, 0);
+  }
+
+  private void job(JobSpec spec, boolean guaranteed, double ageS) {
     IntArrayList pending = new IntArrayList();
     for (int i = 0; i < spec.tasks(); i++) {
       pending.add(i);
@@ -86,6 +91,7 @@
         new JobView(
             spec,
             jobs.size(),
+            ageS,
             guaranteed,
             pending,
             pending.size(),
@@ -98,10 +104,10 @@
   private Plan plan() {
     Map<String, Team> teams =
         Map.of(
-            "red", new Team("red", 8000, 40_000, 0, 0),
+            "red", new Team("red", 8000, 100_000, 0, 0),
             "blue", new Team("blue", 8000, 40_000, 0, 0));
     return Planner.plan(
-        new Snapshot(machines, jobs, List.of(), teams, use, offers, List.of(), true, 40, NOW));
+        new Snapshot(machines, jobs, List.of(), teams, use, offers, coming, true, 40, NOW));
   }
 
   private static List<String> on(Plan plan) {
@@ -189,4 +195,81 @@
     assertEquals(1, plan.releases().size());
     assertTrue(!on(plan).contains(plan.releases().get(0).value()));
   }
+
+  private static AttemptView running(JobSpec spec, int index, double seconds) {
+    return new AttemptView(spec, index, false, NOW.plusSeconds(-seconds));
+  }
+
+  private static JobSpec accelerated(String id, int tasks) {
+    Map<String, Object> ask =
+        Map.of("cpus", 14.0, "accelerators", 2.0, "forgang", "high", "together", true);
+    return spec(id, "group", tasks, ask);
+  }
+
+  @Test
+  void aGangGetsRoomWholeOrNotAtAll() {
+    JobSpec array = spec("wk-9", "batch", 4, Map.of("cpus", 8.0, "eigandi", "blue"));
+    JobSpec service =
+        spec("wk-8", "daemon", 1, Map.of("cpus", 8.0, "forgang", "production", "lanvelar", false));
+    machine("n-1", FAST, 0, Set.of(), running(array, 0, 5), running(array, 1, 9));
+    machine("n-2", FAST, 0, Set.of(), running(array, 2, 5), running(service, 0, 100));
+    job(accelerated("wk-1", 2), true);
+    assertEquals(0, plan().stops().size(), "room for one of two helps nobody");
+    machine("n-3", FAST, 0, Set.of(), running(array, 3, 5));
+    Plan plan = plan();
+    assertEquals(2, plan.stops().size());
+    int victims = plan.stops().stream().mapToInt(s -> s.victims().size()).sum();
+    assertEquals(3, victims, "both of n-1 and the one of n-3");
+  }
+
+  @Test
+  void aLargeGangThatWaitedLongIsNotPassedBySmallOnes() {
+    machine("n-1", FAST, 0, Set.of());
+    job(accelerated("wk-1", 2), true, 10);
+    job(accelerated("wk-2", 1), true, 0);
+    assertEquals(List.of("n-1"), on(plan()), "a young gang lets others by");
+    jobs.clear();
+    job(accelerated("wk-1", 2), true, 100);
+    job(accelerated("wk-2", 1), true, 0);
+    assertEquals(List.of(), on(plan()), "an old one keeps what is free");
+  }
+
+  @Test
+  void oneVictimMakesRoomForOneJobOnly() {
+    JobSpec low = spec("wk-9", "batch", 1, Map.of("cpus", 4.0, "forgang", "low"));
+    machine("n-1", PLAIN, 0, Set.of(), running(low, 0, 5));
+    job(spec("wk-1", "batch", 1, Map.of("cpus", 4.0)), true);
+    job(spec("wk-2", "batch", 1, Map.of("cpus", 4.0)), true);
+    assertEquals(1, plan().stops().size());
+  }
+
+  @Test
+  void lonelyReplicasLeaveAcceleratedMachinesForCheaperRoom() {
+    Map<String, Object> ask = Map.of("cpus", 4.0, "forgang", "production", "scatter", true);
+    JobSpec service = spec("wk-8", "daemon", 3, ask);
+    machine("n-1", FAST, 0, Set.of("img-1"), running(service, 0, 30));
+    machine("n-2", PLAIN, 0, Set.of("img-1"));
+    assertEquals(List.of(), plan().stops(), "it has just come");
+    machines.clear();
+    machine("n-1", FAST, 0, Set.of("img-1"), running(service, 0, 100));
+    machine("n-2", PLAIN, 0, Set.of("img-1"));
+    machine("n-3", FAST, 1, Set.of("img-1"), running(service, 1, 100));
+    Plan plan = plan();
+    assertEquals(1, plan.stops().size(), "one at a time");
+    assertEquals("n-2", plan.stops().get(0).machine().value());
+    assertEquals(1, plan.stops().get(0).victims().size());
+    assertEquals(List.of(), plan.releases(), "the room for it is not returned meanwhile");
+  }
+
+  @Test
+  void machinesAskedForCountAsComing() {
+    Offer plain = new Offer(PLAIN, 0, "east", false, 50);
+    offers.add(plain);
+    job(spec("wk-1", "daemon", 3, Map.of("cpus", 4.0, "lanvelar", false)), true);
+    assertEquals(3, plan().rents().get(0).count());
+    coming.add(new Snapshot.Coming(plain, 2));
+    assertEquals(1, plan().rents().get(0).count());
+    coming.add(new Snapshot.Coming(plain, 1));
+    assertEquals(List.of(), plan().rents());
+  }
 }
