--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -1186,6 +1186,7 @@
         greets--;
       }
       m.listedAt = now;
+      m.listedUp = h.state() == HostInfo.State.RUNNING;
       rentals.seen(m.id);
       if (h.state() == HostInfo.State.FAILED && !m.gone) {
         LOG.info("machine {} has failed", m.id);
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -54,6 +54,9 @@
   /** When a list last showed it, or null. */
   SteadyTime listedAt;
 
+  /** Whether the last list that showed it said that it is up. */
+  boolean listedUp;
+
   /** Whether it was told of this term without having reported. */
   boolean greeted;
 
--- a/src/main/java/org/ternhinge/controller/Views.java
+++ b/src/main/java/org/ternhinge/controller/Views.java
@@ -21,7 +21,6 @@
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.schedule.Snapshot;
 import org.ternhinge.wire.Flavor;
-import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 
 /**
@@ -113,11 +112,29 @@
         use,
         rentals.offers(flavors.values(), settings.zones(), now),
         rentals.coming(flavors, settings.zones()),
-        now.secondsSince(electedAt) > 2 * settings.workers().reportS(),
+        settled(machines, electedAt, now),
         tuning.idleS(),
         now);
   }
 
+  /**
+   * Whether what is ready is all that there is: every machine that is up has reported, or has had
+   * time to. Before, work would be sent to places of last resort beside others not yet in sight.
+   */
+  private boolean settled(Collection<Machine> machines, SteadyTime electedAt, SteadyTime now) {
+    if (now.secondsSince(electedAt) > 2 * settings.workers().reportS()) {
+      return true;
+    }
+    boolean listed = false;
+    for (Machine m : machines) {
+      listed |= m.listedAt != null;
+      if (!m.reported && (m.listedUp || !ledger.attemptsOn(m.id).isEmpty())) {
+        return false;
+      }
+    }
+    return listed;
+  }
+
   private Snapshot.MachineView view(Machine m, Flavor f, boolean ready) {
     List<Snapshot.AttemptView> attempts = new ArrayList<>();
     for (Attempt a : ledger.attemptsOn(m.id)) {
@@ -202,17 +219,20 @@
   }
 
   /**
-   * Place in the queue among jobs alike in priority and guarantee: gangs and services by arrival,
-   * then arrays by the work they have left against the time they have waited. In a full cluster
-   * arrival order makes every array late; this lets most be in time and starves none.
+   * Place in the queue among jobs alike in priority and guarantee: gangs by arrival, then services
+   * by the room they still ask for and arrays by the work they have left, each against the time
+   * they have waited. In a full cluster arrival order makes every job late; this lets most be in
+   * time and starves none.
    */
   private double rank(Job job, int arrival) {
     JobSpec spec = job.spec();
-    if (spec.kind() != JobKind.ARRAY) {
+    if (spec.isGang()) {
       return arrival - 1e6;
     }
-    double work = (spec.tasks() - job.doneCount()) * spec.cpus() * Math.max(1, spec.estimateS());
-    double age = ageS(job);
-    return work / (age + RANK_AGE_S);
+    double age = ageS(job) + RANK_AGE_S;
+    if (spec.isService()) {
+      return job.waitingCount() * spec.cpus() / age - 1e5;
+    }
+    return (spec.tasks() - job.doneCount()) * spec.cpus() * Math.max(1, spec.estimateS()) / age;
   }
 }
