--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -67,6 +67,12 @@
   private static final double DRIFT = 0.001;
   private static final int MAX_COMMANDS = 400;
 
+  /** A session that ends so long before its lease can have ended was answered in vain. */
+  private static final double LAPSE_S = 2;
+
+  /** So many machines may seem deaf before that is taken for this node's own trouble. */
+  private static final int MOST_DEAF = 3;
+
   /** Workers told of the term by one listing. */
   private static final int MOST_GREETS = 40;
 
@@ -127,6 +133,10 @@
   private SteadyTime described;
   private SteadyTime fencedAt;
   private boolean raising;
+
+  /** Whether the message at hand lacks a start that an answer has carried before. */
+  private boolean missedStart;
+
   private Revision watched;
   private Revision loadedAt;
 
@@ -415,8 +425,16 @@
       authority.lost("a worker has seen term " + r.token());
       return List.of();
     }
+    if (returned.contains(r.machine())) {
+      // A late copy: what is certainly gone must not come back to life by it.
+      return List.of();
+    }
     Machine m = machine(r.machine(), now);
     boolean fresh = take(m, r, true, now);
+    if (fresh && r.token().compareTo(authority.term()) < 0 && authority.term().equals(m.answered)) {
+      missed(m, now);
+    }
+    m.answered = authority.term();
     // The report was sent before now, so a lease counted from now ends no sooner than the worker's.
     m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
     if (!fresh || !mayCommand || m.gone) {
@@ -447,6 +465,10 @@
       m.forgetStrays();
       m.outbox.clear();
       m.session = r.session();
+      if (m.answered != null && m.leaseEnds.secondsSince(now) > LAPSE_S) {
+        // It was answered lately, and its lease has ended for want of an answer.
+        m.hearing.lapsed(now, othersHear());
+      }
       // A session may have begun just now, and lasts a whole lease without any answer.
       m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
     }
@@ -488,14 +510,34 @@
       show(m, r.tasks());
       observeAll(m, r, now);
     }
+    missedStart = false;
     for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
       if (a.shownIn() != m.shownIn && a.session().equals(r.session())) {
         absent(m, a, r, isReport);
       }
     }
+    if (missedStart) {
+      missed(m, now);
+    }
     return true;
   }
 
+  private void missed(Machine m, SteadyTime now) {
+    m.hearing.missed(now, othersHear());
+    if (m.hearing.deaf()) {
+      askRound();
+    }
+  }
+
+  /** Where many machines seem deaf at once it is the way from this node, not they. */
+  private boolean othersHear() {
+    int deaf = 0;
+    for (Machine m : machines.values()) {
+      deaf += m.hearing.deaf() ? 1 : 0;
+    }
+    return deaf < Math.max(MOST_DEAF, machines.size() / 10);
+  }
+
   /** Keeps count of what the machines show, by the difference to a machine's last message. */
   private void show(Machine m, List<TaskReport> tasks) {
     for (TaskReport t : m.tasks) {
@@ -546,6 +588,9 @@
       Flavor f = flavors.get(m.type);
       m.hasImage(spec.image(), spec.imageGb(), f == null ? Double.MAX_VALUE : f.cacheGb());
     }
+    if (before == Attempt.Seen.UNSEEN && !a.recovered()) {
+      m.hearing.obeyed();
+    }
     if (before != seen && seen == Attempt.Seen.RUNNING) {
       if (!a.recovered()) {
         metrics.started(now.secondsSince(a.openedAt()));
@@ -573,6 +618,9 @@
       return;
     }
     boolean answerSettled = a.startAnswered() < 0 || (isReport && r.sequence() > a.startAnswered());
+    if (!a.stopping() && isReport && a.startAnswered() >= 0 && answerSettled) {
+      missedStart = true;
+    }
     if (a.stopping() && answerSettled && m.strayStarts.getInt(Machine.key(a)) == 0) {
       close(a, false, "stopped before it started");
     }
@@ -794,6 +842,7 @@
         return;
       }
       settleStrays(m, session, commands);
+      m.hearing.heard();
       metrics.ordered(now.secondsSince(sent));
       take(m, r, false, now);
     } else if (outcome instanceof Outcome.NotApplied<Workers.Answer> not
@@ -954,6 +1003,9 @@
         m.view = null;
         askRound();
       }
+      if (m.endpoint != null && !m.orderInFlight && m.hearing.callNow(now)) {
+        call(m, now);
+      }
       Collection<Attempt> there = ledger.attemptsOn(m.id);
       if (there.isEmpty()) {
         continue;
@@ -982,6 +1034,15 @@
     rentals.expire(now, returns);
   }
 
+  /** Asks a machine that seems deaf for a sign; an order of nothing is answered with a report. */
+  private void call(Machine m, SteadyTime now) {
+    m.orderInFlight = true;
+    Session session = m.session;
+    workers
+        .order(m.endpoint, authority.term(), session, List.of())
+        .whenComplete((o, e) -> locked(() -> ordered(m, session, List.of(), o, now)));
+  }
+
   /** The worker has killed what it ran; nothing that it showed before is there any more. */
   private void leaseOver(Machine m, List<Attempt> there) {
     LOG.info("machine {} has been silent past its lease", m.id);
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -62,6 +62,11 @@
 
   SteadyTime idleSince;
 
+  final Hearing hearing = new Hearing();
+
+  /** The term that a report of it was last answered in, or null. */
+  Term answered;
+
   /** Its tasks by its newest message. */
   List<TaskReport> tasks = List.of();
 
--- a/src/main/java/org/ternhinge/controller/Rentals.java
+++ b/src/main/java/org/ternhinge/controller/Rentals.java
@@ -247,8 +247,10 @@
                     > Math.max(3 * f.bootS(), f.bootS() + 45);
         boolean silent =
             m.reported && m.leaseEnds.plusSeconds(lead.settings().workers().leaseS()).isBefore(now);
-        if (neverUp || silent || m.sick(now)) {
-          LOG.info("returning {}: {}", m.id, neverUp ? "never up" : silent ? "silent" : "sick");
+        boolean deaf = m.hearing.deafFor(now) > 2 * lead.settings().workers().leaseS();
+        if (neverUp || silent || deaf || m.sick(now)) {
+          String why = neverUp ? "never up" : silent ? "silent" : deaf ? "deaf" : "sick";
+          LOG.info("returning {}: {}", m.id, why);
           returns.release(m);
         }
       }
--- a/src/main/java/org/ternhinge/controller/Views.java
+++ b/src/main/java/org/ternhinge/controller/Views.java
@@ -21,6 +21,7 @@
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.schedule.Snapshot;
 import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 
 /**
@@ -34,6 +35,13 @@
   /** A machine without a report for so long is not counted on. */
   private static final double SILENT_S = 15;
 
+  /**
+   * A job that has waited so long without a start is served like one within a guarantee. Half of
+   * the four minutes in which users see the largest begin: renting, booting and fetching come after
+   * it.
+   */
+  private static final double LATE_S = 120;
+
   /** Keeps new arrays comparable before they have waited. */
   private static final double RANK_AGE_S = 30;
 
@@ -72,6 +80,7 @@
         && m.endpoint != null
         && m.session.compareTo(m.deadSession) > 0
         && !m.sick(now)
+        && !m.hearing.deaf()
         && (m.noRoomUntil == null || m.noRoomUntil.isBefore(now))
         && m.token.equals(authority.term())
         && now.secondsSince(m.lastReport) < settings.workers().reportS() * 2.2;
@@ -90,6 +99,10 @@
       if (f == null || m.gone || m.releasing || m.zone < 0 || m.noticeAt != null || m.sick(now)) {
         continue;
       }
+      if (m.hearing.deaf()) {
+        // Not even as one that is coming, or nothing would be rented in its place.
+        continue;
+      }
       boolean ready = placeable(m, now);
       if (!ready && m.reported && now.secondsSince(m.lastReport) > SILENT_S) {
         continue;
@@ -201,9 +214,10 @@
       out.add(
           new Snapshot.JobView(
               spec,
-              rank(job, out.size()),
+              rank(job),
               ageS(job),
               guaranteed,
+              late(job),
               pending,
               waiting,
               zones,
@@ -214,24 +228,30 @@
     return out;
   }
 
+  private boolean late(Job job) {
+    return job.openAttempts().isEmpty() && job.doneCount() == 0 && ageS(job) > LATE_S;
+  }
+
   private double ageS(Job job) {
     return Math.max(0, clock.wallMillis() - job.acceptedMillis()) / 1000.0;
   }
 
   /**
-   * Place in the queue among jobs alike in priority and guarantee: gangs by arrival, then services
-   * by the room they still ask for and arrays by the work they have left, each against the time
-   * they have waited. In a full cluster arrival order makes every job late; this lets most be in
-   * time and starves none.
+   * Place in the queue among jobs alike in priority and guarantee: gangs and then services by the
+   * room they ask for, arrays by the work they have left, each against the time they have waited.
+   * In a full cluster arrival order makes every job late; this lets most be in time and starves
+   * none.
    */
-  private double rank(Job job, int arrival) {
+  private double rank(Job job) {
     JobSpec spec = job.spec();
-    if (spec.isGang()) {
-      return arrival - 1e6;
-    }
     double age = ageS(job) + RANK_AGE_S;
-    if (spec.isService()) {
-      return job.waitingCount() * spec.cpus() / age - 1e5;
+    double first = spec.isGang() ? -1e7 : spec.isService() ? -1e6 : 0;
+    if (late(job)) {
+      // However large: whatever favours short work would pass it over for ever.
+      return first - 1e5 - age;
+    }
+    if (spec.kind() != JobKind.ARRAY) {
+      return first + job.waitingCount() * spec.cpus() / age;
     }
     return (spec.tasks() - job.doneCount()) * spec.cpus() * Math.max(1, spec.estimateS()) / age;
   }
--- a/src/main/java/org/ternhinge/metrics/Metrics.java
+++ b/src/main/java/org/ternhinge/metrics/Metrics.java
@@ -27,6 +27,11 @@
     planSteps.recordValue(Math.min(MOST_STEPS, steps));
   }
 
+  /** The most steps that one round took. */
+  public synchronized long mostSteps() {
+    return planSteps.getMaxValue();
+  }
+
   /** Round trip of a direct order. */
   public synchronized void ordered(double seconds) {
     record(orders, seconds);
--- a/src/main/java/org/ternhinge/schedule/AcceleratedPlaces.java
+++ b/src/main/java/org/ternhinge/schedule/AcceleratedPlaces.java
@@ -74,4 +74,17 @@
     }
     return places - task.timesIn(room.minus(spec.need()));
   }
+
+  /**
+   * How many tasks with accelerators would have to stop this lesser array's task, or another beside
+   * it, before they could start here. None where arrays stand in the way already.
+   */
+  int inTheWay(JobSpec spec, Bin bin) {
+    if (job == null || spec.kind() != JobKind.ARRAY || !bin.allows(job)) {
+      return 0;
+    }
+    Resources room = bin.free();
+    int places = job.need().timesIn(room);
+    return places == 0 ? 0 : places - job.need().timesIn(room.minus(spec.need()));
+  }
 }
--- a/src/main/java/org/ternhinge/schedule/Bin.java
+++ b/src/main/java/org/ternhinge/schedule/Bin.java
@@ -173,7 +173,7 @@
     return SIBLING_S * n;
   }
 
-  /** Takes room only; {@link #settle} or {@link #giveBack} follows. */
+  /** Takes room only; {@link #giveBack} follows. */
   void reserve(JobSpec spec) {
     Resources need = spec.need();
     cpus -= need.cpus();
@@ -183,11 +183,6 @@
 
   void take(JobSpec spec) {
     reserve(spec);
-    settle(spec);
-  }
-
-  /** Marks what a task whose room is taken does to its machine. */
-  void settle(JobSpec spec) {
     used = true;
     if (spec.kind() == JobKind.ARRAY) {
       pass(spec.need());
--- a/src/main/java/org/ternhinge/schedule/Draft.java
+++ b/src/main/java/org/ternhinge/schedule/Draft.java
@@ -18,6 +18,9 @@
   /** Seconds' worth of score for taking a place that a task with accelerators would need. */
   static final double ACCELERATOR_S = 120;
 
+  /** The same for a place that such a task could have, but only by stopping this one. */
+  private static final double IN_THE_WAY_S = 15;
+
   /** Score, in seconds, of using an ordinary machine for what spot machines could run. */
   private static final double ORDINARY_S = 3;
 
@@ -119,15 +122,18 @@
     return !job.avoid().isEmpty() && job.avoid().contains(bin.view.id());
   }
 
+  double fetchSeconds(JobSpec spec, Bin bin) {
+    return bin.hasImage(spec.image()) ? 0 : bin.flavor.fetchSeconds(spec.imageGb());
+  }
+
   /** Seconds of waiting and waste, as far as they can be told; the least is the best. */
   double score(JobSpec spec, Bin bin) {
-    double score = 0;
-    if (!bin.hasImage(spec.image())) {
-      score += bin.flavor.fetchSeconds(spec.imageGb());
-    }
+    double score = fetchSeconds(spec, bin);
     int lost = accelerated.lost(spec, bin);
     if (lost > 0) {
       score += ACCELERATOR_S * lost;
+    } else if (bin.flavor.capacity().gpus() > 0) {
+      score += IN_THE_WAY_S * accelerated.inTheWay(spec, bin);
     }
     if (spec.spotAllowed() && !bin.spot) {
       score += ORDINARY_S;
--- a/src/main/java/org/ternhinge/schedule/GangRoom.java
+++ b/src/main/java/org/ternhinge/schedule/GangRoom.java
@@ -9,15 +9,16 @@
 
 /**
  * Room for gangs that don't fit into what is free. Others are stopped only when that makes room for
- * the whole gang; a gang that has waited long keeps the places that are free for it, or smaller
- * ones that come later would take each as it falls free, and the largest would never start.
+ * the whole gang. A gang that has waited long keeps the places that are free, or smaller ones that
+ * come later would take each as it falls free, and the largest would never start.
  */
 final class GangRoom {
   /**
-   * After this a gang keeps places. Its users see the largest start within four minutes only if
-   * renting, booting and fetching still fit in after it.
+   * A gang waits so long for each doubling of its size before it has others stopped or keeps
+   * places. A large gang that gets room at once makes many small ones late and costs hundreds of
+   * lesser tasks their work; the largest still begin within the four minutes that their users see.
    */
-  private static final double KEEP_AFTER_S = 45;
+  private static final double PATIENCE_S = 20;
 
   /** A place for one task; the victims have to be stopped for it. */
   record Spot(Bin bin, List<AttemptView> victims, double cost) {}
@@ -27,6 +28,7 @@
 
   private final Draft draft;
   private final Preemption preemption;
+  private final List<JobView> young = new ArrayList<>();
 
   GangRoom(Draft draft, Preemption preemption) {
     this.draft = draft;
@@ -55,13 +57,53 @@
         bestZone = z;
       }
     }
-    if (best != null && best.size() == spec.tasks()) {
+    boolean patient =
+        job.ageS()
+            < PATIENCE_S * Integer.numberOfTrailingZeros(Integer.highestOneBit(spec.tasks()));
+    boolean mayStop = spec.tasks() == 1 || job.late();
+    if (best != null && best.size() == spec.tasks() && mayStop) {
       for (Spot s : best) {
         claim(job, s);
       }
       return null;
     }
-    return missing(job, best == null ? List.of() : best, bestZone);
+    if (patient) {
+      young.add(job);
+    }
+    return missing(job, best == null ? List.of() : best, bestZone, patient);
+  }
+
+  /**
+   * Gangs that are still patient let other gangs by, but not lesser arrays: those filled the
+   * machines that were rented for a gang as they came up, and then had to be stopped by hundreds.
+   */
+  void keepForYoung() {
+    for (JobView job : young) {
+      for (Spot s : mostSpots(job)) {
+        if (s.victims.isEmpty()) {
+          s.bin.stop(job.spec(), List.of());
+        }
+      }
+    }
+    young.clear();
+  }
+
+  private List<Spot> mostSpots(JobView job) {
+    boolean together = job.spec().together();
+    List<Spot> most = List.of();
+    int free = -1;
+    for (int z = together ? 0 : -1; z < (together ? job.zoneOpen().length : 0); z++) {
+      List<Spot> spots = spots(job, z);
+      int n = 0;
+      for (Spot s : spots) {
+        n += s.victims.isEmpty() ? 1 : 0;
+      }
+      if (n > free) {
+        free = n;
+        most = spots;
+      }
+    }
+    return most;
   }
 
   private void claim(JobView job, Spot spot) {
@@ -74,14 +116,14 @@
     spot.bin.stop(spec, spot.victims);
   }
 
-  private Missing missing(JobView job, List<Spot> spots, int zone) {
+  private Missing missing(JobView job, List<Spot> spots, int zone, boolean patient) {
     JobSpec spec = job.spec();
     int[] zones = new int[job.zoneOpen().length];
     int free = 0;
     for (Spot s : spots) {
       if (s.victims.isEmpty()) {
         free++;
-        if (job.ageS() > KEEP_AFTER_S) {
+        if (!patient) {
           s.bin.stop(spec, List.of());
         }
       }
--- a/src/main/java/org/ternhinge/schedule/Gathering.java
+++ b/src/main/java/org/ternhinge/schedule/Gathering.java
@@ -17,7 +17,7 @@
  */
 final class Gathering {
   /** Part of all replicas that may be on the move: their users miss them meanwhile. */
-  private static final double MOVING_SHARE = 0.005;
+  private static final double MOVING_SHARE = 0.002;
 
   /** A replica that has just come is left alone; its start would not count for its users. */
   private static final double SETTLED_S = 60;
--- a/src/main/java/org/ternhinge/schedule/Placing.java
+++ b/src/main/java/org/ternhinge/schedule/Placing.java
@@ -122,29 +122,51 @@
     return tasks.size();
   }
 
-  /** Places a whole gang or nothing of it. */
+  /**
+   * Places a whole gang or nothing of it, in the zone where its last task has its image first: all
+   * wait for that one.
+   */
   boolean placeGang(JobView job) {
-    if (!job.spec().together()) {
-      return tryGang(job, -1);
-    }
-    for (int z = 0; z < job.zoneOpen().length; z++) {
-      if (tryGang(job, z)) {
-        return true;
+    JobSpec spec = job.spec();
+    List<Bin> best = null;
+    double soonest = Double.MAX_VALUE;
+    for (int z = spec.together() ? 0 : -1; z < (spec.together() ? job.zoneOpen().length : 0); z++) {
+      List<Bin> found = findGang(job, z);
+      double last = 0;
+      for (Bin bin : found) {
+        last = Math.max(last, draft.fetchSeconds(spec, bin));
+      }
+      if (!found.isEmpty() && last < soonest) {
+        soonest = last;
+        best = found;
       }
     }
-    return false;
+    if (best == null) {
+      return false;
+    }
+    List<Integer> tasks = new ArrayList<>();
+    List<MachineId> machines = new ArrayList<>();
+    for (Bin bin : best) {
+      bin.take(spec);
+      tasks.add(tasks.size());
+      machines.add(bin.view.id());
+    }
+    draft.charge(spec, spec.tasks());
+    draft.plan.places().add(new Plan.Place(spec.id(), tasks, machines));
+    return true;
   }
 
-  private boolean tryGang(JobView job, int zone) {
+  /** Machines for each task of a gang, or none where not all find room; nothing is taken yet. */
+  private List<Bin> findGang(JobView job, int zone) {
     JobSpec spec = job.spec();
     int[] zones = new int[job.zoneOpen().length];
     PriorityQueue<Choice> choices = choices(job, zones, zone, Reach.PLAIN);
-    List<Bin> taken = new ArrayList<>();
-    while (taken.size() < spec.tasks() && !choices.isEmpty()) {
+    List<Bin> found = new ArrayList<>();
+    while (found.size() < spec.tasks() && !choices.isEmpty()) {
       Choice best = choices.poll();
       best.bin.reserve(spec);
       zones[best.bin.zone]++;
-      taken.add(best.bin);
+      found.add(best.bin);
       draft.step();
       if (eligible(job, best.bin, zones, zone, Reach.PLAIN)) {
         choices.add(new Choice(best.bin, best.order, score(spec, best.bin)));
@@ -153,19 +175,7 @@
         choices.poll();
       }
     }
-    if (taken.size() < spec.tasks()) {
-      taken.forEach(bin -> bin.giveBack(spec));
-      return false;
-    }
-    List<Integer> tasks = new ArrayList<>();
-    List<MachineId> machines = new ArrayList<>();
-    for (Bin bin : taken) {
-      bin.settle(spec);
-      tasks.add(tasks.size());
-      machines.add(bin.view.id());
-    }
-    draft.charge(spec, spec.tasks());
-    draft.plan.places().add(new Plan.Place(spec.id(), tasks, machines));
-    return true;
+    found.forEach(bin -> bin.giveBack(spec));
+    return found.size() < spec.tasks() ? List.of() : found;
   }
 }
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Priority;
 
@@ -42,7 +43,7 @@
   /** Order in which jobs are served. */
   public static final Comparator<JobView> ORDER =
       Comparator.comparing((JobView j) -> j.spec().priority() != Priority.PRODUCTION)
-          .thenComparing(j -> !j.guaranteed())
+          .thenComparing(j -> !j.guaranteed() && !j.late())
           .thenComparing(j -> j.spec().priority())
           .thenComparingDouble(JobView::rank);
 
@@ -51,6 +52,9 @@
     order.sort(ORDER);
     for (JobView job : order) {
       boolean production = job.spec().priority() == Priority.PRODUCTION;
+      if (job.spec().kind() == JobKind.ARRAY && !production) {
+        gangRoom.keepForYoung();
+      }
       if (!job.blocked() && (production || draft.steps() < MOST_STEPS)) {
         serve(job);
       }
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -65,6 +65,7 @@
    * A job with tasks to place.
    *
    * @param rank place in the queue, lowest first, among jobs of one priority and guarantee
+   * @param late whether it has waited too long without any start
    * @param pending the first tasks without an open attempt, as many as a round may start
    * @param waiting how many tasks are without an open attempt
    * @param zoneOpen open attempts by zone
@@ -77,6 +78,7 @@
       double rank,
       double ageS,
       boolean guaranteed,
+      boolean late,
       IntList pending,
       int waiting,
       int[] zoneOpen,
@@ -86,7 +88,7 @@
 
     /** A job of which nothing waits yet, to keep or rent room for. */
     public static JobView expected(JobSpec spec, double rank, int[] zones) {
-      return new JobView(spec, rank, 0, false, IntList.of(), 0, zones, false, Set.of(), 0);
+      return new JobView(spec, rank, 0, false, false, IntList.of(), 0, zones, false, Set.of(), 0);
     }
   }
 
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/EndOfDayTest.java
@@ -0,0 +1,206 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.Users;
+import org.ternhinge.sim.World;
+
+/** What is checked at a day's end, one trouble at a time, on virtual time. */
+class EndOfDayTest {
+  private World world;
+  private Users users;
+
+  private void begin(long seed, World.Size size) {
+    world = new World(seed, 0, size);
+    users = new Users(world);
+    world.clock.runFor(5);
+  }
+
+  private JobId submit(String id, String kind, int tasks, double cpus, double runs) {
+    ObjectNode body = Specs.json(id, kind, tasks).put("cpus", cpus).put("aaetlun_s", runs);
+    if (kind.equals("daemon")) {
+      body.put("forgang", "production").put("lanvelar", false);
+    }
+    users.submit(body);
+    return new JobId(id);
+  }
+
+  private void run(double seconds) {
+    for (double t = 0; t < seconds; t += 3) {
+      world.clock.runFor(3);
+      users.pollAll();
+    }
+  }
+
+  /** Runs until a job is told done, and says how long that took. */
+  private double untilDone(JobId id, double most) {
+    double from = world.clock.seconds();
+    while (!"done".equals(users.lastTold(id)) && world.clock.seconds() - from < most) {
+      run(3);
+    }
+    return world.clock.seconds() - from;
+  }
+
+  @Test
+  void aMachineThatHearsNothingIsLeftOutAndUsedAgainWhenHealed() {
+    begin(51, new World.Size(3, 1, 1000, 30));
+    submit("wk-1", "batch", 160, 1, 8);
+    run(40);
+    var deaf = world.deafenSomeWorker(200);
+    // Its session lapses while its reports arrive; whatever is placed there would wait for ever.
+    submit("wk-2", "batch", 160, 1, 8);
+    run(60);
+    int sent = world.startsSentTo(deaf.id());
+    submit("wk-3", "batch", 160, 1, 8);
+    run(60);
+    assertEquals(sent, world.startsSentTo(deaf.id()), "nothing goes there any more");
+    run(150);
+    int before = world.startsOn(deaf.id());
+    untilDone(submit("wk-4", "batch", 160, 1, 8), 120);
+    boolean replaced = !world.isLive(deaf.id());
+    assertTrue(replaced || world.startsOn(deaf.id()) > before, "healed and not used again");
+    assertEquals(List.of(), world.broken);
+  }
+
+  @Test
+  void workOfASilentMachineStartsElsewhereWhenItsLeaseIsOver() {
+    begin(55, World.SMALL);
+    JobId stays = submit("wk-1", "daemon", 4, 2, 0);
+    run(60);
+    assertEquals(4, world.runningTasks(stays));
+    world.cutSomeWorkerWith(stays, 200);
+    // Its grace and lease end within 45 s; what it showed last must not block its tasks for longer.
+    run(36);
+    assertEquals(4, world.runningTasks(stays));
+    assertEquals(List.of(), world.broken);
+  }
+
+  @Test
+  void aLateCopyDoesNotReviveAReturnedMachine() {
+    begin(52, World.SMALL);
+    untilDone(submit("wk-1", "batch", 16, 2, 5), 120);
+    run(120);
+    List<MachineId> gone = world.goneMachines();
+    assertTrue(!gone.isEmpty(), "idle machines are returned");
+    gone.forEach(world::repeatReport);
+    // A service may not run on spot machines; the copies are of ordinary ones and of spot ones.
+    JobId next = submit("wk-2", "batch", 4, 2, 5);
+    double took = untilDone(next, 120);
+    assertTrue(took < 30, "placed on what is gone, it would wait out a lease; it took " + took);
+    assertEquals(List.of(), world.broken);
+  }
+
+  /** Shorter and longer than the grace, with a cancellation under way. */
+  @ParameterizedTest(name = "leader {0}, {1} s")
+  @CsvSource({"true, 12", "true, 60", "false, 12", "false, 60"})
+  void aControllerThatKeepsOnlyItsWorkers(boolean leader, double seconds) {
+    begin(53, World.SMALL);
+    JobId stays = submit("wk-1", "daemon", 3, 2, 0);
+    JobId goes = submit("wk-2", "batch", 4, 1, 300);
+    run(60);
+    assertEquals(3, world.runningTasks(stays));
+    assertEquals(4, world.runningTasks(goes));
+    int starts = world.starts;
+    world.cutOff(leader ? world.leader() : (world.leader() + 1) % 3, seconds);
+    users.cancel(goes);
+    run(seconds + 30);
+    users.quiet();
+    run(90);
+    assertEquals(3, world.runningTasks(stays));
+    assertEquals(0, world.runningTasks(goes));
+    assertEquals("cancelled", users.lastTold(goes));
+    assertEquals(starts, world.starts, "no running task was lost by it");
+    assertEquals(List.of(), world.broken);
+  }
+
+  /** All processes end again and again, also while they elect, and are back at once. */
+  @ParameterizedTest(name = "seed {0}")
+  @CsvSource({"61", "62", "63", "64"})
+  void backWithinAFractionOfASecondInMidElection(long seed) {
+    begin(seed, World.SMALL);
+    JobId stays = submit("wk-1", "daemon", 3, 2, 0);
+    JobId array = submit("wk-2", "batch", 30, 1, 10);
+    run(20);
+    world.copyReports(0.5, 40);
+    for (int i = 0; i < 12; i++) {
+      for (int n = 0; n < 3; n++) {
+        world.crash(n, 0.05 + world.nextInt(6) / 20.0);
+      }
+      world.clock.runFor(0.2 + world.nextInt(20) / 10.0);
+    }
+    users.quiet();
+    run(150);
+    assertEquals(3, world.runningTasks(stays));
+    assertEquals("done", users.lastTold(array));
+    assertEquals(List.of(), world.broken);
+  }
+
+  /** Small work without end must not starve the largest, and every kind gets its part. */
+  @Test
+  void theLargestBeginWithinFourMinutesBesideSmallWorkWithoutEnd() {
+    begin(71, new World.Size(3, 4, 1000, 30));
+    List<JobId> small = new ArrayList<>();
+    List<JobId> large = new ArrayList<>();
+    for (int step = 0; step < 130; step++) {
+      // Each round asks for a fourth more than all machines can run.
+      small.add(submit("wk-1" + String.format("%04d", step), "batch", 60, 2, 9));
+      if (step == 20) {
+        large.add(submit("wk-200", "batch", 200, 2, 9));
+      }
+      if (step == 25) {
+        ObjectNode gang = Specs.json("wk-300", "group", 4).put("cpus", 14.0).put("aaetlun_s", 20.0);
+        users.submit(gang.put("accelerators", 2.0).put("together", true).put("lanvelar", false));
+        large.add(new JobId("wk-300"));
+      }
+      run(3);
+    }
+    for (JobId id : large) {
+      double waited = world.began(id).orElse(1e9) - users.submittedAt(id);
+      assertTrue(waited < 240, id + " began after " + waited);
+    }
+    long served = small.stream().filter(id -> world.began(id).isPresent()).count();
+    assertTrue(served * 2 >= small.size(), "only " + served + " of the small ones");
+    assertEquals(List.of(), world.broken);
+  }
+
+  /** Work is bounded by counts at the grown size: it follows what changes, not the fleet's size. */
+  @Test
+  void hundredsOfMachinesWithFiveControllers() {
+    begin(81, new World.Size(5, 70, 4000, 30));
+    List<JobId> jobs = new ArrayList<>();
+    for (int i = 0; i < 60; i++) {
+      jobs.add(submit("wk-1" + String.format("%03d", i), "daemon", 6, 4, 0));
+    }
+    for (int i = 0; i < 12; i++) {
+      jobs.add(submit("wk-2" + String.format("%03d", i), "batch", 200, 2, 15));
+    }
+    run(120);
+    for (JobId id : jobs) {
+      assertTrue(world.began(id).isPresent(), id + " has not begun");
+    }
+    assertTrue(world.machinesMade() > 200, "only " + world.machinesMade() + " machines");
+    long changes = world.changes;
+    long orders = world.orders;
+    long reports = world.reports;
+    run(60);
+    assertTrue(world.orders - orders < 60, "quiet, yet orders " + (world.orders - orders));
+    assertTrue(world.changes - changes < 400, "quiet, yet changes " + (world.changes - changes));
+    assertTrue(world.reports - reports > 2000, "machines report");
+    assertTrue(world.metrics.mostSteps() < 200_000, "a round of " + world.metrics.mostSteps());
+    int starts = world.starts;
+    world.crash(world.leader(), 5);
+    run(60);
+    assertEquals(starts, world.starts, "a change of leader costs no running task");
+    assertEquals(List.of(), world.broken);
+  }
+}
--- a/src/test/java/org/ternhinge/controller/FaultTest.java
+++ b/src/test/java/org/ternhinge/controller/FaultTest.java
@@ -4,31 +4,21 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.ternhinge.http.Request;
 import org.ternhinge.model.JobId;
 import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.Users;
 import org.ternhinge.sim.World;
-import org.ternhinge.wire.JobSpec;
-import org.ternhinge.wire.Json;
-import org.ternhinge.wire.WireException;
 
 /**
  * The whole controller under seeded faults, on virtual time. The rules are checked on what the
  * stand-ins saw running and on what users were told.
  */
 class FaultTest {
-  private static final byte[] NONE = new byte[0];
-
   private World world;
-  private final List<JobId> accepted = new ArrayList<>();
-  private final Map<JobId, String> lastTold = new HashMap<>();
-  private final Map<JobId, Boolean> cancelAsked = new HashMap<>();
+  private Users users;
   private int jobs;
 
   @ParameterizedTest(name = "seed {0}, loss {1}, {2}")
@@ -52,49 +42,53 @@
     "680, 0.02, all",
     "776, 0.02, all",
     "835, 0.01, outages",
-    "844, 0.04, all"
+    "844, 0.04, all",
+    "21, 0.01, deaf",
+    "22, 0.02, deaf",
+    "23, 0.01, copies",
+    "24, 0.02, copies",
+    "25, 0.01, alone",
+    "26, 0.02, alone"
   })
   void rulesHold(long seed, double loss, String faults) {
     world = new World(seed, loss);
+    users = new Users(world);
     world.clock.runFor(5);
     for (int step = 0; step < 120; step++) {
       if (step < 70 && world.nextInt(3) == 0) {
         submit();
       }
-      if (!accepted.isEmpty() && world.nextInt(12) == 0) {
-        cancel(accepted.get(world.nextInt(accepted.size())));
+      if (!users.accepted().isEmpty() && world.nextInt(12) == 0) {
+        users.cancel(users.accepted().get(world.nextInt(users.accepted().size())));
       }
-      accepted.forEach(this::poll);
+      users.pollAll();
       if (step < 80) {
         trouble(faults);
       }
       if (step == 90) {
         // Services hold their team's limit for ever; the rest is to finish.
-        accepted.stream().filter(this::isService).forEach(this::cancel);
+        users.accepted().stream().filter(id -> users.spec(id).isService()).forEach(users::cancel);
+      }
+      if (step == 100) {
+        // The longest trouble lasts less than a minute.
+        users.quiet();
       }
       world.clock.runFor(3);
     }
-    world.clock.runFor(200);
-    for (int i = 0; i < 6; i++) {
-      accepted.forEach(this::poll);
+    for (int i = 0; i < 39; i++) {
+      users.pollAll();
       world.clock.runFor(6);
     }
     assertEquals(List.of(), world.broken);
     assertTrue(world.starts > 20, "only " + world.starts + " starts");
-    for (JobId id : accepted) {
-      if (!isService(id)) {
-        String told = lastTold.get(id);
+    for (JobId id : users.accepted()) {
+      if (!users.spec(id).isService()) {
+        String told = users.lastTold(id);
         assertTrue("done".equals(told) || "cancelled".equals(told), id + " was last told " + told);
       }
     }
   }
 
-  private final Map<JobId, JobSpec> specs = new HashMap<>();
-
-  private boolean isService(JobId id) {
-    return specs.get(id).isService();
-  }
-
   private void submit() {
     String id = String.format("wk-%06d", ++jobs);
     String kind = List.of("batch", "batch", "group", "daemon").get(world.nextInt(4));
@@ -105,91 +99,7 @@
     body.put("scatter", kind.equals("daemon")).put("together", kind.equals("group"));
     body.put("lanvelar", kind.equals("batch")).put("cpus", 2.0);
     body.put("aaetlun_s", 3.0 + world.nextInt(12));
-    JobSpec spec = Specs.of(body);
-    world.know(spec);
-    specs.put(spec.id(), spec);
-    Request request = new Request("POST", "/submissions", Json.bytes(body));
-    send(request, spec.id(), 8);
-  }
-
-  private void send(Request request, JobId id, int tries) {
-    world.user(
-        request,
-        r -> {
-          if (r != null && (r.status() == 200 || r.status() == 201)) {
-            if (!accepted.contains(id)) {
-              accepted.add(id);
-            }
-          } else if (r != null && (r.status() == 400 || r.status() == 422)) {
-            world.broken.add("refused: " + id + " with " + r.status());
-          } else if (tries > 0) {
-            world.clock.after(1, () -> send(request, id, tries - 1));
-          }
-        });
-  }
-
-  private void poll(JobId id) {
-    String known = lastTold.get(id);
-    world.user(
-        new Request("GET", "/submissions/" + id, NONE),
-        r -> {
-          if (r == null || r.status() == 503) {
-            return;
-          }
-          if (r.status() != 200) {
-            world.broken.add("forgotten: " + id + " answered " + r.status());
-            return;
-          }
-          told(id, state(r.body()), known);
-        });
-  }
-
-  /** Only what was known when a question was asked binds its answer. */
-  private void told(JobId id, String state, String before) {
-    if (!"cancelled".equals(lastTold.get(id))) {
-      lastTold.put(id, state);
-    }
-    boolean wasOver = "done".equals(before) || "cancelled".equals(before);
-    if (wasOver && !before.equals(state)) {
-      world.broken.add("went_back: " + id + " from " + before + " to " + state);
-    }
-    if (state.equals("done") && !world.allCompleted(id)) {
-      world.broken.add("not_done: " + id);
-    }
-    if (state.equals("cancelled") && !cancelAsked.containsKey(id)) {
-      world.broken.add("went_back: " + id + " cancelled by nobody");
-    }
-  }
-
-  private void cancel(JobId id) {
-    if (cancelAsked.put(id, true) == null) {
-      sendCancel(id, 300);
-    }
-  }
-
-  private void sendCancel(JobId id, int tries) {
-    world.user(
-        new Request("POST", "/submissions/" + id + "/cancel", NONE),
-        r -> {
-          if (r != null && r.status() == 200) {
-            if (state(r.body()).equals("cancelled")) {
-              world.toldCancelled(id);
-            }
-            told(id, state(r.body()), lastTold.get(id));
-          } else if (r != null && r.status() == 404) {
-            world.broken.add("forgotten: cancel of " + id + " answered 404");
-          } else if (tries > 0) {
-            world.clock.after(1, () -> sendCancel(id, tries - 1));
-          }
-        });
-  }
-
-  private static String state(byte[] body) {
-    try {
-      return Json.text(Json.parse(body), "astand");
-    } catch (WireException e) {
-      throw new IllegalStateException(e);
-    }
+    users.submit(body);
   }
 
   private void trouble(String faults) {
@@ -206,6 +116,15 @@
     if ((all || faults.equals("cuts")) && world.nextInt(8) == 0) {
       world.hurtSomeWorker(world.nextInt(3) == 0 ? 0 : 5 + world.nextInt(40));
     }
+    if ((all || faults.equals("deaf")) && world.nextInt(8) == 0) {
+      world.deafenSomeWorker(5 + world.nextInt(50));
+    }
+    if ((all || faults.equals("copies")) && world.nextInt(10) == 0) {
+      world.copyReports(0.3, 5 + world.nextInt(20));
+    }
+    if ((all || faults.equals("alone")) && world.nextInt(10) == 0) {
+      world.cutOff(world.nextInt(3), 5 + world.nextInt(50));
+    }
     if ((all || faults.equals("outages")) && world.nextInt(25) == 0) {
       world.outage(5 + world.nextInt(30));
     }
--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -0,0 +1,219 @@
+package org.ternhinge.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.ReentrantLock;
+import org.junit.jupiter.api.Test;
+import org.ternhinge.config.Team;
+import org.ternhinge.ledger.Ledger.Placement;
+import org.ternhinge.limit.Lane;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.Term;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.StoreCore;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Entry;
+import org.ternhinge.state.StateStore;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.WireException;
+
+class LedgerWriterTest {
+  private static final int TASKS = 500;
+
+  private final SimClock clock = new SimClock();
+  private final StoreCore core = new StoreCore(clock);
+  private final List<Txn> sent = new ArrayList<>();
+  private Runnable afterEach = () -> {};
+  private int budget = 16;
+  private final Ledger ledger =
+      new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), RecordCodec.pieceSize(8), clock);
+  private final LedgerWriter writer =
+      new LedgerWriter(
+          ledger, new Store(), new Leader(), clock, new ReentrantLock(), 16, opened -> {});
+
+  private final class Leader implements Authority {
+    @Override
+    public Term term() {
+      return new Term(1);
+    }
+
+    @Override
+    public Revision termRevision() {
+      return core.get(Keys.TERM).entry().map(Entry::revision).orElse(Revision.NONE);
+    }
+
+    @Override
+    public boolean valid() {
+      return true;
+    }
+
+    @Override
+    public void raised(Term term, Revision revision) {
+      throw new AssertionError("nothing asks for it");
+    }
+
+    @Override
+    public void lost(String why) {
+      throw new AssertionError(why);
+    }
+  }
+
+  /** Only what the writer uses. */
+  private final class Store implements StateStore {
+    @Override
+    public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
+      sent.add(txn);
+      CompletableFuture<Outcome<Revision>> out = new CompletableFuture<>();
+      Outcome<Revision> outcome = core.txn(txn);
+      afterEach.run();
+      clock.after(0.01, () -> out.complete(outcome));
+      return out;
+    }
+
+    @Override
+    public int changesNow(Lane lane) {
+      return budget;
+    }
+
+    @Override
+    public double secondsUntilTxn(int changes, Lane lane) {
+      return 0;
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Read>> get(String key, Lane lane) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Page>> list(String p, String after, int limit, Lane lane) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Long>> grant(long millis) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Long>> renew(long lease) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Long>> revoke(long lease) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Changes>> follow(String prefix, Revision from, double waitS) {
+      throw new UnsupportedOperationException();
+    }
+  }
+
+  private Job accept(String id, String kind, String priority, int tasks) {
+    ObjectNode spec = Specs.json(id, kind, tasks).put("cpus", 0.001).put("memory_gb", 0.001);
+    spec.put("forgang", priority);
+    ObjectNode record = RecordCodec.fresh(Specs.of(spec), 1, ledger.pieceSize());
+    String key = Keys.job(Specs.of(spec).id());
+    Map<String, Revision> none = Map.of(key, Revision.NONE);
+    Outcome<Revision> put = core.txn(new Txn(none, List.of(new Change.Put(key, record, 0))));
+    Revision at = ((Outcome.Applied<Revision>) put).value();
+    try {
+      Job job = LedgerLoader.read(record, at, clock.now());
+      ledger.adopt(job);
+      return job;
+    } catch (WireException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private void open(Job job, int from, int to) {
+    Site site =
+        new Site(
+            new MachineId("n-1"),
+            new Session(1),
+            "small",
+            0,
+            "east",
+            false,
+            Resources.offer(8, 0, 64));
+    List<Placement> places = new ArrayList<>();
+    for (int i = from; i < to; i++) {
+      places.add(new Placement(i, site));
+    }
+    assertEquals(null, ledger.open(job, places, t -> false, clock.now()));
+  }
+
+  /** What a leader that came in now would load: no task may look as if it had never run. */
+  private void nothingLooksUnstarted(Job job) {
+    if (core.get(Keys.end(job.spec().id())).entry().isPresent()) {
+      return;
+    }
+    try {
+      Entry first = core.get(Keys.job(job.spec().id())).entry().orElseThrow();
+      Job back = RecordCodec.decodeFirst(first.value(), first.revision(), clock.now());
+      for (Entry e : core.list(first.key() + "/", null, 100).entries()) {
+        int piece = Integer.parseInt(e.key().substring(first.key().length() + 1));
+        RecordCodec.decodeBody(back, piece, e.value(), e.revision(), clock.now());
+      }
+      for (int i = 0; i < job.spec().tasks(); i++) {
+        assertTrue(back.isDone(i) || back.open(i) != null, "task " + i + " would run again");
+      }
+    } catch (WireException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  @Test
+  void theEndOfALargeArrayIsSafeAtEveryStep() {
+    core.txn(new Txn(Map.of(), List.of(new Change.Put(Keys.TERM, Json.object().put("n", 1), 0))));
+    Job job = accept("wk-1", "batch", "normal", TASKS);
+    open(job, 0, TASKS);
+    writer.pump();
+    clock.runFor(5);
+    budget = 2;
+    afterEach = () -> nothingLooksUnstarted(job);
+    for (Attempt a : List.copyOf(job.openAttempts())) {
+      assertTrue(a.durable());
+      ledger.close(a, true);
+    }
+    writer.pump();
+    clock.runFor(30);
+    assertTrue(core.get(Keys.end(job.spec().id())).entry().isPresent(), "the end is written");
+    assertEquals(List.of(), core.list(Keys.JOBS, null, 100).entries(), "and nothing is left");
+    sent.forEach(t -> assertTrue(t.changes().size() <= 16));
+  }
+
+  @Test
+  void whatUsersWaitForMostIsWrittenFirst() {
+    core.txn(new Txn(Map.of(), List.of(new Change.Put(Keys.TERM, Json.object().put("n", 1), 0))));
+    Job array = accept("wk-1", "batch", "normal", 5);
+    Job service = accept("wk-2", "daemon", "production", 2);
+    Job cancelled = accept("wk-3", "daemon", "production", 1);
+    budget = 0;
+    open(array, 0, 5);
+    open(service, 0, 2);
+    open(cancelled, 0, 1);
+    ledger.cancel(cancelled);
+    writer.pump();
+    assertEquals(List.of(), sent, "no tokens, no transaction");
+    budget = 1;
+    clock.runFor(1);
+    List<String> keys = new ArrayList<>();
+    sent.forEach(t -> t.changes().forEach(c -> keys.add(c.key())));
+    assertEquals(List.of("j/wk-3", "j/wk-2", "j/wk-1"), keys);
+  }
+}
--- a/src/test/java/org/ternhinge/schedule/PlannerTest.java
+++ b/src/test/java/org/ternhinge/schedule/PlannerTest.java
@@ -93,6 +93,7 @@
             jobs.size(),
             ageS,
             guaranteed,
+            ageS > 120,
             pending,
             pending.size(),
             new int[2],
@@ -213,9 +214,14 @@
         spec("wk-8", "daemon", 1, Map.of("cpus", 8.0, "forgang", "production", "lanvelar", false));
     machine("n-1", FAST, 0, Set.of(), running(array, 0, 5), running(array, 1, 9));
     machine("n-2", FAST, 0, Set.of(), running(array, 2, 5), running(service, 0, 100));
-    job(accelerated("wk-1", 2), true);
+    job(accelerated("wk-1", 2), true, 130);
     assertEquals(0, plan().stops().size(), "room for one of two helps nobody");
     machine("n-3", FAST, 0, Set.of(), running(array, 3, 5));
+    jobs.clear();
+    job(accelerated("wk-1", 2), true, 60);
+    assertEquals(0, plan().stops().size(), "it is not late yet");
+    jobs.clear();
+    job(accelerated("wk-1", 2), true, 130);
     Plan plan = plan();
     assertEquals(2, plan.stops().size());
     int victims = plan.stops().stream().mapToInt(s -> s.victims().size()).sum();
@@ -223,15 +229,43 @@
   }
 
   @Test
-  void aLargeGangThatWaitedLongIsNotPassedBySmallOnes() {
+  void aLargeGangIsNotPassedBySmallOnes() {
     machine("n-1", FAST, 0, Set.of());
-    job(accelerated("wk-1", 2), true, 10);
-    job(accelerated("wk-2", 1), true, 0);
-    assertEquals(List.of("n-1"), on(plan()), "a young gang lets others by");
+    job(accelerated("wk-1", 2), true, 5);
+    job(accelerated("wk-2", 1), true);
+    assertEquals(List.of("n-1"), on(plan()), "a young one lets others by");
+    jobs.remove(1);
+    job(spec("wk-3", "batch", 1, Map.of("cpus", 4.0, "forgang", "low")), true);
+    assertEquals(List.of(), on(plan()), "but not lesser arrays");
     jobs.clear();
-    job(accelerated("wk-1", 2), true, 100);
-    job(accelerated("wk-2", 1), true, 0);
-    assertEquals(List.of(), on(plan()), "an old one keeps what is free");
+    job(accelerated("wk-1", 2), true, 30);
+    job(accelerated("wk-2", 1), true);
+    assertEquals(List.of(), on(plan()), "one that has waited keeps what is free");
+    machine("n-2", FAST, 1, Set.of());
+    assertEquals(List.of("n-2"), on(plan()), "where it can't start, others may");
+  }
+
+  @Test
+  void lesserArraysStandInTheWayOfAcceleratedTasksWhereOthersDoAlready() {
+    JobSpec array = spec("wk-9", "batch", 4, Map.of("cpus", 4.0));
+    machine("n-1", FAST, 0, Set.of("img-1"));
+    machine("n-2", FAST, 0, Set.of("img-1"), running(array, 0, 5));
+    job(accelerated("wk-1", 4), true);
+    job(spec("wk-2", "batch", 1, Map.of("cpus", 4.0)), false);
+    offers.add(new Offer(FAST, 0, "east", false, 10));
+    jobs.remove(0);
+    job(accelerated("wk-3", 9), false);
+    assertEquals(List.of("n-2"), on(plan()));
+  }
+
+  @Test
+  void aGangGoesToTheZoneWhereItsLastImageComesFirst() {
+    machine("n-1", FAST, 0, Set.of("img-1"));
+    machine("n-2", FAST, 0, Set.of());
+    machine("n-3", FAST, 1, Set.of("img-1"));
+    machine("n-4", FAST, 1, Set.of("img-1"));
+    job(accelerated("wk-1", 2), true);
+    assertEquals(Set.of("n-3", "n-4"), Set.copyOf(on(plan())));
   }
 
   @Test
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -26,7 +26,7 @@
 import org.ternhinge.worker.Workers;
 
 /** A worker as the protocol page gives it: sessions, tokens, leases, tasks. */
-final class SimWorker {
+public final class SimWorker {
   private static final double FETCH_S = 1;
 
   private final class Task {
@@ -65,22 +65,33 @@
   boolean dead;
   SteadyTime cutUntil;
 
+  /** Until then its reports arrive, but no answer and no command reaches it. */
+  SteadyTime deafUntil;
+
   SimWorker(World world, MachineId id, Flavor flavor, String zone, boolean spot) {
     this.world = world;
     this.id = id;
     this.flavor = flavor;
     this.zone = zone;
     this.spot = spot;
-    this.target = world.random.nextInt(World.NODES);
+    this.target = world.random.nextInt(world.nodeCount());
     this.leaseFrom = world.clock.now();
     watchLease();
     report();
   }
 
+  public MachineId id() {
+    return id;
+  }
+
   boolean cut() {
     return cutUntil != null && world.clock.now().isBefore(cutUntil);
   }
 
+  boolean deaf() {
+    return deafUntil != null && world.clock.now().isBefore(deafUntil);
+  }
+
   private void watchLease() {
     world.clock.after(
         0.5,
@@ -153,6 +164,8 @@
     int inSession = session;
     SteadyTime sent = world.clock.now();
     byte[] body = Json.bytes(reportNow().write());
+    world.maybeCopy(id, body);
+    boolean deaf = deaf();
     world
         .net
         .<Response>call(
@@ -162,7 +175,13 @@
                 world.deliver(
                     asked,
                     new Request("POST", "/agent/beat", body),
-                    r -> to.accept(Outcome.applied(r))))
+                    r -> {
+                      if (!deaf) {
+                        to.accept(Outcome.applied(r));
+                      } else if (r.status() == 200) {
+                        world.sent(id, commands(r.body()));
+                      }
+                    }))
         .thenAccept(
             o -> {
               if (!dead) {
@@ -182,12 +201,12 @@
         String name = Json.textOrNull(Json.parse(a.value().body()), "tilkynna_til");
         int to = name == null ? target : Integer.parseInt(name.substring(5));
         next = to == target ? 1 : 0.2;
-        target = to == target ? (target + 1) % World.NODES : to;
+        target = to == target ? (target + 1) % world.nodeCount() : to;
       } catch (WireException e) {
         throw new IllegalStateException(e);
       }
     } else {
-      target = (target + 1) % World.NODES;
+      target = (target + 1) % world.nodeCount();
       next = 1;
     }
     world.clock.after(
@@ -199,6 +218,14 @@
         });
   }
 
+  private static List<Command> commands(byte[] answer) {
+    try {
+      return Command.read(Json.parse(answer));
+    } catch (WireException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private void obey(byte[] body, SteadyTime sent) {
     try {
       var json = Json.parse(body);
--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
@@ -23,6 +24,7 @@
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
 import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.TokenBucket;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.Endpoint;
@@ -50,7 +52,17 @@
  * kept by the stand-ins, and the rules are checked on that, not on anything the service says.
  */
 public final class World {
-  public static final int NODES = 3;
+  /**
+   * How much of everything there is.
+   *
+   * @param machines that the cloud has of each type, zone and kind
+   * @param teamCpus the limit of a team
+   * @param writeRps changes a second that the state service takes
+   */
+  public record Size(int nodes, int machines, double teamCpus, double writeRps) {}
+
+  public static final Size SMALL = new Size(3, 2, 24, 30);
+
   static final double LEASE_S = 24;
   static final double REPORT_S = 3;
   static final double CANCEL_S = 44;
@@ -60,13 +72,35 @@
   final SplittableRandom random;
   final Net net;
   private final StoreCore store = new StoreCore(clock);
-  private final Incarnation[] nodes = new Incarnation[NODES];
-  private final SteadyTime[] stateCut = new SteadyTime[NODES];
-  private final SteadyTime[] workerCut = new SteadyTime[NODES];
+  private final Size size;
+  private final Incarnation[] nodes;
+  private final SteadyTime[] stateCut;
+  private final SteadyTime[] workerCut;
+  private final SteadyTime[] peerCut;
   private SteadyTime outageUntil;
+  private double copyShare;
+  private SteadyTime copyUntil;
   private final Map<MachineId, SimWorker> workers = new TreeMap<>();
   private final Map<String, List<MachineId>> rentals = new HashMap<>();
   private int machinesMade;
+  private final Map<String, Integer> booting = new HashMap<>();
+
+  /** Messages and changes so far, to bound work by counts. */
+  public long reports;
+
+  public long orders;
+  public long changes;
+  public final Metrics metrics = new Metrics();
+
+  /** The last report of each machine, to be repeated as a late copy. */
+  private final Map<MachineId, byte[]> lastReports = new HashMap<>();
+
+  private final Map<MachineId, Integer> startsOn = new HashMap<>();
+  private final Map<MachineId, Integer> startsSent = new HashMap<>();
+
+  /** When each task first ran. */
+  private final Map<TaskId, Double> firstRan = new HashMap<>();
+
   private final Map<JobId, JobSpec> specs = new LinkedHashMap<>();
 
   private final Map<TaskId, Set<MachineId>> running = new HashMap<>();
@@ -81,16 +115,17 @@
           new Flavor("small", Resources.offer(4, 0, 16), 4, 0, 16, 50, 1, 0.2, 0.1, 5, ZONES),
           new Flavor("fast", Resources.offer(16, 2, 64), 16, 2, 64, 50, 1, 3, 1, 8, ZONES));
 
-  public static Settings settings(String node) {
+  public Settings settings(String node) {
     Map<String, Endpoint> peers = new LinkedHashMap<>();
-    for (int i = 0; i < NODES; i++) {
+    for (int i = 0; i < size.nodes; i++) {
       if (!node.equals("node-" + i)) {
         peers.put("node-" + i, new Endpoint("10.0.0." + (i + 1), 8081));
       }
     }
     Map<String, Team> teams = new LinkedHashMap<>();
-    teams.put("red", new Team("red", 8000, 24000, 2000, 4000));
-    teams.put("blue", new Team("blue", 8000, 12000, 0, 0));
+    long most = (long) (size.teamCpus * 1000);
+    teams.put("red", new Team("red", 8000, most, 2000, most / 6));
+    teams.put("blue", new Team("blue", 8000, most / 2, 0, 0));
     Endpoint any = new Endpoint("10.0.0.9", 1);
     return new Settings(
         node,
@@ -104,17 +139,26 @@
         teams,
         List.of(),
         new Settings.Workers(REPORT_S, LEASE_S, 30, 5, CANCEL_S),
-        new Settings.StateLimits(80, 30, 8, 16),
+        new Settings.StateLimits(80, size.writeRps, 8, 16),
         new Settings.CloudLimits(4, 10),
         1000,
         0.025);
   }
 
   public World(long seed, double lossShare) {
+    this(seed, lossShare, SMALL);
+  }
+
+  public World(long seed, double lossShare, Size size) {
+    this.size = size;
+    nodes = new Incarnation[size.nodes];
+    stateCut = new SteadyTime[size.nodes];
+    workerCut = new SteadyTime[size.nodes];
+    peerCut = new SteadyTime[size.nodes];
     random = new SplittableRandom(seed);
     net = new Net(clock, random.split());
     net.lossShare = lossShare;
-    for (int i = 0; i < NODES; i++) {
+    for (int i = 0; i < size.nodes; i++) {
       start(i);
     }
   }
@@ -141,7 +185,7 @@
               this,
               lock,
               r -> after(0.001, r),
-              new Metrics());
+              metrics);
       Election election =
           new Election(
               settings.node(),
@@ -220,6 +264,102 @@
     workerCut[i] = clock.now().plusSeconds(seconds);
   }
 
+  /** Cuts a node off from the state service and the other nodes, but not from its workers. */
+  public void cutOff(int i, double seconds) {
+    cutState(i, seconds);
+    peerCut[i] = clock.now().plusSeconds(seconds);
+  }
+
+  /** Some machine's reports arrive, while nothing reaches it. */
+  public SimWorker deafenSomeWorker(double seconds) {
+    List<SimWorker> live = liveWorkers();
+    if (live.isEmpty()) {
+      return null;
+    }
+    SimWorker w = live.get(random.nextInt(live.size()));
+    w.deafUntil = clock.now().plusSeconds(seconds);
+    return w;
+  }
+
+  /**
+   * For a while a share of all reports arrives once more, from seconds to well over a lease late.
+   */
+  public void copyReports(double share, double seconds) {
+    copyShare = share;
+    copyUntil = clock.now().plusSeconds(seconds);
+  }
+
+  /** A copy of a machine's last report reaches every node. */
+  public void repeatReport(MachineId id) {
+    for (int i = 0; i < size.nodes; i++) {
+      deliver(i, new Request("POST", "/agent/beat", lastReports.get(id)), r -> {});
+    }
+  }
+
+  /** Machines that have reported and are gone. */
+  public List<MachineId> goneMachines() {
+    return lastReports.keySet().stream().filter(id -> !workers.containsKey(id)).sorted().toList();
+  }
+
+  /** Seconds at which a job's first task ran, or nothing. */
+  public OptionalDouble began(JobId id) {
+    return firstRan.entrySet().stream()
+        .filter(e -> e.getKey().job().equals(id))
+        .mapToDouble(Map.Entry::getValue)
+        .min();
+  }
+
+  /** Cuts off a machine that runs a job's task. */
+  public void cutSomeWorkerWith(JobId id, double seconds) {
+    for (var e : running.entrySet()) {
+      if (e.getKey().job().equals(id) && !e.getValue().isEmpty()) {
+        workers.get(e.getValue().iterator().next()).cutUntil = clock.now().plusSeconds(seconds);
+        return;
+      }
+    }
+  }
+
+  public int machinesMade() {
+    return machinesMade;
+  }
+
+  public boolean isLive(MachineId id) {
+    return workers.containsKey(id);
+  }
+
+  /** Starts that were sent to a machine, whether or not they reached it. */
+  public int startsSentTo(MachineId id) {
+    return startsSent.getOrDefault(id, 0);
+  }
+
+  void sent(MachineId id, List<Command> commands) {
+    long n = commands.stream().filter(c -> c.op() == Command.Op.START).count();
+    startsSent.merge(id, (int) n, Integer::sum);
+  }
+
+  /** Tasks that ever ran on a machine. */
+  public int startsOn(MachineId id) {
+    return startsOn.getOrDefault(id, 0);
+  }
+
+  public int runningTasks(JobId id) {
+    int n = 0;
+    for (var e : running.entrySet()) {
+      n += e.getKey().job().equals(id) ? e.getValue().size() : 0;
+    }
+    return n;
+  }
+
+  void maybeCopy(MachineId from, byte[] report) {
+    reports++;
+    lastReports.put(from, report);
+    if (!past(copyUntil) && random.nextDouble() < copyShare) {
+      double late = 1 + random.nextDouble() * 2.5 * LEASE_S;
+      int to = random.nextInt(size.nodes);
+      clock.after(late, () -> deliver(to, new Request("POST", "/agent/beat", report), r -> {}));
+    }
+  }
+
   public void outage(double seconds) {
     outageUntil = clock.now().plusSeconds(seconds);
     store.hold(seconds);
@@ -253,7 +393,7 @@
     int i = Integer.parseInt(to.substring(5));
     from.guard(
             net.<Response>call(
-                () -> false,
+                () -> !past(peerCut[from.index]) || !past(peerCut[i]),
                 timeoutS,
                 back -> {
                   Incarnation at = nodes[i];
@@ -269,9 +409,12 @@
 
   private final class Store implements StateStore {
     private final Incarnation owner;
+    private final TokenBucket writes;
 
     Store(Incarnation owner) {
       this.owner = owner;
+      // The platform's limit is for all nodes together; who leads uses most of it.
+      this.writes = new TokenBucket(clock, size.writeRps * 0.8);
     }
 
     private <T> CompletableFuture<Outcome<T>> send(double timeoutS, Supplier<Outcome<T>> work) {
@@ -298,6 +441,10 @@
 
     @Override
     public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
+      if (!writes.tryTake(lane, txn.changes().size())) {
+        return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, ""));
+      }
+      changes += txn.changes().size();
       return send(1.5, () -> store.txn(txn));
     }
 
@@ -332,12 +479,12 @@
 
     @Override
     public int changesNow(Lane lane) {
-      return 16;
+      return writes.available(lane);
     }
 
     @Override
     public double secondsUntilTxn(int changes, Lane lane) {
-      return 0;
+      return writes.secondsUntil(lane, changes);
     }
   }
 
@@ -395,19 +542,50 @@
     }
   }
 
+  int nodeCount() {
+    return size.nodes;
+  }
+
+  /** The node that the state service holds for the leader, or -1. */
+  public int leader() {
+    return store
+        .get("leader")
+        .entry()
+        .map(e -> Integer.parseInt(e.value().path("node").asText().substring(5)))
+        .orElse(-1);
+  }
+
+  private static String offer(String type, String zone, boolean spot) {
+    return type + zone + spot;
+  }
+
+  private int rentedNow(String offer) {
+    int n = booting.getOrDefault(offer, 0);
+    for (SimWorker w : workers.values()) {
+      n += offer(w.flavor.name(), w.zone, w.spot).equals(offer) ? 1 : 0;
+    }
+    return n;
+  }
+
   private List<MachineId> rentNow(RentalRequest q) {
     return rentals.computeIfAbsent(
         q.name(),
         k -> {
           List<MachineId> out = new ArrayList<>();
-          for (int i = 0; i < q.count() && workers.size() + out.size() < 14; i++) {
+          String offer = offer(q.type(), q.zone(), q.spot());
+          int left = size.machines - rentedNow(offer);
+          for (int i = 0; i < Math.min(q.count(), left); i++) {
             MachineId id = new MachineId(String.format("n-%06d", machinesMade++));
             out.add(id);
             Flavor f = FLAVORS.get(q.type().equals("small") ? 0 : 1);
             clock.after(
                 f.bootS() * (0.6 + random.nextDouble()),
-                () -> workers.put(id, new SimWorker(this, id, f, q.zone(), q.spot())));
+                () -> {
+                  booting.merge(offer, -1, Integer::sum);
+                  workers.put(id, new SimWorker(this, id, f, q.zone(), q.spot()));
+                });
           }
+          booting.merge(offer, out.size(), Integer::sum);
           return out;
         });
   }
@@ -422,11 +600,13 @@
     @Override
     public CompletableFuture<Outcome<Answer>> order(
         Endpoint worker, Term term, Session session, List<Command> commands) {
+      orders++;
       MachineId id = new MachineId(String.format("n-%06d", worker.port() - 1000));
       SimWorker w = workers.get(id);
+      sent(id, commands);
       return owner.guard(
           net.<Answer>call(
-              () -> w == null || w.cut() || nodeCutFromWorkers(owner.index),
+              () -> w == null || w.cut() || w.deaf() || nodeCutFromWorkers(owner.index),
               3,
               to -> {
                 if (w != null) {
@@ -443,7 +623,7 @@
 
   /** Sends a request to some node, as the load balancer would, and gives the answer or null. */
   public void user(Request request, Consumer<Response> answer) {
-    int i = random.nextInt(NODES);
+    int i = random.nextInt(size.nodes);
     net.<Response>call(
             () -> false, 5, to -> deliver(i, request, r -> to.accept(Outcome.applied(r))))
         .thenAccept(
@@ -484,6 +664,8 @@
 
   void started(SimWorker on, TaskId task, JobSpec spec) {
     starts++;
+    firstRan.putIfAbsent(task, clock.seconds());
+    startsOn.merge(on.id, 1, Integer::sum);
     Set<MachineId> where = running.computeIfAbsent(task, k -> new HashSet<>());
     if (!where.isEmpty()) {
       broken.add("ran_twice: " + task + " on " + on.id + " while on " + where);
