--- a/src/main/java/org/ternhinge/controller/Slots.java
+++ b/src/main/java/org/ternhinge/controller/Slots.java
@@ -7,6 +7,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.BiConsumer;
+import java.util.regex.Pattern;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.ternhinge.ledger.LedgerWriter;
 import org.ternhinge.state.Entry;
 import org.ternhinge.wire.Json;
@@ -17,6 +20,9 @@
  * took the changes that hundreds of services were waiting for.
  */
 final class Slots {
+  private static final Logger LOG = LoggerFactory.getLogger(Slots.class);
+  private static final Pattern INDEX = Pattern.compile("0|[1-9][0-9]{0,3}");
+
   private static final class Slot {
     private final String key;
     private final Map<String, JsonNode> items = new HashMap<>();
@@ -50,9 +56,14 @@
 
   /** Takes over a record of an earlier leader. */
   void known(Entry entry, BiConsumer<String, JsonNode> each) {
+    String number = entry.key().substring(prefix.length());
+    if (!INDEX.matcher(number).matches() || !entry.value().isObject()) {
+      // Of another version, or written by hand: a leader that stumbled here would never be ready.
+      LOG.error("record {} is not one of ours and is left alone", entry.key());
+      return;
+    }
     writer.known(entry.key(), entry.revision());
-    int index = Integer.parseInt(entry.key().substring(prefix.length()));
-    Slot slot = slot(index);
+    Slot slot = slot(Integer.parseInt(number));
     entry
         .value()
         .properties()
