--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -1,7 +1,6 @@
 package org.ternhinge.controller;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -32,7 +31,6 @@
 import org.ternhinge.ledger.Site;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
-import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
@@ -48,12 +46,8 @@
 import org.ternhinge.state.Entry;
 import org.ternhinge.state.StateStore;
 import org.ternhinge.wire.Command;
-import org.ternhinge.wire.EndReason;
 import org.ternhinge.wire.Flavor;
-import org.ternhinge.wire.HostInfo;
-import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
-import org.ternhinge.wire.TaskReport;
 import org.ternhinge.wire.WireException;
 import org.ternhinge.wire.WorkerReport;
 import org.ternhinge.worker.Workers;
@@ -64,17 +58,7 @@
  */
 public final class Lead {
   private static final Logger LOG = LoggerFactory.getLogger(Lead.class);
-  private static final double DRIFT = 0.001;
-  private static final int MAX_COMMANDS = 400;
-
-  /** A session that ends so long before its lease can have ended was answered in vain. */
-  private static final double LAPSE_S = 2;
-
-  /** So many machines may seem deaf before that is taken for this node's own trouble. */
-  private static final int MOST_DEAF = 3;
-
-  /** Workers told of the term by one listing. */
-  private static final int MOST_GREETS = 40;
+  static final double DRIFT = 0.001;
 
   private static final double FOLLOW_S = 20;
   private static final double RESERVE_S = 12;
@@ -110,15 +94,15 @@
   private final Views views;
   private final Map<MachineId, Machine> machines = new TreeMap<>();
 
-  /** How many machines show each task that has not ended. */
-  private final Object2IntOpenHashMap<TaskId> shown = new Object2IntOpenHashMap<>();
-
   private final Set<MachineId> returned = new HashSet<>();
   private final Map<String, Flavor> flavors = new LinkedHashMap<>();
   private final Map<JobId, Trouble> troubles = new HashMap<>();
   private final Map<Job, List<Consumer<JobState>>> cancelWaits = new LinkedHashMap<>();
   private final Rentals rentals;
   private final Returns returns;
+  private final Listing listing;
+  private final Orders orders;
+  private final Reports reports;
   private final Arrivals arrivals;
   private final SteadyTime electedAt;
   private final SteadyTime silentBy;
@@ -134,9 +118,6 @@
   private SteadyTime fencedAt;
   private boolean raising;
 
-  /** Whether the message at hand lacks a start that an answer has carried before. */
-  private boolean missedStart;
-
   private Revision watched;
   private Revision loadedAt;
 
@@ -189,6 +170,9 @@
     this.rentals = new Rentals(this, cloud, rented, authority, clock, lock);
     this.returns = new Returns(this, cloud, authority, lock, returning);
     this.arrivals = new Arrivals(settings.objectives());
+    this.listing = new Listing(this, s, authority, rentals, returns);
+    this.orders = new Orders(this, s, authority, ledger);
+    this.reports = new Reports(this, s, authority, ledger, flavors, troubles, rentals, orders);
     this.views = new Views(s, authority, ledger, flavors, troubles);
   }
 
@@ -217,7 +201,7 @@
     return authority;
   }
 
-  private void locked(Runnable action) {
+  void locked(Runnable action) {
     lock.lock();
     try {
       if (!stopped) {
@@ -275,7 +259,7 @@
         machines.size());
     runWaiting();
     follow();
-    list();
+    listing.list();
     refreshFlavors();
     writer.pump();
     watch();
@@ -420,278 +404,16 @@
 
   /** Takes in a report and says what the worker is to do. */
   List<Command> report(WorkerReport r, boolean mayCommand) {
-    SteadyTime now = clock.now();
-    if (r.token().compareTo(authority.term()) > 0) {
-      authority.lost("a worker has seen term " + r.token());
-      return List.of();
-    }
-    if (returned.contains(r.machine())) {
-      // A late copy: what is certainly gone must not come back to life by it.
-      return List.of();
-    }
-    Machine m = machine(r.machine(), now);
-    boolean fresh = take(m, r, true, now);
-    if (fresh && r.token().compareTo(authority.term()) < 0 && authority.term().equals(m.answered)) {
-      missed(m, now);
-    }
-    m.answered = authority.term();
-    // The report was sent before now, so a lease counted from now ends no sooner than the worker's.
-    m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
-    if (!fresh || !mayCommand || m.gone) {
-      return List.of();
-    }
-    return commands(m, r, now);
-  }
-
-  private SteadyTime leaseFrom(SteadyTime answered) {
-    return answered.plusSeconds(settings.workers().leaseS() * (1 + DRIFT) + tuning.marginS());
-  }
-
-  /** Applies a message of a worker; false if a newer one was already known. */
-  private boolean take(Machine m, WorkerReport r, boolean isReport, SteadyTime now) {
-    int newer = r.session().compareTo(m.session);
-    if (newer < 0
-        || (newer == 0 && r.sequence() <= m.sequence)
-        || r.session().compareTo(m.deadSession) <= 0) {
-      return false;
-    }
-    if (newer > 0) {
-      // The worker's lease ran out: everything of its earlier sessions is gone.
-      for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
-        if (a.session().compareTo(r.session()) < 0) {
-          close(a, false, "session over");
-        }
-      }
-      m.forgetStrays();
-      m.outbox.clear();
-      m.session = r.session();
-      if (m.answered != null && m.leaseEnds.secondsSince(now) > LAPSE_S) {
-        // It was answered lately, and its lease has ended for want of an answer.
-        m.hearing.lapsed(now, othersHear());
-      }
-      // A session may have begun just now, and lasts a whole lease without any answer.
-      m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
-    }
-    m.sequence = r.sequence();
-    if (r.token().compareTo(m.token) > 0) {
-      m.token = r.token();
-    }
-    m.sawToken(r.token());
-    if (!r.type().equals(m.type) || !r.zone().equals(m.zoneName) || m.spot != r.spot()) {
-      m.type = r.type();
-      m.zoneName = r.zone();
-      m.zone = settings.zones().indexOf(r.zone());
-      m.spot = r.spot();
-      m.view = null;
-    }
-    m.lastReport = now;
-    if (!m.reported) {
-      m.reported = true;
-      m.view = null;
-      if (m.rentedAt != null && ledger.attemptsOn(m.id).isEmpty()) {
-        m.idleSince = now;
-      }
-      rentals.seen(m.id);
-      askRound();
-    }
-    if (m.endpoint == null || !m.endpointText.equals(r.endpoint())) {
-      try {
-        m.endpoint = Endpoint.parse(r.endpoint());
-        m.endpointText = r.endpoint();
-      } catch (IllegalArgumentException e) {
-        LOG.warn("machine {} reports no usable endpoint", m.id);
-      }
-    }
-    if (r.noticeS() != null && m.noticeAt == null) {
-      m.noticeAt = now.plusSeconds(r.noticeS());
-      noticed(m, r.noticeS());
-    }
-    if (!m.tasks.equals(r.tasks())) {
-      show(m, r.tasks());
-      observeAll(m, r, now);
-    }
-    missedStart = false;
-    for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
-      if (a.shownIn() != m.shownIn && a.session().equals(r.session())) {
-        absent(m, a, r, isReport);
-      }
-    }
-    if (missedStart) {
-      missed(m, now);
-    }
-    return true;
-  }
-
-  private void missed(Machine m, SteadyTime now) {
-    m.hearing.missed(now, othersHear());
-    if (m.hearing.deaf()) {
-      askRound();
-    }
-  }
-
-  /** Where many machines seem deaf at once it is the way from this node, not they. */
-  private boolean othersHear() {
-    int deaf = 0;
-    for (Machine m : machines.values()) {
-      deaf += m.hearing.deaf() ? 1 : 0;
-    }
-    return deaf < Math.max(MOST_DEAF, machines.size() / 10);
-  }
-
-  /** Keeps count of what the machines show, by the difference to a machine's last message. */
-  private void show(Machine m, List<TaskReport> tasks) {
-    for (TaskReport t : m.tasks) {
-      if (!t.ended() && shown.addTo(t.task(), -1) <= 1) {
-        shown.removeInt(t.task());
-      }
-    }
-    for (TaskReport t : tasks) {
-      if (!t.ended()) {
-        shown.addTo(t.task(), 1);
-      }
-    }
-    m.tasks = tasks;
-    m.shownIn = ++m.messages;
-    m.view = null;
+    return reports.report(r, mayCommand);
   }
 
-  private void observeAll(Machine m, WorkerReport r, SteadyTime now) {
-    for (TaskReport t : r.tasks()) {
-      Job job = ledger.job(t.task().job());
-      Attempt a = job == null ? null : job.open(t.task().index());
-      if (a != null
-          && a.number().equals(t.attempt())
-          && a.machine().equals(m.id)
-          && a.session().equals(r.session())) {
-        a.shownIn(m.shownIn);
-        observe(m, a, t, now);
-      }
-    }
-  }
-
-  private void observe(Machine m, Attempt a, TaskReport t, SteadyTime now) {
-    if (t.ended()) {
-      ended(m, a, t, now);
-      return;
-    }
-    Attempt.Seen before = a.seen();
-    Attempt.Seen seen =
-        switch (t.state()) {
-          case FETCHING -> Attempt.Seen.FETCHING;
-          case WAITING -> Attempt.Seen.WAITING;
-          case SAVING -> Attempt.Seen.SAVING;
-          default -> Attempt.Seen.RUNNING;
-        };
-    a.see(seen, now);
-    JobSpec spec = a.job().spec();
-    if (seen != Attempt.Seen.FETCHING || m.images.containsKey(spec.image())) {
-      Flavor f = flavors.get(m.type);
-      m.hasImage(spec.image(), spec.imageGb(), f == null ? Double.MAX_VALUE : f.cacheGb());
-    }
-    if (before == Attempt.Seen.UNSEEN && !a.recovered()) {
-      m.hearing.obeyed();
-    }
-    if (before != seen && seen == Attempt.Seen.RUNNING) {
-      if (!a.recovered()) {
-        metrics.started(now.secondsSince(a.openedAt()));
-      }
-    }
-  }
-
-  /**
-   * The worker does not show an open attempt. That proves it gone only if no start of it can still
-   * arrive: an earlier leader's can't once the worker has seen this term; an own one can't once the
-   * worker has shown it, or if it went out in an answer alone and a later report has come.
-   */
-  private void absent(Machine m, Attempt a, WorkerReport r, boolean isReport) {
-    if (!a.durable()) {
-      return;
-    }
-    if (a.recovered()) {
-      if (r.token().compareTo(authority.term()) >= 0) {
-        close(a, false, "never arrived or is gone");
-      }
-      return;
-    }
-    if (a.seen() != Attempt.Seen.UNSEEN) {
-      close(a, false, "vanished");
-      return;
-    }
-    boolean answerSettled = a.startAnswered() < 0 || (isReport && r.sequence() > a.startAnswered());
-    if (!a.stopping() && isReport && a.startAnswered() >= 0 && answerSettled) {
-      missedStart = true;
-    }
-    if (a.stopping() && answerSettled && m.strayStarts.getInt(Machine.key(a)) == 0) {
-      close(a, false, "stopped before it started");
-    }
-  }
-
-  private void ended(Machine m, Attempt a, TaskReport t, SteadyTime now) {
-    Job job = a.job();
-    EndReason why = t.why();
-    if (LOG.isDebugEnabled()) {
-      LOG.debug("{} attempt {} on {} ended: {}", a.task(), a.number(), m.id, why);
-    }
-    switch (why) {
-      case DONE -> {
-        m.errorsInARow = 0;
-        m.errorJobs.clear();
-        troubles.remove(job.spec().id());
-      }
-      case ERROR -> failed(m, job, now);
-      case NO_ROOM -> m.noRoomUntil = now.plusSeconds(5);
-      case UNKNOWN -> trouble(job).until = now.plusSeconds(3);
-      default -> {}
-    }
-    if (a.seen() == Attempt.Seen.RUNNING && why != EndReason.ERROR) {
-      m.hasImage(job.spec().image(), job.spec().imageGb(), cacheOf(m));
-    }
-    close(a, why == EndReason.DONE, why.word());
-  }
-
-  private double cacheOf(Machine m) {
-    Flavor f = flavors.get(m.type);
-    return f == null ? Double.MAX_VALUE : f.cacheGb();
-  }
-
-  private Trouble trouble(Job job) {
-    return troubles.computeIfAbsent(job.spec().id(), k -> new Trouble());
-  }
-
-  /**
-   * A task failed by itself. A machine is taken for sick when tasks fail on it in a row, not when
-   * one job fails everywhere: such a job is put off for longer and longer and counts once.
-   */
-  private void failed(Machine m, Job job, SteadyTime now) {
-    Trouble t = trouble(job);
-    t.machines.add(m.id);
-    if (t.machines.size() >= 3) {
-      t.until = now.plusSeconds(Math.min(60, 2 * Math.pow(2, t.machines.size() - 3)));
-      return;
-    }
-    m.errorsInARow++;
-    m.errorJobs.add(job.spec().id());
-    if (m.errorsInARow >= 2 && !m.sick(now)) {
-      m.sickUntil = now.plusSeconds(600);
-      LOG.info("machine {} fails its tasks and is set aside", m.id);
-    }
-  }
-
-  private void noticed(Machine m, double seconds) {
-    LOG.info("machine {} will be taken in {} s", m.id, seconds);
-    for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
-      JobSpec spec = a.job().spec();
-      if (spec.isService()) {
-        stopAttempt(a, 0);
-      } else if (spec.checkpointS() > 0 && spec.saveS() > 0) {
-        stopWithGrace(a, spec.saveS() + 1);
-      }
-    }
+  boolean take(Machine m, WorkerReport r, boolean isReport, SteadyTime now) {
+    return reports.take(m, r, isReport, now);
   }
 
   // ---- attempts -------------------------------------------------------------------------------
 
-  private void close(Attempt a, boolean done, String why) {
+  void close(Attempt a, boolean done, String why) {
     Job job = a.job();
     if (job.open(a.task().index()) != a) {
       return;
@@ -717,7 +439,7 @@
     askRound();
   }
 
-  private void stopAttempt(Attempt a, double graceS) {
+  void stopAttempt(Attempt a, double graceS) {
     if (a.stopping() && a.stopGraceS() <= graceS) {
       return;
     }
@@ -728,12 +450,12 @@
     }
     if (m != null && a.seen() != Attempt.Seen.UNSEEN) {
       m.outbox.add(new Command(Command.Op.STOP, a.task(), a.number(), graceS));
-      order(m);
+      orders.order(m);
     }
   }
 
   /** Stops an attempt, and with it its gang, so that progress is saved. */
-  private void stopWithGrace(Attempt a, double graceS) {
+  void stopWithGrace(Attempt a, double graceS) {
     if (a.job().spec().isGang()) {
       for (Attempt other : List.copyOf(a.job().openAttempts())) {
         stopAttempt(other, graceS);
@@ -780,135 +502,7 @@
       m.outbox.add(new Command(Command.Op.START, a.task(), a.number(), 0));
       touched.add(m);
     }
-    touched.forEach(this::order);
-  }
-
-  /** Sends what waits for a machine, one order at a time so that orders keep their sequence. */
-  private void order(Machine m) {
-    SteadyTime now = clock.now();
-    if (m.orderInFlight || m.outbox.isEmpty()) {
-      return;
-    }
-    if (!authority.valid() || m.endpoint == null || m.gone) {
-      m.outbox.clear();
-      return;
-    }
-    if (m.directAfter != null && now.isBefore(m.directAfter)) {
-      // The machine did not answer lately; its next report's answer carries the commands.
-      m.outbox.clear();
-      return;
-    }
-    List<Command> commands = new ArrayList<>();
-    while (!m.outbox.isEmpty() && commands.size() < MAX_COMMANDS) {
-      Command c = m.outbox.poll();
-      if (c.op() == Command.Op.START) {
-        Attempt a = openAttempt(c);
-        if (a == null || a.stopping() || !a.durable() || !a.session().equals(m.session)) {
-          continue;
-        }
-        m.strayStarts.addTo(Machine.key(c), 1);
-      }
-      commands.add(c);
-    }
-    if (commands.isEmpty()) {
-      return;
-    }
-    m.orderInFlight = true;
-    Session session = m.session;
-    SteadyTime sent = now;
-    workers
-        .order(m.endpoint, authority.term(), session, commands)
-        .whenComplete((o, e) -> locked(() -> ordered(m, session, commands, o, sent)));
-  }
-
-  private Attempt openAttempt(Command c) {
-    Job job = ledger.job(c.task().job());
-    Attempt a = job == null ? null : job.open(c.task().index());
-    return a != null && a.number().equals(c.attempt()) ? a : null;
-  }
-
-  private void ordered(
-      Machine m,
-      Session session,
-      List<Command> commands,
-      Outcome<Workers.Answer> outcome,
-      SteadyTime sent) {
-    m.orderInFlight = false;
-    SteadyTime now = clock.now();
-    if (outcome instanceof Outcome.Applied<Workers.Answer> applied) {
-      WorkerReport r = applied.value().report();
-      if (r.token().compareTo(authority.term()) > 0) {
-        authority.lost("a worker has seen term " + r.token());
-        return;
-      }
-      settleStrays(m, session, commands);
-      m.hearing.heard();
-      metrics.ordered(now.secondsSince(sent));
-      take(m, r, false, now);
-    } else if (outcome instanceof Outcome.NotApplied<Workers.Answer> not
-        && not.reason() == Reason.NO_CONNECTION) {
-      settleStrays(m, session, commands);
-      m.directAfter = now.plusSeconds(settings.workers().reportS());
-    } else {
-      // The order may yet arrive: its starts stay strays until the session ends.
-      m.directAfter = now.plusSeconds(settings.workers().reportS());
-    }
-    order(m);
-  }
-
-  private void settleStrays(Machine m, Session session, List<Command> commands) {
-    if (!session.equals(m.session)) {
-      return;
-    }
-    for (Command c : commands) {
-      if (c.op() == Command.Op.START) {
-        String key = Machine.key(c);
-        if (m.strayStarts.addTo(key, -1) <= 1) {
-          m.strayStarts.removeInt(key);
-        }
-      }
-    }
-  }
-
-  /** What a worker is to do, by its newest report. */
-  private List<Command> commands(Machine m, WorkerReport r, SteadyTime now) {
-    List<Command> out = new ArrayList<>();
-    for (TaskReport t : r.tasks()) {
-      Job job = ledger.job(t.task().job());
-      Attempt open = job == null ? null : job.open(t.task().index());
-      boolean known =
-          open != null && open.number().equals(t.attempt()) && open.machine().equals(m.id);
-      if (known) {
-        continue;
-      }
-      if (!t.ended()) {
-        // Not in the ledger, so nobody may have it run.
-        out.add(new Command(Command.Op.STOP, t.task(), t.attempt(), 0));
-      } else if ((job == null || job.recorded(t.task().index()))
-          && m.strayStarts.getInt(Machine.key(t)) == 0) {
-        // Only now: after this the worker forgets the attempt, and a repeated start would run it.
-        out.add(new Command(Command.Op.FORGET, t.task(), t.attempt(), 0));
-      }
-    }
-    for (Attempt a : ledger.attemptsOn(m.id)) {
-      if (!a.session().equals(r.session()) || out.size() >= MAX_COMMANDS) {
-        continue;
-      }
-      if (a.stopping()) {
-        if (a.seen() != Attempt.Seen.UNSEEN) {
-          double left = Math.max(0, a.stopGraceS() - now.secondsSince(a.stopAt()));
-          if (a.seen() != Attempt.Seen.SAVING) {
-            out.add(new Command(Command.Op.STOP, a.task(), a.number(), a.stopGraceS()));
-          } else if (left == 0 && a.stopGraceS() == 0) {
-            out.add(new Command(Command.Op.STOP, a.task(), a.number(), 0));
-          }
-        }
-      } else if (a.seen() == Attempt.Seen.UNSEEN && a.durable() && !a.recovered()) {
-        a.startAnswered(r.sequence());
-        out.add(new Command(Command.Op.START, a.task(), a.number(), 0));
-      }
-    }
-    return out;
+    touched.forEach(orders::order);
   }
 
   // ---- rounds ---------------------------------------------------------------------------------
@@ -1004,7 +598,7 @@
         askRound();
       }
       if (m.endpoint != null && !m.orderInFlight && m.hearing.callNow(now)) {
-        call(m, now);
+        orders.call(m, now);
       }
       Collection<Attempt> there = ledger.attemptsOn(m.id);
       if (there.isEmpty()) {
@@ -1034,15 +628,6 @@
     rentals.expire(now, returns);
   }
 
-  /** Asks a machine that seems deaf for a sign; an order of nothing is answered with a report. */
-  private void call(Machine m, SteadyTime now) {
-    m.orderInFlight = true;
-    Session session = m.session;
-    workers
-        .order(m.endpoint, authority.term(), session, List.of())
-        .whenComplete((o, e) -> locked(() -> ordered(m, session, List.of(), o, now)));
-  }
-
   /** The worker has killed what it ran; nothing that it showed before is there any more. */
   private void leaseOver(Machine m, List<Attempt> there) {
     LOG.info("machine {} has been silent past its lease", m.id);
@@ -1057,7 +642,7 @@
     m.forgetStrays();
     m.outbox.clear();
     // Otherwise its tasks would count as still shown, and could not start elsewhere.
-    show(m, List.of());
+    reports.show(m, List.of());
   }
 
   /**
@@ -1096,11 +681,6 @@
     }
   }
 
-  /** Whether a machine shows a task which, having no open attempt, should be nowhere. */
-  private boolean ghost(TaskId task) {
-    return shown.containsKey(task);
-  }
-
   private void apply(Plan plan) {
     SteadyTime now = clock.now();
     for (Plan.Place p : plan.places()) {
@@ -1112,7 +692,8 @@
       for (int i = 0; i < p.tasks().size(); i++) {
         Machine m = machines.get(p.machines().get(i));
         // One task that still shows somewhere must not keep the rest of its array waiting.
-        boolean waits = !job.spec().isGang() && ghost(new TaskId(p.job(), p.tasks().get(i)));
+        boolean waits =
+            !job.spec().isGang() && reports.ghost(new TaskId(p.job(), p.tasks().get(i)));
         if (m != null && !waits && views.placeable(m, now)) {
           Site site =
               new Site(
@@ -1127,7 +708,7 @@
         }
       }
       String against =
-          placements.isEmpty() ? "no machine" : ledger.open(job, placements, this::ghost, now);
+          placements.isEmpty() ? "no machine" : ledger.open(job, placements, reports::ghost, now);
       if (against != null) {
         LOG.debug("{} not placed: {}", p.job(), against);
         continue;
@@ -1185,139 +766,11 @@
     }
   }
 
-  // ---- the cloud's list -----------------------------------------------------------------------
-
-  private final List<HostInfo> listing = new ArrayList<>();
-  private SteadyTime listingSince;
-
-  private void list() {
-    listing.clear();
-    listingSince = clock.now();
-    page(null);
-  }
-
-  private void page(MachineId after) {
-    cloud
-        .list(after, 500)
-        .whenComplete(
-            (o, e) ->
-                locked(
-                    () -> {
-                      if (o instanceof Outcome.Applied<HostInfo.Page> applied) {
-                        HostInfo.Page p = applied.value();
-                        listing.addAll(p.hosts());
-                        if (p.more() && !p.hosts().isEmpty()) {
-                          page(p.hosts().get(p.hosts().size() - 1).machine());
-                          return;
-                        }
-                        listed();
-                      }
-                      later(settings.cloudLimits().listLagS() / 2, this::list);
-                    }));
-  }
-
-  private void listed() {
-    SteadyTime now = clock.now();
-    Set<MachineId> shown = new HashSet<>();
-    // Most workers find their way by themselves; those that have not after a while are told, few
-    // at a time, since a new leader has better things to do than to call hundreds of machines.
-    boolean soon = now.secondsSince(electedAt) < 2 * settings.workers().reportS();
-    int greets = soon ? 0 : MOST_GREETS;
-    for (HostInfo h : listing) {
-      shown.add(h.machine());
-      if (returned.contains(h.machine())) {
-        continue;
-      }
-      Machine m = machines.get(h.machine());
-      if (m == null) {
-        m = machine(h.machine(), now);
-      }
-      if (m.type == null) {
-        m.type = h.type();
-        m.zoneName = h.zone();
-        m.zone = settings.zones().indexOf(h.zone());
-        m.spot = h.spot();
-      }
-      if (m.listedAt == null) {
-        m.rentedAt = now.plusSeconds(-h.ageS());
-        m.view = null;
-      }
-      if (!m.greeted && greets > 0 && greet(m, h)) {
-        m.greeted = true;
-        greets--;
-      }
-      m.listedAt = now;
-      m.listedUp = h.state() == HostInfo.State.RUNNING;
-      rentals.seen(m.id);
-      if (h.state() == HostInfo.State.FAILED && !m.gone) {
-        LOG.info("machine {} has failed", m.id);
-        lost(m, "machine failed");
-        if (!m.releasing) {
-          returns.release(m);
-        }
-      }
-    }
-    // A machine stays listed until it is gone, and no list is older than twice the lag: one that
-    // was listed earlier than that and is missing now has been taken.
-    double oldest = 2 * settings.cloudLimits().listLagS() * (1 + DRIFT) + tuning.marginS();
-    for (Machine m : List.copyOf(machines.values())) {
-      if (m.listedAt != null
-          && !shown.contains(m.id)
-          && listingSince.secondsSince(m.listedAt) > oldest) {
-        LOG.info("machine {} is no longer listed", m.id);
-        lost(m, "machine taken");
-        drop(m);
-      }
-    }
-    rentals.listed(shown, now);
-    askRound();
-  }
-
-  /**
-   * Tells a worker that has not reported yet of this term. It may still report to an earlier leader
-   * that is cut off from everything else; having seen this term it turns away from it.
-   */
-  private boolean greet(Machine m, HostInfo h) {
-    if (m.reported || h.state() != HostInfo.State.RUNNING || h.endpoint() == null) {
-      return false;
-    }
-    Endpoint endpoint;
-    try {
-      endpoint = Endpoint.parse(h.endpoint());
-    } catch (IllegalArgumentException e) {
-      LOG.warn("machine {} is listed without a usable endpoint", m.id);
-      return false;
-    }
-    greet(m, endpoint, m.session, 2);
-    return true;
-  }
-
-  private void greet(Machine m, Endpoint endpoint, Session session, int tries) {
-    if (!authority.valid()) {
-      return;
-    }
-    workers
-        .order(endpoint, authority.term(), session, List.of())
-        .whenComplete(
-            (o, e) ->
-                locked(
-                    () -> {
-                      if (!(o instanceof Outcome.Applied<Workers.Answer> applied)) {
-                        return;
-                      }
-                      WorkerReport r = applied.value().report();
-                      take(m, r, false, clock.now());
-                      if (applied.value() instanceof Workers.Answer.Refused
-                          && r.token().compareTo(authority.term()) <= 0
-                          && tries > 1) {
-                        greet(m, endpoint, r.session(), tries - 1);
-                      }
-                    }));
-  }
+  // ---- machines that are gone -----------------------------------------------------------------
 
-  private void lost(Machine m, String why) {
+  void lost(Machine m, String why) {
     m.gone = true;
-    show(m, List.of());
+    reports.show(m, List.of());
     for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
       close(a, false, why);
     }
@@ -1326,7 +779,7 @@
   /** A machine that is certainly gone; its name never comes back. */
   void drop(Machine m) {
     m.gone = true;
-    show(m, List.of());
+    reports.show(m, List.of());
     for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
       close(a, false, "machine gone");
     }
