Sockets shared out, orders under way bounded, answers too large end in a paged read; fleet test

Workers now have a share of kept connections and are closed after an answer beyond it; orders to workers, greetings included, go out one way that counts them; a machine that owes reports is told nothing directly. An answer beyond 2 MB (before: 16, more than the heap as a tree) is told apart from a lost one, and a watch that gets it begins anew with a paged read instead of asking for ever.

FleetTest plays 1,720 machines and five controllers through a start from nothing, a mass restart, a crash of all controllers and a zone cut and healed.

--- a/src/main/java/org/ternhinge/cli/Service.java
+++ b/src/main/java/org/ternhinge/cli/Service.java
@@ -24,6 +24,7 @@
 import org.ternhinge.http.LoopClock;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
+import org.ternhinge.http.SocketShares;
 import org.ternhinge.limit.TokenBucket;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
@@ -39,9 +40,6 @@
   /** Of the state service's limits, what the leader uses; the rest is for the others. */
   private static final double LEADER_SHARE = 0.7;
 
-  /** One part in so many of the sockets may be kept connections to other systems. */
-  private static final int KEPT_PART = 6;
-
   private Service() {}
 
   static void run(Settings settings, Tuning tuning) throws InterruptedException {
@@ -55,7 +53,8 @@
     ExecutorService scheduler = Executors.newSingleThreadExecutor();
     Clock clock = new LoopClock(loop);
     Lock lock = new ReentrantLock();
-    HttpCaller http = new HttpCaller(loop, settings.maxSockets() / KEPT_PART);
+    SocketShares sockets = SocketShares.of(settings.maxSockets());
+    HttpCaller http = new HttpCaller(loop, sockets.kept());
 
     int others = Math.max(1, settings.peers().size());
     double follower = (1 - LEADER_SHARE) / others;
@@ -95,8 +94,7 @@
             lock,
             random);
     Node node = new Node(around, election, new Peers(link), share);
-    new HttpServer(group, node::handle, settings.maxSockets() * 7 / 10)
-        .listen(settings.clientListen());
+    new HttpServer(group, node::handle, sockets, Node.WORKERS_PATH).listen(settings.clientListen());
     link.listen(settings.peerListen(), node::handlePeer);
     node.start();
     LOG.info("{} serves users and workers on {}", settings.node(), settings.clientListen());
--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -170,8 +170,8 @@
     this.rentals = new Rentals(this, cloud, rented, authority, clock, lock);
     this.returns = new Returns(this, cloud, authority, lock, returning);
     this.arrivals = new Arrivals(settings.objectives());
-    this.listing = new Listing(this, s, authority, rentals, returns);
     this.orders = new Orders(this, s, authority, ledger);
+    this.listing = new Listing(this, s, authority, orders, rentals, returns);
     this.reports = new Reports(this, s, authority, ledger, flavors, troubles, rentals, orders);
     this.views = new Views(s, authority, ledger, flavors, troubles);
   }
@@ -282,7 +282,9 @@
                           watched = seen.value().revision();
                         }
                         follow();
-                      } else if (o != null && o.isBecause(Reason.TOO_OLD)) {
+                      } else if (o != null
+                          && (o.isBecause(Reason.TOO_OLD) || o.isBecause(Reason.TOO_LARGE))) {
+                        // Led anew: a recovery reads all that was missed, page by page.
                         authority.lost("the watch fell behind");
                       } else {
                         later(0.3, this::follow);
@@ -597,7 +599,7 @@
         m.view = null;
         askRound();
       }
-      if (m.endpoint != null && !m.orderInFlight && m.hearing.callNow(now)) {
+      if (m.endpoint != null && !m.orderInFlight && orders.free() && m.hearing.callNow(now)) {
         orders.call(m, now);
       }
       Collection<Attempt> there = ledger.attemptsOn(m.id);
--- a/src/main/java/org/ternhinge/controller/Listing.java
+++ b/src/main/java/org/ternhinge/controller/Listing.java
@@ -27,14 +27,14 @@
 final class Listing {
   private static final Logger LOG = LoggerFactory.getLogger(Listing.class);
 
-  /** Workers told of the term by one listing. */
-  private static final int MOST_GREETS = 40;
+  /** Of the orders that may still go out, one in so many may tell workers of the term. */
+  private static final int GREETS_PART = 2;
 
   private final Lead lead;
   private final Settings settings;
   private final Tuning tuning;
   private final Cloud cloud;
-  private final Workers workers;
+  private final Orders orders;
   private final Clock clock;
   private final Authority authority;
   private final Rentals rentals;
@@ -43,12 +43,17 @@
   private SteadyTime listingSince;
 
   Listing(
-      Lead lead, Lead.Surroundings around, Authority authority, Rentals rentals, Returns returns) {
+      Lead lead,
+      Lead.Surroundings around,
+      Authority authority,
+      Orders orders,
+      Rentals rentals,
+      Returns returns) {
     this.lead = lead;
     this.settings = around.settings();
     this.tuning = around.tuning();
     this.cloud = around.cloud();
-    this.workers = around.workers();
+    this.orders = orders;
     this.clock = around.clock();
     this.authority = authority;
     this.rentals = rentals;
@@ -88,7 +93,7 @@
     // Most workers find their way by themselves; those that have not after a while are told, few
     // at a time, since a new leader has better things to do than to call hundreds of machines.
     boolean soon = now.secondsSince(lead.electedAt()) < 2 * settings.workers().reportS();
-    int greets = soon ? 0 : MOST_GREETS;
+    int greets = soon ? 0 : orders.spare() / GREETS_PART;
     for (HostInfo h : listing) {
       shown.add(h.machine());
       if (lead.wasReturned(h.machine())) {
@@ -159,22 +164,20 @@
     if (!authority.valid()) {
       return;
     }
-    workers
-        .order(endpoint, authority.term(), session, List.of())
-        .whenComplete(
-            (o, e) ->
-                lead.locked(
-                    () -> {
-                      if (!(o instanceof Outcome.Applied<Workers.Answer> applied)) {
-                        return;
-                      }
-                      WorkerReport r = applied.value().report();
-                      lead.take(m, r, false, clock.now());
-                      if (applied.value() instanceof Workers.Answer.Refused
-                          && r.token().compareTo(authority.term()) <= 0
-                          && tries > 1) {
-                        greet(m, endpoint, r.session(), tries - 1);
-                      }
-                    }));
+    orders.greet(
+        endpoint,
+        session,
+        o -> {
+          if (!(o instanceof Outcome.Applied<Workers.Answer> applied)) {
+            return;
+          }
+          WorkerReport r = applied.value().report();
+          lead.take(m, r, false, clock.now());
+          if (applied.value() instanceof Workers.Answer.Refused
+              && r.token().compareTo(authority.term()) <= 0
+              && tries > 1) {
+            greet(m, endpoint, r.session(), tries - 1);
+          }
+        });
   }
 }
--- a/src/main/java/org/ternhinge/controller/Node.java
+++ b/src/main/java/org/ternhinge/controller/Node.java
@@ -44,6 +44,10 @@
  */
 public final class Node {
   private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+
+  /** Where workers report. */
+  public static final String WORKERS_PATH = "/agent/beat";
+
   private static final int RETRY_AFTER_S = 1;
   private static final double ASK_S = 0.8;
   private static final double CANCEL_S = 4;
@@ -197,7 +201,7 @@
 
   private void route(Request request, boolean fromPeer, Consumer<Response> answer) {
     String path = request.path();
-    if (path.equals("/agent/beat")) {
+    if (path.equals(WORKERS_PATH)) {
       only("POST", request, answer, () -> report(request, fromPeer, answer));
     } else if (path.equals("/submissions")) {
       only("POST", request, answer, () -> submit(request, fromPeer, answer));
--- a/src/main/java/org/ternhinge/controller/Orders.java
+++ b/src/main/java/org/ternhinge/controller/Orders.java
@@ -1,14 +1,18 @@
 package org.ternhinge.controller;
 
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.function.Consumer;
 import org.ternhinge.config.Settings;
+import org.ternhinge.http.SocketShares;
 import org.ternhinge.ledger.Attempt;
 import org.ternhinge.ledger.Authority;
 import org.ternhinge.ledger.Job;
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
+import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.Session;
@@ -17,6 +21,7 @@
 import org.ternhinge.wire.TaskReport;
 import org.ternhinge.wire.WorkerReport;
 import org.ternhinge.worker.Workers;
+import org.ternhinge.worker.Workers.Answer;
 
 /**
  * Tells workers what to do: by direct orders, one at a time to a machine, and by the answers to
@@ -25,6 +30,9 @@
 final class Orders {
   private static final int MAX_COMMANDS = 400;
 
+  /** A machine that owes so many reports is not told anything directly. */
+  private static final double SILENT_REPORTS = 2.5;
+
   private final Lead lead;
   private final Settings settings;
   private final Workers workers;
@@ -33,6 +41,14 @@
   private final Authority authority;
   private final Ledger ledger;
 
+  /** Orders that may be under way at once; each takes a socket. */
+  private final int most;
+
+  private int underWay;
+
+  /** Machines with something to be told, until an order under way has come back. */
+  private final LinkedHashSet<Machine> queue = new LinkedHashSet<>();
+
   Orders(Lead lead, Lead.Surroundings around, Authority authority, Ledger ledger) {
     this.lead = lead;
     this.settings = around.settings();
@@ -41,6 +57,12 @@
     this.metrics = around.metrics();
     this.authority = authority;
     this.ledger = ledger;
+    this.most = SocketShares.of(settings.maxSockets()).calls();
+  }
+
+  /** Whether another order may go out now. */
+  boolean free() {
+    return spare() > 0;
   }
 
   /** Sends what waits for a machine, one order at a time so that orders keep their sequence. */
@@ -53,11 +75,19 @@
       m.outbox.clear();
       return;
     }
-    if (m.directAfter != null && now.isBefore(m.directAfter)) {
-      // The machine did not answer lately; its next report's answer carries the commands.
+    boolean silent =
+        m.lastReport == null
+            || now.secondsSince(m.lastReport) > SILENT_REPORTS * settings.workers().reportS();
+    if (silent || (m.directAfter != null && now.isBefore(m.directAfter))) {
+      // The machine did not answer lately; its next report's answer carries the commands. Orders to
+      // a whole zone that is cut off would keep all others waiting for their time-outs.
       m.outbox.clear();
       return;
     }
+    if (!free()) {
+      queue.add(m);
+      return;
+    }
     List<Command> commands = new ArrayList<>();
     while (!m.outbox.isEmpty() && commands.size() < MAX_COMMANDS) {
       Command c = m.outbox.poll();
@@ -76,9 +106,37 @@
     m.orderInFlight = true;
     Session session = m.session;
     SteadyTime sent = now;
+    send(m.endpoint, session, commands, o -> ordered(m, session, commands, o, sent));
+  }
+
+  /** The one way out to a worker, so that what is under way is counted. */
+  private void send(
+      Endpoint to, Session session, List<Command> commands, Consumer<Outcome<Answer>> then) {
+    underWay++;
     workers
-        .order(m.endpoint, authority.term(), session, commands)
-        .whenComplete((o, e) -> lead.locked(() -> ordered(m, session, commands, o, sent)));
+        .order(to, authority.term(), session, commands)
+        .whenComplete(
+            (o, e) ->
+                lead.locked(
+                    () -> {
+                      underWay--;
+                      then.accept(o);
+                      while (free() && !queue.isEmpty()) {
+                        Machine next = queue.iterator().next();
+                        queue.remove(next);
+                        order(next);
+                      }
+                    }));
+  }
+
+  /** Tells a worker of this term, whatever is known of it; the answer may say that it refuses. */
+  void greet(Endpoint to, Session session, Consumer<Outcome<Answer>> then) {
+    send(to, session, List.of(), then);
+  }
+
+  /** How many more orders may go out now. */
+  int spare() {
+    return Math.max(0, most - underWay);
   }
 
   private Attempt openAttempt(Command c) {
@@ -91,11 +149,11 @@
       Machine m,
       Session session,
       List<Command> commands,
-      Outcome<Workers.Answer> outcome,
+      Outcome<Answer> outcome,
       SteadyTime sent) {
     m.orderInFlight = false;
     SteadyTime now = clock.now();
-    if (outcome instanceof Outcome.Applied<Workers.Answer> applied) {
+    if (outcome instanceof Outcome.Applied<Answer> applied) {
       WorkerReport r = applied.value().report();
       if (r.token().compareTo(authority.term()) > 0) {
         authority.lost("a worker has seen term " + r.token());
@@ -105,7 +163,7 @@
       m.hearing.heard();
       metrics.ordered(now.secondsSince(sent));
       lead.take(m, r, false, now);
-    } else if (outcome instanceof Outcome.NotApplied<Workers.Answer> not
+    } else if (outcome instanceof Outcome.NotApplied<Answer> not
         && not.reason() == Reason.NO_CONNECTION) {
       settleStrays(m, session, commands);
       m.directAfter = now.plusSeconds(settings.workers().reportS());
@@ -175,8 +233,6 @@
   void call(Machine m, SteadyTime now) {
     m.orderInFlight = true;
     Session session = m.session;
-    workers
-        .order(m.endpoint, authority.term(), session, List.of())
-        .whenComplete((o, e) -> lead.locked(() -> ordered(m, session, List.of(), o, now)));
+    send(m.endpoint, session, List.of(), o -> ordered(m, session, List.of(), o, now));
   }
 }
--- a/src/main/java/org/ternhinge/http/HttpCaller.java
+++ b/src/main/java/org/ternhinge/http/HttpCaller.java
@@ -12,6 +12,7 @@
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.TooLongFrameException;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -38,7 +39,12 @@
  * written and not answered is Unknown, never failed: it may have been carried out, or may yet be.
  */
 public final class HttpCaller {
-  private static final int MAX_REPLY = 16 * 1024 * 1024;
+  /**
+   * Several of the state service's largest pages. Only a watch's answer has no bound of its own;
+   * one of 16 MB, as a tree, would be more than the whole heap.
+   */
+  private static final int MAX_REPLY = 2 * 1024 * 1024;
+
   private static final int MAX_IDLE = 4;
   private static final int CONNECT_MS = 1500;
 
@@ -221,6 +227,12 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+      if (cause instanceof TooLongFrameException && call != null && call.method.equals("GET")) {
+        // Asking the same again would bring the same: whoever asked has to read in pages.
+        Call answered = call;
+        call = null;
+        answered.finish(Outcome.notApplied(Reason.TOO_LARGE, "answer too large"));
+      }
       ctx.close();
     }
   }
--- a/src/main/java/org/ternhinge/http/HttpServer.java
+++ b/src/main/java/org/ternhinge/http/HttpServer.java
@@ -46,13 +46,19 @@
 
   private final EventLoopGroup loop;
   private final Handler handler;
-  private final int maxConnections;
+  private final SocketShares shares;
+  private final String workersPath;
   private int connections;
+  private int workers;
 
-  public HttpServer(EventLoopGroup loop, Handler handler, int maxConnections) {
+  /**
+   * @param workersPath a connection that has asked for this is a worker's
+   */
+  public HttpServer(EventLoopGroup loop, Handler handler, SocketShares shares, String workersPath) {
     this.loop = loop;
     this.handler = handler;
-    this.maxConnections = maxConnections;
+    this.shares = shares;
+    this.workersPath = workersPath;
   }
 
   public Channel listen(Endpoint endpoint) throws InterruptedException {
@@ -75,7 +81,7 @@
   }
 
   private void accept(SocketChannel ch) {
-    if (connections >= maxConnections) {
+    if (connections >= shares.all()) {
       ch.close();
       return;
     }
@@ -106,10 +112,23 @@
 
   private final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
     private boolean busy;
+    private boolean worker;
+
+    /**
+     * Workers beyond their share are served, and have to connect anew each time: users and probes
+     * find a socket however many machines there are.
+     */
+    private boolean beyondShare(ChannelHandlerContext ctx, String path) {
+      if (!worker && path.equals(workersPath)) {
+        worker = true;
+        workers++;
+        ctx.channel().closeFuture().addListener(f -> workers--);
+      }
+      return worker && workers > shares.workers();
+    }
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpRequest request) {
-      boolean keep = HttpUtil.isKeepAlive(request);
       if (request.decoderResult().isFailure()) {
         send(ctx, Response.of(400), false);
         return;
@@ -119,6 +138,7 @@
       String uri = request.uri();
       int query = uri.indexOf('?');
       String path = query < 0 ? uri : uri.substring(0, query);
+      boolean keep = HttpUtil.isKeepAlive(request) && !beyondShare(ctx, path);
       busy = true;
       try {
         handler.handle(
--- /dev/null
+++ b/src/main/java/org/ternhinge/http/SocketShares.java
@@ -0,0 +1,25 @@
+package org.ternhinge.http;
+
+/**
+ * How a process shares out its sockets. Without shares, the connections of a large fleet's workers,
+ * or a burst of orders to them, take the last socket, and then users, probes, other controllers and
+ * the state service are refused as if the process were dead.
+ *
+ * @param kept idle connections to other systems
+ * @param calls connections to workers in use at once
+ * @param workers kept connections of workers; those beyond are closed after each answer
+ * @param all connections that may be open to this process
+ */
+public record SocketShares(int kept, int calls, int workers, int all) {
+  private static final int CALLS_PART = 12;
+  private static final int SPARE_PART = 20;
+  private static final int USERS_PART = 10;
+
+  /** The rest, one part in twenty, is for listening, other controllers and the outside systems. */
+  public static SocketShares of(int maxSockets) {
+    int kept = Math.max(1, maxSockets / CALLS_PART);
+    int calls = Math.max(1, maxSockets / CALLS_PART);
+    int all = Math.max(2, maxSockets - kept - calls - maxSockets / SPARE_PART);
+    return new SocketShares(kept, calls, all - Math.max(1, all / USERS_PART), all);
+  }
+}
--- a/src/main/java/org/ternhinge/model/Outcome.java
+++ b/src/main/java/org/ternhinge/model/Outcome.java
@@ -30,7 +30,9 @@
     NOT_FOUND,
     INVALID,
     /** The revision asked for is no longer kept. */
-    TOO_OLD
+    TOO_OLD,
+    /** The answer is larger than what is taken in at once. */
+    TOO_LARGE
   }
 
   static <T> Outcome<T> applied(T value) {
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/FleetTest.java
@@ -0,0 +1,129 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.ternhinge.http.SocketShares;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.Users;
+import org.ternhinge.sim.World;
+
+/**
+ * The largest fleet that users speak of, on virtual time: 1,700 machines and five controllers, with
+ * the troubles that strike many at once. Work is bounded by counts, never by time.
+ */
+class FleetTest {
+  private static final int PER_OFFER = 215;
+  private static final int FLEET = 8 * PER_OFFER;
+  private static final double WRITES = 40;
+
+  private World world;
+  private Users users;
+  private final List<JobId> services = new ArrayList<>();
+  private final List<JobId> others = new ArrayList<>();
+
+  /** The world's counts at some time. */
+  private record Counts(
+      double at, long orders, long changes, long rents, long returns, long lists) {
+    static Counts of(World w) {
+      return new Counts(
+          w.clock.seconds(), w.orders, w.changes, w.rentCalls, w.returnCalls, w.listings);
+    }
+  }
+
+  private JobId submit(String id, String kind, int tasks, double cpus, double runs, int image) {
+    var body = Specs.json(id, kind, tasks).put("cpus", cpus).put("aaetlun_s", runs);
+    body.put("mynd", "img-" + image);
+    if (kind.equals("daemon")) {
+      body.put("forgang", "production").put("lanvelar", false).put("scatter", true);
+    }
+    if (kind.equals("group")) {
+      body.put("accelerators", 2.0).put("together", true);
+    }
+    users.submit(body);
+    return new JobId(id);
+  }
+
+  private void run(double seconds) {
+    for (double t = 0; t < seconds; t += 3) {
+      world.clock.runFor(3);
+      users.pollAll();
+    }
+  }
+
+  private int replicas() {
+    return services.stream().mapToInt(world::runningTasks).sum();
+  }
+
+  /** What a span may cost, whatever happens in it. */
+  private void bounded(Counts from, double cloudRps) {
+    Counts to = Counts.of(world);
+    double span = to.at - from.at;
+    assertTrue(to.changes - from.changes <= WRITES * (span + 1), "changes of the state service");
+    long calls = to.rents - from.rents + to.returns - from.returns + to.lists - from.lists;
+    assertTrue(calls <= cloudRps * (span + 2), calls + " calls of the cloud in " + span + " s");
+    int sockets = SocketShares.of(world.settings("node-0").maxSockets()).calls();
+    assertTrue(world.mostOrders <= sockets, world.mostOrders + " orders at once");
+    long steps = world.metrics.mostSteps();
+    assertTrue(steps < 600L * FLEET, "a round of " + steps + " looks");
+  }
+
+  @Test
+  void seventeenHundredMachinesHoldWhenManyFailTogether() {
+    world = new World(91, 0, new World.Size(5, PER_OFFER, 12000, WRITES));
+    users = new Users(world);
+    world.clock.runFor(5);
+    Counts start = Counts.of(world);
+    for (int i = 0; i < 200; i++) {
+      services.add(submit(String.format("wk-1%03d", i), "daemon", 6, 4, 0, i % 12));
+    }
+    for (int i = 0; i < 150; i++) {
+      others.add(submit(String.format("wk-2%03d", i), "group", 2, 14, 60, i % 16));
+    }
+    for (int i = 0; i < 20; i++) {
+      others.add(submit(String.format("wk-3%03d", i), "batch", 300, 2, 25, i % 14));
+    }
+    run(75);
+    assertTrue(world.liveWorkers().size() > 0.9 * FLEET, world.liveWorkers().size() + " machines");
+    assertEquals(1200, replicas());
+    bounded(start, 4);
+
+    Counts restart = Counts.of(world);
+    world.restartMachines(0.4);
+    assertTrue(replicas() < 900, "many are lost");
+    run(24);
+    assertEquals(1200, replicas(), "production work is back first");
+    bounded(restart, 4);
+
+    Counts crash = Counts.of(world);
+    int running = replicas();
+    for (int i = 0; i < 5; i++) {
+      world.crash(i, i * 0.1);
+    }
+    run(15);
+    assertEquals(running, replicas(), "no running task is lost by it");
+    int starts = world.starts;
+    others.add(submit("wk-4000", "batch", 40, 1, 10, 1));
+    run(9);
+    assertTrue(world.starts > starts, "the next leader starts work");
+    bounded(crash, 4);
+
+    Counts cut = Counts.of(world);
+    world.cutZone("west", 48);
+    run(66);
+    assertEquals(1200, replicas(), "replicas of the lost zone run again");
+    bounded(cut, 4);
+    users.quiet();
+    run(90);
+    assertEquals(List.of(), world.broken);
+    for (JobId id : others) {
+      double waited = world.began(id).orElse(1e9) - users.submittedAt(id);
+      assertTrue(waited < 240, id + " began after " + waited);
+      assertEquals("done", users.lastTold(id));
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/http/HttpTest.java
@@ -0,0 +1,117 @@
+package org.ternhinge.http;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+
+/** Sockets and sizes, on loopback; nothing here depends on how fast it goes. */
+class HttpTest {
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final List<Socket> sockets = new ArrayList<>();
+  private Endpoint here;
+
+  private void serve(SocketShares shares, int replyBytes) throws InterruptedException {
+    byte[] body = new byte[replyBytes];
+    Channel channel =
+        new HttpServer(group, (r, to) -> to.accept(Response.of(200, body)), shares, "/work")
+            .listen(new Endpoint("127.0.0.1", 0));
+    here = new Endpoint("127.0.0.1", ((InetSocketAddress) channel.localAddress()).getPort());
+  }
+
+  @AfterEach
+  void end() throws IOException {
+    for (Socket s : sockets) {
+      s.close();
+    }
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+
+  /** The fleets of the deployments, and half as many machines again. */
+  @ParameterizedTest(name = "{0} sockets, {1} machines")
+  @CsvSource({"1500, 860", "1800, 1240", "2219, 1526", "2885, 1695", "64, 1", "8, 1"})
+  void sharesLeaveUsersTheirPartAndFitTheLimit(int limit, int machines) {
+    SocketShares s = SocketShares.of(limit);
+    assertTrue(s.workers() >= machines, s.workers() + " kept connections for workers");
+    assertTrue(s.all() > s.workers(), "users find a socket");
+    assertTrue(s.kept() + s.calls() + s.all() <= limit, "all together fit: " + s);
+  }
+
+  /** Sends a request on a connection; says whether the server keeps it, or null if it is gone. */
+  private Boolean ask(Socket s, String path) throws IOException {
+    s.setSoTimeout(20_000);
+    String request = "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
+    StringBuilder head = new StringBuilder();
+    try {
+      s.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      InputStream in = s.getInputStream();
+      while (head.indexOf("\r\n\r\n") < 0) {
+        int c = in.read();
+        if (c < 0) {
+          return null;
+        }
+        head.append((char) c);
+      }
+    } catch (IOException e) {
+      return null;
+    }
+    assertTrue(head.toString().startsWith("HTTP/1.1 200"), head.toString());
+    return !head.toString().toLowerCase().contains("connection: close");
+  }
+
+  private Socket connect() throws IOException {
+    Socket s = new Socket(here.host(), here.port());
+    sockets.add(s);
+    return s;
+  }
+
+  @Test
+  void workersBeyondTheirShareAreServedAndUsersFindASocket() throws Exception {
+    serve(new SocketShares(1, 1, 2, 4), 0);
+    Socket first = connect();
+    Socket second = connect();
+    assertTrue(ask(first, "/work"));
+    assertTrue(ask(second, "/work"));
+    for (int i = 0; i < 5; i++) {
+      assertFalse(ask(connect(), "/work"), "answered, and closed");
+    }
+    assertTrue(ask(first, "/work"), "those within the share are kept");
+    Socket user = connect();
+    assertTrue(ask(user, "/"), "a user is not shut out");
+    assertTrue(ask(user, "/"));
+    assertTrue(ask(connect(), "/"));
+    assertEquals(null, ask(connect(), "/"), "beyond the limit: closed at once");
+  }
+
+  /** The watch of the state service has no bound of its own. */
+  @Test
+  void anAnswerTooLargeIsNoLostAnswer() throws Exception {
+    serve(SocketShares.of(64), 3 << 20);
+    HttpCaller caller = new HttpCaller(group.next(), 2);
+    Outcome<Reply> read = caller.call(here, "GET", "/", null, 20).get(30, TimeUnit.SECONDS);
+    assertTrue(read.isBecause(Reason.TOO_LARGE), read.toString());
+    Outcome<Reply> write =
+        caller.call(here, "POST", "/", new byte[2], 20).get(30, TimeUnit.SECONDS);
+    assertTrue(write instanceof Outcome.Unknown, "it may have been carried out");
+  }
+}
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -122,6 +122,15 @@
     tasks.clear();
   }
 
+  /** Its tasks are gone and its next session begins. */
+  void restart() {
+    tasks.values().forEach(this::kill);
+    tasks.clear();
+    session++;
+    leaseFrom = world.clock.now();
+    changed();
+  }
+
   private void changed() {
     int before = reports;
     world.clock.after(
--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -80,7 +80,7 @@
   private SteadyTime outageUntil;
   private double copyShare;
   private SteadyTime copyUntil;
-  private final Map<MachineId, SimWorker> workers = new TreeMap<>();
+  private final TreeMap<MachineId, SimWorker> workers = new TreeMap<>();
   private final Map<String, List<MachineId>> rentals = new HashMap<>();
   private int machinesMade;
   private final Map<String, Integer> booting = new HashMap<>();
@@ -90,6 +90,14 @@
 
   public long orders;
   public long changes;
+  public long listings;
+
+  /** The most orders that were under way at once. */
+  public long mostOrders;
+
+  private long ordersUnderWay;
+  public long rentCalls;
+  public long returnCalls;
   public final Metrics metrics = new Metrics();
 
   /** The last report of each machine, to be repeated as a late copy. */
@@ -104,6 +112,10 @@
   private final Map<JobId, JobSpec> specs = new LinkedHashMap<>();
 
   private final Map<TaskId, Set<MachineId>> running = new HashMap<>();
+
+  /** Tasks of each job that run, by zone. */
+  private final Map<JobId, Map<String, Integer>> zonesOf = new HashMap<>();
+
   private final Set<TaskId> completed = new HashSet<>();
   private final Map<JobId, Double> cancelledAt = new HashMap<>();
   private final Map<String, Resources> use = new HashMap<>();
@@ -503,6 +515,7 @@
 
     @Override
     public CompletableFuture<Outcome<List<MachineId>>> rent(RentalRequest request) {
+      rentCalls++;
       return owner.guard(
           net.<List<MachineId>>call(
               () -> false, 5, to -> to.accept(Outcome.applied(rentNow(request)))));
@@ -510,6 +523,7 @@
 
     @Override
     public CompletableFuture<Outcome<Integer>> release(List<MachineId> ids) {
+      returnCalls++;
       return owner.guard(
           net.<Integer>call(
               () -> false,
@@ -528,13 +542,19 @@
 
     @Override
     public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
+      listings++;
       List<HostInfo> hosts = new ArrayList<>();
-      for (SimWorker w : workers.values()) {
+      boolean more = false;
+      for (SimWorker w : (after == null ? workers : workers.tailMap(after, false)).values()) {
+        if (hosts.size() == limit) {
+          more = true;
+          break;
+        }
         hosts.add(
             new HostInfo(
                 w.id, w.endpoint(), w.flavor.name(), w.zone, w.spot, HostInfo.State.RUNNING, 30));
       }
-      HostInfo.Page page = new HostInfo.Page(hosts, false);
+      HostInfo.Page page = new HostInfo.Page(hosts, more);
       CompletableFuture<Outcome<HostInfo.Page>> out = new CompletableFuture<>();
       // The list lags.
       clock.after(1, () -> out.complete(Outcome.applied(page)));
@@ -601,10 +621,11 @@
     public CompletableFuture<Outcome<Answer>> order(
         Endpoint worker, Term term, Session session, List<Command> commands) {
       orders++;
+      mostOrders = Math.max(mostOrders, ++ordersUnderWay);
       MachineId id = new MachineId(String.format("n-%06d", worker.port() - 1000));
       SimWorker w = workers.get(id);
       sent(id, commands);
-      return owner.guard(
+      CompletableFuture<Outcome<Answer>> answer =
           net.<Answer>call(
               () -> w == null || w.cut() || w.deaf() || nodeCutFromWorkers(owner.index),
               3,
@@ -612,6 +633,12 @@
                 if (w != null) {
                   w.order(term, session, commands, to);
                 }
+              });
+      return owner.guard(
+          answer.thenApply(
+              o -> {
+                ordersUnderWay--;
+                return o;
               }));
     }
 
@@ -680,13 +707,8 @@
         || (on.spot && !spec.spotAllowed())) {
       broken.add("wrong_place: " + task + " on " + on.id);
     }
-    Map<String, Integer> zones = new HashMap<>();
-    running.forEach(
-        (t, ids) -> {
-          if (t.job().equals(task.job())) {
-            ids.forEach(m -> zones.merge(workers.get(m).zone, 1, Integer::sum));
-          }
-        });
+    Map<String, Integer> zones = zonesOf.computeIfAbsent(task.job(), k -> new HashMap<>());
+    zones.merge(on.zone, 1, Integer::sum);
     if (spec.together() && zones.size() > 1) {
       broken.add("wrong_place: " + task + " apart from its gang");
     }
@@ -702,6 +724,7 @@
 
   void left(SimWorker on, TaskId task) {
     running.get(task).remove(on.id);
+    zonesOf.get(task.job()).computeIfPresent(on.zone, (z, n) -> n == 1 ? null : n - 1);
     use.computeIfPresent(spec(task.job()).team(), (t, r) -> r.minus(spec(task.job()).need()));
   }
 
@@ -719,6 +742,26 @@
     return List.copyOf(workers.values());
   }
 
+  /**
+   * A share of all machines restart together: what ran there is gone, and they are back at once.
+   */
+  public void restartMachines(double share) {
+    for (SimWorker w : liveWorkers()) {
+      if (random.nextDouble() < share) {
+        w.restart();
+      }
+    }
+  }
+
+  /** Cuts all machines of a zone off from everything. */
+  public void cutZone(String zone, double seconds) {
+    for (SimWorker w : liveWorkers()) {
+      if (w.zone.equals(zone)) {
+        w.cutUntil = clock.now().plusSeconds(seconds);
+      }
+    }
+  }
+
   /** Cuts a random worker off, or kills it. */
   public void hurtSomeWorker(double cutS) {
     List<SimWorker> live = liveWorkers();
