--- /dev/null
+++ b/src/main/java/org/ternhinge/schedule/Exhausted.java
@@ -0,0 +1,81 @@
+package org.ternhinge.schedule;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.ternhinge.model.Resources;
+import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.wire.JobKind;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Priority;
+
+/**
+ * Which kinds of jobs have found no more room in this round. Room only gets less while a plan
+ * grows, so a job that asks for as much or more, with the same rights, finds none either and need
+ * not look. In a full fleet of a thousand machines each waiting job asked each of them in every
+ * round, and the round's bound on looks was used up before the last jobs in the queue had their
+ * turn, round after round.
+ */
+final class Exhausted {
+  private record Kind(
+      JobKind kind,
+      Priority priority,
+      String team,
+      boolean guaranteed,
+      boolean spot,
+      boolean scatter,
+      boolean together,
+      String zone,
+      List<String> types,
+      String image,
+      Reach reach) {}
+
+  private final Map<Kind, List<Resources>> found = new HashMap<>();
+
+  private static Kind kind(JobView job, Reach reach, boolean stops) {
+    JobSpec s = job.spec();
+    return new Kind(
+        s.kind(),
+        s.priority(),
+        stops ? s.team() : null,
+        stops && job.guaranteed(),
+        s.spotAllowed(),
+        s.scatter(),
+        s.together(),
+        s.zone(),
+        s.types(),
+        reach.cached() ? s.image() : null,
+        reach);
+  }
+
+  /** Whether a job need not look; places that were made for it are its own affair. */
+  boolean holds(JobView job, Reach reach, boolean stops) {
+    if (found.isEmpty() || job.reservedTasks() > 0) {
+      return false;
+    }
+    for (Resources least : found.getOrDefault(kind(job, reach, stops), List.of())) {
+      if (least.fitsIn(job.spec().need())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /**
+   * A job has looked everywhere and wanted more. That says nothing of others where it was kept from
+   * a machine by what is its own: tasks in a zone, or machines that it failed on.
+   */
+  void note(JobView job, int[] zones, Reach reach, boolean stops) {
+    JobSpec s = job.spec();
+    if (!job.avoid().isEmpty()) {
+      return;
+    }
+    for (int there : zones) {
+      if (there >= s.zoneLimit() || (s.together() && there > 0)) {
+        return;
+      }
+    }
+    found.computeIfAbsent(kind(job, reach, stops), k -> new ArrayList<>()).add(s.need());
+  }
+}
--- a/src/main/java/org/ternhinge/schedule/GangRoom.java
+++ b/src/main/java/org/ternhinge/schedule/GangRoom.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import org.ternhinge.model.Resources;
 import org.ternhinge.schedule.Snapshot.AttemptView;
 import org.ternhinge.schedule.Snapshot.JobView;
 import org.ternhinge.wire.JobSpec;
@@ -29,6 +32,7 @@
   private final Draft draft;
   private final Preemption preemption;
   private final List<JobView> young = new ArrayList<>();
+  private final Map<Resources, List<Bin>> hosts = new HashMap<>();
 
   GangRoom(Draft draft, Preemption preemption) {
     this.draft = draft;
@@ -39,11 +43,12 @@
   Missing make(JobView job) {
     JobSpec spec = job.spec();
     int zones = job.zoneOpen().length;
+    boolean mayStop = spec.tasks() == 1 || job.late();
     List<Spot> best = null;
     int bestZone = -1;
     double least = Double.MAX_VALUE;
     for (int z = spec.together() ? 0 : -1; z < (spec.together() ? zones : 0); z++) {
-      List<Spot> spots = spots(job, z);
+      List<Spot> spots = spots(job, z, mayStop);
       boolean whole = spots.size() == spec.tasks();
       double cost = 0;
       for (Spot s : spots) {
@@ -60,7 +65,6 @@
     boolean patient =
         job.ageS()
             < PATIENCE_S * Integer.numberOfTrailingZeros(Integer.highestOneBit(spec.tasks()));
-    boolean mayStop = spec.tasks() == 1 || job.late();
     if (best != null && best.size() == spec.tasks() && mayStop) {
       for (Spot s : best) {
         claim(job, s);
@@ -80,9 +84,7 @@
   void keepForYoung() {
     for (JobView job : young) {
       for (Spot s : mostSpots(job)) {
-        if (s.victims.isEmpty()) {
-          s.bin.stop(job.spec(), List.of());
-        }
+        s.bin.stop(job.spec(), List.of());
       }
     }
     young.clear();
@@ -93,13 +95,9 @@
     List<Spot> most = List.of();
     int free = -1;
     for (int z = together ? 0 : -1; z < (together ? job.zoneOpen().length : 0); z++) {
-      List<Spot> spots = spots(job, z);
-      int n = 0;
-      for (Spot s : spots) {
-        n += s.victims.isEmpty() ? 1 : 0;
-      }
-      if (n > free) {
-        free = n;
+      List<Spot> spots = spots(job, z, false);
+      if (spots.size() > free) {
+        free = spots.size();
         most = spots;
       }
     }
@@ -134,17 +132,16 @@
     return new Missing(spec.tasks() - free, zones);
   }
 
-  private List<Spot> spots(JobView job, int zone) {
+  private List<Spot> spots(JobView job, int zone, boolean stops) {
     JobSpec spec = job.spec();
     List<Spot> out = new ArrayList<>();
-    for (Bin bin : draft.bins) {
-      draft.step();
-      if (bin.ready()
-          && (zone < 0 || bin.zone == zone)
+    for (Bin bin : hosts(spec)) {
+      if ((zone < 0 || bin.zone == zone)
           && bin.allows(spec)
-          && spec.need().fitsIn(bin.flavor.capacity())
+          && (stops || bin.freeCpus() >= spec.need().cpus())
           && !Draft.avoided(job, bin)) {
-        preemption.places(job, bin, out);
+        draft.step();
+        preemption.places(job, bin, stops, out);
       }
     }
     // Places of one machine come in the order in which they were found, for they cost more and
@@ -152,4 +149,20 @@
     out.sort(Comparator.comparingDouble(Spot::cost));
     return out.size() > spec.tasks() ? out.subList(0, spec.tasks()) : out;
   }
+
+  /** Machines that are large enough, the same for all gangs whose tasks need the same. */
+  private List<Bin> hosts(JobSpec spec) {
+    return hosts.computeIfAbsent(
+        spec.need(),
+        need -> {
+          List<Bin> out = new ArrayList<>();
+          for (Bin bin : draft.bins) {
+            draft.step();
+            if (bin.ready() && need.fitsIn(bin.flavor.capacity())) {
+              out.add(bin);
+            }
+          }
+          return out;
+        });
+  }
 }
--- a/src/main/java/org/ternhinge/schedule/Placing.java
+++ b/src/main/java/org/ternhinge/schedule/Placing.java
@@ -1,11 +1,15 @@
 package org.ternhinge.schedule;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.PriorityQueue;
 import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
 import org.ternhinge.schedule.Snapshot.JobView;
 import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Priority;
 
 /**
  * Finds room for tasks among what is free. Each job looks at each machine with room once and then
@@ -19,6 +23,25 @@
   private record Choice(Bin bin, int order, double score) {}
 
   private final Draft draft;
+  private final Exhausted exhausted = new Exhausted();
+
+  /** The fewest tasks of a gang, by what each needs, that found no room in this round. */
+  private final Map<GangKind, Integer> gangsWithout = new HashMap<>();
+
+  private record GangKind(
+      Resources need,
+      Priority priority,
+      boolean spot,
+      boolean scatter,
+      boolean together,
+      String zone,
+      List<String> types) {
+    static GangKind of(JobSpec s) {
+      return new GangKind(
+          s.need(), s.priority(), s.spotAllowed(), s.scatter(), s.together(), s.zone(), s.types());
+    }
+  }
+
   private List<Bin> roomy = new ArrayList<>();
   private final long leastCpus;
 
@@ -91,7 +114,7 @@
   /** Places up to so many tasks, from a position among the pending ones on; says how many. */
   int place(JobView job, int from, int most, Reach reach) {
     int wanted = Math.min(most, job.pending().size() - from);
-    if (wanted <= 0) {
+    if (wanted <= 0 || exhausted.holds(job, reach, false)) {
       return 0;
     }
     JobSpec spec = job.spec();
@@ -115,6 +138,9 @@
         choices.poll();
       }
     }
+    if (tasks.size() < wanted) {
+      exhausted.note(job, zones, reach, false);
+    }
     if (!tasks.isEmpty()) {
       draft.charge(spec, tasks.size());
       draft.plan.places().add(new Plan.Place(spec.id(), tasks, machines));
@@ -128,6 +154,11 @@
    */
   boolean placeGang(JobView job) {
     JobSpec spec = job.spec();
+    GangKind kind = GangKind.of(spec);
+    boolean ownPlaces = job.reservedTasks() > 0;
+    if (!ownPlaces && spec.tasks() >= gangsWithout.getOrDefault(kind, Integer.MAX_VALUE)) {
+      return false;
+    }
     List<Bin> best = null;
     double soonest = Double.MAX_VALUE;
     for (int z = spec.together() ? 0 : -1; z < (spec.together() ? job.zoneOpen().length : 0); z++) {
@@ -142,6 +173,9 @@
       }
     }
     if (best == null) {
+      if (!ownPlaces && job.avoid().isEmpty()) {
+        gangsWithout.merge(kind, spec.tasks(), Math::min);
+      }
       return false;
     }
     List<Integer> tasks = new ArrayList<>();
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -20,6 +20,15 @@
    */
   public static final int MOST_STEPS = 60_000;
 
+  /** The same for a large fleet, where each look is at one of more machines. */
+  private static final int MOST_STEPS_A_MACHINE = 60;
+
+  /**
+   * Part of these looks that gangs may take. They come first and look longest; where many of them
+   * waited for room, the arrays behind them had no turn for as long as that lasted.
+   */
+  private static final double GANGS_PART = 0.5;
+
   /** Tasks that found no room; the zones count what their job has or is kept room for. */
   private record Demand(JobView job, int tasks, int[] zones) {}
 
@@ -50,13 +59,22 @@
   private Plan run() {
     List<JobView> order = new ArrayList<>(draft.snapshot.jobs());
     order.sort(ORDER);
+    long most = Math.max(MOST_STEPS, (long) MOST_STEPS_A_MACHINE * draft.bins.size());
+    long before = 0;
     for (JobView job : order) {
       boolean production = job.spec().priority() == Priority.PRODUCTION;
+      if (production) {
+        before = draft.steps();
+      }
       if (job.spec().kind() == JobKind.ARRAY && !production) {
         gangRoom.keepForYoung();
       }
-      if (!job.blocked() && (production || draft.steps() < MOST_STEPS)) {
+      double part = job.spec().isGang() ? GANGS_PART : 1;
+      if (!job.blocked() && (production || draft.steps() - before < part * most)) {
         serve(job);
+        if (production) {
+          before = draft.steps();
+        }
       }
     }
     Renting renting = new Renting(draft);
--- a/src/main/java/org/ternhinge/schedule/Preemption.java
+++ b/src/main/java/org/ternhinge/schedule/Preemption.java
@@ -18,6 +18,7 @@
   private record Option(Bin bin, List<AttemptView> victims, double cost) {}
 
   private final Draft draft;
+  private final Exhausted exhausted = new Exhausted();
   private Priority lowest;
 
   Preemption(Draft draft) {
@@ -72,13 +73,15 @@
 
   /** Makes room for up to so many tasks, one a machine; says for how many. */
   int makeRoom(JobView job, int most, Reach reach) {
-    if (most <= 0 || hopeless(job)) {
+    if (most <= 0 || hopeless(job) || exhausted.holds(job, reach, true)) {
       return 0;
     }
     JobSpec spec = job.spec();
     int[] zones = draft.zones(job);
     List<Option> options = new ArrayList<>();
+    boolean stopsAlready = false;
     for (Bin bin : draft.bins) {
+      stopsAlready |= bin.stoppedFor(spec.id());
       Option option = option(job, bin, zones, reach);
       if (option != null) {
         options.add(option);
@@ -103,6 +106,10 @@
       draft.charge(spec, 1);
       made++;
     }
+    if (options.isEmpty() && !stopsAlready) {
+      // A job gets one place a machine and round; that it wants more says nothing of others.
+      exhausted.note(job, zones, reach, true);
+    }
     return made;
   }
 
@@ -131,8 +138,10 @@
   /**
    * Places for tasks of a gang on one machine: first those that are free, then those that stops
    * would make, each dearer than the one before.
+   *
+   * @param stops whether the job may have others stopped now
    */
-  void places(JobView job, Bin bin, List<GangRoom.Spot> into) {
+  void places(JobView job, Bin bin, boolean stops, List<GangRoom.Spot> into) {
     JobSpec spec = job.spec();
     Resources room = bin.roomAfterStops(spec.id());
     double cost = draft.score(spec, bin);
@@ -140,7 +149,7 @@
       into.add(new GangRoom.Spot(bin, List.of(), cost));
       room = room.minus(spec.need());
     }
-    if (hopeless(job) || bin.view.attempts().isEmpty()) {
+    if (!stops || hopeless(job) || bin.view.attempts().isEmpty()) {
       return;
     }
     SteadyTime now = draft.snapshot.now();
--- a/src/main/java/org/ternhinge/schedule/Renting.java
+++ b/src/main/java/org/ternhinge/schedule/Renting.java
@@ -23,11 +23,23 @@
   private final Draft draft;
   private final List<Bin> coming = new ArrayList<>();
   private final int[] rented;
+
+  /** What the least task asks for; machines with less are full. */
+  private final long leastCpus;
+
   private final Map<Alike, ArrayDeque<Bin>> keepersOf = new HashMap<>();
 
   Renting(Draft draft) {
     this.draft = draft;
     this.rented = new int[draft.snapshot.offers().size()];
+    long least = Long.MAX_VALUE;
+    for (JobView j : draft.snapshot.jobs()) {
+      least = Math.min(least, j.spec().need().cpus());
+    }
+    for (JobView j : draft.snapshot.spares()) {
+      least = Math.min(least, j.spec().need().cpus());
+    }
+    this.leastCpus = least;
     for (Bin bin : draft.bins) {
       if (!bin.ready()) {
         coming.add(bin);
@@ -53,8 +65,16 @@
       left = (int) Math.ceil(tasks * Math.min(1, Math.max(1, spec.estimateS()) / ARRAY_TURN_S));
     }
     int[] zones = has.clone();
+    int full = 0;
     for (int i = 0; i < coming.size() && left > 0; i++) {
-      left -= fill(coming.get(i), spec, zones, left);
+      if (coming.get(i).freeCpus() < leastCpus) {
+        full++;
+      } else {
+        left -= fill(coming.get(i), spec, zones, left);
+      }
+    }
+    if (full * 4 > coming.size()) {
+      coming.removeIf(bin -> bin.freeCpus() < leastCpus);
     }
     while (left > 0) {
       Bin bin = rent(spec, zones, left);
