--- a/src/main/java/org/ternhinge/cli/Rehearsal.java
+++ b/src/main/java/org/ternhinge/cli/Rehearsal.java
@@ -16,7 +16,6 @@
 import org.ternhinge.model.TaskId;
 import org.ternhinge.model.Term;
 import org.ternhinge.wire.Command;
-import org.ternhinge.wire.Json;
 import org.ternhinge.wire.WireException;
 import org.ternhinge.wire.WorkerReport;
 
@@ -56,7 +55,7 @@
     Thread service = new Thread(() -> serve(settings), "rehearsal");
     service.setDaemon(true);
     service.start();
-    WorkerReport.read(Json.parse(REPORT.getBytes(StandardCharsets.UTF_8))).write();
+    WorkerReport.read(REPORT.getBytes(StandardCharsets.UTF_8)).write();
     TaskId task = new TaskId(new JobId("wk-1"), 0);
     Command.answer(
         new Term(1), List.of(new Command(Command.Op.START, task, new AttemptNumber(1), 0)));
--- a/src/main/java/org/ternhinge/controller/Node.java
+++ b/src/main/java/org/ternhinge/controller/Node.java
@@ -504,7 +504,7 @@
   private void report(Request request, boolean fromPeer, Consumer<Response> answer) {
     WorkerReport report;
     try {
-      report = WorkerReport.read(Json.parse(request.body()));
+      report = WorkerReport.read(request.body());
     } catch (WireException e) {
       answer.accept(error(400, e.getMessage()));
       return;
--- a/src/main/java/org/ternhinge/wire/EndReason.java
+++ b/src/main/java/org/ternhinge/wire/EndReason.java
@@ -13,8 +13,10 @@
   BUSY,
   UNKNOWN;
 
+  private final String word = name().toLowerCase(Locale.ROOT);
+
   public String word() {
-    return name().toLowerCase(Locale.ROOT);
+    return word;
   }
 
   static EndReason of(String word) throws WireException {
--- a/src/main/java/org/ternhinge/wire/Json.java
+++ b/src/main/java/org/ternhinge/wire/Json.java
@@ -1,6 +1,7 @@
 package org.ternhinge.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.databind.DeserializationFeature;
@@ -23,8 +24,15 @@
                   .build())
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS);
 
+  /** The largest amount of anything. */
+  static final double MOST = 1e9;
+
   private Json() {}
 
+  static JsonParser parser(byte[] body) throws IOException {
+    return MAPPER.getFactory().createParser(body);
+  }
+
   public static JsonNode parse(byte[] body) throws WireException {
     try {
       JsonNode node = MAPPER.readTree(body);
@@ -73,7 +81,7 @@
       throw new WireException(field + ": a number is needed");
     }
     double value = node.doubleValue();
-    if (!(value >= 0 && value <= 1e9)) {
+    if (!(value >= 0 && value <= MOST)) {
       throw new WireException(field + ": out of range");
     }
     return value;
--- a/src/main/java/org/ternhinge/wire/WorkerReport.java
+++ b/src/main/java/org/ternhinge/wire/WorkerReport.java
@@ -1,8 +1,8 @@
 package org.ternhinge.wire;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import org.ternhinge.model.AttemptNumber;
@@ -28,41 +28,104 @@
     Double noticeS,
     List<TaskReport> tasks) {
 
-  public static WorkerReport read(JsonNode body) throws WireException {
-    if (!body.isObject()) {
-      throw new WireException("not an object");
+  public static WorkerReport read(byte[] body) throws WireException {
+    try (Scan in = new Scan(body)) {
+      in.beginObject();
+      WorkerReport report = read(in);
+      in.end();
+      return report;
+    } catch (IOException e) {
+      throw new WireException("not JSON");
     }
-    List<TaskReport> tasks = new ArrayList<>();
-    for (JsonNode item : Json.list(body, "verkbitar")) {
-      TaskId task = TaskId.parse(Json.text(item, "verkbiti"));
-      if (task == null) {
-        throw new WireException("verkbiti: not a task");
-      }
-      TaskState state = TaskState.of(Json.text(item, "astand"));
-      String why = Json.textOrNull(item, "astaeda");
-      if (state == TaskState.ENDED && why == null) {
-        throw new WireException("astaeda: needed for an ended task");
+  }
+
+  private static WorkerReport read(Scan in) throws IOException, WireException {
+    String machine = null;
+    String endpoint = null;
+    String type = null;
+    String zone = null;
+    Boolean spot = null;
+    long session = -1;
+    long sequence = -1;
+    long token = -1;
+    Double notice = null;
+    List<TaskReport> tasks = null;
+    for (String field = in.nextField(); field != null; field = in.nextField()) {
+      switch (field) {
+        case "vel" -> machine = in.text(field);
+        case "endpoint" -> endpoint = in.text(field);
+        case "velagerd" -> type = in.text(field);
+        case "svaedi" -> zone = in.text(field);
+        case "lanvelar" -> spot = in.flag(field);
+        case "vakt" -> session = in.count(field);
+        case "raodnumer" -> sequence = in.count(field);
+        case "valdmerki" -> token = in.count(field);
+        case "fyrirvari_s" -> notice = in.isNull() ? null : (Double) in.amount(field);
+        case "verkbitar" -> tasks = tasks(in);
+        default -> in.skip();
       }
-      JsonNode saved = item.get("saved");
-      tasks.add(
-          new TaskReport(
-              task,
-              new AttemptNumber(Json.count(item, "tilraun")),
-              state,
-              why == null ? null : EndReason.of(why),
-              saved != null && saved.isBoolean() && saved.booleanValue()));
     }
+    need(machine != null, "vel: a string is needed");
+    need(endpoint != null, "endpoint: a string is needed");
+    need(type != null, "velagerd: a string is needed");
+    need(zone != null, "svaedi: a string is needed");
+    need(spot != null, "lanvelar: true or false is needed");
+    need(session >= 0, "vakt: an integer is needed");
+    need(sequence >= 0, "raodnumer: an integer is needed");
+    need(token >= 0, "valdmerki: an integer is needed");
+    need(tasks != null, "verkbitar: a list is needed");
     return new WorkerReport(
-        new MachineId(Json.text(body, "vel")),
-        Json.text(body, "endpoint"),
-        Json.text(body, "velagerd"),
-        Json.text(body, "svaedi"),
-        Json.flag(body, "lanvelar"),
-        new Session(Json.count(body, "vakt")),
-        Json.count(body, "raodnumer"),
-        new Term(Json.count(body, "valdmerki")),
-        Json.amountOrNull(body, "fyrirvari_s"),
-        List.copyOf(tasks));
+        new MachineId(machine),
+        endpoint,
+        type,
+        zone,
+        spot,
+        new Session(session),
+        sequence,
+        new Term(token),
+        notice,
+        tasks);
+  }
+
+  private static List<TaskReport> tasks(Scan in) throws IOException, WireException {
+    in.beginList("verkbitar");
+    List<TaskReport> out = new ArrayList<>();
+    while (in.nextObject()) {
+      out.add(task(in));
+    }
+    return List.copyOf(out);
+  }
+
+  private static TaskReport task(Scan in) throws IOException, WireException {
+    TaskId task = null;
+    TaskState state = null;
+    EndReason why = null;
+    long attempt = -1;
+    boolean saved = false;
+    for (String field = in.nextField(); field != null; field = in.nextField()) {
+      switch (field) {
+        case "verkbiti" -> {
+          task = TaskId.parse(in.text(field));
+          need(task != null, "verkbiti: not a task");
+        }
+        case "tilraun" -> attempt = in.count(field);
+        case "astand" -> state = TaskState.of(in.text(field));
+        case "astaeda" -> why = in.isNull() ? null : EndReason.of(in.text(field));
+        case "saved" -> saved = !in.isNull() && in.flag(field);
+        default -> in.skip();
+      }
+    }
+    need(task != null, "verkbiti: a string is needed");
+    need(attempt >= 0, "tilraun: an integer is needed");
+    need(state != null, "astand: a string is needed");
+    need(state != TaskState.ENDED || why != null, "astaeda: needed for an ended task");
+    return new TaskReport(task, new AttemptNumber(attempt), state, why, saved);
+  }
+
+  private static void need(boolean holds, String otherwise) throws WireException {
+    if (!holds) {
+      throw new WireException(otherwise);
+    }
   }
 
   public ObjectNode write() {
--- a/src/main/java/org/ternhinge/worker/HttpWorkers.java
+++ b/src/main/java/org/ternhinge/worker/HttpWorkers.java
@@ -10,7 +10,6 @@
 import org.ternhinge.model.Session;
 import org.ternhinge.model.Term;
 import org.ternhinge.wire.Command;
-import org.ternhinge.wire.Json;
 import org.ternhinge.wire.WireException;
 import org.ternhinge.wire.WorkerReport;
 
@@ -41,10 +40,8 @@
     Reply reply = ((Outcome.Applied<Reply>) outcome).value();
     try {
       return switch (reply.status()) {
-        case 200 ->
-            Outcome.applied(new Answer.Executed(WorkerReport.read(Json.parse(reply.body()))));
-        case 409 ->
-            Outcome.applied(new Answer.Refused(WorkerReport.read(Json.parse(reply.body()))));
+        case 200 -> Outcome.applied(new Answer.Executed(WorkerReport.read(reply.body())));
+        case 409 -> Outcome.applied(new Answer.Refused(WorkerReport.read(reply.body())));
         case 400 -> Outcome.notApplied(Reason.INVALID, "400");
         default -> Outcome.unknown("status " + reply.status());
       };
--- /dev/null
+++ b/src/test/java/org/ternhinge/wire/WorkerReportTest.java
@@ -0,0 +1,126 @@
+package org.ternhinge.wire;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.model.Term;
+
+class WorkerReportTest {
+  private static final WorkerReport FULL =
+      new WorkerReport(
+          new MachineId("n-000231"),
+          "10.1.0.232:9000",
+          "g8",
+          "a",
+          true,
+          new Session(2),
+          88,
+          new Term(41),
+          7.5,
+          List.of(
+              task(3, TaskState.RUNNING, null, false),
+              task(4, TaskState.ENDED, EndReason.NO_ROOM, false),
+              task(5, TaskState.ENDED, EndReason.STOPPED, true)));
+
+  private static TaskReport task(int index, TaskState state, EndReason why, boolean saved) {
+    TaskId id = TaskId.parse("wk-000412/" + index);
+    return new TaskReport(id, new AttemptNumber(2), state, why, saved);
+  }
+
+  private static ObjectNode change(ObjectNode in, String field, String value) throws WireException {
+    if (value.equals("gone")) {
+      in.remove(field);
+    } else {
+      in.set(field, Json.parse(value.getBytes(StandardCharsets.UTF_8)));
+    }
+    return in;
+  }
+
+  @Test
+  void readsWhatItWrites() throws WireException {
+    assertEquals(FULL, WorkerReport.read(Json.bytes(FULL.write())));
+  }
+
+  @Test
+  void unknownFieldsArePassedOverWhateverTheyHold() throws WireException {
+    ObjectNode o = FULL.write();
+    change(o, "new", "{\"verkbitar\":[{\"vel\":1}],\"vakt\":[[]]}");
+    change((ObjectNode) o.get("verkbitar").get(0), "new", "[1,{\"astand\":\"x\"}]");
+    change((ObjectNode) o.get("verkbitar").get(0), "astaeda", "null");
+    assertEquals(FULL, WorkerReport.read(Json.bytes(o)));
+    change(o, "fyrirvari_s", "null");
+    assertEquals(null, WorkerReport.read(Json.bytes(o)).noticeS());
+  }
+
+  @ParameterizedTest(name = "{0} = {1}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "vel | gone | vel: a string is needed",
+        "vel | null | vel: a string is needed",
+        "endpoint | 9000 | endpoint: a string is needed",
+        "velagerd | gone | velagerd: a string is needed",
+        "svaedi | {} | svaedi: a string is needed",
+        "lanvelar | \"yes\" | lanvelar: true or false is needed",
+        "lanvelar | gone | lanvelar: true or false is needed",
+        "vakt | 1.5 | vakt: an integer is needed",
+        "vakt | -1 | vakt: out of range",
+        "raodnumer | gone | raodnumer: an integer is needed",
+        "raodnumer | 99999999999999999999 | raodnumer: an integer is needed",
+        "valdmerki | \"41\" | valdmerki: an integer is needed",
+        "fyrirvari_s | -1 | fyrirvari_s: out of range",
+        "fyrirvari_s | [] | fyrirvari_s: a number is needed",
+        "verkbitar | gone | verkbitar: a list is needed",
+        "verkbitar | null | verkbitar: a list is needed",
+        "verkbitar | [3] | not an object"
+      })
+  void saysWhatIsWrong(String field, String value, String why) throws WireException {
+    byte[] body = Json.bytes(change(FULL.write(), field, value));
+    assertEquals(
+        why, assertThrows(WireException.class, () -> WorkerReport.read(body)).getMessage());
+  }
+
+  @ParameterizedTest(name = "{0} = {1}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "verkbiti | \"wk-1\" | verkbiti: not a task",
+        "verkbiti | gone | verkbiti: a string is needed",
+        "tilraun | null | tilraun: an integer is needed",
+        "astand | \"asleep\" | astand: unknown state",
+        "astand | gone | astand: a string is needed",
+        "astaeda | \"bored\" | astaeda: unknown reason",
+        "astaeda | null | astaeda: needed for an ended task"
+      })
+  void saysWhatIsWrongWithATask(String field, String value, String why) throws WireException {
+    ObjectNode report = FULL.write();
+    change((ObjectNode) report.get("verkbitar").get(1), field, value);
+    byte[] body = Json.bytes(report);
+    assertEquals(
+        why, assertThrows(WireException.class, () -> WorkerReport.read(body)).getMessage());
+  }
+
+  @ParameterizedTest
+  @ValueSource(strings = {"", " ", "[]", "3", "null", "{", "{\"vel\"", "{\"vel\":\"n\",}", "{]"})
+  void whatIsNoReportIsRefused(String text) {
+    byte[] body = text.getBytes(StandardCharsets.UTF_8);
+    assertThrows(WireException.class, () -> WorkerReport.read(body));
+  }
+
+  @Test
+  void nothingMayFollow() {
+    byte[] body = (FULL.write() + " {}").getBytes(StandardCharsets.UTF_8);
+    assertThrows(WireException.class, () -> WorkerReport.read(body));
+  }
+}
