A lost answer is read back against the term before its value

Cause, found by reading: after a lost answer and a conflict the writer compared one value with what it had meant to write. The next leader may have written an equal one (the same cancellation), and then the rest of the batch, starts among it, was taken for durable. Now the term's version is asked first.

--- a/src/main/java/org/ternhinge/ledger/LedgerWriter.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -8,6 +8,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -63,6 +64,28 @@
     Batch(int limit) {
       this.limit = limit;
     }
+
+    /** The change of a key, or null. */
+    Change change(String key) {
+      for (Change c : changes) {
+        if (c.key().equals(key)) {
+          return c;
+        }
+      }
+      return null;
+    }
+
+    /**
+     * The change whose key tells whether the batch was carried out: a value tells more than none.
+     */
+    Change probe() {
+      for (Change c : changes) {
+        if (c instanceof Change.Put) {
+          return c;
+        }
+      }
+      return changes.get(0);
+    }
   }
 
   private final Ledger ledger;
@@ -238,48 +261,64 @@
     }
   }
 
-  /** A lost answer was followed by a conflict: was it our own first copy? */
+  /**
+   * A lost answer was followed by a conflict: was it our own first copy? Only while the term is
+   * still this leadership's: another one may have written the same value, a cancellation say, and
+   * whatever else this batch was to make durable is not.
+   */
   private void readBack(Batch sent) {
-    Change first = sent.changes.get(0);
-    for (Change c : sent.changes) {
-      if (c instanceof Change.Put) {
-        first = c;
-        break;
-      }
+    Change raise = sent.change(Keys.TERM);
+    if (raise != null) {
+      // A raise differs from every claim, which names its node's process.
+      look(sent, Keys.TERM, entry -> settle(sent, raise, entry));
+      return;
     }
-    Change probe = first;
+    look(
+        sent,
+        Keys.TERM,
+        term -> {
+          if (term.isPresent() && term.get().revision().equals(authority.termRevision())) {
+            Change probe = sent.probe();
+            look(sent, probe.key(), entry -> settle(sent, probe, entry));
+          } else {
+            authority.lost("a write of ours was overtaken by another term");
+          }
+        });
+  }
+
+  private void look(Batch sent, String key, Consumer<Optional<Entry>> then) {
     busy = true;
     store
-        .get(probe.key(), Lane.ATTEMPT)
+        .get(key, Lane.ATTEMPT)
         .whenComplete(
             (outcome, error) ->
                 locked(
                     () -> {
-                      busy = false;
                       if (stopped) {
                         return;
                       }
-                      if (!(outcome instanceof Outcome.Applied<StateStore.Read> read)) {
-                        clock.after(RETRY_S, () -> locked(() -> readBack(sent)));
-                        busy = true;
-                        return;
-                      }
-                      var entry = read.value().entry();
-                      boolean ours;
-                      if (probe instanceof Change.Put put) {
-                        ours = entry.isPresent() && entry.get().value().equals(put.value());
-                      } else {
-                        ours = entry.isEmpty();
-                      }
-                      if (ours) {
-                        applied(sent, entry.map(Entry::revision).orElse(Revision.NONE));
-                        pump();
+                      if (outcome instanceof Outcome.Applied<StateStore.Read> read) {
+                        busy = false;
+                        then.accept(read.value().entry());
                       } else {
-                        authority.lost("a write of ours was overtaken");
+                        clock.after(RETRY_S, () -> locked(() -> readBack(sent)));
                       }
                     }));
   }
 
+  private void settle(Batch sent, Change probe, Optional<Entry> entry) {
+    boolean ours =
+        probe instanceof Change.Put put
+            ? entry.isPresent() && entry.get().value().equals(put.value())
+            : entry.isEmpty();
+    if (ours) {
+      applied(sent, entry.map(Entry::revision).orElse(Revision.NONE));
+      pump();
+    } else {
+      authority.lost("a write of ours was overtaken");
+    }
+  }
+
   private void applied(Batch done, Revision revision) {
     batch = null;
     List<Attempt> opened = new ArrayList<>();
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -10,6 +10,8 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.ReentrantLock;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.config.Team;
 import org.ternhinge.ledger.Ledger.Placement;
 import org.ternhinge.limit.Lane;
@@ -37,6 +39,16 @@
   private final List<Txn> sent = new ArrayList<>();
   private Runnable afterEach = () -> {};
   private int budget = 16;
+
+  /** Where set, the term's version that the leader knows, whatever has become of it. */
+  private Revision ledAt;
+
+  private final List<String> lost = new ArrayList<>();
+
+  /** Transactions that get no answer, and whether they are carried out all the same. */
+  private int unanswered;
+
+  private boolean carriedOut;
   private final Ledger ledger =
       new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), RecordCodec.pieceSize(8), clock);
   private final LedgerWriter writer =
@@ -51,7 +63,7 @@
 
     @Override
     public Revision termRevision() {
-      return core.get(Keys.TERM).entry().map(Entry::revision).orElse(Revision.NONE);
+      return ledAt != null ? ledAt : termNow();
     }
 
     @Override
@@ -66,7 +78,10 @@
 
     @Override
     public void lost(String why) {
-      throw new AssertionError(why);
+      if (ledAt == null) {
+        throw new AssertionError(why);
+      }
+      lost.add(why);
     }
   }
 
@@ -76,9 +91,11 @@
     public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
       sent.add(txn);
       CompletableFuture<Outcome<Revision>> out = new CompletableFuture<>();
-      Outcome<Revision> outcome = core.txn(txn);
+      boolean mute = unanswered-- > 0;
+      Outcome<Revision> outcome =
+          mute && !carriedOut ? Outcome.unknown("no answer") : core.txn(txn);
       afterEach.run();
-      clock.after(0.01, () -> out.complete(outcome));
+      clock.after(0.01, () -> out.complete(mute ? Outcome.unknown("no answer") : outcome));
       return out;
     }
 
@@ -94,7 +111,7 @@
 
     @Override
     public CompletableFuture<Outcome<Read>> get(String key, Lane lane) {
-      throw new UnsupportedOperationException();
+      return CompletableFuture.completedFuture(Outcome.applied(core.get(key)));
     }
 
     @Override
@@ -197,6 +214,42 @@
     sent.forEach(t -> assertTrue(t.changes().size() <= 16));
   }
 
+  private Revision termNow() {
+    return core.get(Keys.TERM).entry().map(Entry::revision).orElse(Revision.NONE);
+  }
+
+  /**
+   * A lost answer, then a conflict. The record may hold just what was to be written and yet be
+   * another leader's: then nothing else of the batch was carried out.
+   */
+  @ParameterizedTest(name = "carried out {0}, next leader writes the same {1}")
+  @CsvSource({"true, false, true", "false, true, false"})
+  void anEqualValueOfAnotherTermIsNotOurs(boolean applied, boolean another, boolean durable) {
+    core.txn(new Txn(Map.of(), List.of(new Change.Put(Keys.TERM, Json.object().put("n", 1), 0))));
+    ledAt = termNow();
+    Job cancelled = accept("wk-1", "batch", "normal", 3);
+    open(cancelled, 0, 1);
+    writer.pump();
+    clock.runFor(1);
+    assertEquals(1, sent.size());
+    Job opens = accept("wk-2", "daemon", "production", 2);
+    unanswered = 1;
+    carriedOut = applied;
+    ledger.cancel(cancelled);
+    open(opens, 0, 2);
+    writer.pump();
+    if (another) {
+      List<Change> same = new ArrayList<>();
+      same.add(new Change.Put(Keys.TERM, Json.object().put("n", 2).put("inc", "b"), 0));
+      sent.get(1).changes().stream().filter(c -> c.key().equals("j/wk-1")).forEach(same::add);
+      core.txn(new Txn(Map.of(), same));
+    }
+    clock.runFor(5);
+    assertEquals(durable ? 0 : 1, lost.size());
+    opens.openAttempts().forEach(a -> assertEquals(durable, a.durable()));
+    assertEquals(durable, cancelled.cancelDurable());
+  }
+
   @Test
   void whatUsersWaitForMostIsWrittenFirst() {
     core.txn(new Txn(Map.of(), List.of(new Change.Put(Keys.TERM, Json.object().put("n", 1), 0))));
