No answer keeps a worker alive without the stops that are due there

Cause, found by reading each path by which a report is answered: (1) a report overtaken by an order's answer was answered without commands; (2) so was one of an ended session, of a machine held to be gone or returned; (3) in its grace a leader kept alive tasks that its ledger does not hold; (4) stops could be cut off behind starts and clears. Now stops come first and go with each answer, the others get 503, and tasks of a silent machine without attempts are no longer taken for shown when its lease is over.

--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -9,6 +9,7 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
@@ -48,6 +49,7 @@
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobState;
+import org.ternhinge.wire.TaskReport;
 import org.ternhinge.wire.WireException;
 import org.ternhinge.wire.WorkerReport;
 import org.ternhinge.worker.Workers;
@@ -396,7 +398,8 @@
 
   /**
    * Whether a worker's lease may be renewed while no commands may be given: not while something on
-   * it has to be stopped, for the lease's end is then what stops it.
+   * it has to be stopped, for the lease's end is then what stops it. That is so for every open
+   * attempt that is unwanted, and for every task shown that the ledger does not hold there.
    */
   boolean mayKeepAlive(WorkerReport r) {
     for (Attempt a : ledger.attemptsOn(r.machine())) {
@@ -404,11 +407,16 @@
         return false;
       }
     }
+    for (TaskReport t : r.tasks()) {
+      if (!t.ended() && !ledger.holds(t, r.machine())) {
+        return false;
+      }
+    }
     return true;
   }
 
-  /** Takes in a report and says what the worker is to do. */
-  List<Command> report(WorkerReport r, boolean mayCommand) {
+  /** Takes in a report and says what the worker is to do; empty where it must not be answered. */
+  Optional<List<Command>> report(WorkerReport r, boolean mayCommand) {
     return reports.report(r, mayCommand);
   }
 
@@ -606,10 +614,12 @@
         orders.call(m, now);
       }
       Collection<Attempt> there = ledger.attemptsOn(m.id);
-      if (there.isEmpty()) {
+      if (there.isEmpty() && m.tasks.isEmpty()) {
         continue;
       }
       if (m.leaseEnds.isBefore(now)) {
+        // Also where only tasks without an attempt are shown: a report that was held back for long
+        // may show them, and while they are shown they may start nowhere else.
         leaseOver(m, List.copyOf(there));
         continue;
       }
--- a/src/main/java/org/ternhinge/controller/Node.java
+++ b/src/main/java/org/ternhinge/controller/Node.java
@@ -521,9 +521,13 @@
       return;
     }
     if (lead != null && election.mayAnswer() && (valid || lead.mayKeepAlive(report))) {
-      List<Command> commands = lead.report(report, valid);
+      Optional<List<Command>> commands = lead.report(report, valid);
+      if (lead != null && commands.isEmpty()) {
+        answer.accept(Response.busy(RETRY_AFTER_S));
+        return;
+      }
       if (lead != null) {
-        answer.accept(Response.of(200, Command.answer(lead.authority().term(), commands)));
+        answer.accept(Response.of(200, Command.answer(lead.authority().term(), commands.get())));
         return;
       }
     }
--- a/src/main/java/org/ternhinge/controller/Orders.java
+++ b/src/main/java/org/ternhinge/controller/Orders.java
@@ -188,47 +188,75 @@
     }
   }
 
-  /** What a worker is to do, by its newest report. */
+  /**
+   * What a worker is to do, by its newest report. Stops come first: they are what must not be cut
+   * off where there is more to tell than one answer carries.
+   */
   List<Command> commands(Machine m, WorkerReport r, SteadyTime now) {
     List<Command> out = new ArrayList<>();
+    List<Command> forgets = new ArrayList<>();
     for (TaskReport t : r.tasks()) {
-      Job job = ledger.job(t.task().job());
-      Attempt open = job == null ? null : job.open(t.task().index());
-      boolean known =
-          open != null && open.number().equals(t.attempt()) && open.machine().equals(m.id);
-      if (known) {
+      if (ledger.holds(t, m.id)) {
         continue;
       }
+      Job job = ledger.job(t.task().job());
       if (!t.ended()) {
         // Not in the ledger, so nobody may have it run.
         out.add(new Command(Command.Op.STOP, t.task(), t.attempt(), 0));
       } else if ((job == null || job.recorded(t.task().index()))
           && m.strayStarts.getInt(Machine.key(t)) == 0) {
         // Only now: after this the worker forgets the attempt, and a repeated start would run it.
-        out.add(new Command(Command.Op.FORGET, t.task(), t.attempt(), 0));
+        forgets.add(new Command(Command.Op.FORGET, t.task(), t.attempt(), 0));
       }
     }
+    List<Command> starts = new ArrayList<>();
     for (Attempt a : ledger.attemptsOn(m.id)) {
-      if (!a.session().equals(r.session()) || out.size() >= MAX_COMMANDS) {
+      if (!a.session().equals(r.session())) {
         continue;
       }
       if (a.stopping()) {
-        if (a.seen() != Attempt.Seen.UNSEEN) {
-          double left = Math.max(0, a.stopGraceS() - now.secondsSince(a.stopAt()));
-          if (a.seen() != Attempt.Seen.SAVING) {
-            out.add(new Command(Command.Op.STOP, a.task(), a.number(), a.stopGraceS()));
-          } else if (left == 0 && a.stopGraceS() == 0) {
-            out.add(new Command(Command.Op.STOP, a.task(), a.number(), 0));
-          }
+        Command stop = stop(a, now);
+        if (stop != null) {
+          out.add(stop);
         }
-      } else if (a.seen() == Attempt.Seen.UNSEEN && a.durable() && !a.recovered()) {
+      } else if (a.seen() == Attempt.Seen.UNSEEN
+          && a.durable()
+          && !a.recovered()
+          && out.size() + forgets.size() + starts.size() < MAX_COMMANDS) {
         a.startAnswered(r.sequence());
-        out.add(new Command(Command.Op.START, a.task(), a.number(), 0));
+        starts.add(new Command(Command.Op.START, a.task(), a.number(), 0));
+      }
+    }
+    out.addAll(forgets);
+    out.addAll(starts);
+    return out.size() > MAX_COMMANDS ? out.subList(0, MAX_COMMANDS) : out;
+  }
+
+  /** The stops that are due on a machine, whatever its report at hand shows. */
+  List<Command> stops(Machine m) {
+    List<Command> out = new ArrayList<>();
+    for (Attempt a : ledger.attemptsOn(m.id)) {
+      Command stop = a.stopping() && a.session().equals(m.session) ? stop(a, clock.now()) : null;
+      if (stop != null && out.size() < MAX_COMMANDS) {
+        out.add(stop);
       }
     }
     return out;
   }
 
+  private static Command stop(Attempt a, SteadyTime now) {
+    if (a.seen() == Attempt.Seen.UNSEEN) {
+      return null;
+    }
+    double left = Math.max(0, a.stopGraceS() - now.secondsSince(a.stopAt()));
+    if (a.seen() != Attempt.Seen.SAVING) {
+      return new Command(Command.Op.STOP, a.task(), a.number(), a.stopGraceS());
+    }
+    return left == 0 && a.stopGraceS() == 0
+        ? new Command(Command.Op.STOP, a.task(), a.number(), 0)
+        : null;
+  }
+
   /** Asks a machine that seems deaf for a sign; an order of nothing is answered with a report. */
   void call(Machine m, SteadyTime now) {
     m.orderInFlight = true;
--- a/src/main/java/org/ternhinge/controller/Reports.java
+++ b/src/main/java/org/ternhinge/controller/Reports.java
@@ -3,6 +3,7 @@
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.ternhinge.config.Settings;
@@ -82,29 +83,46 @@
     return shown.containsKey(task);
   }
 
-  /** Takes in a report and says what the worker is to do. */
-  List<Command> report(WorkerReport r, boolean mayCommand) {
+  /**
+   * Takes in a report and says what the worker is to do; empty where it must not be answered. An
+   * answer renews the lease of a worker that hears it, so there is none for what is held to be
+   * gone: such a report is a late copy, which nobody waits for, or shows that the evidence was
+   * wrong, and then the lease's end is what stops the tasks.
+   */
+  Optional<List<Command>> report(WorkerReport r, boolean mayCommand) {
     SteadyTime now = clock.now();
     if (r.token().compareTo(authority.term()) > 0) {
       authority.lost("a worker has seen term " + r.token());
-      return List.of();
+      return Optional.empty();
     }
     if (lead.wasReturned(r.machine())) {
       // A late copy: what is certainly gone must not come back to life by it.
-      return List.of();
+      return Optional.empty();
     }
     Machine m = lead.machine(r.machine(), now);
+    if (m.gone) {
+      return Optional.empty();
+    }
+    if (r.session().compareTo(m.session) < 0 || r.session().compareTo(m.deadSession) <= 0) {
+      // Held back by a cut, as a rule: the machine may be about to return, so it is kept for
+      // longer.
+      m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
+      return Optional.empty();
+    }
     boolean fresh = take(m, r, true, now);
-    if (fresh && r.token().compareTo(authority.term()) < 0 && authority.term().equals(m.answered)) {
+    if (!fresh) {
+      // It was overtaken by an answer to an order, or is a copy: it was sent before that answer was
+      // taken in. What it shows is old, but a worker that hears this must not miss a stop by it.
+      m.leaseEnds = leaseFrom(m.lastReport).max(m.leaseEnds);
+      return Optional.of(mayCommand ? orders.stops(m) : List.of());
+    }
+    if (r.token().compareTo(authority.term()) < 0 && authority.term().equals(m.answered)) {
       missed(m, now);
     }
     m.answered = authority.term();
     // The report was sent before now, so a lease counted from now ends no sooner than the worker's.
     m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
-    if (!fresh || !mayCommand || m.gone) {
-      return List.of();
-    }
-    return orders.commands(m, r, now);
+    return Optional.of(mayCommand ? orders.commands(m, r, now) : List.of());
   }
 
   private SteadyTime leaseFrom(SteadyTime answered) {
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -22,6 +22,7 @@
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
 import org.ternhinge.wire.Priority;
+import org.ternhinge.wire.TaskReport;
 
 /**
  * Jobs and their attempts: the only door through which an attempt opens or closes. Whatever a
@@ -88,6 +89,13 @@
     return byMachine.getOrDefault(machine, Set.of());
   }
 
+  /** Whether a task that a machine shows is an attempt open there. */
+  public boolean holds(TaskReport shown, MachineId machine) {
+    Job job = jobs.get(shown.task().job());
+    Attempt a = job == null ? null : job.open(shown.task().index());
+    return a != null && a.number().equals(shown.attempt()) && a.machine().equals(machine);
+  }
+
   /** Machines that attempts are open on, whether or not anything else is known of them. */
   public Set<MachineId> machinesInUse() {
     return new HashSet<>(byMachine.keySet());
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/KeepAliveTest.java
@@ -0,0 +1,110 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.http.Response;
+import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.Users;
+import org.ternhinge.sim.World;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.TaskReport;
+import org.ternhinge.wire.TaskState;
+import org.ternhinge.wire.WireException;
+import org.ternhinge.wire.WorkerReport;
+
+/**
+ * An answer to a report renews the lease of the worker that hears it. None may go to a worker whose
+ * tasks are to end unless it carries the stop.
+ */
+class KeepAliveTest {
+  private final JobId job = new JobId("wk-1");
+  private World world;
+  private Users users;
+  private MachineId machine;
+
+  @BeforeEach
+  void aServiceRuns() {
+    world = new World(95, 0);
+    users = new Users(world);
+    world.clock.runFor(5);
+    users.submit(Specs.json("wk-1", "daemon", 2).put("forgang", "production"));
+    world.clock.runFor(40);
+    machine = world.machinesOf(job).get(0);
+  }
+
+  private static WorkerReport with(
+      WorkerReport r, Session session, long sequence, List<TaskReport> tasks) {
+    return new WorkerReport(
+        r.machine(),
+        r.endpoint(),
+        r.type(),
+        r.zone(),
+        r.spot(),
+        session,
+        sequence,
+        r.token(),
+        null,
+        tasks);
+  }
+
+  private static List<Command> commands(Response answer) throws WireException {
+    assertEquals(200, answer.status());
+    return Command.read(Json.parse(answer.body()));
+  }
+
+  /**
+   * A direct order's answer may overtake a report; the worker hears the report's answer all the
+   * same.
+   */
+  @Test
+  void anAnswerToAnOvertakenReportCarriesTheStops() throws WireException {
+    WorkerReport last = world.lastReport(machine);
+    world.deafen(machine, 30);
+    users.cancel(job);
+    world.clock.runFor(2);
+    WorkerReport overtaken = with(last, last.session(), last.sequence() - 1, last.tasks());
+    List<Command> told = commands(world.answerTo(world.leader(), overtaken));
+    assertTrue(
+        told.stream().anyMatch(c -> c.op() == Command.Op.STOP && c.task().job().equals(job)),
+        "told " + told);
+  }
+
+  /** Sessions before the one known are over: whoever still waits for an answer must not get one. */
+  @Test
+  void anEarlierSessionIsNotKeptAlive() {
+    WorkerReport last = world.lastReport(machine);
+    WorkerReport next = with(last, new Session(last.session().value() + 1), 1000, List.of());
+    assertEquals(200, world.answerTo(world.leader(), next).status());
+    assertEquals(503, world.answerTo(world.leader(), last).status());
+  }
+
+  /** A leader that can't prove to lead gives no stops, so it keeps alive only what may run. */
+  @ParameterizedTest(name = "a task nobody knows: {0}")
+  @CsvSource({"false, 200", "true, 503"})
+  void inItsGraceALeaderKeepsAliveOnlyWhatItKnows(boolean unknown, int status) {
+    int leader = world.leader();
+    world.cutOff(leader, 60);
+    world.clock.runFor(8);
+    WorkerReport last = world.lastReport(machine);
+    List<TaskReport> tasks = new ArrayList<>(last.tasks());
+    if (unknown) {
+      TaskId task = new TaskId(new JobId("wk-999"), 0);
+      tasks.add(new TaskReport(task, new AttemptNumber(1), TaskState.RUNNING, null, false));
+    }
+    WorkerReport now = with(last, last.session(), last.sequence() + 1, tasks);
+    assertEquals(status, world.answerTo(leader, now).status());
+  }
+}
--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -44,7 +44,10 @@
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.HostInfo;
 import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Json;
 import org.ternhinge.wire.RentalRequest;
+import org.ternhinge.wire.WireException;
+import org.ternhinge.wire.WorkerReport;
 import org.ternhinge.worker.Workers;
 
 /**
@@ -308,6 +311,40 @@
     }
   }
 
+  /** What a machine has reported last, as a report or its late copy. */
+  public WorkerReport lastReport(MachineId id) {
+    try {
+      return WorkerReport.read(lastReports.get(id));
+    } catch (WireException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** Brings a report to a node and gives the answer, or null where none comes within a second. */
+  public Response answerTo(int node, WorkerReport report) {
+    List<Response> answers = new ArrayList<>();
+    deliver(node, new Request("POST", "/agent/beat", Json.bytes(report.write())), answers::add);
+    clock.runFor(1);
+    return answers.isEmpty() ? null : answers.get(0);
+  }
+
+  /** The machines that run a job's tasks. */
+  public List<MachineId> machinesOf(JobId id) {
+    List<MachineId> out = new ArrayList<>();
+    running.forEach(
+        (task, where) -> {
+          if (task.job().equals(id)) {
+            out.addAll(where);
+          }
+        });
+    return out;
+  }
+
+  /** A machine's reports arrive, while nothing reaches it. */
+  public void deafen(MachineId id, double seconds) {
+    workers.get(id).deafUntil = clock.now().plusSeconds(seconds);
+  }
+
   /** Machines that have reported and are gone. */
   public List<MachineId> goneMachines() {
     return lastReports.keySet().stream().filter(id -> !workers.containsKey(id)).sorted().toList();
