--- a/src/main/java/org/ternhinge/config/Settings.java
+++ b/src/main/java/org/ternhinge/config/Settings.java
@@ -30,6 +30,9 @@
     int maxSockets,
     double clockErrorS) {
 
+  /** More than the steady clocks of two machines may drift apart. */
+  public static final double DRIFT = 0.001;
+
   /** How workers report and how long they go on alone. */
   public record Workers(
       double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
@@ -97,6 +100,19 @@
     JsonNode w = object(d, "workers", "deployment.");
     JsonNode s = object(d, "state", "deployment.");
     JsonNode c = object(d, "cloud", "deployment.");
+    Workers workers =
+        new Workers(
+            positive(w, "report_s", "deployment.workers."),
+            positive(w, "lease_s", "deployment.workers."),
+            positive(w, "gang_wait_s", "deployment.workers."),
+            positive(w, "gang_peer_s", "deployment.workers."),
+            positive(w, "cancel_s", "deployment.workers."));
+    if (workers.cancelS < workers.leaseS * (1 + 2 * DRIFT)) {
+      // No scheduler can keep the promise then: a worker that nobody reaches ends its tasks only
+      // with its lease, and the answer that renewed it may have been given just before.
+      throw new SettingsException(
+          "deployment.workers.cancel_s: lease_s has to be over within it, clocks' drift included");
+    }
     return new Settings(
         text(root, "node", ""),
         root.path("site").asText(""),
@@ -108,12 +124,7 @@
         List.copyOf(zones),
         teams,
         List.copyOf(objectives),
-        new Workers(
-            positive(w, "report_s", "deployment.workers."),
-            positive(w, "lease_s", "deployment.workers."),
-            positive(w, "gang_wait_s", "deployment.workers."),
-            positive(w, "gang_peer_s", "deployment.workers."),
-            positive(w, "cancel_s", "deployment.workers.")),
+        workers,
         new StateLimits(
             positive(s, "rps", "deployment.state."),
             positive(s, "write_rps", "deployment.state."),
--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -60,7 +60,7 @@
  */
 public final class Lead {
   private static final Logger LOG = LoggerFactory.getLogger(Lead.class);
-  static final double DRIFT = 0.001;
+  static final double DRIFT = Settings.DRIFT;
 
   private static final double FOLLOW_S = 20;
   private static final double RESERVE_S = 12;
--- a/src/main/java/org/ternhinge/election/Election.java
+++ b/src/main/java/org/ternhinge/election/Election.java
@@ -34,7 +34,7 @@
  */
 public final class Election {
   private static final Logger LOG = LoggerFactory.getLogger(Election.class);
-  private static final double DRIFT = 0.001;
+  private static final double DRIFT = Settings.DRIFT;
   private static final double LOOK_AGAIN_S = 0.5;
   private static final double FOLLOW_S = 15;
 
@@ -102,8 +102,16 @@
   }
 
   /**
-   * How long reports may be answered past the end of validity. A job cancelled by the next leader
-   * has to be gone in time even where the earlier one has kept its worker's lease alive to the end.
+   * How long reports may be answered past the end of validity. Nobody else can confirm a
+   * cancellation before this leadership's lease has ended in the state service, which is after its
+   * validity has ended here; and a worker's tasks end a lease after the sending of the last report
+   * that was answered. So they are gone in time, whatever happens to the state service in between,
+   * if
+   *
+   * <pre>grace + lease, by the slower of two clocks, + margins &lt;= cancel</pre>
+   *
+   * <p>A later leadership adds its own grace to its own validity, never to work that it knows to be
+   * cancelled, so several in a row don't add up.
    */
   public static double grace(Tuning tuning, Settings.Workers workers) {
     double most = workers.cancelS() - workers.leaseS() * (1 + 2 * DRIFT) - 4 * tuning.marginS();
--- a/src/test/java/org/ternhinge/config/ConfigTest.java
+++ b/src/test/java/org/ternhinge/config/ConfigTest.java
@@ -52,6 +52,7 @@
         "/deployment | teams | [{\"name\":\"t\"},{\"name\":\"t\"}] | deployment.teams:",
         "/deployment | teams | [{\"name\":\"t\",\"cpus\":-1}] | deployment.teams.cpus:",
         "/deployment/workers | lease_s | 0 | deployment.workers.lease_s:",
+        "/deployment/workers | cancel_s | 24 | deployment.workers.cancel_s:",
         "/deployment/state | txn_ops | \"16\" | deployment.state.txn_ops:",
         "/deployment/cloud | rps | -1 | deployment.cloud.rps:"
       })
