A job avoids a machine that it failed on for 45 s, not for ever

Cause, found by reading for marks without an end: with few machines that fit, a job would wait beside free ones for good. How many machines it failed on still counts for its back-off. TroubleTest can't be compiled without the end.

--- a/src/main/java/org/ternhinge/controller/Reports.java
+++ b/src/main/java/org/ternhinge/controller/Reports.java
@@ -346,9 +346,9 @@
    */
   private void failed(Machine m, Job job, SteadyTime now) {
     Trouble t = trouble(job);
-    t.machines.add(m.id);
-    if (t.machines.size() >= 3) {
-      t.until = now.plusSeconds(Math.min(60, 2 * Math.pow(2, t.machines.size() - 3)));
+    t.failedOn(m.id, now);
+    if (t.machines() >= 3) {
+      t.until = now.plusSeconds(Math.min(60, 2 * Math.pow(2, t.machines() - 3)));
       return;
     }
     m.errorsInARow++;
--- a/src/main/java/org/ternhinge/controller/Views.java
+++ b/src/main/java/org/ternhinge/controller/Views.java
@@ -222,7 +222,7 @@
               waiting,
               zones,
               blocked,
-              t == null ? Set.of() : Set.copyOf(t.machines),
+              t == null ? Set.of() : t.avoid(now),
               reserved.getOrDefault(spec.id(), 0)));
     }
     return out;
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/TroubleTest.java
@@ -0,0 +1,28 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.sim.SimClock;
+
+class TroubleTest {
+  /**
+   * No job may wait for 90 s beside a machine that fits; a mark that never ends would have it so.
+   */
+  @Test
+  void aMachineIsAvoidedForAWhileAndCountedForEver() {
+    SteadyTime start = new SimClock().now();
+    MachineId first = new MachineId("n-1");
+    MachineId second = new MachineId("n-2");
+    Trouble t = new Trouble();
+    t.failedOn(first, start);
+    t.failedOn(second, start.plusSeconds(20));
+    assertEquals(Set.of(first, second), t.avoid(start.plusSeconds(30)));
+    assertEquals(Set.of(second), t.avoid(start.plusSeconds(50)));
+    assertEquals(Set.of(), t.avoid(start.plusSeconds(70)));
+    assertEquals(2, t.machines());
+  }
+}
