--- a/src/test/java/org/ternhinge/sim/Net.java
+++ b/src/test/java/org/ternhinge/sim/Net.java
@@ -48,6 +48,19 @@
     return result;
   }
 
+  /** A call whose request is lost: refused at once or never answered. */
+  <T> CompletableFuture<Outcome<T>> fail(boolean refused, double timeoutS) {
+    CompletableFuture<Outcome<T>> result = new CompletableFuture<>();
+    clock.after(
+        refused ? Math.min(1, timeoutS) : timeoutS,
+        () ->
+            result.complete(
+                refused
+                    ? Outcome.notApplied(Reason.NO_CONNECTION, "cut")
+                    : Outcome.unknown("cut")));
+    return result;
+  }
+
   private double delay() {
     return 0.001 + random.nextDouble() * (random.nextDouble() < 0.02 ? 0.4 : 0.006);
   }
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
@@ -68,6 +69,18 @@
   /** Until then its reports arrive, but no answer and no command reaches it. */
   SteadyTime deafUntil;
 
+  /** Until then its reports reach nobody, while commands reach it. */
+  SteadyTime muteUntil;
+
+  /** Until then it executes nothing; its lease runs on. */
+  private SteadyTime hangUntil;
+
+  private SteadyTime hungFrom;
+  private double hungBefore;
+
+  /** What has arrived while it hung, in order. */
+  private final List<Runnable> waiting = new ArrayList<>();
+
   SimWorker(World world, MachineId id, Flavor flavor, String zone, boolean spot) {
     this.world = world;
     this.id = id;
@@ -92,6 +105,60 @@
     return deafUntil != null && world.clock.now().isBefore(deafUntil);
   }
 
+  boolean mute() {
+    return muteUntil != null && world.clock.now().isBefore(muteUntil);
+  }
+
+  boolean hung() {
+    return hangUntil != null;
+  }
+
+  /** Stops executing; a hang that is under way may become longer. */
+  void hang(double seconds) {
+    SteadyTime end = world.clock.now().plusSeconds(seconds);
+    if (hangUntil == null) {
+      hungFrom = world.clock.now();
+      hangUntil = end;
+    } else {
+      hangUntil = hangUntil.max(end);
+    }
+    world.clock.after(seconds, this::resume);
+  }
+
+  private void resume() {
+    if (dead || hangUntil == null || world.clock.now().isBefore(hangUntil)) {
+      return;
+    }
+    hungBefore += world.clock.now().secondsSince(hungFrom);
+    hangUntil = null;
+    checkLease();
+    List<Runnable> held = List.copyOf(waiting);
+    waiting.clear();
+    held.forEach(Runnable::run);
+    report();
+  }
+
+  private double hungSeconds() {
+    return hungBefore + (hung() ? world.clock.now().secondsSince(hungFrom) : 0);
+  }
+
+  /** Runs an action after so many seconds in which the machine did execute. */
+  private void afterWork(double seconds, Runnable action) {
+    double before = hungSeconds();
+    world.clock.after(
+        seconds,
+        () -> {
+          double lost = hungSeconds() - before;
+          if (hung()) {
+            waiting.add(() -> afterWork(lost, action));
+          } else if (lost > 0) {
+            afterWork(lost, action);
+          } else {
+            action.run();
+          }
+        });
+  }
+
   private void watchLease() {
     world.clock.after(
         0.5,
@@ -99,16 +166,29 @@
           if (dead) {
             return;
           }
-          if (world.clock.now().secondsSince(leaseFrom) > World.LEASE_S) {
+          if (!hung()) {
+            checkLease();
+          } else if (leaseOver()) {
+            // It can't go on with them; they are killed for certain when it resumes.
             tasks.values().forEach(this::kill);
-            tasks.clear();
-            session++;
-            leaseFrom = world.clock.now();
           }
           watchLease();
         });
   }
 
+  private boolean leaseOver() {
+    return world.clock.now().secondsSince(leaseFrom) > World.LEASE_S;
+  }
+
+  private void checkLease() {
+    if (leaseOver()) {
+      tasks.values().forEach(this::kill);
+      tasks.clear();
+      session++;
+      leaseFrom = world.clock.now();
+    }
+  }
+
   private void kill(Task t) {
     if (t.state == TaskState.RUNNING) {
       world.left(this, t.id);
@@ -136,7 +216,7 @@
     world.clock.after(
         0.5,
         () -> {
-          if (!dead && reports == before) {
+          if (!dead && !hung() && reports == before) {
             report();
           }
         });
@@ -165,7 +245,7 @@
   }
 
   private void report() {
-    if (dead) {
+    if (dead || hung()) {
       return;
     }
     int mine = ++reports;
@@ -175,9 +255,18 @@
     byte[] body = Json.bytes(reportNow().write());
     world.maybeCopy(id, body);
     boolean deaf = deaf();
+    boolean held = world.troubles.heldBack(id, body);
+    if (held || mute()) {
+      CompletableFuture<Outcome<Response>> lost =
+          held ? world.net.fail(false, 4) : world.troubles.mute(4);
+      lost.thenAccept(o -> answered(o, inSession, sent, mine));
+      return;
+    }
     world
-        .net
+        .troubles
         .<Response>call(
+            zone,
+            Troubles.zoneOf(asked),
             () -> cut() || world.nodeCutFromWorkers(asked),
             4,
             to ->
@@ -185,21 +274,28 @@
                     asked,
                     new Request("POST", "/agent/beat", body),
                     r -> {
+                      if (r.status() == 200) {
+                        world.commanded(id, commands(r.body()));
+                      }
                       if (!deaf) {
                         to.accept(Outcome.applied(r));
                       } else if (r.status() == 200) {
                         world.sent(id, commands(r.body()));
                       }
                     }))
-        .thenAccept(
-            o -> {
-              if (!dead) {
-                answered(o, inSession, sent, mine);
-              }
-            });
+        .thenAccept(o -> answered(o, inSession, sent, mine));
   }
 
-  private void answered(Outcome<Response> o, int inSession, SteadyTime sent, int mine) {
+  private void answered(Outcome<Response> outcome, int inSession, SteadyTime sent, int mine) {
+    if (dead) {
+      return;
+    }
+    if (hung()) {
+      waiting.add(() -> answered(outcome, inSession, sent, mine));
+      return;
+    }
+    boolean late = world.clock.now().secondsSince(sent) > 4;
+    Outcome<Response> o = late ? Outcome.unknown("late") : outcome;
     double next = World.REPORT_S * (0.75 + world.random.nextDouble() / 2);
     if (o instanceof Outcome.Applied<Response> a && a.value().status() == 200) {
       if (inSession == session) {
@@ -258,6 +354,10 @@
     if (dead) {
       return;
     }
+    if (hung()) {
+      waiting.add(() -> order(t, s, commands, to));
+      return;
+    }
     if (t.compareTo(token) < 0 || s.value() != session) {
       to.accept(Outcome.applied(new Workers.Answer.Refused(reportNow())));
       return;
@@ -302,7 +402,7 @@
     }
     changed();
     JobSpec spec = world.spec(c.task().job());
-    world.clock.after(
+    afterWork(
         FETCH_S,
         () -> {
           if (!dead && tasks.get(key) == t && t.state == TaskState.FETCHING) {
@@ -310,7 +410,7 @@
             world.started(this, t.id, spec);
             changed();
             if (!spec.isService()) {
-              world.clock.after(
+              afterWork(
                   spec.estimateS(),
                   () -> {
                     if (!dead && tasks.get(key) == t && t.state == TaskState.RUNNING) {
--- a/src/test/java/org/ternhinge/sim/StoreCore.java
+++ b/src/test/java/org/ternhinge/sim/StoreCore.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeMap;
+import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.Outcome;
@@ -25,7 +26,8 @@
 
   private record Lease(double lifeS, SteadyTime ends) {}
 
-  private record Watch(String prefix, long from, Consumer<StateStore.Changes> to) {}
+  private record Watch(
+      String prefix, long from, BooleanSupplier held, Consumer<StateStore.Changes> to) {}
 
   private final Clock clock;
   private final TreeMap<String, Value> keys = new TreeMap<>();
@@ -154,16 +156,28 @@
   }
 
   public void follow(String prefix, long from, double waitS, Consumer<StateStore.Changes> to) {
-    Watch watch = new Watch(prefix, from, to);
+    follow(prefix, from, waitS, () -> false, to);
+  }
+
+  /** A watch that stays silent while it is held, as in an outage, its end included. */
+  public void follow(
+      String prefix,
+      long from,
+      double waitS,
+      BooleanSupplier held,
+      Consumer<StateStore.Changes> to) {
+    Watch watch = new Watch(prefix, from, held, to);
     if (!answer(watch, false)) {
       watches.add(watch);
-      clock.after(
-          waitS,
-          () -> {
-            if (watches.remove(watch)) {
-              answer(watch, true);
-            }
-          });
+      clock.after(waitS, () -> endWatch(watch));
+    }
+  }
+
+  private void endWatch(Watch watch) {
+    if (watch.held.getAsBoolean()) {
+      clock.after(0.1, () -> endWatch(watch));
+    } else if (watches.remove(watch)) {
+      answer(watch, true);
     }
   }
 
@@ -181,9 +195,10 @@
     return true;
   }
 
-  private void wake() {
+  /** Answers the watches that have something to tell and are not held. */
+  public void wake() {
     for (Watch w : List.copyOf(watches)) {
-      if (answer(w, false)) {
+      if (!w.held.getAsBoolean() && answer(w, false)) {
         watches.remove(w);
       }
     }
--- a/src/test/java/org/ternhinge/sim/Users.java
+++ b/src/test/java/org/ternhinge/sim/Users.java
@@ -6,6 +6,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
 import org.ternhinge.http.Request;
 import org.ternhinge.model.JobId;
 import org.ternhinge.wire.JobSpec;
@@ -27,10 +29,19 @@
   private final Map<JobId, Double> lastAnswered = new HashMap<>();
   private final Map<JobId, Double> submittedAt = new HashMap<>();
   private final Map<JobId, Boolean> cancelAsked = new HashMap<>();
+  private final Map<JobId, String> finalTold = new HashMap<>();
+  private final Map<JobId, ObjectNode> bodies = new HashMap<>();
+  private final LeftWaiting leftWaiting;
+  private final SplittableRandom random = new SplittableRandom(5);
   private double quietSince = Double.MAX_VALUE;
+  private int odd;
+
+  /** Odd requests that were answered, by their status. */
+  public final Map<Integer, Integer> oddAnswers = new TreeMap<>();
 
   public Users(World world) {
     this.world = world;
+    this.leftWaiting = new LeftWaiting(world);
   }
 
   public List<JobId> accepted() {
@@ -61,6 +72,7 @@
   public void submit(ObjectNode body) {
     JobSpec spec = Specs.of(body);
     world.know(spec);
+    bodies.put(spec.id(), body.deepCopy());
     submittedAt.put(spec.id(), world.clock.seconds());
     send(new Request("POST", "/submissions", Json.bytes(body)), spec, 8);
   }
@@ -88,7 +100,124 @@
         world.broken.add("forgotten: " + id + " has no answer since " + from);
       }
       poll(id);
+      if (world.clock.seconds() > quietSince && !cancelAsked(id)) {
+        leftWaiting.check(spec(id));
+      }
+    }
+  }
+
+  /**
+   * For a share of jobs a cancel, a question and a repeated submission meet the very end of the
+   * last task.
+   */
+  public void cancelAtEnd(double share) {
+    world.atLastEnd =
+        id -> {
+          if (!accepted.containsKey(id) || random.nextDouble() >= share) {
+            return;
+          }
+          double[] after = {0, random.nextDouble() * 0.05, 0.2 + random.nextDouble()};
+          cancel(id);
+          for (double s : after) {
+            world.clock.after(s, () -> poll(id));
+            world.clock.after(s, () -> repeat(id, bodies.get(id)));
+          }
+        };
+  }
+
+  /** One of the requests that a careful user would not send. */
+  public void oddRequest() {
+    switch (random.nextInt(3)) {
+      case 0 -> repeatSomeUnfinished();
+      case 1 -> cancelSomeDone();
+      default -> submitImpossible();
+    }
+  }
+
+  private void repeatSomeUnfinished() {
+    List<JobId> open =
+        accepted().stream()
+            .filter(id -> !"done".equals(lastTold(id)) && !"cancelled".equals(lastTold(id)))
+            .toList();
+    if (open.isEmpty()) {
+      return;
+    }
+    JobId id = open.get(random.nextInt(open.size()));
+    ObjectNode body = bodies.get(id).deepCopy();
+    switch (random.nextInt(4)) {
+      case 0 -> body.put("verkbitar", 1 + random.nextInt(50));
+      case 1 -> body.put("cpus", 4000.0);
+      case 2 -> body.remove("eigandi");
+      default -> {}
+    }
+    repeat(id, body);
+  }
+
+  /** A known job answers with its state, whatever its repeat says. */
+  private void repeat(JobId id, ObjectNode body) {
+    String known = lastTold.get(id);
+    world.user(
+        new Request("POST", "/submissions", Json.bytes(body)),
+        r -> {
+          if (r == null || r.status() == 503) {
+            return;
+          }
+          oddAnswers.merge(r.status(), 1, Integer::sum);
+          if (r.status() == 200) {
+            told(id, state(r.body()), known);
+          } else {
+            world.broken.add("forgotten: repeat of " + id + " answered " + r.status());
+          }
+        });
+  }
+
+  private void cancelSomeDone() {
+    List<JobId> done = accepted().stream().filter(id -> "done".equals(lastTold(id))).toList();
+    if (done.isEmpty()) {
+      return;
     }
+    JobId id = done.get(random.nextInt(done.size()));
+    world.user(
+        new Request("POST", "/submissions/" + id + "/cancel", NONE),
+        r -> {
+          if (r == null || r.status() == 503) {
+            return;
+          }
+          oddAnswers.merge(r.status(), 1, Integer::sum);
+          if (r.status() != 200) {
+            world.broken.add("forgotten: cancel of " + id + " answered " + r.status());
+          } else {
+            told(id, state(r.body()), "done");
+          }
+        });
+  }
+
+  private void submitImpossible() {
+    ObjectNode body = Specs.json(String.format("wk-9%05d", ++odd), "batch", 2);
+    int wanted = 422;
+    switch (random.nextInt(6)) {
+      case 0 -> body.put("cpus", 4000.0);
+      case 1 -> body.put("eigandi", "nobody");
+      case 2 -> body.put("gerd", "daemon").put("verkbitar", 90_000);
+      default -> {
+        wanted = 400;
+        List<String> fields =
+            List.of("ref", "eigandi", "gerd", "forgang", "verkbitar", "cpus", "memory_gb", "mynd");
+        body.remove(fields.get(random.nextInt(fields.size())));
+      }
+    }
+    int status = wanted;
+    world.user(
+        new Request("POST", "/submissions", Json.bytes(body)),
+        r -> {
+          if (r == null || r.status() == 503) {
+            return;
+          }
+          oddAnswers.merge(r.status(), 1, Integer::sum);
+          if (r.status() != status) {
+            world.broken.add("odd: " + body + " answered " + r.status() + " and not " + status);
+          }
+        });
   }
 
   private void poll(JobId id) {
@@ -113,6 +242,15 @@
     if (!"cancelled".equals(lastTold.get(id))) {
       lastTold.put(id, state);
     }
+    if (state.equals("cancelled")) {
+      world.toldCancelled(id);
+    }
+    if (state.equals("done") || state.equals("cancelled")) {
+      String first = finalTold.putIfAbsent(id, state);
+      if (first != null && !first.equals(state)) {
+        world.broken.add("went_back: " + id + " was told " + first + " and then " + state);
+      }
+    }
     boolean wasOver = "done".equals(before) || "cancelled".equals(before);
     if (wasOver && !before.equals(state)) {
       world.broken.add("went_back: " + id + " from " + before + " to " + state);
@@ -136,9 +274,6 @@
         new Request("POST", "/submissions/" + id + "/cancel", NONE),
         r -> {
           if (r != null && r.status() == 200) {
-            if (state(r.body()).equals("cancelled")) {
-              world.toldCancelled(id);
-            }
             told(id, state(r.body()), lastTold.get(id));
           } else if (r != null && r.status() == 404) {
             world.broken.add("forgotten: cancel of " + id + " answered 404");
--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -10,6 +10,7 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.TreeSet;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
@@ -66,12 +67,13 @@
   static final double LEASE_S = 24;
   static final double REPORT_S = 3;
   static final double CANCEL_S = 44;
-  private static final List<String> ZONES = List.of("east", "west");
+  static final List<String> ZONES = List.of("east", "west");
 
   public final SimClock clock = new SimClock();
   final SplittableRandom random;
   final Net net;
   private final StoreCore store = new StoreCore(clock);
+  public final Troubles troubles;
   private final Size size;
   private final Incarnation[] nodes;
   private final SteadyTime[] stateCut;
@@ -104,6 +106,7 @@
   private final Map<MachineId, byte[]> lastReports = new HashMap<>();
 
   private final Map<MachineId, Integer> startsOn = new HashMap<>();
+  private final Map<JobId, Integer> startsOf = new HashMap<>();
   private final Map<MachineId, Integer> startsSent = new HashMap<>();
 
   /** When each task first ran. */
@@ -122,6 +125,12 @@
   public final List<String> broken = new ArrayList<>();
   public int starts;
 
+  /** Starts of tasks whose user had been told that their job is cancelled. */
+  public int startsAfterCancel;
+
+  /** Hears of each job at the moment its last task ends. */
+  Consumer<JobId> atLastEnd = id -> {};
+
   public static final List<Flavor> FLAVORS =
       List.of(
           new Flavor("small", Resources.offer(4, 0, 16), 4, 0, 16, 50, 1, 0.2, 0.1, 5, ZONES),
@@ -168,6 +177,7 @@
     workerCut = new SteadyTime[size.nodes];
     peerCut = new SteadyTime[size.nodes];
     random = new SplittableRandom(seed);
+    troubles = new Troubles(this, seed);
     net = new Net(clock, random.split());
     net.lossShare = lossShare;
     for (int i = 0; i < size.nodes; i++) {
@@ -270,6 +280,7 @@
 
   public void cutState(int i, double seconds) {
     stateCut[i] = clock.now().plusSeconds(seconds);
+    clock.after(seconds + 0.001, this::wakeWatches);
   }
 
   public void cutWorkers(int i, double seconds) {
@@ -344,6 +355,20 @@
     return startsSent.getOrDefault(id, 0);
   }
 
+  /**
+   * No start may be sent once the user was told of the cancellation. One that was sent before may
+   * still arrive, held up by the network; such a task only has to be gone in time.
+   */
+  void commanded(MachineId id, List<Command> commands) {
+    for (Command c : commands) {
+      Double told = cancelledAt.get(c.task().job());
+      if (c.op() == Command.Op.START && told != null) {
+        double late = clock.seconds() - told;
+        broken.add("start of " + c.task() + " sent to " + id + " " + late + " s after its cancel");
+      }
+    }
+  }
+
   void sent(MachineId id, List<Command> commands) {
     long n = commands.stream().filter(c -> c.op() == Command.Op.START).count();
     startsSent.merge(id, (int) n, Integer::sum);
@@ -376,6 +401,17 @@
     outageUntil = clock.now().plusSeconds(seconds);
     store.hold(seconds);
     clock.after(seconds, store::renewAll);
+    clock.after(seconds + 0.001, this::wakeWatches);
+  }
+
+  /** Watches that a trouble has held tell what they have missed. */
+  void wakeWatches() {
+    store.wake();
+  }
+
+  /** Whether the state service refuses a node, alone or with all others. */
+  private boolean refused(int node) {
+    return !past(outageUntil) || !past(stateCut[node]);
   }
 
   private boolean past(SteadyTime until) {
@@ -404,7 +440,9 @@
       Incarnation from, String to, Request request, double timeoutS, Consumer<Response> answer) {
     int i = Integer.parseInt(to.substring(5));
     from.guard(
-            net.<Response>call(
+            troubles.<Response>call(
+                zoneOf(from),
+                Troubles.zoneOf(i),
                 () -> !past(peerCut[from.index]) || !past(peerCut[i]),
                 timeoutS,
                 back -> {
@@ -431,13 +469,20 @@
 
     private <T> CompletableFuture<Outcome<T>> send(double timeoutS, Supplier<Outcome<T>> work) {
       return owner.guard(
-          net.<T>call(
+          troubles.<T>call(
+              zoneOf(owner),
+              null,
               () -> false,
               timeoutS,
-              to -> {
-                boolean down = !past(outageUntil) || !past(stateCut[owner.index]);
-                to.accept(down ? Outcome.notApplied(Reason.REFUSED, "503") : work.get());
-              }));
+              to ->
+                  troubles.slowly(
+                      () -> {
+                        Outcome<T> o =
+                            refused(owner.index)
+                                ? Outcome.notApplied(Reason.REFUSED, "503")
+                                : work.get();
+                        troubles.slowly(() -> to.accept(o));
+                      })));
     }
 
     @Override
@@ -457,6 +502,17 @@
         return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, ""));
       }
       changes += txn.changes().size();
+      double late = troubles.lateBy();
+      if (late > 0) {
+        clock.after(
+            late,
+            () -> {
+              if (!refused(owner.index)) {
+                store.txn(txn);
+              }
+            });
+        return owner.guard(net.fail(false, 1.5));
+      }
       return send(1.5, () -> store.txn(txn));
     }
 
@@ -483,10 +539,23 @@
     @Override
     public CompletableFuture<Outcome<Changes>> follow(String prefix, Revision from, double waitS) {
       return owner.guard(
-          net.<Changes>call(
+          troubles.<Changes>call(
+              zoneOf(owner),
+              null,
               () -> false,
               waitS + 5,
-              to -> store.follow(prefix, from.value(), waitS, c -> to.accept(Outcome.applied(c)))));
+              to -> {
+                if (refused(owner.index)) {
+                  to.accept(Outcome.notApplied(Reason.REFUSED, "503"));
+                  return;
+                }
+                store.follow(
+                    prefix,
+                    from.value(),
+                    waitS,
+                    () -> refused(owner.index) || troubles.apart(zoneOf(owner), null),
+                    c -> troubles.slowly(() -> to.accept(Outcome.applied(c))));
+              }));
     }
 
     @Override
@@ -500,6 +569,10 @@
     }
   }
 
+  private static String zoneOf(Incarnation node) {
+    return Troubles.zoneOf(node.index);
+  }
+
   private final class CloudFacade implements Cloud {
     private final Incarnation owner;
 
@@ -510,22 +583,29 @@
     @Override
     public CompletableFuture<Outcome<List<Flavor>>> flavors() {
       return owner.guard(
-          net.<List<Flavor>>call(() -> false, 5, to -> to.accept(Outcome.applied(FLAVORS))));
+          troubles.<List<Flavor>>call(
+              zoneOf(owner), null, () -> false, 5, to -> to.accept(Outcome.applied(FLAVORS))));
     }
 
     @Override
     public CompletableFuture<Outcome<List<MachineId>>> rent(RentalRequest request) {
       rentCalls++;
       return owner.guard(
-          net.<List<MachineId>>call(
-              () -> false, 5, to -> to.accept(Outcome.applied(rentNow(request)))));
+          troubles.<List<MachineId>>call(
+              zoneOf(owner),
+              null,
+              () -> false,
+              5,
+              to -> to.accept(Outcome.applied(rentNow(request)))));
     }
 
     @Override
     public CompletableFuture<Outcome<Integer>> release(List<MachineId> ids) {
       returnCalls++;
       return owner.guard(
-          net.<Integer>call(
+          troubles.<Integer>call(
+              zoneOf(owner),
+              null,
               () -> false,
               5,
               to -> {
@@ -543,6 +623,9 @@
     @Override
     public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
       listings++;
+      if (troubles.apart(zoneOf(owner), null)) {
+        return owner.guard(troubles.mute(5));
+      }
       List<HostInfo> hosts = new ArrayList<>();
       boolean more = false;
       for (SimWorker w : (after == null ? workers : workers.tailMap(after, false)).values()) {
@@ -625,8 +708,11 @@
       MachineId id = new MachineId(String.format("n-%06d", worker.port() - 1000));
       SimWorker w = workers.get(id);
       sent(id, commands);
+      commanded(id, commands);
       CompletableFuture<Outcome<Answer>> answer =
-          net.<Answer>call(
+          troubles.<Answer>call(
+              zoneOf(owner),
+              w == null ? zoneOf(owner) : w.zone,
               () -> w == null || w.cut() || w.deaf() || nodeCutFromWorkers(owner.index),
               3,
               to -> {
@@ -651,8 +737,13 @@
   /** Sends a request to some node, as the load balancer would, and gives the answer or null. */
   public void user(Request request, Consumer<Response> answer) {
     int i = random.nextInt(size.nodes);
-    net.<Response>call(
-            () -> false, 5, to -> deliver(i, request, r -> to.accept(Outcome.applied(r))))
+    troubles
+        .<Response>call(
+            null,
+            Troubles.zoneOf(i),
+            () -> false,
+            5,
+            to -> deliver(i, request, r -> to.accept(Outcome.applied(r))))
         .thenAccept(
             o -> answer.accept(o instanceof Outcome.Applied<Response> a ? a.value() : null));
   }
@@ -662,7 +753,9 @@
   }
 
   public void toldCancelled(JobId id) {
-    cancelledAt.putIfAbsent(id, clock.seconds());
+    if (cancelledAt.putIfAbsent(id, clock.seconds()) != null) {
+      return;
+    }
     clock.after(
         CANCEL_S + 0.5,
         () ->
@@ -693,14 +786,18 @@
     starts++;
     firstRan.putIfAbsent(task, clock.seconds());
     startsOn.merge(on.id, 1, Integer::sum);
+    startsOf.merge(task.job(), 1, Integer::sum);
     Set<MachineId> where = running.computeIfAbsent(task, k -> new HashSet<>());
     if (!where.isEmpty()) {
       broken.add("ran_twice: " + task + " on " + on.id + " while on " + where);
     }
     where.add(on.id);
     Double cancelled = cancelledAt.get(task.job());
-    if (cancelled != null && clock.seconds() > cancelled + CANCEL_S) {
-      broken.add("ran_cancelled: " + task + " started");
+    if (cancelled != null) {
+      startsAfterCancel++;
+      if (clock.seconds() > cancelled + CANCEL_S) {
+        broken.add("ran_cancelled: " + task + " started");
+      }
     }
     if (!spec.allowsType(on.flavor.name())
         || (spec.zone() != null && !spec.zone().equals(on.zone))
@@ -717,7 +814,7 @@
     }
     Resources sum = use.merge(spec.team(), spec.need(), Resources::plus);
     Team team = settings("node-0").teams().get(spec.team());
-    if (sum.cpus() > team.cpusMax() || (team.gpusMax() > 0 && sum.gpus() > team.gpusMax())) {
+    if (!within(team, sum)) {
       broken.add("quota: " + spec.team() + " uses " + sum);
     }
   }
@@ -728,14 +825,68 @@
     use.computeIfPresent(spec(task.job()).team(), (t, r) -> r.minus(spec(task.job()).need()));
   }
 
+  int startsOf(JobId id) {
+    return startsOf.getOrDefault(id, 0);
+  }
+
+  boolean isCompleted(TaskId task) {
+    return completed.contains(task);
+  }
+
+  boolean isRunning(TaskId task) {
+    return !running.getOrDefault(task, Set.of()).isEmpty();
+  }
+
+  Map<String, Integer> tasksByZone(JobId id) {
+    return zonesOf.getOrDefault(id, Map.of());
+  }
+
+  private static boolean within(Team team, Resources sum) {
+    return sum.cpus() <= team.cpusMax() && (team.gpusMax() <= 0 || sum.gpus() <= team.gpusMax());
+  }
+
+  /** Whether a team could run so many more tasks of a job. */
+  boolean underLimit(JobSpec spec, int tasks) {
+    Resources sum = use.getOrDefault(spec.team(), Resources.offer(0, 0, 0));
+    Team team = settings("node-0").teams().get(spec.team());
+    return within(team, sum.plus(spec.need().times(tasks)));
+  }
+
+  /** What a machine has left beside the tasks that run on it. */
+  Resources free(SimWorker w) {
+    Resources left = w.flavor.capacity();
+    for (var e : running.entrySet()) {
+      if (e.getValue().contains(w.id)) {
+        left = left.minus(spec(e.getKey().job()).need());
+      }
+    }
+    return left;
+  }
+
   /** The tasks of a gang complete together. */
   void completed(TaskId task) {
     JobSpec spec = spec(task.job());
+    boolean ended = false;
     for (int i = 0; i < spec.tasks(); i++) {
       if (spec.isGang() || i == task.index()) {
-        completed.add(new TaskId(task.job(), i));
+        ended |= completed.add(new TaskId(task.job(), i));
       }
     }
+    if (ended && allCompleted(task.job())) {
+      atLastEnd.accept(task.job());
+    }
+  }
+
+  /** Machines that run a job's tasks. */
+  public List<SimWorker> workersOf(JobId id) {
+    Set<MachineId> on = new TreeSet<>();
+    running.forEach(
+        (task, where) -> {
+          if (task.job().equals(id)) {
+            on.addAll(where);
+          }
+        });
+    return on.stream().map(workers::get).filter(w -> w != null).toList();
   }
 
   public List<SimWorker> liveWorkers() {
