--- a/src/test/java/org/ternhinge/controller/FaultTest.java
+++ b/src/test/java/org/ternhinge/controller/FaultTest.java
@@ -48,11 +48,35 @@
     "23, 0.01, copies",
     "24, 0.02, copies",
     "25, 0.01, alone",
-    "26, 0.02, alone"
+    "26, 0.02, alone",
+    "31, 0.01, late_writes",
+    "32, 0.02, late_writes",
+    "33, 0.01, mute",
+    "34, 0.02, mute",
+    "35, 0.01, hangs",
+    "36, 0.02, hangs",
+    "37, 0.01, slow_state",
+    "38, 0.02, slow_state",
+    "39, 0.01, held",
+    "40, 0.02, held",
+    "41, 0.01, zone_cut",
+    "42, 0.02, zone_cut",
+    "43, 0.01, leaders",
+    "44, 0.02, leaders",
+    "45, 0.01, odd",
+    "46, 0.02, odd",
+    "47, 0.01, meet",
+    "48, 0.02, meet",
+    "49, 0.03, meet",
+    "50, 0.02, meet"
   })
   void rulesHold(long seed, double loss, String faults) {
     world = new World(seed, loss);
     users = new Users(world);
+    boolean odd = faults.equals("odd") || faults.equals("meet");
+    if (odd) {
+      users.cancelAtEnd(0.3);
+    }
     world.clock.runFor(5);
     for (int step = 0; step < 120; step++) {
       if (step < 70 && world.nextInt(3) == 0) {
@@ -62,8 +86,12 @@
         users.cancel(users.accepted().get(world.nextInt(users.accepted().size())));
       }
       users.pollAll();
+      if (odd && step < 100) {
+        users.oddRequest();
+      }
       if (step < 80) {
         trouble(faults);
+        heldUp(faults, step);
       }
       if (step == 90) {
         // Services hold their team's limit for ever; the rest is to finish.
@@ -129,4 +157,48 @@
       world.outage(5 + world.nextInt(30));
     }
   }
+
+  /** Messages held up or back, and what else the meetings of troubles are made of. */
+  private void heldUp(String faults, int step) {
+    boolean all = faults.equals("meet");
+    if (all && world.nextInt(3) == 0) {
+      trouble("all");
+    }
+    if ((all || faults.equals("late_writes")) && world.nextInt(10) == 0) {
+      world.troubles.lateWrites(0.3, 5 + world.nextInt(30));
+    }
+    if ((all || faults.equals("mute")) && world.nextInt(6) == 0) {
+      world.troubles.muteSomeWorker(5 + world.nextInt(50));
+    }
+    if ((all || faults.equals("mute")) && world.nextInt(25) == 0) {
+      world.troubles.muteWorkers(0.6, 5 + world.nextInt(50));
+    }
+    if ((all || faults.equals("hangs")) && world.nextInt(6) == 0) {
+      world.troubles.hangSomeWorker(1 + world.nextInt(40));
+    }
+    if (faults.equals("hangs") && !users.accepted().isEmpty() && world.nextInt(12) == 0) {
+      JobId id = users.accepted().get(world.nextInt(users.accepted().size()));
+      world.troubles.hangWorkersOf(id, 8, 2 + world.nextInt(30));
+      users.cancel(id);
+    }
+    if ((all || faults.equals("slow_state")) && world.nextInt(12) == 0) {
+      world.troubles.slowState(5 + world.nextInt(40), 0.3 + world.nextInt(10) / 10.0);
+    }
+    if ((all || faults.equals("held")) && world.nextInt(4) == 0) {
+      world.troubles.holdReport(3 + world.nextInt(50));
+    }
+    if ((faults.equals("held") || faults.equals("slow_state")) && world.nextInt(15) == 0) {
+      world.cutState(Math.max(0, world.leader()), 8);
+    }
+    if ((all || faults.equals("zone_cut")) && world.nextInt(20) == 0) {
+      world.troubles.cutZone(world.nextInt(2) == 0 ? "east" : "west", 5 + world.nextInt(45));
+    }
+    if ((all || faults.equals("leaders")) && step < 55 && world.nextInt(20) == 0) {
+      // Two minutes long, and over when quiet is asked for.
+      world.troubles.refuseLeaders(10, 12, 8);
+    }
+    if (faults.equals("leaders") && world.nextInt(30) == 0) {
+      world.outage(5 + world.nextInt(40));
+    }
+  }
 }
