--- a/src/test/java/org/ternhinge/controller/MeetingsTest.java
+++ b/src/test/java/org/ternhinge/controller/MeetingsTest.java
@@ -132,15 +132,14 @@
         }
         world.clock.runFor(0.05);
       }
-      if (reportsTo.equals("new") && world.leader() >= 0) {
+      boolean another = world.leader() >= 0 && world.leader() != old;
+      assertTrue(refused < 7 || another, "nobody else took over");
+      if (reportsTo.equals("new") && another) {
         pinTo(world.leader(), refused + out);
       }
       world.clock.after(cancelled, () -> goes.forEach(users::cancel));
       world.clock.after(
-          Math.max(0, from + refused - world.clock.seconds()),
-          () -> {
-            world.outage(out);
-          });
+          Math.max(0, from + refused - world.clock.seconds()), () -> world.outage(out));
       run(refused + out + 30);
       for (int i = 0; i < 3; i++) {
         world.cutWorkers(i, 0);
@@ -359,4 +358,97 @@
     assertEquals("cancelled", users.lastTold(goes));
     assertEquals(3, world.runningTasks(stays));
   }
+
+  /** Jobs of a few tasks end far apart, since one of their machines hangs, over a new leader. */
+  @ParameterizedTest(name = "seed {0}, {1} tasks, hung for {2} s")
+  @CsvSource({"211, 2, 12", "212, 3, 20", "213, 2, 35", "214, 3, 50"})
+  void tasksThatEndFarApartOverAChangeOfLeader(long seed, int tasks, double hang) {
+    begin(seed, World.SMALL);
+    JobId job = submit(job("wk-1", "batch", tasks, 30).put("cpus", 3.0).put("lanvelar", false));
+    run(30);
+    world.troubles.hangWorkersOf(job, 1, hang);
+    run(18);
+    world.crash(world.leader(), 1);
+    run(90);
+    holdsAndEnds();
+    assertEquals("done", users.lastTold(job));
+  }
+
+  /** No controller is there for longer than a lease. */
+  @ParameterizedTest(name = "away for {0} s, cancelled {1} s before")
+  @CsvSource({"20, 0.5", "30, 0.02", "30, 0.5", "40, 0.1", "60, 3"})
+  void allControllersAway(double away, double before) {
+    begin(221, World.SMALL);
+    JobId goes = submit(job("wk-1", "batch", 6, 400));
+    JobId stays = submit(job("wk-2", "daemon", 3, 0));
+    run(60);
+    world.troubles.hangWorkersOf(goes, 1, 10);
+    users.cancel(goes);
+    world.clock.runFor(before);
+    for (int i = 0; i < 3; i++) {
+      world.crash(i, away + i * 0.3);
+    }
+    run(away + 60);
+    holdsAndEnds();
+    assertEquals("cancelled", users.lastTold(goes));
+    assertEquals(3, world.runningTasks(stays));
+  }
+
+  /** A leader ends while machines with long tasks can't be reached or don't hear the next one. */
+  @ParameterizedTest(name = "{0} for {1} s, leader away for {2} s")
+  @CsvSource({
+    "cut, 10, 3",
+    "cut, 40, 3",
+    "cut, 40, 30",
+    "mute, 15, 3",
+    "mute, 40, 3",
+    "hung, 15, 3",
+    "hung, 22, 3",
+    "hung, 40, 30"
+  })
+  void aLeaderEndsWhileMachinesAreOutOfReach(String how, double seconds, double away) {
+    begin(231, World.SMALL);
+    JobId job = submit(job("wk-1", "batch", 6, 120));
+    JobId goes = submit(job("wk-2", "batch", 4, 400));
+    run(40);
+    for (JobId id : List.of(job, goes)) {
+      switch (how) {
+        case "cut" -> world.cutSomeWorkerWith(id, seconds);
+        case "mute" -> world.troubles.muteWorkersOf(id, seconds);
+        default -> world.troubles.hangWorkersOf(id, 2, seconds);
+      }
+    }
+    world.crash(world.leader(), away);
+    world.clock.after(9, () -> users.cancel(goes));
+    run(240);
+    holdsAndEnds();
+    assertEquals("done", users.lastTold(job));
+    assertEquals("cancelled", users.lastTold(goes));
+  }
+
+  /** A transaction without an answer is carried out after newer ones of the same controller. */
+  @ParameterizedTest(name = "seed {0}, share {1}")
+  @CsvSource({"241, 0.2", "242, 0.4", "243, 0.6", "244, 0.4"})
+  void lateWritesWhileJobsEndAndAreCancelled(long seed, double share) {
+    begin(seed, World.SMALL);
+    users.cancelAtEnd(0.3);
+    world.troubles.lateWrites(share, 90);
+    List<JobId> jobs = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      jobs.add(submit(job("wk-1" + String.format("%02d", i), "batch", 1 + i % 4, 6)));
+      run(4);
+      if (i % 5 == 4) {
+        users.cancel(jobs.get(i - 1));
+      }
+      if (i == 12) {
+        world.crash(world.leader(), 1);
+      }
+    }
+    run(60);
+    holdsAndEnds();
+    for (JobId id : jobs) {
+      String told = users.lastTold(id);
+      assertTrue("done".equals(told) || "cancelled".equals(told), id + " is " + told);
+    }
+  }
 }
