--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/SimCloud.java
@@ -0,0 +1,151 @@
+package org.ternhinge.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.ternhinge.cloud.Cloud;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.HostInfo;
+import org.ternhinge.wire.RentalRequest;
+
+/** The cloud as one controller reaches it. */
+final class SimCloud implements Cloud {
+  /** Lets answers through to a process that is still alive. */
+  interface Guard {
+    <T> CompletableFuture<T> guard(CompletableFuture<T> from);
+  }
+
+  private final World world;
+  private final int node;
+  private final Guard owner;
+
+  SimCloud(World world, int node, Guard owner) {
+    this.world = world;
+    this.node = node;
+    this.owner = owner;
+  }
+
+  @Override
+  public CompletableFuture<Outcome<List<Flavor>>> flavors() {
+    return owner.guard(
+        world.troubles.<List<Flavor>>call(
+            Troubles.zoneOf(node),
+            null,
+            () -> false,
+            5,
+            to -> to.accept(Outcome.applied(World.FLAVORS))));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<List<MachineId>>> rent(RentalRequest request) {
+    world.rentCalls++;
+    return owner.guard(
+        world.troubles.<List<MachineId>>call(
+            Troubles.zoneOf(node),
+            null,
+            () -> false,
+            5,
+            to -> to.accept(Outcome.applied(world.stock.rentNow(request)))));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Integer>> release(List<MachineId> ids) {
+    world.returnCalls++;
+    return owner.guard(
+        world.troubles.<Integer>call(
+            Troubles.zoneOf(node),
+            null,
+            () -> false,
+            5,
+            to -> {
+              ids.forEach(
+                  id -> {
+                    SimWorker w = world.workers.remove(id);
+                    if (w != null) {
+                      w.die();
+                    }
+                  });
+              to.accept(Outcome.applied(ids.size()));
+            }));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
+    world.listings++;
+    if (world.troubles.apart(Troubles.zoneOf(node), null)) {
+      return owner.guard(world.troubles.mute(5));
+    }
+    List<HostInfo> hosts = new ArrayList<>();
+    boolean more = false;
+    for (SimWorker w :
+        (after == null ? world.workers : world.workers.tailMap(after, false)).values()) {
+      if (hosts.size() == limit) {
+        more = true;
+        break;
+      }
+      hosts.add(
+          new HostInfo(
+              w.id, w.endpoint(), w.flavor.name(), w.zone, w.spot, HostInfo.State.RUNNING, 30));
+    }
+    HostInfo.Page page = new HostInfo.Page(hosts, more);
+    CompletableFuture<Outcome<HostInfo.Page>> out = new CompletableFuture<>();
+    // The list lags.
+    world.clock.after(1, () -> out.complete(Outcome.applied(page)));
+    return owner.guard(out);
+  }
+
+  /** What the cloud has rented out, to whomever. */
+  static final class Stock {
+    private final World world;
+    private final Map<String, List<MachineId>> rentals = new HashMap<>();
+    private final Map<String, Integer> booting = new HashMap<>();
+    private int machinesMade;
+
+    Stock(World world) {
+      this.world = world;
+    }
+
+    int machinesMade() {
+      return machinesMade;
+    }
+
+    private static String offer(String type, String zone, boolean spot) {
+      return type + zone + spot;
+    }
+
+    private int rentedNow(String offer) {
+      int n = booting.getOrDefault(offer, 0);
+      for (SimWorker w : world.workers.values()) {
+        n += offer(w.flavor.name(), w.zone, w.spot).equals(offer) ? 1 : 0;
+      }
+      return n;
+    }
+
+    List<MachineId> rentNow(RentalRequest q) {
+      return rentals.computeIfAbsent(
+          q.name(),
+          k -> {
+            List<MachineId> out = new ArrayList<>();
+            String offer = offer(q.type(), q.zone(), q.spot());
+            int left = world.machinesOfEach() - rentedNow(offer);
+            for (int i = 0; i < Math.min(q.count(), left); i++) {
+              MachineId id = new MachineId(String.format("n-%06d", machinesMade++));
+              out.add(id);
+              Flavor f = World.FLAVORS.get(q.type().equals("small") ? 0 : 1);
+              world.clock.after(
+                  f.bootS() * (0.6 + world.random.nextDouble()),
+                  () -> {
+                    booting.merge(offer, -1, Integer::sum);
+                    world.workers.put(id, new SimWorker(world, id, f, q.zone(), q.spot()));
+                  });
+            }
+            booting.merge(offer, out.size(), Integer::sum);
+            return out;
+          });
+    }
+  }
+}
--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -15,7 +15,6 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
-import org.ternhinge.cloud.Cloud;
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Team;
 import org.ternhinge.config.Tuning;
@@ -43,9 +42,7 @@
 import org.ternhinge.state.Txn;
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.Flavor;
-import org.ternhinge.wire.HostInfo;
 import org.ternhinge.wire.JobSpec;
-import org.ternhinge.wire.RentalRequest;
 import org.ternhinge.worker.Workers;
 
 /**
@@ -82,10 +79,8 @@
   private SteadyTime outageUntil;
   private double copyShare;
   private SteadyTime copyUntil;
-  private final TreeMap<MachineId, SimWorker> workers = new TreeMap<>();
-  private final Map<String, List<MachineId>> rentals = new HashMap<>();
-  private int machinesMade;
-  private final Map<String, Integer> booting = new HashMap<>();
+  final TreeMap<MachineId, SimWorker> workers = new TreeMap<>();
+  final SimCloud.Stock stock = new SimCloud.Stock(this);
 
   /** Messages and changes so far, to bound work by counts. */
   public long reports;
@@ -188,7 +183,7 @@
   // ---- controllers ----------------------------------------------------------------------------
 
   /** One process of a controller; when it is killed, nothing reaches it any more. */
-  private final class Incarnation implements Clock {
+  private final class Incarnation implements Clock, SimCloud.Guard {
     private final int index;
     private boolean alive = true;
     private final Node node;
@@ -202,7 +197,7 @@
               settings,
               Tuning.DEFAULT,
               new Store(this),
-              new CloudFacade(this),
+              new SimCloud(World.this, index, this),
               new Orders(this),
               this,
               lock,
@@ -231,7 +226,8 @@
       node = new Node(around, election, peers, leading -> {});
     }
 
-    <T> CompletableFuture<T> guard(CompletableFuture<T> from) {
+    @Override
+    public <T> CompletableFuture<T> guard(CompletableFuture<T> from) {
       CompletableFuture<T> out = new CompletableFuture<>();
       from.thenAccept(
           v -> {
@@ -343,7 +339,7 @@
   }
 
   public int machinesMade() {
-    return machinesMade;
+    return stock.machinesMade();
   }
 
   public boolean isLive(MachineId id) {
@@ -573,76 +569,9 @@
     return Troubles.zoneOf(node.index);
   }
 
-  private final class CloudFacade implements Cloud {
-    private final Incarnation owner;
-
-    CloudFacade(Incarnation owner) {
-      this.owner = owner;
-    }
-
-    @Override
-    public CompletableFuture<Outcome<List<Flavor>>> flavors() {
-      return owner.guard(
-          troubles.<List<Flavor>>call(
-              zoneOf(owner), null, () -> false, 5, to -> to.accept(Outcome.applied(FLAVORS))));
-    }
-
-    @Override
-    public CompletableFuture<Outcome<List<MachineId>>> rent(RentalRequest request) {
-      rentCalls++;
-      return owner.guard(
-          troubles.<List<MachineId>>call(
-              zoneOf(owner),
-              null,
-              () -> false,
-              5,
-              to -> to.accept(Outcome.applied(rentNow(request)))));
-    }
-
-    @Override
-    public CompletableFuture<Outcome<Integer>> release(List<MachineId> ids) {
-      returnCalls++;
-      return owner.guard(
-          troubles.<Integer>call(
-              zoneOf(owner),
-              null,
-              () -> false,
-              5,
-              to -> {
-                ids.forEach(
-                    id -> {
-                      SimWorker w = workers.remove(id);
-                      if (w != null) {
-                        w.die();
-                      }
-                    });
-                to.accept(Outcome.applied(ids.size()));
-              }));
-    }
-
-    @Override
-    public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
-      listings++;
-      if (troubles.apart(zoneOf(owner), null)) {
-        return owner.guard(troubles.mute(5));
-      }
-      List<HostInfo> hosts = new ArrayList<>();
-      boolean more = false;
-      for (SimWorker w : (after == null ? workers : workers.tailMap(after, false)).values()) {
-        if (hosts.size() == limit) {
-          more = true;
-          break;
-        }
-        hosts.add(
-            new HostInfo(
-                w.id, w.endpoint(), w.flavor.name(), w.zone, w.spot, HostInfo.State.RUNNING, 30));
-      }
-      HostInfo.Page page = new HostInfo.Page(hosts, more);
-      CompletableFuture<Outcome<HostInfo.Page>> out = new CompletableFuture<>();
-      // The list lags.
-      clock.after(1, () -> out.complete(Outcome.applied(page)));
-      return owner.guard(out);
-    }
+  /** Machines that the cloud has of each type, zone and kind. */
+  int machinesOfEach() {
+    return size.machines;
   }
 
   int nodeCount() {
@@ -658,41 +587,6 @@
         .orElse(-1);
   }
 
-  private static String offer(String type, String zone, boolean spot) {
-    return type + zone + spot;
-  }
-
-  private int rentedNow(String offer) {
-    int n = booting.getOrDefault(offer, 0);
-    for (SimWorker w : workers.values()) {
-      n += offer(w.flavor.name(), w.zone, w.spot).equals(offer) ? 1 : 0;
-    }
-    return n;
-  }
-
-  private List<MachineId> rentNow(RentalRequest q) {
-    return rentals.computeIfAbsent(
-        q.name(),
-        k -> {
-          List<MachineId> out = new ArrayList<>();
-          String offer = offer(q.type(), q.zone(), q.spot());
-          int left = size.machines - rentedNow(offer);
-          for (int i = 0; i < Math.min(q.count(), left); i++) {
-            MachineId id = new MachineId(String.format("n-%06d", machinesMade++));
-            out.add(id);
-            Flavor f = FLAVORS.get(q.type().equals("small") ? 0 : 1);
-            clock.after(
-                f.bootS() * (0.6 + random.nextDouble()),
-                () -> {
-                  booting.merge(offer, -1, Integer::sum);
-                  workers.put(id, new SimWorker(this, id, f, q.zone(), q.spot()));
-                });
-          }
-          booting.merge(offer, out.size(), Integer::sum);
-          return out;
-        });
-  }
-
   private final class Orders implements Workers {
     private final Incarnation owner;
 
