--- a/src/test/java/org/ternhinge/controller/MeetingsTest.java
+++ b/src/test/java/org/ternhinge/controller/MeetingsTest.java
@@ -218,17 +218,17 @@
   void aTeamAtItsLimitOverAChangeOfLeader(long seed, double cut, double after) {
     begin(seed, World.SMALL);
     JobId goes = submit(job("wk-1", "batch", 6, 400));
-    JobId long2 = submit(job("wk-2", "batch", 6, 60));
+    JobId longer = submit(job("wk-2", "batch", 6, 60));
     JobId waits = submit(job("wk-3", "batch", 8, 10));
     run(40);
-    assertEquals(12, world.runningTasks(goes) + world.runningTasks(long2));
+    assertEquals(12, world.runningTasks(goes) + world.runningTasks(longer));
     world.cutSomeWorkerWith(goes, cut);
     world.crash(world.leader(), 3);
     world.clock.runFor(after);
     users.cancel(goes);
     run(150);
     holdsAndEnds();
-    assertEquals("done", users.lastTold(long2));
+    assertEquals("done", users.lastTold(longer));
     assertEquals("done", users.lastTold(waits));
   }
 
