--- a/src/test/java/org/ternhinge/controller/SlotsTest.java
+++ b/src/test/java/org/ternhinge/controller/SlotsTest.java
@@ -2,14 +2,24 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.ReentrantLock;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.ledger.Authority;
+import org.ternhinge.ledger.Ledger;
 import org.ternhinge.ledger.LedgerWriter;
 import org.ternhinge.model.Revision;
+import org.ternhinge.model.Term;
+import org.ternhinge.sim.DirectStore;
 import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.StoreCore;
+import org.ternhinge.state.Change;
 import org.ternhinge.state.Entry;
+import org.ternhinge.state.Txn;
 import org.ternhinge.wire.Json;
 
 class SlotsTest {
@@ -35,4 +45,71 @@
         (name, fact) -> found.add(name));
     assertEquals(facts == null ? "" : facts, String.join(" ", found));
   }
+
+  /**
+   * Records of rentals and returns as the version in production writes them. What is read is
+   * written back the same around what is new.
+   */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "r/0 | {\"t5-3\":{\"leigubeidni\":\"t5-3\",\"velagerd\":\"small\",\"svaedi\":\"east\","
+            + "\"lanvelar\":true,\"count\":12}} | t5-3 | t5-4",
+        "x/0 | {\"n-000007\":true} | n-000007 | n-000008"
+      })
+  void recordsOfProductionAreWrittenBack(String key, String value, String known, String next)
+      throws Exception {
+    SimClock clock = new SimClock();
+    StoreCore core = new StoreCore(clock);
+    core.txn(
+        new Txn(
+            Map.of(),
+            List.of(
+                new Change.Put("term", Json.object().put("n", 1), 0),
+                new Change.Put(key, Json.parse(value.getBytes(StandardCharsets.UTF_8)), 0))));
+    Revision term = core.get("term").entry().orElseThrow().revision();
+    Ledger ledger = new Ledger(Map.of(), 8, clock);
+    LedgerWriter writer =
+        new LedgerWriter(
+            ledger,
+            new DirectStore(core),
+            new Leader(term),
+            clock,
+            new ReentrantLock(),
+            16,
+            a -> {});
+    Slots slots = new Slots(writer, key.substring(0, 2), 40);
+    List<String> found = new ArrayList<>();
+    slots.known(core.get(key).entry().orElseThrow(), (name, fact) -> found.add(name + fact));
+    String fact = Json.parse(value.getBytes(StandardCharsets.UTF_8)).get(known).toString();
+    assertEquals(List.of(known + fact), found);
+    slots.put(next, Json.object(), () -> found.add("durable"));
+    assertEquals("durable", found.get(1));
+    assertEquals(2, core.get(key).entry().orElseThrow().value().size());
+    slots.remove(next);
+    assertEquals(value, core.get(key).entry().orElseThrow().value().toString());
+    slots.remove(known);
+    assertEquals("{}", core.get(key).entry().orElseThrow().value().toString());
+  }
+
+  private record Leader(Revision termRevision) implements Authority {
+    @Override
+    public Term term() {
+      return new Term(1);
+    }
+
+    @Override
+    public boolean valid() {
+      return true;
+    }
+
+    @Override
+    public void raised(Term term, Revision revision) {}
+
+    @Override
+    public void lost(String why) {
+      throw new AssertionError(why);
+    }
+  }
 }
--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
@@ -0,0 +1,382 @@
+package org.ternhinge.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.StringJoiner;
+import java.util.TreeSet;
+import java.util.concurrent.locks.ReentrantLock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.config.Team;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.election.Election;
+import org.ternhinge.ledger.Ledger.Placement;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.Term;
+import org.ternhinge.sim.DirectStore;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.StoreCore;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.JobState;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.RentalRequest;
+import org.ternhinge.wire.WireException;
+
+/**
+ * What the version in production writes, byte for byte. During an upgrade both versions serve: each
+ * reads what the other wrote and writes it back, so the literals here are a contract and not
+ * examples. They were written by that version's own code.
+ */
+class ProductionRecordsTest {
+  private static final Revision AT = new Revision(9);
+  private static final long ACCEPTED = 1_700_000_000_123L;
+
+  private static final String PLAIN =
+      "{\"s\":{\"ref\":\"wk-000001\",\"runflokkur\":\"c\",\"eigandi\":\"red\",\"gerd\":\"batch\","
+          + "\"forgang\":\"normal\",\"verkbitar\":3,\"cpus\":1.0,\"accelerators\":0.0,"
+          + "\"memory_gb\":1.0,\"mynd\":\"img-1\",\"pull_gb\":1.0,\"together\":false,"
+          + "\"scatter\":false,\"lanvelar\":true,\"aaetlun_s\":10.0,\"vista_bil_s\":0.0,"
+          + "\"vistun_s\":0.0},\"t\":1700000000123,\"p\":127,\"h\":0,\"d\":\"\",\"o\":[]}";
+
+  /** Every field that may be absent is there. */
+  private static final String FULL =
+      "{\"s\":{\"ref\":\"wk-000412\",\"runflokkur\":\"c\",\"eigandi\":\"red\",\"gerd\":\"group\","
+          + "\"forgang\":\"high\",\"verkbitar\":2,\"cpus\":1.0,\"accelerators\":1.0,"
+          + "\"memory_gb\":1.0,\"mynd\":\"img-1\",\"pull_gb\":1.0,"
+          + "\"velagerdir\":[\"g8\",\"small\"],\"svaedi\":\"east\",\"together\":true,"
+          + "\"scatter\":false,\"lanvelar\":true,\"aaetlun_s\":10.0,\"vista_bil_s\":30.0,"
+          + "\"vistun_s\":4.0,\"skiladagur_s\":900.0},"
+          + "\"t\":1700000000123,\"p\":127,\"h\":0,\"d\":\"\",\"o\":[]}";
+
+  /** A job of twenty tasks in pieces of eight, up to where its first piece tells of its tasks. */
+  private static final String TWENTY =
+      "{\"s\":{\"ref\":\"wk-000002\",\"runflokkur\":\"c\",\"eigandi\":\"red\",\"gerd\":\"batch\","
+          + "\"forgang\":\"normal\",\"verkbitar\":20,\"cpus\":1.0,\"accelerators\":0.0,"
+          + "\"memory_gb\":1.0,\"mynd\":\"img-1\",\"pull_gb\":1.0,\"together\":false,"
+          + "\"scatter\":false,\"lanvelar\":true,\"aaetlun_s\":10.0,\"vista_bil_s\":0.0,"
+          + "\"vistun_s\":0.0},\"t\":1700000000123,\"p\":8,";
+
+  private static final String OPEN =
+      TWENTY + "\"h\":3,\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
+  private static final String SECOND = "{\"d\":\"8-9\",\"o\":[\"2:n-000009:3:1:10-11\"]}";
+  private static final String THIRD = "{\"d\":\"\",\"o\":[\"3:n-000008:2:1:16-17\"]}";
+  private static final String FOLDED =
+      TWENTY + "\"h\":4,\"f\":\"1\",\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
+  private static final String CANCELLED =
+      TWENTY + "\"h\":4,\"c\":true,\"f\":\"1\",\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
+
+  private final SimClock clock = new SimClock();
+  private final StoreCore core = new StoreCore(clock);
+  private final Ledger ledger = new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), 8, clock);
+
+  private static String text(JsonNode value) {
+    return new String(Json.bytes(value), StandardCharsets.UTF_8);
+  }
+
+  private static JsonNode json(String text) throws WireException {
+    return Json.parse(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  private static String literal(String name) {
+    return switch (name) {
+      case "plain" -> PLAIN;
+      case "full" -> FULL;
+      case "open" -> OPEN;
+      case "folded" -> FOLDED;
+      default -> CANCELLED;
+    };
+  }
+
+  private Job read(String first) throws WireException {
+    return RecordCodec.decodeFirst(json(first), AT, clock.now());
+  }
+
+  private static String done(Job job) {
+    StringJoiner out = new StringJoiner(" ");
+    for (int i = 0; i < job.spec().tasks(); i++) {
+      if (job.isDone(i)) {
+        out.add(Integer.toString(i));
+      }
+    }
+    return out.toString();
+  }
+
+  private static String open(Job job) {
+    TreeSet<String> out = new TreeSet<>();
+    for (Attempt a : job.openAttempts()) {
+      out.add(
+          String.format(
+              "%02d=%s@%s#%s/%d",
+              a.task().index(), a.number(), a.machine(), a.session(), a.zone()));
+      assertTrue(a.durable() && a.recovered());
+    }
+    return String.join(" ", out);
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "plain, wk-000001, 3, 127, 0, false, '', ''",
+    "full, wk-000412, 2, 127, 0, false, '', ''",
+    "open, wk-000002, 20, 8, 3, false, 0 1 2 5, "
+        + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
+    "folded, wk-000002, 20, 8, 4, false, 0 1 2 5 8 9 10 11 12 13 14 15, "
+        + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
+    // Which tasks of a folded piece were done is not known once the job is cancelled.
+    "cancelled, wk-000002, 20, 8, 4, true, 0 1 2 5, "
+        + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0"
+  })
+  void aFirstPieceIsReadAndWrittenBack(
+      String name,
+      String id,
+      int tasks,
+      int piece,
+      long highest,
+      boolean cancelled,
+      String done,
+      String open)
+      throws WireException {
+    Job job = read(literal(name));
+    assertEquals(id, job.spec().id().value());
+    assertEquals(tasks, job.spec().tasks());
+    assertEquals(piece, job.pieceSize());
+    assertEquals(ACCEPTED, job.acceptedMillis());
+    assertEquals(highest, job.highest().value());
+    assertEquals(cancelled, job.cancelled());
+    assertEquals(cancelled, job.cancelDurable());
+    assertEquals(done, done(job));
+    assertEquals(open, open(job));
+    assertEquals(AT, job.revision(0));
+    assertEquals(literal(name), text(RecordCodec.encode(job, 0)));
+  }
+
+  @Test
+  void laterPiecesAreReadAndWrittenBack() throws WireException {
+    Job job = read(OPEN);
+    RecordCodec.decodeBody(job, 1, json(SECOND), AT, clock.now());
+    RecordCodec.decodeBody(job, 2, json(THIRD), AT, clock.now());
+    assertEquals("0 1 2 5 8 9", done(job));
+    assertTrue(open(job).contains("10=2@n-000009#3/1 11=2@n-000009#3/1 16=3@n-000008#2/1"));
+    assertEquals(OPEN, text(RecordCodec.encode(job, 0)));
+    assertEquals(SECOND, text(RecordCodec.encode(job, 1)));
+    assertEquals(THIRD, text(RecordCodec.encode(job, 2)));
+  }
+
+  @Test
+  void freshRecordsAreTheSame() {
+    var plain = Specs.json("wk-000001", "batch", 3);
+    assertEquals(PLAIN, text(RecordCodec.fresh(Specs.of(plain), ACCEPTED, 127)));
+    var full = Specs.json("wk-000412", "group", 2).put("forgang", "high").put("svaedi", "east");
+    full.put("accelerators", 1.0).put("together", true).put("skiladagur_s", 900.0);
+    full.put("vista_bil_s", 30.0).put("vistun_s", 4.0);
+    full.putArray("velagerdir").add("g8").add("small");
+    assertEquals(FULL, text(RecordCodec.fresh(Specs.of(full), ACCEPTED, 127)));
+    assertEquals(127, RecordCodec.pieceSize(8), "tasks to a piece at the limit of production");
+  }
+
+  /**
+   * A list of dependencies that is null or empty leaves no trace that the old version would drop.
+   */
+  @ParameterizedTest
+  @CsvSource({"null", "[]"})
+  void noDependenciesLeaveNoTrace(String none) throws WireException {
+    var plain = Specs.json("wk-000001", "batch", 3);
+    plain.set("bidur_eftir", json("{\"x\":" + none + "}").get("x"));
+    assertEquals(PLAIN, text(RecordCodec.fresh(Specs.of(plain), ACCEPTED, 127)));
+  }
+
+  /** The same history gives the same records. */
+  @Test
+  void aJobsHistoryIsWrittenTheSame() {
+    Job job = new Job(Specs.of(Specs.json("wk-000002", "batch", 20)), ACCEPTED, 8);
+    ledger.adopt(job);
+    open(job, "n-000007", 1, 0, 0, 8);
+    open(job, "n-000009", 3, 1, 8, 12);
+    open(job, "n-000008", 2, 1, 16, 18);
+    close(job, 0, 1, 2, 5, 8, 9);
+    assertEquals(OPEN, text(RecordCodec.encode(job, 0)));
+    assertEquals(SECOND, text(RecordCodec.encode(job, 1)));
+    assertEquals(THIRD, text(RecordCodec.encode(job, 2)));
+    open(job, "n-000009", 3, 1, 12, 16);
+    close(job, 10, 11, 12, 13, 14, 15);
+    assertEquals(FOLDED, text(RecordCodec.encode(job, 0)));
+    ledger.cancel(job);
+    assertEquals(CANCELLED, text(RecordCodec.encode(job, 0)));
+    assertEquals("{\"s\":\"cancelled\",\"n\":12}", text(RecordCodec.end(job)));
+  }
+
+  @Test
+  void aDoneJobsEndIsTheSame() {
+    Job job = new Job(Specs.of(Specs.json("wk-000003", "batch", 2)), ACCEPTED, 127);
+    ledger.adopt(job);
+    open(job, "n-000007", 1, 0, 0, 2);
+    close(job, 0, 1);
+    assertEquals("{\"s\":\"done\",\"n\":2}", text(RecordCodec.end(job)));
+  }
+
+  private void open(Job job, String machine, int session, int zone, int from, int to) {
+    List<Placement> places = new ArrayList<>();
+    for (int i = from; i < to; i++) {
+      Site site =
+          new Site(
+              new MachineId(machine),
+              new Session(session),
+              "small",
+              zone,
+              zone == 0 ? "east" : "west",
+              false,
+              Resources.offer(64, 0, 256));
+      places.add(new Placement(i, site));
+    }
+    assertEquals(null, ledger.open(job, places, t -> false, clock.now()));
+  }
+
+  private void close(Job job, int... indexes) {
+    for (int i : indexes) {
+      ledger.close(job.open(i), true);
+    }
+  }
+
+  /** What a node that doesn't lead tells a user from the first piece or the end alone. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "plain | QUEUED | 0 | 0",
+        "open | RUNNING | 4 | 4",
+        "folded | RUNNING | 12 | 4",
+        "cancelled | CANCELLED | 0 | 0",
+        "{\"s\":\"done\",\"n\":2} | DONE | 2 | 0",
+        "{\"s\":\"cancelled\",\"n\":12} | CANCELLED | 12 | 0"
+      })
+  void whatUsersAreTold(String record, JobState.Phase phase, int done, int running)
+      throws WireException {
+    JobId id = new JobId("wk-000002");
+    JobState state =
+        record.startsWith("{")
+            ? RecordCodec.decodeEnd(id, json(record))
+            : RecordCodec.decodeState(id, json(literal(record)));
+    assertEquals(new JobState(id, phase, done, running), state);
+  }
+
+  @Test
+  void keysAreTheSame() {
+    JobId id = new JobId("wk-000002");
+    assertEquals("j/wk-000002", Keys.job(id));
+    assertEquals("j/wk-000002", Keys.piece(id, 0));
+    assertEquals("j/wk-000002/2", Keys.piece(id, 2));
+    assertEquals("f/wk-000002", Keys.end(id));
+    assertEquals("r/ x/ term leader flavors", String.join(" ", others()));
+  }
+
+  private static List<String> others() {
+    return List.of(Keys.RENTALS, Keys.RELEASES, Keys.TERM, Keys.LEADER, Keys.FLAVORS);
+  }
+
+  @Test
+  void aRentalIsTheSame() throws WireException {
+    String rental =
+        "{\"leigubeidni\":\"t5-3\",\"velagerd\":\"small\",\"svaedi\":\"east\",\"lanvelar\":true,"
+            + "\"count\":12}";
+    RentalRequest request = new RentalRequest("t5-3", "small", "east", true, 12);
+    assertEquals(request, RentalRequest.read(json(rental)));
+    assertEquals(rental, text(request.write()));
+  }
+
+  // ---- term and leader --------------------------------------------------------------------------
+
+  private Election election(List<Authority> elected) {
+    Election election =
+        new Election(
+            "node-1",
+            new DirectStore(core),
+            clock,
+            Tuning.DEFAULT,
+            10,
+            new ReentrantLock(),
+            new SplittableRandom(3));
+    election.start(
+        new Election.Listener() {
+          @Override
+          public void elected(Authority authority) {
+            elected.add(authority);
+          }
+
+          @Override
+          public void deposed(String why) {}
+        });
+    clock.runFor(1);
+    return election;
+  }
+
+  private void put(String key, String value, long lease) throws WireException {
+    core.txn(new Txn(Map.of(), List.of(new Change.Put(key, json(value), lease))));
+  }
+
+  private String value(String key) {
+    return text(core.get(key).entry().orElseThrow().value());
+  }
+
+  /** A claim's term names its process, a raise of a leadership's own does not. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource(
+      delimiter = '|',
+      value = {"| 1", "{\"n\":41,\"inc\":\"5c0ffee\"} | 42", "{\"n\":7} | 8"})
+  void aTermIsTakenOver(String before, long term) throws WireException {
+    if (before != null) {
+      put("term", before, 0);
+    }
+    List<Authority> elected = new ArrayList<>();
+    election(elected);
+    assertEquals(new Term(term), elected.get(0).term());
+    String inc = Long.toHexString(new SplittableRandom(3).nextLong());
+    assertEquals("{\"n\":" + term + ",\"inc\":\"" + inc + "\"}", value("term"));
+    assertEquals(
+        "{\"node\":\"node-1\",\"inc\":\"" + inc + "\",\"term\":" + term + "}", value("leader"));
+  }
+
+  @Test
+  void aTermIsRaisedTheSame() throws WireException {
+    List<Authority> elected = new ArrayList<>();
+    election(elected);
+    LedgerWriter writer =
+        new LedgerWriter(
+            ledger,
+            new DirectStore(core),
+            elected.get(0),
+            clock,
+            new ReentrantLock(),
+            16,
+            opened -> {});
+    writer.raiseTerm(null);
+    assertEquals("{\"n\":2}", value("term"));
+  }
+
+  /** Another node's leadership is seen, whichever version it runs. */
+  @Test
+  void anotherLeaderIsSeen() throws WireException {
+    put("term", "{\"n\":41,\"inc\":\"5c0ffee\"}", 0);
+    String leader = "{\"node\":\"node-0\",\"inc\":\"5c0ffee\",\"term\":41}";
+    put("leader", leader, core.grant(600_000));
+    List<Authority> elected = new ArrayList<>();
+    Election election = election(elected);
+    assertEquals("node-0", election.leaderNode());
+    assertFalse(election.valid());
+    assertEquals(List.of(), elected);
+    assertEquals(leader, value("leader"));
+  }
+}
--- a/src/test/java/org/ternhinge/peer/FrameTest.java
+++ b/src/test/java/org/ternhinge/peer/FrameTest.java
@@ -5,8 +5,11 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HexFormat;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
@@ -44,4 +47,49 @@
     frame.putInt(13, 1_000_000).position(0);
     assertThrows(RuntimeException.class, () -> Frame.read(frame));
   }
+
+  /** What the version in production sends: during an upgrade both versions are on the link. */
+  @ParameterizedTest(name = "{0} {1} {2}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "7 | POST | /submissions/wk-1/cancel | | 000000310000000000000007"
+            + "0100000004504f5354000000182f7375626d697373696f6e732f776b2d312f63616e63656c00000000",
+        "8 | GET | /submissions/wk-1 | | 000000290000000000000008"
+            + "0100000003474554000000112f7375626d697373696f6e732f776b2d3100000000",
+        "258 | POST | /submissions | {\"ref\":\"wk-1\"} | 000000330000000000000102"
+            + "0100000004504f53540000000c2f7375626d697373696f6e73"
+            + "0000000e7b22726566223a22776b2d31227d"
+      })
+  void aRequestOfProduction(long id, String method, String path, String body, String hex) {
+    byte[] bytes = body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8);
+    ByteBuffer written = Frame.request(id, new Request(method, path, bytes));
+    assertEquals(hex, HexFormat.of().formatHex(written.array()));
+    Frame read = Frame.read(body(ByteBuffer.wrap(HexFormat.of().parseHex(hex))));
+    assertEquals(id, read.id());
+    assertEquals(method, read.request().method());
+    assertEquals(path, read.request().path());
+    assertArrayEquals(bytes, read.request().body());
+  }
+
+  @ParameterizedTest(name = "{0} {1}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "8 | 200 | 0 | {\"ref\":\"wk-1\",\"astand\":\"queued\",\"done\":0,\"running\":0} | "
+            + "0000004a000000000000000802000000c80000000000000035"
+            + "7b22726566223a22776b2d31222c22617374616e64223a22717565756564222c"
+            + "22646f6e65223a302c2272756e6e696e67223a307d",
+        "9 | 503 | 2 | {} | 00000017000000000000000902000001f700000002000000027b7d"
+      })
+  void aResponseOfProduction(long id, int status, int retryAfterS, String body, String hex) {
+    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    ByteBuffer written = Frame.response(id, new Response(status, bytes, retryAfterS));
+    assertEquals(hex, HexFormat.of().formatHex(written.array()));
+    Frame read = Frame.read(body(ByteBuffer.wrap(HexFormat.of().parseHex(hex))));
+    assertEquals(id, read.id());
+    assertEquals(status, read.response().status());
+    assertEquals(retryAfterS, read.response().retryAfterS());
+    assertArrayEquals(bytes, read.response().body());
+  }
 }
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/DirectStore.java
@@ -0,0 +1,69 @@
+package org.ternhinge.sim;
+
+import java.util.concurrent.CompletableFuture;
+import org.ternhinge.limit.Lane;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Revision;
+import org.ternhinge.state.StateStore;
+import org.ternhinge.state.Txn;
+
+/** The state service at hand, without a network and without limits on rates. */
+public final class DirectStore implements StateStore {
+  private final StoreCore core;
+
+  public DirectStore(StoreCore core) {
+    this.core = core;
+  }
+
+  private static <T> CompletableFuture<T> now(T value) {
+    return CompletableFuture.completedFuture(value);
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Read>> get(String key, Lane lane) {
+    return now(Outcome.applied(core.get(key)));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Page>> list(String prefix, String after, int limit, Lane lane) {
+    return now(Outcome.applied(core.list(prefix, after, limit)));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
+    return now(core.txn(txn));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Long>> grant(long millis) {
+    return now(Outcome.applied(core.grant(millis)));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Long>> renew(long lease) {
+    return now(core.renew(lease));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Long>> revoke(long lease) {
+    core.revoke(lease);
+    return now(Outcome.applied(lease));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Changes>> follow(String prefix, Revision from, double waitS) {
+    CompletableFuture<Outcome<Changes>> out = new CompletableFuture<>();
+    core.follow(prefix, from.value(), waitS, c -> out.complete(Outcome.applied(c)));
+    return out;
+  }
+
+  @Override
+  public int changesNow(Lane lane) {
+    return Integer.MAX_VALUE;
+  }
+
+  @Override
+  public double secondsUntilTxn(int changes, Lane lane) {
+    return 0;
+  }
+}
