--- a/src/test/java/org/ternhinge/sim/Troubles.java
+++ b/src/test/java/org/ternhinge/sim/Troubles.java
@@ -72,6 +72,19 @@
     world.clock.after(slowS * (0.25 + random.nextDouble() * 0.75) / 2, work);
   }
 
+  /**
+   * From now on the state service takes less, without notice; what it holds stays readable. Larger
+   * transactions are answered 400, faster ones 429.
+   */
+  public void lowerLimits(double valueKb, int txnOps, double writeRps) {
+    world.stateLimits.set(new World.Limits(valueKb, txnOps, writeRps));
+  }
+
+  /** The limits become those that the settings name as coming. */
+  public void lowerLimits() {
+    world.stateLimits.set(World.COMING);
+  }
+
   /** Again and again the state service refuses whoever leads by then. */
   public void refuseLeaders(int times, double everyS, double refusedS) {
     for (int i = 0; i < times; i++) {
