Jobs that depend on others; the lesser of the state service's limits from the first write on

A job's record holds what it depends on only where there is something, so that the version in production reads and writes all other records as before. Its state is derived: cancelled once the state service holds that one before it is, startable once it holds that all before it are done; Dependencies has it in memory, Lookup reads it for nodes that don't lead, EndReads asks once for ends older than the leadership. Priorities are inherited through one door, the planner's view of a job. Pieces are sized by the job's own description, arrays' admission is bounded by the bytes of a piece (PieceRoom), what an earlier version laid down under larger limits is written again once it fits, and a gang's pieces are cut anew while it waits.

--- a/src/main/java/org/ternhinge/config/Settings.java
+++ b/src/main/java/org/ternhinge/config/Settings.java
@@ -37,8 +37,12 @@
   public record Workers(
       double reportS, double leaseS, double gangWaitS, double gangPeerS, double cancelS) {}
 
-  /** What the state service takes. */
-  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {}
+  /** What the state service takes, now and once it has lowered its limits as announced. */
+  public record StateLimits(double rps, double writeRps, double valueKb, int txnOps) {
+    public int valueBytes() {
+      return (int) (valueKb * 1024);
+    }
+  }
 
   /** What the cloud takes. */
   public record CloudLimits(double rps, double listLagS) {}
@@ -125,11 +129,7 @@
         teams,
         List.copyOf(objectives),
         workers,
-        new StateLimits(
-            positive(s, "rps", "deployment.state."),
-            positive(s, "write_rps", "deployment.state."),
-            positive(s, "value_kb", "deployment.state."),
-            (int) positive(s, "txn_ops", "deployment.state.")),
+        stateLimits(s),
         new CloudLimits(
             positive(c, "rps", "deployment.cloud."),
             positive(c, "list_lag_s", "deployment.cloud.")),
@@ -137,6 +137,31 @@
         d.path("clock_error_ms").asDouble(100) / 1000);
   }
 
+  /**
+   * The limits that hold now, or the ones announced where these are smaller: they come without
+   * notice, and what was written before has to be rewritten under them.
+   */
+  private static StateLimits stateLimits(JsonNode s) throws SettingsException {
+    String at = "deployment.state.";
+    JsonNode next = s.get("next");
+    if (next != null && !next.isNull() && !next.isObject()) {
+      throw new SettingsException(at + "next: an object is needed");
+    }
+    return new StateLimits(
+        lesser(s, next, "rps"),
+        lesser(s, next, "write_rps"),
+        lesser(s, next, "value_kb"),
+        (int) lesser(s, next, "txn_ops"));
+  }
+
+  private static double lesser(JsonNode now, JsonNode next, String field) throws SettingsException {
+    double value = positive(now, field, "deployment.state.");
+    if (next == null || next.path(field).isMissingNode() || next.path(field).isNull()) {
+      return value;
+    }
+    return Math.min(value, positive(next, field, "deployment.state.next."));
+  }
+
   private static JsonNode object(JsonNode at, String field, String path) throws SettingsException {
     JsonNode node = at.get(field);
     if (node == null || !node.isObject()) {
--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Lead.java
@@ -28,7 +28,6 @@
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.ledger.LedgerLoader;
 import org.ternhinge.ledger.LedgerWriter;
-import org.ternhinge.ledger.RecordCodec;
 import org.ternhinge.ledger.Site;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
@@ -66,11 +65,6 @@
   private static final double RESERVE_S = 12;
   private static final double DESCRIBE_S = 20;
 
-  /** More than a rental or a return takes in its record. */
-  private static final double RENTAL_BYTES = 400;
-
-  private static final double RETURN_BYTES = 160;
-
   /** How often leases and reservations are looked at. */
   private static final double WATCH_S = 0.5;
 
@@ -109,6 +103,7 @@
   private final Orders orders;
   private final Reports reports;
   private final Arrivals arrivals;
+  private final EndReads endReads;
   private final SteadyTime electedAt;
   private final SteadyTime silentBy;
 
@@ -157,9 +152,8 @@
     this.silentBy =
         electedAt.plusSeconds(Election.grace(tuning, settings.workers()) * (1 + DRIFT) + lease);
     known.forEach(f -> flavors.put(f.name(), f));
-    this.ledger =
-        new Ledger(
-            settings.teams(), RecordCodec.pieceSize(settings.stateLimits().valueKb()), clock);
+    int value = settings.stateLimits().valueBytes();
+    this.ledger = new Ledger(settings.teams(), value, clock);
     this.writer =
         new LedgerWriter(
             ledger,
@@ -169,9 +163,8 @@
             lock,
             settings.stateLimits().txnOps(),
             this::nowDurable);
-    double value = settings.stateLimits().valueKb() * 1024;
-    Slots rented = new Slots(writer, Keys.RENTALS, (int) (value / RENTAL_BYTES));
-    Slots returning = new Slots(writer, Keys.RELEASES, (int) (value / RETURN_BYTES));
+    Slots rented = new Slots(writer, Keys.RENTALS, value);
+    Slots returning = new Slots(writer, Keys.RELEASES, value);
     this.rentals = new Rentals(this, cloud, rented, authority, clock, lock);
     this.returns = new Returns(this, cloud, authority, lock, returning);
     this.arrivals = new Arrivals(settings.objectives());
@@ -179,6 +172,7 @@
     this.listing = new Listing(this, s, authority, orders, rentals, returns);
     this.reports = new Reports(this, s, authority, ledger, flavors, troubles, rentals, orders);
     this.views = new Views(s, authority, ledger, flavors, troubles);
+    this.endReads = new EndReads(this, store, ledger);
   }
 
   void stop() {
@@ -266,6 +260,7 @@
     follow();
     listing.list();
     refreshFlavors();
+    endReads.pump();
     writer.pump();
     watch();
     tick();
@@ -323,6 +318,13 @@
       ledger.adopt(job);
       LOG.debug("accepted {} of {}", id, job.spec().jobClass());
       arrivals.saw(job.spec(), clock.now());
+      for (Job raised : ledger.dependencies().takeRaised()) {
+        for (Attempt a : raised.openAttempts()) {
+          machine(a.machine(), clock.now()).view = null;
+        }
+      }
+      endReads.pump();
+      writer.pump();
       askRound();
     }
   }
@@ -338,8 +340,7 @@
     if (job == null) {
       return ledger.ended(id);
     }
-    boolean unsure = job.over() || (job.cancelled() && !job.cancelDurable());
-    return unsure ? null : Ledger.stateOf(job);
+    return ledger.stateFor(job);
   }
 
   /**
@@ -378,6 +379,14 @@
     return ledger.job(id);
   }
 
+  /** The fate of a job that others wait for has become known. */
+  void dependenciesChanged() {
+    if (ledger.dependencies().takeReady()) {
+      askRound();
+    }
+    writer.pump();
+  }
+
   // ---- reports --------------------------------------------------------------------------------
 
   Machine machine(MachineId id, SteadyTime now) {
@@ -498,6 +507,9 @@
   /** The state service holds these attempts: their starts may go out. */
   private void nowDurable(List<Attempt> attempts) {
     answerCancels();
+    if (ledger.dependencies().takeReady()) {
+      askRound();
+    }
     Set<Machine> touched = new LinkedHashSet<>();
     for (Attempt a : attempts) {
       Machine m = machines.get(a.machine());
@@ -722,6 +734,9 @@
           placements.add(new Ledger.Placement(p.tasks().get(i), site));
         }
       }
+      if (!job.spec().isGang()) {
+        placements = ledger.whatFits(job, placements);
+      }
       String against =
           placements.isEmpty() ? "no machine" : ledger.open(job, placements, reports::ghost, now);
       if (against != null) {
--- a/src/main/java/org/ternhinge/controller/Node.java
+++ b/src/main/java/org/ternhinge/controller/Node.java
@@ -2,6 +2,8 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -25,7 +27,6 @@
 import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.Revision;
 import org.ternhinge.state.Change;
-import org.ternhinge.state.Entry;
 import org.ternhinge.state.StateStore;
 import org.ternhinge.state.Txn;
 import org.ternhinge.wire.Command;
@@ -75,7 +76,7 @@
   private final Peers peers;
   private final Share share;
   private final Map<String, Flavor> flavors = new LinkedHashMap<>();
-  private final int pieceSize;
+  private final Lookup lookup;
   private final Detours detours = new Detours();
   private final Contact contact;
   private Lead lead;
@@ -87,7 +88,7 @@
     this.election = election;
     this.peers = peers;
     this.share = share;
-    this.pieceSize = RecordCodec.pieceSize(around.settings().stateLimits().valueKb());
+    this.lookup = new Lookup(store);
     List<String> others = List.copyOf(around.settings().peers().keySet());
     this.contact = new Contact(store, peers, others, around.clock(), lock);
   }
@@ -286,8 +287,64 @@
       unlessKnown(id, error(422, against), answer);
       return;
     }
-    ObjectNode record = RecordCodec.fresh(spec, around.clock().wallMillis(), pieceSize);
-    accept(spec, record, request, fromPeer, ACCEPT_TRIES, answer);
+    afterDependencies(
+        spec,
+        new ArrayDeque<>(spec.dependencies()),
+        JobState.Phase.QUEUED,
+        answer,
+        phase -> {
+          int valueBytes = around.settings().stateLimits().valueBytes();
+          ObjectNode record = RecordCodec.fresh(spec, around.clock().wallMillis(), valueBytes);
+          accept(spec, record, phase, request, fromPeer, ACCEPT_TRIES, answer);
+        });
+  }
+
+  /**
+   * Looks at the jobs that one depends on, each by a fresh look. Jobs never vanish, so what is
+   * found here still holds when the acceptance is written; and what becomes of them in between, the
+   * new job's own state follows.
+   */
+  private void afterDependencies(
+      JobSpec spec,
+      Deque<JobId> todo,
+      JobState.Phase phase,
+      Consumer<Response> answer,
+      Consumer<JobState.Phase> then) {
+    JobId next = todo.poll();
+    if (next == null) {
+      then.accept(phase);
+      return;
+    }
+    findDependency(
+        next,
+        found ->
+            locked(
+                () -> {
+                  if (found == null) {
+                    unlessKnown(spec.id(), Response.busy(RETRY_AFTER_S), answer);
+                  } else if (found.isEmpty()) {
+                    unlessKnown(spec.id(), error(422, next + " was never accepted"), answer);
+                  } else if (found.get().service()) {
+                    unlessKnown(spec.id(), error(422, next + " is a service"), answer);
+                  } else {
+                    boolean cancelled =
+                        found.get().state().phase() == JobState.Phase.CANCELLED
+                            || phase == JobState.Phase.CANCELLED;
+                    JobState.Phase now =
+                        cancelled ? JobState.Phase.CANCELLED : JobState.Phase.QUEUED;
+                    afterDependencies(spec, todo, now, answer, then);
+                  }
+                }));
+  }
+
+  private void findDependency(JobId id, Consumer<Optional<Lookup.Found>> then) {
+    JobState known = leads() ? lead.stateOf(id) : null;
+    if (known != null) {
+      Job job = lead.job(id);
+      then.accept(Optional.of(new Lookup.Found(known, job != null && job.spec().isService())));
+    } else {
+      lookup.find(id, Lane.ACCEPT, then);
+    }
   }
 
   /** A known job is answered with its state, whatever this repeat of its submission looks like. */
@@ -306,6 +363,7 @@
   private void accept(
       JobSpec spec,
       ObjectNode record,
+      JobState.Phase phase,
       Request request,
       boolean fromPeer,
       int tries,
@@ -323,8 +381,8 @@
                     () -> {
                       if (o instanceof Outcome.Applied<Revision> applied) {
                         adopt(record, applied.value());
-                        JobState queued = new JobState(id, JobState.Phase.QUEUED, 0, 0);
-                        answer.accept(Response.of(201, queued.brief()));
+                        JobState state = new JobState(id, phase, 0, 0);
+                        answer.accept(Response.of(201, state.brief()));
                       } else if (o != null && o.isBecause(Reason.CONFLICT)) {
                         unlessKnown(id, Response.busy(RETRY_AFTER_S), answer);
                       } else if (o instanceof Outcome.NotApplied) {
@@ -332,7 +390,7 @@
                       } else if (tries > 1) {
                         // Lost answer: the same again; if the first was carried out, its record is
                         // found to stand already.
-                        accept(spec, record, request, fromPeer, tries - 1, answer);
+                        accept(spec, record, phase, request, fromPeer, tries - 1, answer);
                       } else {
                         answer.accept(Response.busy(RETRY_AFTER_S));
                       }
@@ -414,39 +472,11 @@
         });
   }
 
-  /**
-   * Reads a job's state from the state service: null when it can't be read, empty when the job does
-   * not exist. A job moves from its record to its end in one transaction, so reading in this order
-   * can't miss it.
-   */
   private void lookup(JobId id, Consumer<Optional<JobState>> then) {
-    store
-        .get(Keys.job(id), Lane.QUERY)
-        .whenComplete(
-            (o, e) -> {
-              if (!(o instanceof Outcome.Applied<StateStore.Read> read)) {
-                LOG.debug("{} can't be looked up: {}", id, o);
-                then.accept(null);
-              } else if (read.value().entry().isPresent()) {
-                Entry entry = read.value().entry().get();
-                then.accept(Optional.of(RecordCodec.decodeState(id, entry.value())));
-              } else {
-                lookupEnd(id, then);
-              }
-            });
-  }
-
-  private void lookupEnd(JobId id, Consumer<Optional<JobState>> then) {
-    store
-        .get(Keys.end(id), Lane.QUERY)
-        .whenComplete(
-            (o, e) -> {
-              if (o instanceof Outcome.Applied<StateStore.Read> read) {
-                then.accept(read.value().entry().map(x -> RecordCodec.decodeEnd(id, x.value())));
-              } else {
-                then.accept(null);
-              }
-            });
+    lookup.find(
+        id,
+        Lane.QUERY,
+        found -> then.accept(found == null ? null : found.map(Lookup.Found::state)));
   }
 
   // ---- cancels ----------------------------------------------------------------------------------
--- a/src/main/java/org/ternhinge/controller/Slots.java
+++ b/src/main/java/org/ternhinge/controller/Slots.java
@@ -26,6 +26,7 @@
   private static final class Slot {
     private final String key;
     private final Map<String, JsonNode> items = new HashMap<>();
+    private int bytes = 2;
 
     Slot(String key) {
       this.key = key;
@@ -36,22 +37,36 @@
       items.forEach(out::set);
       return out;
     }
+
+    void add(String name, JsonNode value) {
+      JsonNode before = items.put(name, value);
+      bytes += bytes(name, value) - (before == null ? 0 : bytes(name, before));
+    }
+
+    void remove(String name) {
+      JsonNode before = items.remove(name);
+      bytes -= before == null ? 0 : bytes(name, before);
+    }
   }
 
   private final LedgerWriter writer;
   private final String prefix;
-  private final int most;
+  private final int valueBytes;
   private final List<Slot> slots = new ArrayList<>();
   private final Map<String, Slot> where = new HashMap<>();
 
   /**
    * @param prefix of the records' keys, which end in a number
-   * @param most facts in a record
+   * @param valueBytes the most that a record may take
    */
-  Slots(LedgerWriter writer, String prefix, int most) {
+  Slots(LedgerWriter writer, String prefix, int valueBytes) {
     this.writer = writer;
     this.prefix = prefix;
-    this.most = Math.max(1, most);
+    this.valueBytes = valueBytes;
+  }
+
+  private static int bytes(String name, JsonNode value) {
+    return name.length() + Json.bytes(value).length + 4;
   }
 
   /** Takes over a record of an earlier leader. */
@@ -69,7 +84,7 @@
         .properties()
         .forEach(
             e -> {
-              slot.items.put(e.getKey(), e.getValue());
+              slot.add(e.getKey(), e.getValue());
               where.put(e.getKey(), slot);
             });
     // What each fact asks for may remove it at once, so the record has to be whole before.
@@ -88,9 +103,10 @@
     Slot free = null;
     for (int i = 0; free == null; i++) {
       Slot slot = slot(i);
-      free = slot.items.size() < most ? slot : null;
+      boolean fits = slot.items.isEmpty() || slot.bytes + bytes(name, value) <= valueBytes;
+      free = fits ? slot : null;
     }
-    free.items.put(name, value);
+    free.add(name, value);
     where.put(name, free);
     writer.write(free.key, free::value, durable);
   }
@@ -99,7 +115,7 @@
   void remove(String name) {
     Slot slot = where.remove(name);
     if (slot != null) {
-      slot.items.remove(name);
+      slot.remove(name);
       writer.write(slot.key, slot::value, null);
     }
   }
--- a/src/main/java/org/ternhinge/controller/Views.java
+++ b/src/main/java/org/ternhinge/controller/Views.java
@@ -153,7 +153,7 @@
     for (Attempt a : ledger.attemptsOn(m.id)) {
       attempts.add(
           new Snapshot.AttemptView(
-              a.job().spec(), a.task().index(), a.stopping(), a.runningSince()));
+              a.job().planned(), a.task().index(), a.stopping(), a.runningSince()));
     }
     List<Snapshot.Reservation> kept = new ArrayList<>();
     for (Machine.Kept k : m.kept) {
@@ -175,18 +175,24 @@
   }
 
   private List<Snapshot.JobView> jobViews(SteadyTime now, Map<JobId, Integer> reserved) {
-    List<Job> jobs = new ArrayList<>(ledger.jobs());
+    List<Job> jobs = new ArrayList<>();
+    for (Job job : ledger.jobs()) {
+      // A job that waits for others costs a look, and no part of its team's guarantee.
+      if (!job.waits() && !job.cancelled() && !job.over()) {
+        jobs.add(job);
+      }
+    }
     jobs.sort(
         (a, b) -> {
-          int c = Long.compare(a.acceptedMillis(), b.acceptedMillis());
+          int c = Long.compare(a.readyMillis(), b.readyMillis());
           return c != 0 ? c : a.spec().id().compareTo(b.spec().id());
         });
     Map<String, Resources> asked = new HashMap<>();
     List<Snapshot.JobView> out = new ArrayList<>();
     for (Job job : jobs) {
-      JobSpec spec = job.spec();
+      JobSpec spec = job.planned();
       Team team = settings.teams().get(spec.team());
-      if (job.cancelled() || job.over() || team == null) {
+      if (team == null) {
         continue;
       }
       Resources sum = asked.merge(spec.team(), spec.need().times(spec.tasks()), Resources::plus);
@@ -233,7 +239,7 @@
   }
 
   private double ageS(Job job) {
-    return Math.max(0, clock.wallMillis() - job.acceptedMillis()) / 1000.0;
+    return Math.max(0, clock.wallMillis() - job.readyMillis()) / 1000.0;
   }
 
   /**
--- a/src/main/java/org/ternhinge/ledger/Job.java
+++ b/src/main/java/org/ternhinge/ledger/Job.java
@@ -4,10 +4,14 @@
 import it.unimi.dsi.fastutil.ints.Int2ObjectOpenHashMap;
 import java.util.BitSet;
 import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.JobId;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Priority;
 
 /**
  * A job that is not yet over, with its open attempts. Its record in the state service is cut into
@@ -17,7 +21,7 @@
 public final class Job {
   private final JobSpec spec;
   private final long acceptedMillis;
-  private final int pieceSize;
+  private int pieceSize;
   private final BitSet done = new BitSet();
   private final Int2ObjectOpenHashMap<Attempt> open = new Int2ObjectOpenHashMap<>();
   private final BitSet dirty = new BitSet();
@@ -32,17 +36,73 @@
   private boolean finalDurable;
   private boolean opening;
   private SteadyTime dirtySince;
+  private final Set<JobId> unmet = new LinkedHashSet<>();
+  private JobSpec planned;
+  private long readyMillis;
+  private boolean cancelledByDependency;
+  private int specBytes;
 
   Job(JobSpec spec, long acceptedMillis, int pieceSize) {
     this.spec = spec;
     this.acceptedMillis = acceptedMillis;
     this.pieceSize = pieceSize;
+    this.planned = spec;
+    this.readyMillis = acceptedMillis;
   }
 
   public JobSpec spec() {
     return spec;
   }
 
+  /** The job as the planner is to see it, with the highest priority of those that depend on it. */
+  public JobSpec planned() {
+    return planned;
+  }
+
+  /** Takes over a priority; false if it has as high a one. */
+  boolean inherit(Priority priority) {
+    if (priority.compareTo(planned.priority()) >= 0) {
+      return false;
+    }
+    planned = spec.withPriority(priority);
+    return true;
+  }
+
+  /** Jobs that it depends on and that are not known to be durably done. */
+  Set<JobId> unmet() {
+    return unmet;
+  }
+
+  /** Whether a job before it is not durably done: nothing of it may start. */
+  public boolean waits() {
+    return !unmet.isEmpty();
+  }
+
+  /** Whether a task of it was ever to start; then all that it depends on was done. */
+  boolean started() {
+    return highest.value() > 0 || !done.isEmpty() || !open.isEmpty();
+  }
+
+  /** When it could first start: from then on its times are counted, but for its deadline. */
+  public long readyMillis() {
+    return readyMillis;
+  }
+
+  void readyMillis(long at) {
+    readyMillis = at;
+  }
+
+  /** Whether it is cancelled since one that it depends on is, whatever its own record says yet. */
+  public boolean cancelledByDependency() {
+    return cancelledByDependency;
+  }
+
+  void markCancelledByDependency() {
+    cancelledByDependency = true;
+    unmet.clear();
+    markCancelled(true);
+  }
+
   public long acceptedMillis() {
     return acceptedMillis;
   }
@@ -51,6 +111,19 @@
     return pieceSize;
   }
 
+  /** How long its description is in its record. */
+  int specBytes() {
+    if (specBytes == 0) {
+      specBytes = RecordCodec.specBytes(spec);
+    }
+    return specBytes;
+  }
+
+  /** Cuts the record anew, which is possible only while nothing is in any piece but the first. */
+  void recut(int size) {
+    pieceSize = size;
+  }
+
   public int pieces() {
     return (spec.tasks() + pieceSize - 1) / pieceSize;
   }
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -2,6 +2,7 @@
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -37,7 +38,7 @@
   public record Placement(int index, Site site) {}
 
   private final Map<String, Team> teams;
-  private final int pieceSize;
+  private final int valueBytes;
   private final Clock clock;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
   private final Map<String, Resources> teamUse = new HashMap<>();
@@ -46,15 +47,24 @@
   private final Object2ObjectLinkedOpenHashMap<JobId, JobState> finals =
       new Object2ObjectLinkedOpenHashMap<>();
   private final LinkedHashSet<Job> dirtyJobs = new LinkedHashSet<>();
+  private final Dependencies dependencies;
 
-  public Ledger(Map<String, Team> teams, int pieceSize, Clock clock) {
+  /**
+   * @param valueBytes the most that the state service takes as one value
+   */
+  public Ledger(Map<String, Team> teams, int valueBytes, Clock clock) {
     this.clock = clock;
     this.teams = teams;
-    this.pieceSize = pieceSize;
+    this.valueBytes = valueBytes;
+    this.dependencies = new Dependencies(this, clock);
+  }
+
+  int valueBytes() {
+    return valueBytes;
   }
 
-  public int pieceSize() {
-    return pieceSize;
+  public Dependencies dependencies() {
+    return dependencies;
   }
 
   public Job job(JobId id) {
@@ -108,6 +118,37 @@
     }
     job.openAttempts().forEach(this::count);
     settle(job);
+    dependencies.adopted(job);
+  }
+
+  /** Of tasks that are to start, those whose attempts the job's record has room for. */
+  public List<Placement> whatFits(Job job, List<Placement> placements) {
+    if (PieceRoom.always(job, valueBytes)) {
+      return placements;
+    }
+    PieceRoom room = new PieceRoom(job, valueBytes);
+    AttemptNumber number = job.highest().next();
+    return placements.stream()
+        .filter(p -> room.take(p.index(), number, p.site().machine(), p.site().session()))
+        .toList();
+  }
+
+  /**
+   * A gang laid down under a larger limit may not fit its pieces any more. While it waits nothing
+   * stands in them but in the first, so that the next write of that one cuts it anew.
+   */
+  private void recut(Job job) {
+    int size = RecordCodec.pieceSize(job.spec(), valueBytes);
+    if (job.spec().isGang()
+        && size < job.pieceSize()
+        && job.openMap().isEmpty()
+        && job.livePieces().isEmpty()
+        && job.folded().isEmpty()
+        && !PieceRoom.always(job, valueBytes)) {
+      job.recut(size);
+      job.dirty().clear();
+      job.dirty().set(0);
+    }
   }
 
   /**
@@ -119,6 +160,7 @@
    */
   public String open(
       Job job, List<Placement> placements, Predicate<TaskId> ghosts, SteadyTime now) {
+    recut(job);
     String against = admit(job, placements, ghosts);
     if (against != null) {
       return against;
@@ -151,6 +193,9 @@
     if (job.cancelled() || job.over()) {
       return "job is over";
     }
+    if (job.waits()) {
+      return "waits for other jobs";
+    }
     if (spec.isGang() && (placements.size() != spec.tasks() || !job.openMap().isEmpty())) {
       return "a gang starts whole, after every task of its last attempt is gone";
     }
@@ -202,6 +247,9 @@
     if (!within(team, use)) {
       return "team limit";
     }
+    if (whatFits(job, placements).size() < placements.size()) {
+      return "no room in the record";
+    }
     return null;
   }
 
@@ -246,9 +294,32 @@
     }
   }
 
+  /** One that it depends on is durably cancelled: so is it, whenever its own record says so. */
+  void cancelByDependency(Job job) {
+    job.markCancelledByDependency();
+    job.dirty().set(0);
+    dirty(job);
+    settle(job);
+  }
+
+  /** The state service holds a job's cancellation. */
+  void cancelIsDurable(Job job) {
+    job.cancelIsDurable();
+    dependencies.cancelDependents(job.spec().id());
+  }
+
+  /** The state of a job as far as memory can tell it, or null: see {@link Dependencies#sure}. */
+  public JobState stateFor(Job job) {
+    if (job.cancelledByDependency()) {
+      return stateOf(job);
+    }
+    boolean unsure = job.over() || (job.cancelled() && !job.cancelDurable());
+    return unsure || !dependencies.sure(job) ? null : stateOf(job);
+  }
+
   private void settle(Job job) {
     for (int p = 1; p < job.pieces(); p++) {
-      if (!job.folded().get(p) && job.pieceOver(p)) {
+      if (!job.folded().get(p) && job.pieceOver(p) && mayFold(job, p)) {
         job.folded().set(p);
         job.dirty().set(0);
         job.dirty().set(p);
@@ -262,6 +333,21 @@
     }
   }
 
+  /** The first piece lists what is folded; a piece that would make the list too long stays. */
+  private boolean mayFold(Job job, int piece) {
+    BitSet folded = job.folded();
+    boolean joins = folded.get(piece + 1) || folded.get(piece - 1);
+    int most = RecordCodec.foldedRanges(valueBytes);
+    if (joins || folded.cardinality() < most) {
+      return true;
+    }
+    int ranges = 0;
+    for (int i = folded.nextSetBit(0); i >= 0; i = folded.nextSetBit(folded.nextClearBit(i))) {
+      ranges++;
+    }
+    return ranges < most;
+  }
+
   private void count(Attempt a) {
     Resources need = a.job().spec().need();
     teamUse.merge(a.job().spec().team(), need, Resources::plus);
@@ -304,7 +390,9 @@
     }
     for (Job job : dirtyJobs) {
       Urgency urgency = urgency(job);
-      if (urgency == Urgency.ENDINGS && job.dirtySince().isBefore(late)) {
+      if (urgency == Urgency.ENDINGS
+          && !job.cancelledByDependency()
+          && job.dirtySince().isBefore(late)) {
         urgency = Urgency.OPENS;
       }
       if (urgency != Urgency.ENDINGS || !gathered.isBefore(job.dirtySince())) {
@@ -315,6 +403,10 @@
   }
 
   private static Urgency urgency(Job job) {
+    if (job.cancelledByDependency()) {
+      // Users are told already, and there may be thousands of them.
+      return Urgency.ENDINGS;
+    }
     if (job.cancelled()) {
       return Urgency.CANCELS;
     }
@@ -324,7 +416,9 @@
     if (!job.opening()) {
       return Urgency.ENDINGS;
     }
-    return job.spec().priority() == Priority.PRODUCTION ? Urgency.PRODUCTION_OPENS : Urgency.OPENS;
+    return job.planned().priority() == Priority.PRODUCTION
+        ? Urgency.PRODUCTION_OPENS
+        : Urgency.OPENS;
   }
 
   private void dirty(Job job) {
@@ -346,7 +440,9 @@
     jobs.remove(job.spec().id());
     dirtyJobs.remove(job);
     JobState.Phase phase = job.cancelled() ? JobState.Phase.CANCELLED : JobState.Phase.DONE;
-    rememberEnd(new JobState(job.spec().id(), phase, job.doneCount(), 0));
+    JobState state = new JobState(job.spec().id(), phase, job.doneCount(), 0);
+    rememberEnd(state);
+    dependencies.ended(state);
   }
 
   /** What the user of a job in this ledger may be told. */
--- a/src/main/java/org/ternhinge/ledger/LedgerWriter.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -333,7 +333,7 @@
       boolean gone = part.piece > 0 && job.folded().get(part.piece);
       job.revision(part.piece, gone ? Revision.NONE : revision);
       if (part.cancels) {
-        job.cancelIsDurable();
+        ledger.cancelIsDurable(job);
       }
       for (Attempt a : part.opens) {
         if (job.open(a.task().index()) == a) {
@@ -387,12 +387,17 @@
         return false;
       }
       Extra extra = waiting.next();
+      JsonNode value = extra.value.get();
+      if (Json.bytes(value).length > ledger.valueBytes()) {
+        // Laid down under a larger limit: it is written once enough of it has been settled.
+        continue;
+      }
       waiting.remove();
       boolean term = extra.key.equals(Keys.TERM);
       Revision known = extraRevisions.getOrDefault(extra.key, Revision.NONE);
       b.conditions.put(extra.key, term ? authority.termRevision() : known);
       b.extras.add(extra);
-      b.changes.add(new Change.Put(extra.key, extra.value.get(), 0));
+      b.changes.add(new Change.Put(extra.key, value, 0));
     }
     return true;
   }
@@ -403,6 +408,7 @@
       return addEnd(b, job);
     }
     BitSet dirty = job.dirty();
+    boolean whole = true;
     for (int p = dirty.nextSetBit(0); p >= 0; p = dirty.nextSetBit(p + 1)) {
       if (b.changes.size() >= b.limit) {
         return false;
@@ -417,7 +423,15 @@
         b.changes.add(new Change.Delete(key));
       } else {
         ObjectNode value = RecordCodec.encode(job, p);
-        int size = Json.bytes(value).length + key.length() + 80;
+        int bytes = Json.bytes(value).length;
+        if (bytes > ledger.valueBytes()) {
+          // Laid down under a larger limit, by admission nothing else is: it can be written again
+          // once enough of its attempts have ended. Until then the state service holds more of them
+          // than there are, which is the safe side.
+          whole = false;
+          continue;
+        }
+        int size = bytes + key.length() + 80;
         if (b.bytes + size > MAX_BYTES && !b.changes.isEmpty()) {
           return false;
         }
@@ -429,7 +443,9 @@
       dirty.clear(p);
       job.inFlight().set(p);
     }
-    ledger.clean(job);
+    if (whole) {
+      ledger.clean(job);
+    }
     return true;
   }
 
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/PieceRoom.java
@@ -0,0 +1,67 @@
+package org.ternhinge.ledger;
+
+import it.unimi.dsi.fastutil.ints.Int2IntOpenHashMap;
+import java.util.HashSet;
+import java.util.Set;
+import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Session;
+
+/**
+ * Room for more open attempts in the pieces of one job's record. What is admitted here fits the
+ * limit on values whatever happens to it later: tasks only end, and their numbers are counted as if
+ * each stood alone. A piece that an earlier version laid down under a larger limit takes nothing
+ * more until enough of it has ended.
+ */
+final class PieceRoom {
+  private record Head(int piece, AttemptNumber number, MachineId machine, Session session) {}
+
+  private final Job job;
+  private final int valueBytes;
+  private final Int2IntOpenHashMap used = new Int2IntOpenHashMap();
+  private final Set<Head> heads = new HashSet<>();
+
+  PieceRoom(Job job, int valueBytes) {
+    this.job = job;
+    this.valueBytes = valueBytes;
+    for (Attempt a : job.openAttempts()) {
+      Head head = head(a.task().index(), a.number(), a.machine(), a.session());
+      if (heads.add(head)) {
+        used.addTo(head.piece, bytes(head));
+      }
+    }
+  }
+
+  /**
+   * Whether a piece could hold each of its tasks on a machine of its own, so none need be asked.
+   */
+  static boolean always(Job job, int valueBytes) {
+    int tasks = Math.min(job.spec().tasks(), job.pieceSize());
+    return RecordCodec.baseBytes(job, 0, valueBytes) + tasks * RecordCodec.BYTES_ALONE
+        <= valueBytes;
+  }
+
+  private Head head(int index, AttemptNumber number, MachineId machine, Session session) {
+    return new Head(job.pieceOf(index), number, machine, session);
+  }
+
+  private static int bytes(Head h) {
+    return RecordCodec.headBytes(h.number, h.machine, h.session);
+  }
+
+  /** Takes room for an attempt that is to open; false where its piece has none. */
+  boolean take(int index, AttemptNumber number, MachineId machine, Session session) {
+    Head head = head(index, number, machine, session);
+    if (heads.contains(head)) {
+      return true;
+    }
+    int base = RecordCodec.baseBytes(job, head.piece, valueBytes);
+    int more = bytes(head);
+    if (base + used.get(head.piece) + more > valueBytes) {
+      return false;
+    }
+    heads.add(head);
+    used.addTo(head.piece, more);
+    return true;
+  }
+}
--- a/src/main/java/org/ternhinge/ledger/RecordCodec.java
+++ b/src/main/java/org/ternhinge/ledger/RecordCodec.java
@@ -3,8 +3,10 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.ternhinge.model.AttemptNumber;
 import org.ternhinge.model.JobId;
@@ -13,6 +15,7 @@
 import org.ternhinge.model.Session;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.model.TaskRanges;
+import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
 import org.ternhinge.wire.Json;
@@ -24,21 +27,98 @@
  * attempts as {@code attempt:machine:session:zone:ranges}.
  */
 public final class RecordCodec {
-  /** Bytes kept for the job itself in the first piece. */
-  private static final int SPEC_BYTES = 3600;
+  /** Names, numbers and punctuation of a piece, beside what is counted apart. */
+  private static final int FRAME_BYTES = 160;
 
-  private static final int BYTES_PER_TASK = 36;
+  /** Part of a record that the list of folded pieces may take. */
+  private static final int FOLDED_PART = 10;
+
+  /** Bytes of one range of folded pieces at most, such as {@code 780-787,}. */
+  private static final int RANGE_BYTES = 10;
+
+  /** An attempt alone on its machine, at most, with its task's number. */
+  static final int BYTES_ALONE = 36;
+
+  /** A task of an array on average, where several share an attempt's number and machine. */
+  private static final double BYTES_SHARED = 14.5;
+
+  private static final int LEAST_TASKS = 8;
+
+  /** Larger pieces would save few changes, and cost more bytes for each. */
+  private static final int MOST_TASKS = 127;
 
   private RecordCodec() {}
 
-  /** How many tasks fit in a piece, in the worst case of one machine per task. */
-  public static int pieceSize(double valueKb) {
-    return (int) Math.max(8, (valueKb * 1024 - SPEC_BYTES) / BYTES_PER_TASK);
+  /** Bytes of the first piece that are left for its tasks. */
+  private static int room(int specBytes, int valueBytes) {
+    return valueBytes - specBytes - FRAME_BYTES - valueBytes / FOLDED_PART;
+  }
+
+  static int specBytes(JobSpec spec) {
+    return Json.bytes(spec.write()).length;
+  }
+
+  /** Whether a job's description leaves room for its tasks in a record. */
+  public static boolean fits(JobSpec spec, int valueBytes) {
+    int least = Math.min(spec.tasks(), LEAST_TASKS) * BYTES_ALONE;
+    return room(specBytes(spec), valueBytes) >= least;
+  }
+
+  /**
+   * How many tasks a piece of a job's record is for. Those of a gang or a service may all be on
+   * machines of their own; an array's admission is bounded by {@link PieceRoom}.
+   */
+  public static int pieceSize(JobSpec spec, int valueBytes) {
+    double each = spec.kind() == JobKind.ARRAY ? BYTES_SHARED : BYTES_ALONE;
+    int tasks = (int) (room(specBytes(spec), valueBytes) / each);
+    return Math.max(LEAST_TASKS, Math.min(MOST_TASKS, tasks));
+  }
+
+  /** How many ranges of folded pieces the first piece may list. */
+  static int foldedRanges(int valueBytes) {
+    return valueBytes / FOLDED_PART / RANGE_BYTES;
+  }
+
+  /** Bytes of a piece, at most, however its tasks end, without the attempts' heads. */
+  static int baseBytes(Job job, int piece, int valueBytes) {
+    int from = piece * job.pieceSize();
+    int to = Math.min(job.spec().tasks(), from + job.pieceSize());
+    int digits = Integer.toString(to).length();
+    int own = piece == 0 ? job.specBytes() + valueBytes / FOLDED_PART : 0;
+    return FRAME_BYTES + own + (to - from) * (digits + 1);
+  }
+
+  /** Bytes of what stands before an open attempt's tasks, for each attempt and machine. */
+  static int headBytes(AttemptNumber number, MachineId machine, Session session) {
+    return machine.value().length()
+        + Long.toString(number.value()).length()
+        + Long.toString(session.value()).length()
+        + 10;
+  }
+
+  /** The jobs that a job still waits for by its first piece alone: none once it was to start. */
+  public static List<JobId> waitsFor(JsonNode value) {
+    JsonNode ids = value.path("s").path("bidur_eftir");
+    boolean started =
+        value.path("h").asLong() > 0
+            || !value.path("d").asText("").isEmpty()
+            || !value.path("o").isEmpty();
+    if (started || value.path("c").asBoolean()) {
+      return List.of();
+    }
+    List<JobId> out = new ArrayList<>();
+    ids.forEach(id -> out.add(new JobId(id.asText())));
+    return out;
+  }
+
+  /** Whether a first piece is of a service. */
+  public static boolean isService(JsonNode value) {
+    return value.path("s").path("gerd").asText().equals(JobKind.SERVICE.word());
   }
 
   /** The record of a job that was just accepted. */
-  public static ObjectNode fresh(JobSpec spec, long acceptedMillis, int pieceSize) {
-    return first(new Job(spec, acceptedMillis, pieceSize));
+  public static ObjectNode fresh(JobSpec spec, long acceptedMillis, int valueBytes) {
+    return first(new Job(spec, acceptedMillis, pieceSize(spec, valueBytes)));
   }
 
   static ObjectNode encode(Job job, int piece) {
--- a/src/main/java/org/ternhinge/wire/JobSpec.java
+++ b/src/main/java/org/ternhinge/wire/JobSpec.java
@@ -4,7 +4,9 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.Resources;
 
@@ -14,6 +16,7 @@
  * @param types allowed machine types, or null for any
  * @param zone the only allowed zone, or null
  * @param deadlineS measured from the submission, or null
+ * @param dependencies jobs that have to be done before any task of this one starts
  */
 public record JobSpec(
     JobId id,
@@ -36,7 +39,8 @@
     double estimateS,
     double checkpointS,
     double saveS,
-    Double deadlineS) {
+    Double deadlineS,
+    List<JobId> dependencies) {
 
   public static final int MAX_TASKS = 100_000;
   private static final int MAX_NAME = 128;
@@ -82,7 +86,50 @@
         Json.amount(body, "aaetlun_s"),
         Json.amount(body, "vista_bil_s"),
         Json.amount(body, "vistun_s"),
-        Json.amountOrNull(body, "skiladagur_s"));
+        Json.amountOrNull(body, "skiladagur_s"),
+        dependencies(body));
+  }
+
+  /** The same job as its planner is to see it: it may be served like any job that depends on it. */
+  public JobSpec withPriority(Priority other) {
+    return new JobSpec(
+        id,
+        jobClass,
+        team,
+        kind,
+        other,
+        tasks,
+        need,
+        cpus,
+        gpus,
+        memoryGb,
+        image,
+        imageGb,
+        types,
+        zone,
+        together,
+        scatter,
+        spotAllowed,
+        estimateS,
+        checkpointS,
+        saveS,
+        deadlineS,
+        dependencies);
+  }
+
+  private static List<JobId> dependencies(JsonNode body) throws WireException {
+    JsonNode node = body.get("bidur_eftir");
+    if (node == null || node.isNull()) {
+      return List.of();
+    }
+    Set<JobId> out = new LinkedHashSet<>();
+    for (JsonNode item : Json.list(body, "bidur_eftir")) {
+      if (!item.isTextual() || !JobId.isValid(item.textValue())) {
+        throw new WireException("bidur_eftir: job ids are needed");
+      }
+      out.add(new JobId(item.textValue()));
+    }
+    return List.copyOf(out);
   }
 
   private static String name(JsonNode body, String field) throws WireException {
@@ -133,6 +180,11 @@
     if (deadlineS != null) {
       out.put("skiladagur_s", deadlineS);
     }
+    if (!dependencies.isEmpty()) {
+      // Absent where there are none: a version before them drops what it does not know.
+      ArrayNode ids = out.putArray("bidur_eftir");
+      dependencies.forEach(d -> ids.add(d.value()));
+    }
     return out;
   }
 
--- a/src/test/java/org/ternhinge/controller/SlotsTest.java
+++ b/src/test/java/org/ternhinge/controller/SlotsTest.java
@@ -28,7 +28,7 @@
   void takesOverItsOwnRecordsAndLeavesOthersAlone(String key, String value, String facts)
       throws Exception {
     LedgerWriter writer = new LedgerWriter(null, null, null, new SimClock(), null, 16, a -> {});
-    Slots slots = new Slots(writer, "r/", 40);
+    Slots slots = new Slots(writer, "r/", 8 * 1024);
     List<String> found = new ArrayList<>();
     slots.known(
         new Entry(key, Json.parse(value.getBytes()), new Revision(7)),
--- a/src/test/java/org/ternhinge/ledger/LedgerTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerTest.java
@@ -20,18 +20,17 @@
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.sim.SimClock;
 import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Json;
 
 class LedgerTest {
   private static final SteadyTime NOW = new SteadyTime(0);
   private final Ledger ledger =
-      new Ledger(
-          Map.of("red", new Team("red", 4000, 10_000, 0, 0)),
-          RecordCodec.pieceSize(8),
-          new SimClock());
+      new Ledger(Map.of("red", new Team("red", 4000, 10_000, 0, 0)), 8 * 1024, new SimClock());
 
   private Job job(ObjectNode json) {
-    Job job = new Job(Specs.of(json), 1, ledger.pieceSize());
+    JobSpec spec = Specs.of(json);
+    Job job = new Job(spec, 1, RecordCodec.pieceSize(spec, 8 * 1024));
     ledger.adopt(job);
     return job;
   }
@@ -140,7 +139,7 @@
     for (int i = 0; i < 16; i++) {
       types.add("t".repeat(128));
     }
-    int size = RecordCodec.pieceSize(8);
+    int size = RecordCodec.pieceSize(Specs.of(json), 8 * 1024);
     Job job = new Job(Specs.of(json), 1, size);
     for (int i = 0; i < 2 * size; i++) {
       MachineId m = new MachineId(String.format("n-%06d", 990_000 + i));
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -50,7 +50,7 @@
 
   private boolean carriedOut;
   private final Ledger ledger =
-      new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), RecordCodec.pieceSize(8), clock);
+      new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), 8 * 1024, clock);
   private final LedgerWriter writer =
       new LedgerWriter(
           ledger, new Store(), new Leader(), clock, new ReentrantLock(), 16, opened -> {});
@@ -143,7 +143,7 @@
   private Job accept(String id, String kind, String priority, int tasks) {
     ObjectNode spec = Specs.json(id, kind, tasks).put("cpus", 0.001).put("memory_gb", 0.001);
     spec.put("forgang", priority);
-    ObjectNode record = RecordCodec.fresh(Specs.of(spec), 1, ledger.pieceSize());
+    ObjectNode record = RecordCodec.fresh(Specs.of(spec), 1, ledger.valueBytes());
     String key = Keys.job(Specs.of(spec).id());
     Map<String, Revision> none = Map.of(key, Revision.NONE);
     Outcome<Revision> put = core.txn(new Txn(none, List.of(new Change.Put(key, record, 0))));
