--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -819,6 +819,11 @@
     put(ends);
   }
 
+  /** A task was completed before the world began. */
+  public void finish(JobSpec spec, int index) {
+    completed.add(new TaskId(spec.id(), index));
+  }
+
   /** Writes to the state service whatever its limits are, as it was written under earlier ones. */
   public void put(List<Change> changes) {
     store.txn(new Txn(Map.of(), changes));
