--- a/src/test/java/org/ternhinge/controller/PipelinesTest.java
+++ b/src/test/java/org/ternhinge/controller/PipelinesTest.java
@@ -839,4 +839,62 @@
     assertFalse(world.changes == 0);
     assertNotEquals(0, world.starts);
   }
+
+  /**
+   * Controllers that know of no smaller limits lay down large records of work that runs on many
+   * machines; they are replaced one after the other, and then the limits are lowered while it runs.
+   */
+  @ParameterizedTest(name = "{0}, lowered {1} s after the last is replaced")
+  @CsvSource({"batch, 0", "batch, 10", "batch, 25", "group, 5", "daemon, 0", "daemon, 20"})
+  void largeRecordsOfWorkThatRuns(String kind, double lowered) {
+    world = new World(401, 0, new World.Size(3, 160, 1200, 30));
+    users = new Users(world);
+    world.clock.runFor(5);
+    List<JobId> all = new ArrayList<>();
+    for (int i = 0; i < 2; i++) {
+      // One task to a machine.
+      ObjectNode body = job("wk-1" + i, 140, 200, List.of()).put("gerd", kind).put("cpus", 4.0);
+      body.putArray("velagerdir").add("small");
+      users.submit(body.put("lanvelar", !kind.equals("daemon")));
+      all.add(idOf(body));
+    }
+    while (world.clock.seconds() < 90 && all.stream().anyMatch(j -> world.runningTasks(j) < 140)) {
+      run(1);
+    }
+    int largest =
+        all.stream().mapToInt(id -> Json.bytes(world.held("j/" + id)).length).max().orElse(0);
+    assertTrue(largest > 2500, "records of " + largest + " bytes");
+    world.announce(World.COMING);
+    for (int i = 0; i < 3; i++) {
+      world.crash(i, 2);
+      run(6);
+    }
+    int led = world.leaderships;
+    all.forEach(id -> assertTrue(world.runningTasks(id) > 100, world.runningTasks(id) + " run"));
+    run(lowered);
+    world.troubles.lowerLimits();
+    JobId next = submit("wk-2", 20, 5, kind.equals("daemon") ? new JobId[0] : listed(all));
+    run(60);
+    if (kind.equals("daemon")) {
+      all.forEach(id -> assertEquals(140, world.runningTasks(id), "replicas of " + id));
+      for (var w : world.workersOf(all.get(0)).subList(0, 30)) {
+        world.restart(w);
+      }
+      run(120);
+      all.forEach(id -> assertEquals(140, world.runningTasks(id), "replicas of " + id));
+      all.forEach(users::cancel);
+    }
+    run(300);
+    users.quiet();
+    run(200);
+    nothingBroken();
+    assertEquals(led, world.leaderships, "no leadership is lost");
+    String end = kind.equals("daemon") ? "cancelled" : "done";
+    all.forEach(id -> assertEquals(end, users.lastTold(id), id.value()));
+    assertEquals("done", users.lastTold(next));
+  }
+
+  private static JobId[] listed(List<JobId> ids) {
+    return ids.toArray(new JobId[0]);
+  }
 }
--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -80,6 +80,11 @@
   /** Limits that the state service is to have some day, as the settings name them. */
   public static final Limits COMING = new Limits(2, 5, 21);
 
+  /** Controllers that start from now on have settings that name coming limits. */
+  public void announce(Limits coming) {
+    limits = limits.lesser(coming);
+  }
+
   /** Of the limit on changes, what the leader uses; the others share the rest. */
   private static final double LEADER_SHARE = 0.7;
 
@@ -94,7 +99,7 @@
   private final StoreCore store = new StoreCore(clock);
   public final Troubles troubles;
   private final Size size;
-  private final Limits limits;
+  private Limits limits;
   final StateLimits stateLimits;
   private final Incarnation[] nodes;
   private final SteadyTime[] stateCut;
@@ -1000,6 +1005,11 @@
     }
   }
 
+  /** A machine restarts: what ran there is gone, and it is back at once. */
+  public void restart(SimWorker w) {
+    w.restart();
+  }
+
   /** Cuts all machines of a zone off from everything. */
   public void cutZone(String zone, double seconds) {
     for (SimWorker w : liveWorkers()) {
