--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -310,11 +310,10 @@
 
   /** The state of a job as far as memory can tell it, or null: see {@link Dependencies#sure}. */
   public JobState stateFor(Job job) {
-    if (job.cancelledByDependency()) {
+    if (job.cancelDurable()) {
       return stateOf(job);
     }
-    boolean unsure = job.over() || (job.cancelled() && !job.cancelDurable());
-    return unsure || !dependencies.sure(job) ? null : stateOf(job);
+    return job.over() || job.cancelled() || !dependencies.sure(job) ? null : stateOf(job);
   }
 
   private void settle(Job job) {
--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/DependenciesTest.java
@@ -0,0 +1,227 @@
+package org.ternhinge.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.config.Team;
+import org.ternhinge.ledger.Ledger.Placement;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.JobState;
+import org.ternhinge.wire.JobState.Phase;
+
+/** What a job's state is follows from durable facts about those before it. */
+class DependenciesTest {
+  private static final int VALUE = 8 * 1024;
+
+  private final SimClock clock = new SimClock();
+  private final Ledger ledger =
+      new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), VALUE, clock);
+  private final Map<String, Job> jobs = new HashMap<>();
+
+  private static JobId id(String name) {
+    return new JobId("wk-" + name);
+  }
+
+  private Job accept(String name, String priority, String... before) {
+    ObjectNode json = Specs.json("wk-" + name, "batch", 2).put("forgang", priority);
+    ArrayNode ids = json.putArray("bidur_eftir");
+    for (String b : before) {
+      ids.add("wk-" + b);
+    }
+    JobSpec spec = Specs.of(json);
+    Job job = new Job(spec, 1, RecordCodec.pieceSize(spec, VALUE));
+    jobs.put(name, job);
+    ledger.adopt(job);
+    return job;
+  }
+
+  /** {@code 2<1} reads: 2 depends on 1; {@code 4<2.3} on both. */
+  private void acceptAll(String graph) {
+    for (String item : graph.split(" ")) {
+      String[] parts = item.split("<");
+      accept(parts[0], "normal", parts.length > 1 ? parts[1].split("\\.") : new String[0]);
+    }
+  }
+
+  private String admitted(Job job) {
+    Site site =
+        new Site(
+            new MachineId("n-1"),
+            new Session(1),
+            "small",
+            0,
+            "east",
+            false,
+            Resources.offer(8, 0, 64));
+    List<Placement> one = List.of(new Placement(0, site));
+    return ledger.admit(job, one, t -> false);
+  }
+
+  private String states() {
+    List<String> out = new ArrayList<>();
+    jobs.keySet().stream()
+        .sorted()
+        .forEach(
+            n -> {
+              JobState s = ledger.stateFor(jobs.get(n));
+              out.add(n + ":" + (s == null ? "unsure" : s.phase().word()));
+            });
+    return String.join(" ", out);
+  }
+
+  private void end(String name, Phase phase) {
+    Job job = jobs.get(name);
+    if (phase == Phase.CANCELLED) {
+      ledger.cancel(job);
+    }
+    ledger.ended(job);
+    jobs.remove(name);
+  }
+
+  @ParameterizedTest(name = "{0}: {1}")
+  @CsvSource({
+    "1 2<1 3<2, asked 1, 1:unsure 2:unsure 3:unsure",
+    "1 2<1 3<2, durable 1, 1:cancelled 2:cancelled 3:cancelled",
+    "1 2<1 3<2, durable 2, 1:queued 2:cancelled 3:cancelled",
+    "1 2<1 3<1 4<2.3, durable 3, 1:queued 2:queued 3:cancelled 4:cancelled",
+    "1 2<1 3<1 4<2.3, asked 3, 1:queued 2:queued 3:unsure 4:unsure",
+    "1 2<1 3<2, over 1, 2:cancelled 3:cancelled",
+    "1 2<1 3<2, done 1, 2:queued 3:queued",
+    "2<1 3<2, read cancelled 1, 2:cancelled 3:cancelled",
+    "2<1 3<2, read done 1, 2:queued 3:queued",
+    "2<1 3<2, nothing 1, 2:unsure 3:unsure",
+    "1 2<1.9 3<2, durable 1, 1:cancelled 2:cancelled 3:cancelled"
+  })
+  void aStateIsDerived(String graph, String event, String expected) {
+    acceptAll(graph);
+    String[] words = event.split(" ");
+    String name = words[words.length - 1];
+    switch (words[0]) {
+      case "asked" -> ledger.cancel(open(name));
+      case "durable" -> {
+        ledger.cancel(open(name));
+        ledger.cancelIsDurable(jobs.get(name));
+      }
+      case "over" -> end(name, Phase.CANCELLED);
+      case "done" -> end(name, Phase.DONE);
+      case "read" -> {
+        Phase phase = words[1].equals("done") ? Phase.DONE : Phase.CANCELLED;
+        ledger.dependencies().resolved(new JobState(id(name), phase, 0, 0));
+      }
+      default -> {}
+    }
+    assertEquals(expected, states());
+  }
+
+  /** A cancelled job with a task that has yet to go, so that it is not over. */
+  private Job open(String name) {
+    Job job = jobs.get(name);
+    var number = job.highest().next();
+    job.highest(number);
+    MachineId machine = new MachineId("n-7");
+    SteadyTime now = clock.now();
+    if (!job.waits()) {
+      job.openMap().put(0, new Attempt(job, 0, number, machine, new Session(1), 0, true, now));
+    } else {
+      job.highest(org.ternhinge.model.AttemptNumber.NONE);
+    }
+    return job;
+  }
+
+  @Test
+  void aStartWaitsForTheDurableEndOfAllBefore() {
+    acceptAll("1 2 3<1.2");
+    Job last = jobs.get("3");
+    assertEquals("waits for other jobs", admitted(last));
+    end("1", Phase.DONE);
+    assertEquals("waits for other jobs", admitted(last));
+    assertFalse(ledger.dependencies().takeReady());
+    end("2", Phase.DONE);
+    assertTrue(ledger.dependencies().takeReady());
+    assertNull(admitted(last));
+  }
+
+  /** What ended long ago is asked for once however many wait for it, and asked again if unknown. */
+  @Test
+  void endsThatAreNotRememberedAreReadOnce() {
+    acceptAll("2<1 3<1 4<1");
+    assertEquals(id("1"), ledger.dependencies().nextUnresolved());
+    assertNull(ledger.dependencies().nextUnresolved());
+    assertEquals("waits for other jobs", admitted(jobs.get("3")));
+    ledger.dependencies().unknown(id("1"));
+    assertEquals(id("1"), ledger.dependencies().nextUnresolved());
+    ledger.dependencies().resolved(new JobState(id("1"), Phase.DONE, 2, 0));
+    assertNull(admitted(jobs.get("3")));
+    accept("5", "normal", "1");
+    assertNull(admitted(jobs.get("5")), "remembered");
+  }
+
+  /** A watch may bring a job after one that waits for it, and a load brings them by name. */
+  @Test
+  void theOrderInWhichJobsComeDoesNotMatter() {
+    accept("2", "high", "1");
+    accept("1", "low");
+    assertNull(ledger.dependencies().nextUnresolved());
+    assertEquals("high", jobs.get("1").planned().priority().word());
+    assertEquals("low", jobs.get("1").spec().priority().word(), "its record stays");
+    end("1", Phase.DONE);
+    assertNull(admitted(jobs.get("2")));
+  }
+
+  @Test
+  void priorityIsInheritedThroughOthersAndNeverLowered() {
+    accept("1", "low");
+    accept("2", "normal", "1");
+    accept("3", "low", "2");
+    assertEquals("normal", jobs.get("1").planned().priority().word());
+    assertEquals("normal", jobs.get("2").planned().priority().word());
+    accept("4", "high", "3");
+    for (String name : List.of("1", "2", "3")) {
+      assertEquals("high", jobs.get(name).planned().priority().word());
+    }
+  }
+
+  /** It was started by an earlier leader, so all before it was done; nothing is read or asked. */
+  @Test
+  void whatHasBegunNeedsNoProof() throws Exception {
+    ObjectNode json = Specs.json("wk-2", "batch", 2);
+    json.putArray("bidur_eftir").add("wk-1");
+    ObjectNode record = RecordCodec.fresh(Specs.of(json), 1, VALUE);
+    record.put("h", 3);
+    Job job = RecordCodec.decodeFirst(record, new Revision(1), clock.now());
+    assertEquals(List.of(), RecordCodec.waitsFor(record));
+    ledger.adopt(job);
+    assertNull(ledger.dependencies().nextUnresolved());
+    assertNull(admitted(job));
+  }
+
+  @Test
+  void thousandsAfterOneAreCancelledAtOnce() {
+    accept("0", "normal");
+    for (int i = 1; i <= 3000; i++) {
+      accept(String.valueOf(i), "normal", String.valueOf(i % 3 == 0 ? i - 1 : 0));
+    }
+    ledger.cancel(open("0"));
+    ledger.cancelIsDurable(jobs.get("0"));
+    jobs.values().forEach(j -> assertEquals(Phase.CANCELLED, ledger.stateFor(j).phase()));
+  }
+}
