--- a/src/test/java/org/ternhinge/controller/PipelinesTest.java
+++ b/src/test/java/org/ternhinge/controller/PipelinesTest.java
@@ -134,7 +134,10 @@
     "1037, 0.03, meet",
     "1038, 0.03, meet",
     "1039, 0.02, meet",
-    "1040, 0.02, meet"
+    "1040, 0.02, meet",
+    "1041, 0.01, zones_apart",
+    "1042, 0.02, zones_apart",
+    "1043, 0.02, zones_apart"
   })
   void rulesHold(long seed, double loss, String faults) {
     begin(seed, loss, new World.Size(3, 3, 36, 30));
@@ -166,6 +169,12 @@
       if (step < 80) {
         troubles.trouble(faults);
         troubles.heldUp(faults, step);
+        if (faults.equals("zones_apart") && world.nextInt(12) == 0) {
+          world.troubles.partZones(5 + world.nextInt(50));
+        }
+        if (faults.equals("zones_apart") && world.nextInt(15) == 0) {
+          world.troubles.lateWrites(0.3, 15);
+        }
       }
       if (step == 90) {
         users.accepted().stream().filter(id -> users.spec(id).isService()).forEach(users::cancel);
@@ -367,6 +376,38 @@
     }
   }
 
+  /**
+   * The cancel's write is carried out but not answered, and the nodes can't ask each other: one
+   * reads that it is there while the leader does not know yet. Nobody may be told an older state.
+   */
+  @ParameterizedTest(name = "{0}, cancelled job {1}")
+  @CsvSource({"chain, 1", "chain, 2", "diamond, 1", "diamond, 3"})
+  void aCancelWhoseAnswerIsLost(String shape, int cancelled) {
+    for (long seed = 401; seed < 421; seed++) {
+      begin(seed);
+      List<JobId> all = shape(shape, 200);
+      run(15);
+      world.troubles.partZones(20);
+      world.troubles.lateWrites(0.7, 12);
+      users.cancelAt(world.leader(), all.get(cancelled - 1), () -> {});
+      for (int i = 0; i < 400; i++) {
+        all.forEach(users::pollEverywhere);
+        world.clock.runFor(0.05);
+      }
+      run(CANCEL_S);
+      nothingBroken();
+      endedWell(all.get(cancelled - 1));
+    }
+  }
+
+  private void endedWell(JobId goes) {
+    for (JobId id : users.accepted()) {
+      if (id.equals(goes) || world.before(id).contains(goes)) {
+        assertEquals("cancelled", users.lastTold(id), id.value());
+      }
+    }
+  }
+
   /** A cancel that is answered with done changes nothing for the jobs after it. */
   @ParameterizedTest(name = "{0}, cancelled {1} s after the end of the first")
   @CsvSource({
--- a/src/test/java/org/ternhinge/sim/Troubles.java
+++ b/src/test/java/org/ternhinge/sim/Troubles.java
@@ -27,6 +27,7 @@
   private SteadyTime slowUntil;
   private String zoneCut;
   private SteadyTime zoneCutUntil;
+  private SteadyTime partedUntil;
 
   /** Machines whose next report is held back, and for how long. */
   private final Map<MachineId, Double> toHold = new HashMap<>();
@@ -192,13 +193,27 @@
     world.clock.after(seconds + 0.001, world::wakeWatches);
   }
 
+  /** The two zones can't reach each other, while each reaches the region. */
+  public void partZones(double seconds) {
+    partedUntil = in(seconds);
+  }
+
   /** Whether two places can't reach each other; null is the region, which lies in no zone. */
   boolean apart(String one, String other) {
+    return cutOff(one, other) || parted(one, other);
+  }
+
+  private boolean cutOff(String one, String other) {
     return lasts(zoneCutUntil) && zoneCut.equals(one) != zoneCut.equals(other);
   }
 
-  private double cutEndsIn() {
-    return zoneCutUntil.secondsSince(world.clock.now());
+  private boolean parted(String one, String other) {
+    return lasts(partedUntil) && one != null && other != null && !one.equals(other);
+  }
+
+  private double endsIn(String one, String other) {
+    SteadyTime until = cutOff(one, other) ? zoneCutUntil : partedUntil;
+    return until.secondsSince(world.clock.now());
   }
 
   /** A call that fails by refusal or by silence, its request being lost. */
@@ -218,7 +233,7 @@
     }
     boolean refused = random.nextBoolean();
     if (!refused) {
-      world.clock.after(cutEndsIn() + 0.01, () -> work.accept(o -> {}));
+      world.clock.after(endsIn(one, other) + 0.01, () -> work.accept(o -> {}));
     }
     return world.net.fail(refused, timeoutS);
   }
--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/World.java
@@ -609,6 +609,14 @@
       return send(5, () -> Outcome.applied(store.list(prefix, after, limit)));
     }
 
+    private Outcome<Revision> carryOut(Txn txn) {
+      Outcome<Revision> out = store.txn(txn);
+      if (out instanceof Outcome.Applied) {
+        txn.changes().forEach(World.this::startsAfterEnds);
+      }
+      return out;
+    }
+
     @Override
     public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
       if (!writes.tryTake(lane, txn.changes().size())) {
@@ -621,12 +629,12 @@
             late,
             () -> {
               if (!refused(owner.index)) {
-                stateLimits.take(txn, store::txn);
+                stateLimits.take(txn, this::carryOut);
               }
             });
         return owner.guard(net.fail(false, 1.5));
       }
-      return this.<Revision>send(1.5, () -> stateLimits.take(txn, store::txn))
+      return this.<Revision>send(1.5, () -> stateLimits.take(txn, this::carryOut))
           .thenApply(
               o -> {
                 if (o instanceof Outcome.NotApplied<Revision> n && n.detail().equals("429")) {
@@ -829,6 +837,22 @@
     completed.add(new TaskId(spec.id(), index));
   }
 
+  /**
+   * No start may be recorded before the state service holds the ends of all that the job needs: a
+   * later leader might see them otherwise.
+   */
+  private void startsAfterEnds(Change change) {
+    if (!(change instanceof Change.Put put) || put.value().path("o").isEmpty()) {
+      return;
+    }
+    for (JsonNode name : put.value().path("s").path("bidur_eftir")) {
+      JsonNode end = held("f/" + name.asText());
+      if (end == null || !end.path("s").asText().equals("done")) {
+        broken.add("too_early: " + put.key() + " starts before the end of " + name + " is held");
+      }
+    }
+  }
+
   /** Writes to the state service whatever its limits are, as it was written under earlier ones. */
   public void put(List<Change> changes) {
     store.txn(new Txn(Map.of(), changes));
