--- a/src/test/java/org/ternhinge/controller/PipelinesTest.java
+++ b/src/test/java/org/ternhinge/controller/PipelinesTest.java
@@ -752,6 +752,27 @@
     }
   }
 
+  /** Many ends and the urgent starts after them share few changes: no start goes before its end. */
+  @ParameterizedTest(name = "seed {0}, late writes {1}")
+  @CsvSource({"411, 0", "412, 0", "413, 0.3", "414, 0.3"})
+  void manyEndsAndUrgentStartsAtOnce(long seed, double late) {
+    begin(seed, 0, new World.Size(3, 10, 200, 30));
+    world.troubles.lowerLimits();
+    for (int i = 0; i < 24; i++) {
+      JobId first = submit("wk-1" + String.format("%02d", i), 1, 20);
+      ObjectNode body = job("wk-2" + String.format("%02d", i), 1, 5, List.of(first));
+      users.submitAfterNamed(body.put("forgang", "production"));
+    }
+    run(18);
+    world.troubles.lateWrites(late, 60);
+    run(120);
+    users.quiet();
+    run(60);
+    nothingBroken();
+    assertEquals(48, users.accepted().size());
+    users.accepted().forEach(id -> assertEquals("done", users.lastTold(id), id.value()));
+  }
+
   // ---- smaller limits ---------------------------------------------------------------------------
 
   /**
