--- a/src/main/java/org/ternhinge/controller/Node.java
+++ b/src/main/java/org/ternhinge/controller/Node.java
@@ -287,6 +287,30 @@
       unlessKnown(id, error(422, against), answer);
       return;
     }
+    String leader = otherLeader();
+    if (spec.dependencies().isEmpty()
+        || fromPeer
+        || leader == null
+        || !election.leaderKnowsDependencies()) {
+      accept(spec, request, fromPeer, answer);
+      return;
+    }
+    // The leader knows from memory what this node would have to read. If its answer is lost and it
+    // has accepted the job, the record is found to stand already.
+    askLeader(
+        leader,
+        request,
+        ASK_S,
+        r -> {
+          if (r.status() == 503) {
+            locked(() -> accept(spec, request, false, answer));
+          } else {
+            answer.accept(r);
+          }
+        });
+  }
+
+  private void accept(JobSpec spec, Request request, boolean fromPeer, Consumer<Response> answer) {
     afterDependencies(
         spec,
         new ArrayDeque<>(spec.dependencies()),
@@ -386,7 +410,9 @@
                       } else if (o != null && o.isBecause(Reason.CONFLICT)) {
                         unlessKnown(id, Response.busy(RETRY_AFTER_S), answer);
                       } else if (o instanceof Outcome.NotApplied) {
-                        passOn(request, fromPeer, answer);
+                        // One with dependencies has been to the leader before.
+                        boolean mayPass = spec.dependencies().isEmpty() && !fromPeer;
+                        passOn(request, !mayPass, answer);
                       } else if (tries > 1) {
                         // Lost answer: the same again; if the first was carried out, its record is
                         // found to stand already.
--- a/src/main/java/org/ternhinge/election/Election.java
+++ b/src/main/java/org/ternhinge/election/Election.java
@@ -38,6 +38,9 @@
   private static final double LOOK_AGAIN_S = 0.5;
   private static final double FOLLOW_S = 15;
 
+  /** In the leader's key; a version that doesn't know the field ignores it. */
+  private static final String KNOWS_DEPENDENCIES = "deps";
+
   /** Hears of changes; called under the lock. */
   public interface Listener {
     void elected(Authority authority);
@@ -56,6 +59,7 @@
   private Listener listener;
 
   private String leaderNode;
+  private boolean leaderKnowsDependencies;
   private Held held;
 
   public Election(
@@ -86,6 +90,14 @@
     return held != null ? node : leaderNode;
   }
 
+  /**
+   * Whether the leader is of a version that knows dependent jobs, by its own word; the version
+   * before them would accept one without what it depends on.
+   */
+  public boolean leaderKnowsDependencies() {
+    return leaderKnowsDependencies;
+  }
+
   /** Whether this node leads and its leadership certainly holds. */
   public boolean valid() {
     return held != null && held.valid();
@@ -160,6 +172,7 @@
       return;
     }
     leaderNode = who;
+    leaderKnowsDependencies = entry.value().path(KNOWS_DEPENDENCIES).asBoolean();
     follow(entry.revision());
   }
 
@@ -182,6 +195,7 @@
       if (change.key().equals(Keys.LEADER)) {
         gone = change.value() == null;
         leaderNode = gone ? null : change.value().path("node").asText();
+        leaderKnowsDependencies = !gone && change.value().path(KNOWS_DEPENDENCIES).asBoolean();
       }
     }
     if (gone) {
@@ -231,7 +245,7 @@
     conditions.put(Keys.TERM, termRevision);
     conditions.put(Keys.LEADER, leaderRevision);
     ObjectNode leader = Json.object().put("node", node).put("inc", incarnation);
-    leader.put("term", term.value());
+    leader.put("term", term.value()).put(KNOWS_DEPENDENCIES, true);
     JsonNode termValue = Json.object().put("n", term.value()).put("inc", incarnation);
     List<Change> changes =
         List.of(
--- a/src/main/java/org/ternhinge/limit/Lane.java
+++ b/src/main/java/org/ternhinge/limit/Lane.java
@@ -7,9 +7,9 @@
   RENEWAL(0),
   CANCEL(0.05),
   ACCEPT(0.08),
-  ATTEMPT(0.15),
-  ENDING(0.2),
-  BOOKKEEPING(0.3),
+  ATTEMPT(0.25),
+  ENDING(0.3),
+  BOOKKEEPING(0.35),
   QUERY(0.4);
 
   private final double reserve;
