Urgent opens before others; a service's record is cut anew in one transaction; pipelines against packaged processes

The literal of the leader's record gains the field that says so, and rows for a leader with and without it.

--- a/src/main/java/org/ternhinge/ledger/Job.java
+++ b/src/main/java/org/ternhinge/ledger/Job.java
@@ -41,6 +41,7 @@
   private long readyMillis;
   private boolean cancelledByDependency;
   private int specBytes;
+  private boolean recutWanted;
 
   Job(JobSpec spec, long acceptedMillis, int pieceSize) {
     this.spec = spec;
@@ -119,9 +120,19 @@
     return specBytes;
   }
 
-  /** Cuts the record anew, which is possible only while nothing is in any piece but the first. */
+  /** Cuts the record anew; the next write has to carry all of it, or nothing is in it yet. */
   void recut(int size) {
     pieceSize = size;
+    recutWanted = false;
+  }
+
+  /** Whether tasks wait for the record to be cut anew. */
+  boolean recutWanted() {
+    return recutWanted;
+  }
+
+  void recutWanted(boolean wanted) {
+    recutWanted = wanted;
   }
 
   public int pieces() {
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -22,7 +22,6 @@
 import org.ternhinge.model.TaskId;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
-import org.ternhinge.wire.Priority;
 import org.ternhinge.wire.TaskReport;
 
 /**
@@ -128,9 +127,28 @@
     }
     PieceRoom room = new PieceRoom(job, valueBytes);
     AttemptNumber number = job.highest().next();
-    return placements.stream()
-        .filter(p -> room.take(p.index(), number, p.site().machine(), p.site().session()))
-        .toList();
+    List<Placement> fits =
+        placements.stream()
+            .filter(p -> room.take(p.index(), number, p.site().machine(), p.site().session()))
+            .toList();
+    if (fits.size() < placements.size() && mayRecut(job)) {
+      // Nothing of a service ends by itself, so waiting for room in a large piece could be for
+      // ever.
+      job.recutWanted(true);
+      job.dirty().set(0);
+      dirty(job);
+    }
+    return fits;
+  }
+
+  /**
+   * Whether a record was cut into larger pieces than it would be now, and can be cut as a whole.
+   */
+  boolean mayRecut(Job job) {
+    return RecordCodec.pieceSize(job.spec(), valueBytes) < job.pieceSize()
+        && job.folded().isEmpty()
+        && job.inFlight().isEmpty()
+        && !job.over();
   }
 
   /**
@@ -138,14 +156,12 @@
    * stands in them but in the first, so that the next write of that one cuts it anew.
    */
   private void recut(Job job) {
-    int size = RecordCodec.pieceSize(job.spec(), valueBytes);
     if (job.spec().isGang()
-        && size < job.pieceSize()
+        && mayRecut(job)
         && job.openMap().isEmpty()
         && job.livePieces().isEmpty()
-        && job.folded().isEmpty()
         && !PieceRoom.always(job, valueBytes)) {
-      job.recut(size);
+      job.recut(RecordCodec.pieceSize(job.spec(), valueBytes));
       job.dirty().clear();
       job.dirty().set(0);
     }
@@ -372,6 +388,7 @@
     CANCELS,
     PRODUCTION_OPENS,
     ENDS,
+    HIGH_OPENS,
     OPENS,
     ENDINGS
   }
@@ -415,9 +432,11 @@
     if (!job.opening()) {
       return Urgency.ENDINGS;
     }
-    return job.planned().priority() == Priority.PRODUCTION
-        ? Urgency.PRODUCTION_OPENS
-        : Urgency.OPENS;
+    return switch (job.planned().priority()) {
+      case PRODUCTION -> Urgency.PRODUCTION_OPENS;
+      case HIGH -> Urgency.HIGH_OPENS;
+      default -> Urgency.OPENS;
+    };
   }
 
   private void dirty(Job job) {
--- a/src/main/java/org/ternhinge/ledger/LedgerWriter.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -98,6 +98,10 @@
   private final Map<String, Extra> extras = new LinkedHashMap<>();
   private final Map<String, Revision> extraRevisions = new HashMap<>();
   private Batch batch;
+
+  /** A job whose record is cut anew before anything else, since that takes a batch of its own. */
+  private Job recutNext;
+
   private boolean busy;
   private boolean looking;
   private boolean stopped;
@@ -359,10 +363,24 @@
   private Batch build(int limit) {
     Batch b = new Batch(limit);
     b.conditions.put(Keys.TERM, authority.termRevision());
+    if (recutNext != null) {
+      Job job = recutNext;
+      int size = RecordCodec.pieceSize(job.spec(), ledger.valueBytes());
+      // While tokens are short it waits for its turn, which comes before everything else's.
+      if (!ledger.mayRecut(job)) {
+        recutNext = null;
+      } else if (pieces(job, size) <= b.limit) {
+        recutNext = null;
+        recut(b, job, size);
+      }
+      if (!b.changes.isEmpty()) {
+        return b;
+      }
+    }
     SteadyTime now = clock.now();
     List<List<Job>> queues = ledger.takeDirty(now.plusSeconds(-GATHER_S), now.plusSeconds(-LATE_S));
     for (Ledger.Urgency urgency : Ledger.Urgency.values()) {
-      if (urgency == Ledger.Urgency.OPENS && !addExtras(b)) {
+      if (urgency == Ledger.Urgency.HIGH_OPENS && !addExtras(b)) {
         break;
       }
       boolean full = false;
@@ -409,6 +427,9 @@
     }
     BitSet dirty = job.dirty();
     boolean whole = true;
+    if (job.recutWanted()) {
+      wantRecut(job);
+    }
     for (int p = dirty.nextSetBit(0); p >= 0; p = dirty.nextSetBit(p + 1)) {
       if (b.changes.size() >= b.limit) {
         return false;
@@ -426,8 +447,9 @@
         int bytes = Json.bytes(value).length;
         if (bytes > ledger.valueBytes()) {
           // Laid down under a larger limit, by admission nothing else is: it can be written again
-          // once enough of its attempts have ended. Until then the state service holds more of them
-          // than there are, which is the safe side.
+          // once enough of its attempts have ended, or cut anew. Until then the state service holds
+          // more of them than there are, which is the safe side.
+          wantRecut(job);
           whole = false;
           continue;
         }
@@ -449,6 +471,50 @@
     return true;
   }
 
+  private void wantRecut(Job job) {
+    job.recutWanted(false);
+    int pieces = pieces(job, RecordCodec.pieceSize(job.spec(), ledger.valueBytes()));
+    if (recutNext == null && ledger.mayRecut(job) && pieces <= txnOps) {
+      recutNext = job;
+    }
+  }
+
+  private static int pieces(Job job, int size) {
+    return (job.spec().tasks() + size - 1) / size;
+  }
+
+  /**
+   * Cuts a record into smaller pieces, all in one transaction: how many tasks a piece is for stands
+   * in the first, so that a leader that came in between would read the others wrongly. Smaller
+   * pieces are more, so each of the old ones is written over. Left as it is where a piece would
+   * still be too large: an array has more open attempts then than its admission allows, and they
+   * end.
+   */
+  private void recut(Batch b, Job job, int size) {
+    int before = job.pieceSize();
+    job.recut(size);
+    List<ObjectNode> values = new ArrayList<>();
+    for (int p = 0; p < job.pieces(); p++) {
+      ObjectNode value = RecordCodec.encode(job, p);
+      if (Json.bytes(value).length > ledger.valueBytes()) {
+        job.recut(before);
+        return;
+      }
+      values.add(value);
+    }
+    for (int p = 0; p < job.pieces(); p++) {
+      ObjectNode value = values.get(p);
+      String key = Keys.piece(job.spec().id(), p);
+      b.bytes += Json.bytes(value).length + key.length() + 80;
+      b.changes.add(new Change.Put(key, value, 0));
+      b.conditions.put(key, job.revision(p));
+      b.parts.add(new Part(job, p, p == 0 && job.cancelled(), false, opensIn(job, p)));
+    }
+    job.dirty().clear();
+    job.inFlight().set(0, job.pieces());
+    ledger.clean(job);
+  }
+
   private static List<Attempt> opensIn(Job job, int piece) {
     List<Attempt> out = new ArrayList<>();
     for (Attempt a : job.openAttempts()) {
--- a/src/test/java/org/ternhinge/cli/LoopbackIT.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackIT.java
@@ -135,6 +135,19 @@
       assertEquals(200, status(0, "GET", "/healthz", null), "a stalled client stops nobody");
     }
 
+    ObjectNode second = Specs.json("wk-000003", "batch", 3);
+    second.putArray("bidur_eftir").add("wk-000001");
+    ObjectNode third = Specs.json("wk-000004", "group", 2);
+    third.putArray("bidur_eftir").add("wk-000001").add("wk-000003");
+    ObjectNode lost = Specs.json("wk-000005", "batch", 3);
+    lost.putArray("bidur_eftir").add("wk-000099");
+    ObjectNode noList = Specs.json("wk-000006", "batch", 3).put("bidur_eftir", "wk-000001");
+    until("422", () -> status(1, "POST", "/submissions", Json.bytes(lost)) == 422);
+    assertEquals(400, status(1, "POST", "/submissions", Json.bytes(noList)));
+    until("the next one", () -> status(1, "POST", "/submissions", Json.bytes(second)) == 201);
+    until("the last one", () -> status(2, "POST", "/submissions", Json.bytes(third)) == 201);
+    until("it waits", () -> body(0, "/submissions/wk-000004").contains("queued"));
+
     int leader = leader();
     processes.get(leader).destroyForcibly().waitFor();
     int other = (leader + 1) % 3;
@@ -143,13 +156,23 @@
     until(
         "the job is cancelled",
         () -> status(other, "POST", "/submissions/wk-000001/cancel", null) == 200);
+    until(
+        "with it all that depend on it",
+        () ->
+            body(other, "/submissions/wk-000003").contains("cancelled")
+                && body(
+                        (other + 1) % 3 == leader ? other : (other + 1) % 3,
+                        "/submissions/wk-000004")
+                    .contains("cancelled"));
     for (Process p : processes) {
       p.destroyForcibly().waitFor();
     }
     processes.set(leader, start(leader));
     until(
         "one restarted process remembers",
-        () -> body(leader, "/submissions/wk-000001").contains("cancelled"));
+        () ->
+            body(leader, "/submissions/wk-000001").contains("cancelled")
+                && body(leader, "/submissions/wk-000004").contains("cancelled"));
     assertTrue(processes.get(leader).isAlive());
   }
 
--- a/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
@@ -344,8 +344,25 @@
     assertEquals(new Term(term), elected.get(0).term());
     String inc = Long.toHexString(new SplittableRandom(3).nextLong());
     assertEquals("{\"n\":" + term + ",\"inc\":\"" + inc + "\"}", value("term"));
+    // Production reads the node and the process, and ignores what it does not know.
     assertEquals(
-        "{\"node\":\"node-1\",\"inc\":\"" + inc + "\",\"term\":" + term + "}", value("leader"));
+        "{\"node\":\"node-1\",\"inc\":\"" + inc + "\",\"term\":" + term + ",\"deps\":true}",
+        value("leader"));
+  }
+
+  /** Only by its own word a leader knows dependent jobs; production would drop what they name. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "{\"node\":\"node-2\",\"inc\":\"5c0ffee\",\"term\":3} | false",
+        "{\"node\":\"node-2\",\"inc\":\"5c0ffee\",\"term\":3,\"deps\":true} | true"
+      })
+  void aLeaderSaysWhatItKnows(String leader, boolean knows) throws WireException {
+    put("leader", leader, core.grant(60_000));
+    Election election = election(new ArrayList<>());
+    assertEquals("node-2", election.leaderNode());
+    assertEquals(knows, election.leaderKnowsDependencies());
   }
 
   @Test
