Only a service asks for its record to be cut anew

An array's tasks end by themselves; a record that would not fit one transaction is not asked for again. The test fails without it in two rows of three.

--- a/src/main/java/org/ternhinge/ledger/Job.java
+++ b/src/main/java/org/ternhinge/ledger/Job.java
@@ -42,6 +42,7 @@
   private boolean cancelledByDependency;
   private int specBytes;
   private boolean recutWanted;
+  private boolean recutTooLarge;
 
   Job(JobSpec spec, long acceptedMillis, int pieceSize) {
     this.spec = spec;
@@ -135,6 +136,15 @@
     recutWanted = wanted;
   }
 
+  /** Whether its record, cut anew, would not fit one transaction. */
+  boolean recutTooLarge() {
+    return recutTooLarge;
+  }
+
+  void markRecutTooLarge() {
+    recutTooLarge = true;
+  }
+
   public int pieces() {
     return (spec.tasks() + pieceSize - 1) / pieceSize;
   }
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -131,9 +131,10 @@
         placements.stream()
             .filter(p -> room.take(p.index(), number, p.site().machine(), p.site().session()))
             .toList();
-    if (fits.size() < placements.size() && mayRecut(job)) {
+    if (fits.size() < placements.size() && job.spec().isService() && mayRecut(job)) {
       // Nothing of a service ends by itself, so waiting for room in a large piece could be for
       // ever.
+      // An array's tasks end: to write its first piece for this each round would only cost changes.
       job.recutWanted(true);
       job.dirty().set(0);
       dirty(job);
@@ -148,6 +149,7 @@
     return RecordCodec.pieceSize(job.spec(), valueBytes) < job.pieceSize()
         && job.folded().isEmpty()
         && job.inFlight().isEmpty()
+        && !job.recutTooLarge()
         && !job.over();
   }
 
--- a/src/main/java/org/ternhinge/ledger/LedgerWriter.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -474,7 +474,9 @@
   private void wantRecut(Job job) {
     job.recutWanted(false);
     int pieces = pieces(job, RecordCodec.pieceSize(job.spec(), ledger.valueBytes()));
-    if (recutNext == null && ledger.mayRecut(job) && pieces <= txnOps) {
+    if (pieces > txnOps) {
+      job.markRecutTooLarge();
+    } else if (recutNext == null && ledger.mayRecut(job)) {
       recutNext = job;
     }
   }
--- a/src/test/java/org/ternhinge/ledger/PieceRoomTest.java
+++ b/src/test/java/org/ternhinge/ledger/PieceRoomTest.java
@@ -117,6 +117,29 @@
     allFit(job, 2048);
   }
 
+  /**
+   * Tasks without room ask for a record cut anew only where that helps: a write in each round for
+   * nothing would take the changes that others wait for.
+   */
+  @ParameterizedTest(name = "{0} of {1} tasks: {2}")
+  @CsvSource({"daemon, 140, true", "batch, 1800, false", "batch, 140, false"})
+  void onlyAServiceAsksForItsRecordToBeCutAnew(String kind, int tasks, boolean asks) {
+    Ledger ledger = new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), 2048, new SimClock());
+    Job job = new Job(Specs.of(json(kind, tasks)), 1, 127);
+    ledger.adopt(job);
+    List<Placement> all = new ArrayList<>();
+    for (int i = 0; i < 120; i++) {
+      all.add(new Placement(i, site(i)));
+    }
+    assertTrue(ledger.whatFits(job, all).size() < all.size());
+    assertEquals(asks, ledger.hasDirty());
+    assertEquals(asks, job.recutWanted());
+    job.markRecutTooLarge();
+    job.recutWanted(false);
+    ledger.whatFits(job, all);
+    assertFalse(job.recutWanted(), "nor where it can't be");
+  }
+
   @Test
   void aDescriptionThatLeavesNoRoomIsRefused() {
     ObjectNode json = json("batch", 100);
