--- a/src/test/java/org/ternhinge/ledger/DependenciesTest.java
+++ b/src/test/java/org/ternhinge/ledger/DependenciesTest.java
@@ -16,12 +16,11 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.config.Team;
 import org.ternhinge.ledger.Ledger.Placement;
+import org.ternhinge.model.AttemptNumber;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
-import org.ternhinge.model.Resources;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.Session;
-import org.ternhinge.model.SteadyTime;
 import org.ternhinge.sim.SimClock;
 import org.ternhinge.sim.Specs;
 import org.ternhinge.wire.JobSpec;
@@ -63,16 +62,7 @@
   }
 
   private String admitted(Job job) {
-    Site site =
-        new Site(
-            new MachineId("n-1"),
-            new Session(1),
-            "small",
-            0,
-            "east",
-            false,
-            Resources.offer(8, 0, 64));
-    List<Placement> one = List.of(new Placement(0, site));
+    List<Placement> one = List.of(new Placement(0, Sites.on("n-1", 1)));
     return ledger.admit(job, one, t -> false);
   }
 
@@ -132,17 +122,15 @@
     assertEquals(expected, states());
   }
 
-  /** A cancelled job with a task that has yet to go, so that it is not over. */
+  /** A job with a task that has yet to go, so that it is not over when cancelled. */
   private Job open(String name) {
     Job job = jobs.get(name);
-    var number = job.highest().next();
-    job.highest(number);
-    MachineId machine = new MachineId("n-7");
-    SteadyTime now = clock.now();
     if (!job.waits()) {
-      job.openMap().put(0, new Attempt(job, 0, number, machine, new Session(1), 0, true, now));
-    } else {
-      job.highest(org.ternhinge.model.AttemptNumber.NONE);
+      AttemptNumber number = job.highest().next();
+      job.highest(number);
+      MachineId machine = new MachineId("n-7");
+      job.openMap()
+          .put(0, new Attempt(job, 0, number, machine, new Session(1), 0, true, clock.now()));
     }
     return job;
   }
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -15,11 +15,8 @@
 import org.ternhinge.config.Team;
 import org.ternhinge.ledger.Ledger.Placement;
 import org.ternhinge.limit.Lane;
-import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
-import org.ternhinge.model.Resources;
 import org.ternhinge.model.Revision;
-import org.ternhinge.model.Session;
 import org.ternhinge.model.Term;
 import org.ternhinge.sim.SimClock;
 import org.ternhinge.sim.Specs;
@@ -158,15 +155,7 @@
   }
 
   private void open(Job job, int from, int to) {
-    Site site =
-        new Site(
-            new MachineId("n-1"),
-            new Session(1),
-            "small",
-            0,
-            "east",
-            false,
-            Resources.offer(8, 0, 64));
+    Site site = Sites.on("n-1", 1);
     List<Placement> places = new ArrayList<>();
     for (int i = from; i < to; i++) {
       places.add(new Placement(i, site));
--- a/src/test/java/org/ternhinge/ledger/PieceRoomTest.java
+++ b/src/test/java/org/ternhinge/ledger/PieceRoomTest.java
@@ -14,9 +14,6 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.config.Team;
 import org.ternhinge.ledger.Ledger.Placement;
-import org.ternhinge.model.MachineId;
-import org.ternhinge.model.Resources;
-import org.ternhinge.model.Session;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.sim.SimClock;
 import org.ternhinge.sim.Specs;
@@ -34,14 +31,7 @@
   }
 
   private static Site site(int machine) {
-    return new Site(
-        new MachineId(String.format("n-%06d", 990_000 + machine)),
-        new Session(1234),
-        "small",
-        0,
-        "east",
-        false,
-        Resources.offer(8, 0, 64));
+    return Sites.on(String.format("n-%06d", 990_000 + machine), 1234);
   }
 
   private static void allFit(Job job, int valueBytes) {
--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/Sites.java
@@ -0,0 +1,21 @@
+package org.ternhinge.ledger;
+
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.Session;
+
+/** Where tests place tasks: a small ordinary machine in the first zone. */
+final class Sites {
+  private Sites() {}
+
+  static Site on(String machine, long session) {
+    return new Site(
+        new MachineId(machine),
+        new Session(session),
+        "small",
+        0,
+        "east",
+        false,
+        Resources.offer(8, 0, 64));
+  }
+}
