--- a/src/main/java/org/ternhinge/cli/Rehearsal.java
+++ b/src/main/java/org/ternhinge/cli/ClassDataTraining.java
@@ -23,13 +23,13 @@
  * A short run of the service on loopback, with nothing behind it, so that the build can archive the
  * classes that a start needs: a process with a sixth of a core reads them several times faster.
  */
-final class Rehearsal {
+final class ClassDataTraining {
   private static final String REPORT =
       "{\"vel\":\"n-1\",\"endpoint\":\"127.0.0.1:1\",\"velagerd\":\"t\",\"svaedi\":\"z\","
           + "\"lanvelar\":false,\"vakt\":1,\"raodnumer\":1,\"valdmerki\":0,\"verkbitar\":["
           + "{\"verkbiti\":\"wk-1/0\",\"tilraun\":1,\"astand\":\"running\"}]}";
 
-  private Rehearsal() {}
+  private ClassDataTraining() {}
 
   static void run() throws IOException, InterruptedException, WireException {
     int client = freePort();
--- a/src/main/java/org/ternhinge/cli/Main.java
+++ b/src/main/java/org/ternhinge/cli/Main.java
@@ -79,7 +79,7 @@
       hidden = true,
       description = "Runs for two seconds on loopback; the build archives the classes it loads.")
   int rehearse() throws IOException, InterruptedException, WireException {
-    Rehearsal.run();
+    ClassDataTraining.run();
     System.exit(0);
     return 0;
   }
--- a/src/main/java/org/ternhinge/cli/Service.java
+++ b/src/main/java/org/ternhinge/cli/Service.java
@@ -16,8 +16,8 @@
 import org.ternhinge.cloud.HttpCloud;
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Tuning;
-import org.ternhinge.controller.Lead;
-import org.ternhinge.controller.Node;
+import org.ternhinge.controller.ControllerNode;
+import org.ternhinge.controller.Leadership;
 import org.ternhinge.election.Election;
 import org.ternhinge.http.HttpCaller;
 import org.ternhinge.http.HttpServer;
@@ -63,7 +63,7 @@
     TokenBucket requests = new TokenBucket(clock, rps * follower);
     TokenBucket writes = new TokenBucket(clock, writeRps * follower);
     TokenBucket cloudTokens = new TokenBucket(clock, settings.cloudLimits().rps() * 0.8);
-    Node.Share share =
+    ControllerNode.Share share =
         leading -> {
           requests.setRate(rps * (leading ? LEADER_SHARE : follower));
           writes.setRate(writeRps * (leading ? LEADER_SHARE : follower));
@@ -73,8 +73,8 @@
     long seed = System.nanoTime() ^ (System.currentTimeMillis() << 20);
     SplittableRandom random = new SplittableRandom(seed * 31 + settings.node().hashCode());
     PeerLink link = new PeerLink(loop, settings.peers());
-    Lead.Surroundings around =
-        new Lead.Surroundings(
+    Leadership.Surroundings around =
+        new Leadership.Surroundings(
             settings,
             tuning,
             store,
@@ -93,8 +93,8 @@
             Election.grace(tuning, settings.workers()),
             lock,
             random);
-    Node node = new Node(around, election, new Peers(link), share);
-    new HttpServer(group, node::handle, sockets, Node.WORKERS_PATH, http)
+    ControllerNode node = new ControllerNode(around, election, new Peers(link), share);
+    new HttpServer(group, node::handle, sockets, ControllerNode.WORKERS_PATH, http)
         .listen(settings.clientListen());
     link.listen(settings.peerListen(), node::handlePeer);
     node.start();
@@ -102,7 +102,7 @@
     Thread.currentThread().join();
   }
 
-  private record Peers(PeerLink link) implements Node.Peers {
+  private record Peers(PeerLink link) implements ControllerNode.Peers {
     @Override
     public void ask(String node, Request request, double timeoutS, Consumer<Response> answer) {
       link.ask(node, request, timeoutS, answer);
--- a/src/main/java/org/ternhinge/cloud/HttpCloud.java
+++ b/src/main/java/org/ternhinge/cloud/HttpCloud.java
@@ -5,7 +5,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.ternhinge.http.HttpCaller;
 import org.ternhinge.http.Reply;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.limit.TokenBucket;
 import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.MachineId;
@@ -37,7 +37,7 @@
   }
 
   private <T> CompletableFuture<Outcome<T>> send(
-      String method, String path, byte[] body, Lane lane, Reader<T> reader) {
+      String method, String path, byte[] body, RequestPriority lane, Reader<T> reader) {
     if (!tokens.tryTake(lane, 1)) {
       return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, "no tokens"));
     }
@@ -74,25 +74,26 @@
 
   @Override
   public CompletableFuture<Outcome<List<Flavor>>> flavors() {
-    return send("GET", "/flavors", null, Lane.QUERY, Flavor::readAll);
+    return send("GET", "/flavors", null, RequestPriority.QUERY, Flavor::readAll);
   }
 
   /** A CONFLICT stands for "no capacity", REFUSED for an outage. */
   @Override
   public CompletableFuture<Outcome<List<MachineId>>> rent(RentalRequest request) {
     byte[] body = Json.bytes(request.write());
-    return send("POST", "/hosts", body, Lane.ATTEMPT, RentalRequest::readAnswer);
+    return send("POST", "/hosts", body, RequestPriority.ATTEMPT, RentalRequest::readAnswer);
   }
 
   @Override
   public CompletableFuture<Outcome<Integer>> release(List<MachineId> machines) {
     byte[] body = RentalRequest.release(machines);
-    return send("POST", "/hosts/release", body, Lane.BOOKKEEPING, b -> machines.size());
+    return send("POST", "/hosts/release", body, RequestPriority.BOOKKEEPING, b -> machines.size());
   }
 
   @Override
   public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
     String from = after == null ? "" : "from=" + after.value() + "&";
-    return send("GET", "/hosts?" + from + "page=" + limit, null, Lane.QUERY, HostInfo::readPage);
+    return send(
+        "GET", "/hosts?" + from + "page=" + limit, null, RequestPriority.QUERY, HostInfo::readPage);
   }
 }
--- a/src/main/java/org/ternhinge/controller/Arrivals.java
+++ b/src/main/java/org/ternhinge/controller/ArrivalRates.java
@@ -14,7 +14,7 @@
  * How often jobs of a class arrive, so that room can be kept for those whose users expect a start
  * sooner than a machine comes up.
  */
-final class Arrivals {
+final class ArrivalRates {
   /** Arrivals are counted over this time; long against a boot, short against a day. */
   private static final double WINDOW_S = 180;
 
@@ -26,7 +26,7 @@
   private final Map<String, Double> withinS = new HashMap<>();
   private final Map<String, ArrayDeque<Arrival>> recent = new HashMap<>();
 
-  Arrivals(List<Objective> objectives) {
+  ArrivalRates(List<Objective> objectives) {
     for (Objective o : objectives) {
       if (o.kind().equals("wait") && o.jobClass() != null) {
         withinS.merge(o.jobClass(), o.withinS(), Math::min);
--- a/src/main/java/org/ternhinge/controller/Orders.java
+++ b/src/main/java/org/ternhinge/controller/CommandDispatcher.java
@@ -27,13 +27,13 @@
  * Tells workers what to do: by direct orders, one at a time to a machine, and by the answers to
  * their reports. A direct start whose answer is lost stays a stray until nothing of it can arrive.
  */
-final class Orders {
+final class CommandDispatcher {
   private static final int MAX_COMMANDS = 400;
 
   /** A machine that owes so many reports is not told anything directly. */
   private static final double SILENT_REPORTS = 2.5;
 
-  private final Lead lead;
+  private final Leadership lead;
   private final Settings settings;
   private final Workers workers;
   private final Clock clock;
@@ -49,7 +49,8 @@
   /** Machines with something to be told, until an order under way has come back. */
   private final LinkedHashSet<Machine> queue = new LinkedHashSet<>();
 
-  Orders(Lead lead, Lead.Surroundings around, Authority authority, Ledger ledger) {
+  CommandDispatcher(
+      Leadership lead, Leadership.Surroundings around, Authority authority, Ledger ledger) {
     this.lead = lead;
     this.settings = around.settings();
     this.workers = around.workers();
--- a/src/main/java/org/ternhinge/controller/Hearing.java
+++ b/src/main/java/org/ternhinge/controller/CommandReachability.java
@@ -7,7 +7,7 @@
  * reach it: then the leader would count its lease from answers that nobody heard, place tasks there
  * and wait for starts that never show.
  */
-final class Hearing {
+final class CommandReachability {
   /** Answers in a row that had no effect; one may be lost on a healthy way. */
   private static final int DEAF_AFTER = 3;
 
--- a/src/main/java/org/ternhinge/controller/Node.java
+++ b/src/main/java/org/ternhinge/controller/ControllerNode.java
@@ -21,7 +21,7 @@
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.ledger.LedgerLoader;
 import org.ternhinge.ledger.RecordCodec;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
@@ -43,8 +43,8 @@
  * Any node accepts jobs by itself, straight into the state service; cancels and progress are the
  * leader's, and what the leader can't be asked is read from the state service.
  */
-public final class Node {
-  private static final Logger LOG = LoggerFactory.getLogger(Node.class);
+public final class ControllerNode {
+  private static final Logger LOG = LoggerFactory.getLogger(ControllerNode.class);
 
   /** Where workers report. */
   public static final String WORKERS_PATH = "/agent/beat";
@@ -69,28 +69,29 @@
     void leads(boolean leading);
   }
 
-  private final Lead.Surroundings around;
+  private final Leadership.Surroundings around;
   private final Lock lock;
   private final StateStore store;
   private final Election election;
   private final Peers peers;
   private final Share share;
   private final Map<String, Flavor> flavors = new LinkedHashMap<>();
-  private final Lookup lookup;
-  private final Detours detours = new Detours();
-  private final Contact contact;
-  private Lead lead;
+  private final JobLookup lookup;
+  private final ReportRelay detours = new ReportRelay();
+  private final NodeConnectivity contact;
+  private Leadership lead;
 
-  public Node(Lead.Surroundings around, Election election, Peers peers, Share share) {
+  public ControllerNode(
+      Leadership.Surroundings around, Election election, Peers peers, Share share) {
     this.around = around;
     this.lock = around.lock();
     this.store = around.store();
     this.election = election;
     this.peers = peers;
     this.share = share;
-    this.lookup = new Lookup(store);
+    this.lookup = new JobLookup(store);
     List<String> others = List.copyOf(around.settings().peers().keySet());
-    this.contact = new Contact(store, peers, others, around.clock(), lock);
+    this.contact = new NodeConnectivity(store, peers, others, around.clock(), lock);
   }
 
   public void start() {
@@ -101,14 +102,14 @@
           @Override
           public void elected(Authority authority) {
             share.leads(true);
-            lead = new Lead(around, authority, flavors.values());
+            lead = new Leadership(around, authority, flavors.values());
             lead.start();
           }
 
           @Override
           public void deposed(String why) {
             share.leads(false);
-            Lead over = lead;
+            Leadership over = lead;
             lead = null;
             over.stop();
           }
@@ -145,7 +146,7 @@
   /** A copy in the state service spares a node that starts the wait for a cloud that is down. */
   private void loadFlavors() {
     store
-        .get(Keys.FLAVORS, Lane.BOOKKEEPING)
+        .get(Keys.FLAVORS, RequestPriority.BOOKKEEPING)
         .whenComplete(
             (o, e) ->
                 locked(
@@ -178,7 +179,7 @@
                             new Txn(
                                 Map.of(Keys.FLAVORS, Revision.NONE),
                                 List.of(new Change.Put(Keys.FLAVORS, value, 0))),
-                            Lane.BOOKKEEPING);
+                            RequestPriority.BOOKKEEPING);
                       } else {
                         later(1, this::loadFlavors);
                       }
@@ -361,13 +362,13 @@
                 }));
   }
 
-  private void findDependency(JobId id, Consumer<Optional<Lookup.Found>> then) {
+  private void findDependency(JobId id, Consumer<Optional<JobLookup.Found>> then) {
     JobState known = leads() ? lead.stateOf(id) : null;
     if (known != null) {
       Job job = lead.job(id);
-      then.accept(Optional.of(new Lookup.Found(known, job != null && job.spec().isService())));
+      then.accept(Optional.of(new JobLookup.Found(known, job != null && job.spec().isService())));
     } else {
-      lookup.find(id, Lane.ACCEPT, then);
+      lookup.find(id, RequestPriority.ACCEPT, then);
     }
   }
 
@@ -398,7 +399,7 @@
     none.put(Keys.end(id), Revision.NONE);
     Txn txn = new Txn(none, List.of(new Change.Put(Keys.job(id), record, 0)));
     store
-        .txn(txn, Lane.ACCEPT)
+        .txn(txn, RequestPriority.ACCEPT)
         .whenComplete(
             (o, e) ->
                 locked(
@@ -501,8 +502,8 @@
   private void lookup(JobId id, Consumer<Optional<JobState>> then) {
     lookup.find(
         id,
-        Lane.QUERY,
-        found -> then.accept(found == null ? null : found.map(Lookup.Found::state)));
+        RequestPriority.QUERY,
+        found -> then.accept(found == null ? null : found.map(JobLookup.Found::state)));
   }
 
   // ---- cancels ----------------------------------------------------------------------------------
--- a/src/main/java/org/ternhinge/controller/EndReads.java
+++ b/src/main/java/org/ternhinge/controller/DependencyResolver.java
@@ -5,7 +5,7 @@
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.ledger.RecordCodec;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.state.Entry;
@@ -15,18 +15,18 @@
  * Reads how jobs ended that others wait for and that ended before this leadership, or too long ago
  * to be remembered. Each is read once however many wait for it, and only a few at a time.
  */
-final class EndReads {
+final class DependencyResolver {
   private static final int MOST = 8;
 
   /** A job that is nowhere yet has just been accepted by another node; the watch will bring it. */
   private static final double AGAIN_S = 0.5;
 
-  private final Lead lead;
+  private final Leadership lead;
   private final StateStore store;
   private final Ledger ledger;
   private int underWay;
 
-  EndReads(Lead lead, StateStore store, Ledger ledger) {
+  DependencyResolver(Leadership lead, StateStore store, Ledger ledger) {
     this.lead = lead;
     this.store = store;
     this.ledger = ledger;
@@ -42,7 +42,7 @@
       }
       underWay++;
       store
-          .get(Keys.end(id), Lane.ENDING)
+          .get(Keys.end(id), RequestPriority.ENDING)
           .whenComplete((o, e) -> lead.locked(() -> answered(id, o)));
     }
   }
--- a/src/main/java/org/ternhinge/controller/Trouble.java
+++ b/src/main/java/org/ternhinge/controller/JobFailures.java
@@ -8,7 +8,7 @@
 import org.ternhinge.model.SteadyTime;
 
 /** What went wrong with a job's tasks, apart from any machine's fault. */
-final class Trouble {
+final class JobFailures {
   /**
    * How long a machine is avoided after a failure there. A machine that is sick is set aside for
    * itself; with the mark kept for ever, a job that fits few machines would wait beside free ones.
--- a/src/main/java/org/ternhinge/controller/Lookup.java
+++ b/src/main/java/org/ternhinge/controller/JobLookup.java
@@ -11,7 +11,7 @@
 import org.slf4j.LoggerFactory;
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.ledger.RecordCodec;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.state.Entry;
@@ -23,8 +23,8 @@
  * is cancelled as soon as one before it is, whatever its own record still says, so those before it
  * are read too; where they can't be, nothing is told.
  */
-final class Lookup {
-  private static final Logger LOG = LoggerFactory.getLogger(Lookup.class);
+final class JobLookup {
+  private static final Logger LOG = LoggerFactory.getLogger(JobLookup.class);
 
   /** Jobs before one that are read for one answer; the leader knows longer chains from memory. */
   private static final int MOST_READS = 64;
@@ -40,7 +40,7 @@
 
   private final StateStore store;
 
-  Lookup(StateStore store) {
+  JobLookup(StateStore store) {
     this.store = store;
   }
 
@@ -49,7 +49,7 @@
    *
    * @param then gets null when its state can't be told, and empty when the job does not exist
    */
-  void find(JobId id, Lane lane, Consumer<Optional<Found>> then) {
+  void find(JobId id, RequestPriority lane, Consumer<Optional<Found>> then) {
     read(
         id,
         lane,
@@ -66,12 +66,12 @@
   private final class Derivation {
     private final JobId id;
     private final Raw raw;
-    private final Lane lane;
+    private final RequestPriority lane;
     private final Consumer<Optional<Found>> then;
     private final Deque<JobId> todo = new ArrayDeque<>();
     private final Set<JobId> seen = new HashSet<>();
 
-    Derivation(JobId id, Raw raw, Lane lane, Consumer<Optional<Found>> then) {
+    Derivation(JobId id, Raw raw, RequestPriority lane, Consumer<Optional<Found>> then) {
       this.id = id;
       this.raw = raw;
       this.lane = lane;
@@ -117,7 +117,7 @@
    * A job moves from its record to its end in one transaction, so reading in this order can't miss
    * it.
    */
-  private void read(JobId id, Lane lane, Consumer<Optional<Raw>> then) {
+  private void read(JobId id, RequestPriority lane, Consumer<Optional<Raw>> then) {
     store
         .get(Keys.job(id), lane)
         .whenComplete(
@@ -137,7 +137,7 @@
             });
   }
 
-  private void readEnd(JobId id, Lane lane, Consumer<Optional<Raw>> then) {
+  private void readEnd(JobId id, RequestPriority lane, Consumer<Optional<Raw>> then) {
     store
         .get(Keys.end(id), lane)
         .whenComplete(
--- a/src/main/java/org/ternhinge/controller/Lead.java
+++ b/src/main/java/org/ternhinge/controller/Leadership.java
@@ -28,7 +28,7 @@
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.ledger.LedgerLoader;
 import org.ternhinge.ledger.LedgerWriter;
-import org.ternhinge.ledger.Site;
+import org.ternhinge.ledger.MachineAttributes;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
@@ -57,8 +57,8 @@
  * One leadership, from election to its end: recovery, reports, rounds, rentals. Everything it knows
  * dies with it; the next one starts from the state service. All methods run under the lock.
  */
-public final class Lead {
-  private static final Logger LOG = LoggerFactory.getLogger(Lead.class);
+public final class Leadership {
+  private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
   static final double DRIFT = Settings.DRIFT;
 
   private static final double FOLLOW_S = 20;
@@ -90,20 +90,20 @@
 
   private final Ledger ledger;
   private final LedgerWriter writer;
-  private final Views views;
+  private final SnapshotCache views;
   private final Map<MachineId, Machine> machines = new TreeMap<>();
 
   private final Set<MachineId> returned = new HashSet<>();
   private final Map<String, Flavor> flavors = new LinkedHashMap<>();
-  private final Map<JobId, Trouble> troubles = new HashMap<>();
+  private final Map<JobId, JobFailures> troubles = new HashMap<>();
   private final Map<Job, List<Consumer<JobState>>> cancelWaits = new LinkedHashMap<>();
   private final Rentals rentals;
-  private final Returns returns;
-  private final Listing listing;
-  private final Orders orders;
-  private final Reports reports;
-  private final Arrivals arrivals;
-  private final EndReads endReads;
+  private final MachineReleases returns;
+  private final MachineInventory listing;
+  private final CommandDispatcher orders;
+  private final ReportProcessor reports;
+  private final ArrivalRates arrivals;
+  private final DependencyResolver endReads;
   private final SteadyTime electedAt;
   private final SteadyTime silentBy;
 
@@ -133,7 +133,7 @@
       Executor scheduler,
       Metrics metrics) {}
 
-  Lead(Surroundings s, Authority authority, Collection<Flavor> known) {
+  Leadership(Surroundings s, Authority authority, Collection<Flavor> known) {
     this.settings = s.settings();
     this.tuning = s.tuning();
     this.authority = authority;
@@ -163,16 +163,17 @@
             lock,
             settings.stateLimits().txnOps(),
             this::nowDurable);
-    Slots rented = new Slots(writer, Keys.RENTALS, value);
-    Slots returning = new Slots(writer, Keys.RELEASES, value);
+    PackedRecords rented = new PackedRecords(writer, Keys.RENTALS, value);
+    PackedRecords returning = new PackedRecords(writer, Keys.RELEASES, value);
     this.rentals = new Rentals(this, cloud, rented, authority, clock, lock);
-    this.returns = new Returns(this, cloud, authority, lock, returning);
-    this.arrivals = new Arrivals(settings.objectives());
-    this.orders = new Orders(this, s, authority, ledger);
-    this.listing = new Listing(this, s, authority, orders, rentals, returns);
-    this.reports = new Reports(this, s, authority, ledger, flavors, troubles, rentals, orders);
-    this.views = new Views(s, authority, ledger, flavors, troubles);
-    this.endReads = new EndReads(this, store, ledger);
+    this.returns = new MachineReleases(this, cloud, authority, lock, returning);
+    this.arrivals = new ArrivalRates(settings.objectives());
+    this.orders = new CommandDispatcher(this, s, authority, ledger);
+    this.listing = new MachineInventory(this, s, authority, orders, rentals, returns);
+    this.reports =
+        new ReportProcessor(this, s, authority, ledger, flavors, troubles, rentals, orders);
+    this.views = new SnapshotCache(s, authority, ledger, flavors, troubles);
+    this.endReads = new DependencyResolver(this, store, ledger);
   }
 
   void stop() {
@@ -722,8 +723,8 @@
         boolean waits =
             !job.spec().isGang() && reports.ghost(new TaskId(p.job(), p.tasks().get(i)));
         if (m != null && !waits && views.placeable(m, now)) {
-          Site site =
-              new Site(
+          MachineAttributes site =
+              new MachineAttributes(
                   m.id,
                   m.session,
                   m.type,
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -62,7 +62,7 @@
 
   SteadyTime idleSince;
 
-  final Hearing hearing = new Hearing();
+  final CommandReachability hearing = new CommandReachability();
 
   /** The term that a report of it was last answered in, or null. */
   Term answered;
--- a/src/main/java/org/ternhinge/controller/Listing.java
+++ b/src/main/java/org/ternhinge/controller/MachineInventory.java
@@ -24,31 +24,31 @@
  * Reads the cloud's list again and again: machines nobody expected show in it, failed ones are
  * marked, and one that was listed and is missing for longer than the list may lag has been taken.
  */
-final class Listing {
-  private static final Logger LOG = LoggerFactory.getLogger(Listing.class);
+final class MachineInventory {
+  private static final Logger LOG = LoggerFactory.getLogger(MachineInventory.class);
 
   /** Of the orders that may still go out, one in so many may tell workers of the term. */
   private static final int GREETS_PART = 2;
 
-  private final Lead lead;
+  private final Leadership lead;
   private final Settings settings;
   private final Tuning tuning;
   private final Cloud cloud;
-  private final Orders orders;
+  private final CommandDispatcher orders;
   private final Clock clock;
   private final Authority authority;
   private final Rentals rentals;
-  private final Returns returns;
+  private final MachineReleases returns;
   private final List<HostInfo> listing = new ArrayList<>();
   private SteadyTime listingSince;
 
-  Listing(
-      Lead lead,
-      Lead.Surroundings around,
+  MachineInventory(
+      Leadership lead,
+      Leadership.Surroundings around,
       Authority authority,
-      Orders orders,
+      CommandDispatcher orders,
       Rentals rentals,
-      Returns returns) {
+      MachineReleases returns) {
     this.lead = lead;
     this.settings = around.settings();
     this.tuning = around.tuning();
@@ -127,7 +127,8 @@
     }
     // A machine stays listed until it is gone, and no list is older than twice the lag: one that
     // was listed earlier than that and is missing now has been taken.
-    double oldest = 2 * settings.cloudLimits().listLagS() * (1 + Lead.DRIFT) + tuning.marginS();
+    double oldest =
+        2 * settings.cloudLimits().listLagS() * (1 + Leadership.DRIFT) + tuning.marginS();
     for (Machine m : List.copyOf(lead.machines())) {
       if (m.listedAt != null
           && !shown.contains(m.id)
--- a/src/main/java/org/ternhinge/controller/Returns.java
+++ b/src/main/java/org/ternhinge/controller/MachineReleases.java
@@ -17,19 +17,20 @@
  * leader places anything on a machine that may vanish at any moment. All that are due go in one
  * call: the cloud takes few calls a second and up to a hundred names in each.
  */
-final class Returns {
+final class MachineReleases {
   private static final double RETRY_S = 1.5;
   private static final int MOST_NAMES = 100;
 
-  private final Lead lead;
+  private final Leadership lead;
   private final Cloud cloud;
   private final Authority authority;
   private final Lock lock;
-  private final Slots record;
+  private final PackedRecords record;
   private final LinkedHashSet<Machine> due = new LinkedHashSet<>();
   private boolean calling;
 
-  Returns(Lead lead, Cloud cloud, Authority authority, Lock lock, Slots record) {
+  MachineReleases(
+      Leadership lead, Cloud cloud, Authority authority, Lock lock, PackedRecords record) {
     this.lead = lead;
     this.cloud = cloud;
     this.authority = authority;
--- a/src/main/java/org/ternhinge/controller/Contact.java
+++ b/src/main/java/org/ternhinge/controller/NodeConnectivity.java
@@ -4,7 +4,7 @@
 import java.util.concurrent.locks.Lock;
 import org.ternhinge.http.Request;
 import org.ternhinge.ledger.Keys;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
@@ -17,7 +17,7 @@
  * as long as that lasts, so it must not count as healthy. An outage of the state service alone is
  * no reason: it meets all nodes, and while all are unhealthy nobody is served.
  */
-final class Contact {
+final class NodeConnectivity {
   private static final double TICK_S = 1;
 
   /** As long without an answer before one is asked for. */
@@ -29,7 +29,7 @@
   private static final double ASK_S = 0.8;
 
   private final StateStore store;
-  private final Node.Peers peers;
+  private final ControllerNode.Peers peers;
   private final List<String> names;
   private final Clock clock;
   private final Lock lock;
@@ -37,7 +37,8 @@
   private SteadyTime peer;
   private int next;
 
-  Contact(StateStore store, Node.Peers peers, List<String> names, Clock clock, Lock lock) {
+  NodeConnectivity(
+      StateStore store, ControllerNode.Peers peers, List<String> names, Clock clock, Lock lock) {
     this.store = store;
     this.peers = peers;
     this.names = names;
@@ -78,7 +79,7 @@
           SteadyTime now = clock.now();
           if (now.secondsSince(state) > QUIET_S) {
             store
-                .get(Keys.LEADER, Lane.BOOKKEEPING)
+                .get(Keys.LEADER, RequestPriority.BOOKKEEPING)
                 .whenComplete((o, e) -> locked(() -> stateSaid(o)));
             if (now.secondsSince(peer) > QUIET_S && !names.isEmpty()) {
               String name = names.get(next++ % names.size());
--- a/src/main/java/org/ternhinge/controller/Slots.java
+++ b/src/main/java/org/ternhinge/controller/PackedRecords.java
@@ -19,8 +19,8 @@
  * changes however much of it is new: with a record for each, the rentals of a start from nothing
  * took the changes that hundreds of services were waiting for.
  */
-final class Slots {
-  private static final Logger LOG = LoggerFactory.getLogger(Slots.class);
+final class PackedRecords {
+  private static final Logger LOG = LoggerFactory.getLogger(PackedRecords.class);
   private static final Pattern INDEX = Pattern.compile("0|[1-9][0-9]{0,3}");
 
   private static final class Slot {
@@ -59,7 +59,7 @@
    * @param prefix of the records' keys, which end in a number
    * @param valueBytes the most that a record may take
    */
-  Slots(LedgerWriter writer, String prefix, int valueBytes) {
+  PackedRecords(LedgerWriter writer, String prefix, int valueBytes) {
     this.writer = writer;
     this.prefix = prefix;
     this.valueBytes = valueBytes;
--- a/src/main/java/org/ternhinge/controller/Rentals.java
+++ b/src/main/java/org/ternhinge/controller/Rentals.java
@@ -57,9 +57,9 @@
     private double pauseS;
   }
 
-  private final Lead lead;
+  private final Leadership lead;
   private final Cloud cloud;
-  private final Slots record;
+  private final PackedRecords record;
   private final Authority authority;
   private final Clock clock;
   private final Lock lock;
@@ -67,7 +67,13 @@
   private final Map<String, Refusal> refusals = new HashMap<>();
   private long counter;
 
-  Rentals(Lead lead, Cloud cloud, Slots record, Authority authority, Clock clock, Lock lock) {
+  Rentals(
+      Leadership lead,
+      Cloud cloud,
+      PackedRecords record,
+      Authority authority,
+      Clock clock,
+      Lock lock) {
     this.lead = lead;
     this.cloud = cloud;
     this.record = record;
@@ -249,7 +255,7 @@
    * a good part of a zone is silent it is the way there, and a return just when the way is back
    * would cost a boot and the images of each.
    */
-  void expire(SteadyTime now, Returns returns) {
+  void expire(SteadyTime now, MachineReleases returns) {
     double lease = lead.settings().workers().leaseS();
     int[] all = new int[lead.settings().zones().size()];
     int[] silentThere = new int[all.length];
--- a/src/main/java/org/ternhinge/controller/Reports.java
+++ b/src/main/java/org/ternhinge/controller/ReportProcessor.java
@@ -29,8 +29,8 @@
  * Takes in what workers say of themselves, in the order in which they said it, and settles attempts
  * by it. A report that shows nothing new costs a comparison.
  */
-final class Reports {
-  private static final Logger LOG = LoggerFactory.getLogger(Reports.class);
+final class ReportProcessor {
+  private static final Logger LOG = LoggerFactory.getLogger(ReportProcessor.class);
 
   /** A session that ends so long before its lease can have ended was answered in vain. */
   private static final double LAPSE_S = 2;
@@ -38,7 +38,7 @@
   /** So many machines may seem deaf before that is taken for this node's own trouble. */
   private static final int MOST_DEAF = 3;
 
-  private final Lead lead;
+  private final Leadership lead;
   private final Settings settings;
   private final Tuning tuning;
   private final Clock clock;
@@ -46,9 +46,9 @@
   private final Authority authority;
   private final Ledger ledger;
   private final Map<String, Flavor> flavors;
-  private final Map<JobId, Trouble> troubles;
+  private final Map<JobId, JobFailures> troubles;
   private final Rentals rentals;
-  private final Orders orders;
+  private final CommandDispatcher orders;
 
   /** How many machines show each task that has not ended. */
   private final Object2IntOpenHashMap<TaskId> shown = new Object2IntOpenHashMap<>();
@@ -56,15 +56,15 @@
   /** Whether the message at hand lacks a start that an answer has carried before. */
   private boolean missedStart;
 
-  Reports(
-      Lead lead,
-      Lead.Surroundings around,
+  ReportProcessor(
+      Leadership lead,
+      Leadership.Surroundings around,
       Authority authority,
       Ledger ledger,
       Map<String, Flavor> flavors,
-      Map<JobId, Trouble> troubles,
+      Map<JobId, JobFailures> troubles,
       Rentals rentals,
-      Orders orders) {
+      CommandDispatcher orders) {
     this.lead = lead;
     this.settings = around.settings();
     this.tuning = around.tuning();
@@ -126,7 +126,8 @@
   }
 
   private SteadyTime leaseFrom(SteadyTime answered) {
-    return answered.plusSeconds(settings.workers().leaseS() * (1 + Lead.DRIFT) + tuning.marginS());
+    return answered.plusSeconds(
+        settings.workers().leaseS() * (1 + Leadership.DRIFT) + tuning.marginS());
   }
 
   /** Applies a message of a worker; false if a newer one was already known. */
@@ -336,8 +337,8 @@
     return f == null ? Double.MAX_VALUE : f.cacheGb();
   }
 
-  private Trouble trouble(Job job) {
-    return troubles.computeIfAbsent(job.spec().id(), k -> new Trouble());
+  private JobFailures trouble(Job job) {
+    return troubles.computeIfAbsent(job.spec().id(), k -> new JobFailures());
   }
 
   /**
@@ -345,7 +346,7 @@
    * one job fails everywhere: such a job is put off for longer and longer and counts once.
    */
   private void failed(Machine m, Job job, SteadyTime now) {
-    Trouble t = trouble(job);
+    JobFailures t = trouble(job);
     t.failedOn(m.id, now);
     if (t.machines() >= 3) {
       t.until = now.plusSeconds(Math.min(60, 2 * Math.pow(2, t.machines() - 3)));
--- a/src/main/java/org/ternhinge/controller/Detours.java
+++ b/src/main/java/org/ternhinge/controller/ReportRelay.java
@@ -10,7 +10,7 @@
  * nobody; its reports are relayed for a while, so that a cut between two zones does not cost it its
  * lease while a third can reach both. Then it is sent to the leader again.
  */
-final class Detours {
+final class ReportRelay {
   /** A worker waits 4 s for an answer and 1 s before it tries the next node, of which few exist. */
   private static final double BACK_S = 12;
 
--- a/src/main/java/org/ternhinge/controller/Views.java
+++ b/src/main/java/org/ternhinge/controller/SnapshotCache.java
@@ -28,7 +28,7 @@
  * What the planner is shown. A machine's view is kept until something on the machine changes, so
  * that a round costs by what has changed since the last one and not by the size of the fleet.
  */
-final class Views {
+final class SnapshotCache {
   /** Tasks of one job that a round may start; more come with the next round. */
   private static final int MOST_PENDING = 400;
 
@@ -51,14 +51,14 @@
   private final Clock clock;
   private final Ledger ledger;
   private final Map<String, Flavor> flavors;
-  private final Map<JobId, Trouble> troubles;
+  private final Map<JobId, JobFailures> troubles;
 
-  Views(
-      Lead.Surroundings around,
+  SnapshotCache(
+      Leadership.Surroundings around,
       Authority authority,
       Ledger ledger,
       Map<String, Flavor> flavors,
-      Map<JobId, Trouble> troubles) {
+      Map<JobId, JobFailures> troubles) {
     this.settings = around.settings();
     this.tuning = around.tuning();
     this.clock = around.clock();
@@ -88,7 +88,7 @@
 
   Snapshot snapshot(
       Collection<Machine> machines,
-      Arrivals arrivals,
+      ArrivalRates arrivals,
       Rentals rentals,
       SteadyTime electedAt,
       SteadyTime now) {
@@ -215,7 +215,7 @@
           zones[a.zone()]++;
         }
       }
-      Trouble t = troubles.get(spec.id());
+      JobFailures t = troubles.get(spec.id());
       boolean blocked = t != null && t.until != null && now.isBefore(t.until);
       out.add(
           new Snapshot.JobView(
--- a/src/main/java/org/ternhinge/election/Election.java
+++ b/src/main/java/org/ternhinge/election/Election.java
@@ -13,7 +13,7 @@
 import org.ternhinge.config.Tuning;
 import org.ternhinge.ledger.Authority;
 import org.ternhinge.ledger.Keys;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
@@ -147,7 +147,7 @@
     if (held != null) {
       return;
     }
-    store.get(Keys.LEADER, Lane.RENEWAL).whenComplete((o, e) -> locked(() -> looked(o)));
+    store.get(Keys.LEADER, RequestPriority.RENEWAL).whenComplete((o, e) -> locked(() -> looked(o)));
   }
 
   private void looked(Outcome<StateStore.Read> outcome) {
@@ -207,7 +207,7 @@
 
   private void stand(Revision leaderRevision) {
     store
-        .get(Keys.TERM, Lane.RENEWAL)
+        .get(Keys.TERM, RequestPriority.RENEWAL)
         .whenComplete(
             (o, e) ->
                 locked(
@@ -251,7 +251,7 @@
         List.of(
             new Change.Put(Keys.TERM, termValue, 0), new Change.Put(Keys.LEADER, leader, lease));
     store
-        .txn(new Txn(conditions, changes), Lane.RENEWAL)
+        .txn(new Txn(conditions, changes), RequestPriority.RENEWAL)
         .whenComplete(
             (o, e) ->
                 locked(
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -34,7 +34,7 @@
   private static final int FINALS_KEPT = 4096;
 
   /** One task and where it is to go. */
-  public record Placement(int index, Site site) {}
+  public record Placement(int index, MachineAttributes site) {}
 
   private final Map<String, Team> teams;
   private final int valueBytes;
@@ -122,10 +122,10 @@
 
   /** Of tasks that are to start, those whose attempts the job's record has room for. */
   public List<Placement> whatFits(Job job, List<Placement> placements) {
-    if (PieceRoom.always(job, valueBytes)) {
+    if (PieceCapacity.always(job, valueBytes)) {
       return placements;
     }
-    PieceRoom room = new PieceRoom(job, valueBytes);
+    PieceCapacity room = new PieceCapacity(job, valueBytes);
     AttemptNumber number = job.highest().next();
     List<Placement> fits =
         placements.stream()
@@ -162,7 +162,7 @@
         && mayRecut(job)
         && job.openMap().isEmpty()
         && job.livePieces().isEmpty()
-        && !PieceRoom.always(job, valueBytes)) {
+        && !PieceCapacity.always(job, valueBytes)) {
       job.recut(RecordCodec.pieceSize(job.spec(), valueBytes));
       job.dirty().clear();
       job.dirty().set(0);
@@ -188,7 +188,7 @@
     job.opening(true);
     job.dirty().set(0);
     for (Placement p : placements) {
-      Site s = p.site();
+      MachineAttributes s = p.site();
       Attempt a =
           new Attempt(job, p.index(), number, s.machine(), s.session(), s.zone(), false, now);
       job.openMap().put(p.index(), a);
@@ -228,7 +228,7 @@
     Map<MachineId, Resources> room = new HashMap<>();
     Set<Integer> indexes = new HashSet<>();
     for (Placement p : placements) {
-      Site s = p.site();
+      MachineAttributes s = p.site();
       if (p.index() < 0 || p.index() >= spec.tasks() || !indexes.add(p.index())) {
         return "no such task";
       }
--- a/src/main/java/org/ternhinge/ledger/LedgerLoader.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerLoader.java
@@ -9,7 +9,7 @@
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.Outcome;
@@ -62,7 +62,7 @@
 
   private void page(String prefix, String after, List<Entry> into, Runnable then) {
     store
-        .list(prefix, after, PAGE, Lane.RENEWAL)
+        .list(prefix, after, PAGE, RequestPriority.RENEWAL)
         .whenComplete(
             (o, e) -> {
               lock.lock();
--- a/src/main/java/org/ternhinge/ledger/LedgerWriter.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -14,7 +14,7 @@
 import java.util.function.Supplier;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.Outcome;
@@ -170,7 +170,7 @@
       return;
     }
     if (batch == null) {
-      int limit = Math.min(txnOps, store.changesNow(Lane.ATTEMPT));
+      int limit = Math.min(txnOps, store.changesNow(RequestPriority.ATTEMPT));
       if (limit > 0) {
         batch = build(limit);
       }
@@ -185,7 +185,7 @@
       retry(RETRY_S);
       return;
     }
-    double wait = store.secondsUntilTxn(batch.changes.size(), Lane.ATTEMPT);
+    double wait = store.secondsUntilTxn(batch.changes.size(), RequestPriority.ATTEMPT);
     if (wait > 0) {
       // Only a batch that is sent again can come here: a new one was cut to the tokens at hand.
       retry(wait + 0.005);
@@ -194,7 +194,7 @@
     busy = true;
     Batch sent = batch;
     store
-        .txn(new Txn(sent.conditions, sent.changes), Lane.ATTEMPT)
+        .txn(new Txn(sent.conditions, sent.changes), RequestPriority.ATTEMPT)
         .whenComplete((outcome, error) -> locked(() -> answered(sent, outcome, error)));
   }
 
@@ -293,7 +293,7 @@
   private void look(Batch sent, String key, Consumer<Optional<Entry>> then) {
     busy = true;
     store
-        .get(key, Lane.ATTEMPT)
+        .get(key, RequestPriority.ATTEMPT)
         .whenComplete(
             (outcome, error) ->
                 locked(
--- a/src/main/java/org/ternhinge/ledger/Site.java
+++ b/src/main/java/org/ternhinge/ledger/MachineAttributes.java
@@ -5,7 +5,7 @@
 import org.ternhinge.model.Session;
 
 /** What admission needs to know of the machine that an attempt is to open on. */
-public record Site(
+public record MachineAttributes(
     MachineId machine,
     Session session,
     String type,
--- a/src/main/java/org/ternhinge/ledger/PieceRoom.java
+++ b/src/main/java/org/ternhinge/ledger/PieceCapacity.java
@@ -13,7 +13,7 @@
  * each stood alone. A piece that an earlier version laid down under a larger limit takes nothing
  * more until enough of it has ended.
  */
-final class PieceRoom {
+final class PieceCapacity {
   private record Head(int piece, AttemptNumber number, MachineId machine, Session session) {}
 
   private final Job job;
@@ -21,7 +21,7 @@
   private final Int2IntOpenHashMap used = new Int2IntOpenHashMap();
   private final Set<Head> heads = new HashSet<>();
 
-  PieceRoom(Job job, int valueBytes) {
+  PieceCapacity(Job job, int valueBytes) {
     this.job = job;
     this.valueBytes = valueBytes;
     for (Attempt a : job.openAttempts()) {
--- a/src/main/java/org/ternhinge/ledger/RecordCodec.java
+++ b/src/main/java/org/ternhinge/ledger/RecordCodec.java
@@ -66,7 +66,7 @@
 
   /**
    * How many tasks a piece of a job's record is for. Those of a gang or a service may all be on
-   * machines of their own; an array's admission is bounded by {@link PieceRoom}.
+   * machines of their own; an array's admission is bounded by {@link PieceCapacity}.
    */
   public static int pieceSize(JobSpec spec, int valueBytes) {
     double each = spec.kind() == JobKind.ARRAY ? BYTES_SHARED : BYTES_ALONE;
--- a/src/main/java/org/ternhinge/limit/Lane.java
+++ b/src/main/java/org/ternhinge/limit/RequestPriority.java
@@ -3,7 +3,7 @@
 /**
  * Who goes first when tokens run short. Each lane leaves a part of the bucket to those before it.
  */
-public enum Lane {
+public enum RequestPriority {
   RENEWAL(0),
   CANCEL(0.05),
   ACCEPT(0.08),
@@ -14,7 +14,7 @@
 
   private final double reserve;
 
-  Lane(double reserve) {
+  RequestPriority(double reserve) {
     this.reserve = reserve;
   }
 
--- a/src/main/java/org/ternhinge/limit/TokenBucket.java
+++ b/src/main/java/org/ternhinge/limit/TokenBucket.java
@@ -26,7 +26,7 @@
     tokens = Math.min(tokens, size);
   }
 
-  public synchronized boolean tryTake(Lane lane, int count) {
+  public synchronized boolean tryTake(RequestPriority lane, int count) {
     if (secondsUntil(lane, count) > 0) {
       return false;
     }
@@ -35,13 +35,13 @@
   }
 
   /** How many tokens this lane could take now. */
-  public synchronized int available(Lane lane) {
+  public synchronized int available(RequestPriority lane) {
     fill();
     return (int) Math.max(0, Math.floor(tokens - size * lane.reserve() + 1e-9));
   }
 
   /** Seconds until so many tokens can be had in this lane. */
-  public synchronized double secondsUntil(Lane lane, int count) {
+  public synchronized double secondsUntil(RequestPriority lane, int count) {
     fill();
     double reserve = size * lane.reserve();
     double needed = Math.min(count + reserve, size) - tokens;
--- a/src/main/java/org/ternhinge/schedule/AcceleratedPlaces.java
+++ b/src/main/java/org/ternhinge/schedule/AcceleratorPlaces.java
@@ -8,11 +8,11 @@
 import org.ternhinge.wire.JobSpec;
 
 /** Keeps the places that tasks with accelerators need from being used up by others. */
-final class AcceleratedPlaces {
+final class AcceleratorPlaces {
   /** What the tasks with accelerators that are about look like, or null if there are none. */
   private final JobSpec job;
 
-  AcceleratedPlaces(Snapshot snapshot) {
+  AcceleratorPlaces(Snapshot snapshot) {
     this.job = find(snapshot);
   }
 
@@ -38,7 +38,7 @@
   }
 
   /** How many tasks with accelerators lose their place on a machine to this one. */
-  int lost(JobSpec spec, Bin bin) {
+  int lost(JobSpec spec, MachineCapacity bin) {
     Resources capacity = bin.flavor.capacity();
     if (capacity.gpus() == 0 || spec.need().gpus() > 0) {
       return 0;
@@ -79,7 +79,7 @@
    * How many tasks with accelerators would have to stop this lesser array's task, or another beside
    * it, before they could start here. None where arrays stand in the way already.
    */
-  int inTheWay(JobSpec spec, Bin bin) {
+  int inTheWay(JobSpec spec, MachineCapacity bin) {
     if (job == null || spec.kind() != JobKind.ARRAY || !bin.allows(job)) {
       return 0;
     }
--- a/src/main/java/org/ternhinge/schedule/Gathering.java
+++ b/src/main/java/org/ternhinge/schedule/Consolidation.java
@@ -18,7 +18,7 @@
  * a time. A service takes the room beside accelerated tasks and stays when they have ended: eighty
  * machines of the dearest type were kept through half a day for one replica each.
  */
-final class Gathering {
+final class Consolidation {
   /** Part of all replicas that may be on the move: their users miss them meanwhile. */
   private static final double MOVING_SHARE = 0.002;
 
@@ -31,7 +31,7 @@
   /** Looks at a machine that a round may take for this: it can wait, others can't. */
   private static final int MOST_LOOKS = Planner.MOST_STEPS / 4;
 
-  private final Draft draft;
+  private final PlanBuilder draft;
 
   /** Replicas of each service by zone. */
   private final Map<JobSpec, int[]> zones = new IdentityHashMap<>();
@@ -39,7 +39,7 @@
   private final int zoneCount;
 
   /** Machines with room that could take a replica. */
-  private final List<Bin> targets = new ArrayList<>();
+  private final List<MachineCapacity> targets = new ArrayList<>();
 
   /**
    * Replicas of which service, from which zone, have found no place: the sources come with the
@@ -53,10 +53,10 @@
 
   private record Failed(JobId service, int zone) {}
 
-  Gathering(Draft draft) {
+  Consolidation(PlanBuilder draft) {
     this.draft = draft;
     int most = 0;
-    for (Bin bin : draft.bins) {
+    for (MachineCapacity bin : draft.bins) {
       most = Math.max(most, bin.zone);
     }
     for (Snapshot.Offer o : draft.snapshot.offers()) {
@@ -65,16 +65,16 @@
     this.zoneCount = most + 1;
   }
 
-  private static double price(Bin bin) {
+  private static double price(MachineCapacity bin) {
     return bin.flavor.price(bin.spot);
   }
 
   /** What one replica costs on a machine that holds nothing else. */
-  private static double share(Bin bin) {
+  private static double share(MachineCapacity bin) {
     return price(bin) / bin.view.attempts().size();
   }
 
-  private boolean movable(Bin bin) {
+  private boolean movable(MachineCapacity bin) {
     if (!bin.ready()
         || bin.used()
         || bin.flavor.capacity().gpus() == 0
@@ -99,10 +99,10 @@
    * wait for their move idled, were returned and were rented again.
    */
   void run() {
-    List<Bin> sources = new ArrayList<>();
+    List<MachineCapacity> sources = new ArrayList<>();
     int replicas = 0;
     int moving = 0;
-    for (Bin bin : draft.bins) {
+    for (MachineCapacity bin : draft.bins) {
       for (AttemptView a : bin.view.attempts()) {
         if (a.spec().isService()) {
           replicas++;
@@ -121,8 +121,8 @@
       moving += job.spec().isService() ? job.waiting() : 0;
     }
     int may = (int) Math.ceil(replicas * MOVING_SHARE) - moving;
-    sources.sort(Comparator.comparingDouble(Gathering::share).reversed());
-    for (Bin source : sources) {
+    sources.sort(Comparator.comparingDouble(Consolidation::share).reversed());
+    for (MachineCapacity source : sources) {
       if (looks >= MOST_LOOKS) {
         return;
       }
@@ -135,7 +135,7 @@
         if (failed.contains(same)) {
           continue;
         }
-        Bin target = target(a, source);
+        MachineCapacity target = target(a, source);
         if (target == null) {
           failed.add(same);
           continue;
@@ -161,12 +161,12 @@
     }
   }
 
-  private Bin target(AttemptView a, Bin source) {
+  private MachineCapacity target(AttemptView a, MachineCapacity source) {
     JobSpec spec = a.spec();
-    Bin best = null;
+    MachineCapacity best = null;
     double least = Double.MAX_VALUE;
     double most = share(source) * WORTH;
-    for (Bin bin : targets) {
+    for (MachineCapacity bin : targets) {
       looks++;
       draft.step();
       if (bin == source
@@ -186,7 +186,7 @@
   }
 
   /** What a place costs: nothing more on a machine that services keep anyhow. */
-  private static double cost(Bin bin, JobSpec spec) {
+  private static double cost(MachineCapacity bin, JobSpec spec) {
     double whole = price(bin) / Math.max(1, spec.need().timesIn(bin.flavor.capacity()));
     if (bin.flavor.capacity().gpus() == 0) {
       return whole;
@@ -200,7 +200,7 @@
         : Double.MAX_VALUE;
   }
 
-  private boolean zoneAllows(JobSpec spec, Bin from, Bin to) {
+  private boolean zoneAllows(JobSpec spec, MachineCapacity from, MachineCapacity to) {
     return from.zone == to.zone || !spec.scatter() || zones.get(spec)[to.zone] < spec.zoneLimit();
   }
 }
--- a/src/main/java/org/ternhinge/schedule/GangRoom.java
+++ b/src/main/java/org/ternhinge/schedule/GangReservations.java
@@ -15,7 +15,7 @@
  * the whole gang. A gang that has waited long keeps the places that are free, or smaller ones that
  * come later would take each as it falls free, and the largest would never start.
  */
-final class GangRoom {
+final class GangReservations {
   /**
    * A gang waits so long for each doubling of its size before it has others stopped or keeps
    * places. A large gang that gets room at once makes many small ones late and costs hundreds of
@@ -24,17 +24,17 @@
   private static final double PATIENCE_S = 20;
 
   /** A place for one task; the victims have to be stopped for it. */
-  record Spot(Bin bin, List<AttemptView> victims, double cost) {}
+  record Spot(MachineCapacity bin, List<AttemptView> victims, double cost) {}
 
   /** Tasks that no place is in sight for; the zones count the places that are. */
   record Missing(int tasks, int[] zones) {}
 
-  private final Draft draft;
+  private final PlanBuilder draft;
   private final Preemption preemption;
   private final List<JobView> young = new ArrayList<>();
-  private final Map<Resources, List<Bin>> hosts = new HashMap<>();
+  private final Map<Resources, List<MachineCapacity>> hosts = new HashMap<>();
 
-  GangRoom(Draft draft, Preemption preemption) {
+  GangReservations(PlanBuilder draft, Preemption preemption) {
     this.draft = draft;
     this.preemption = preemption;
   }
@@ -135,11 +135,11 @@
   private List<Spot> spots(JobView job, int zone, boolean stops) {
     JobSpec spec = job.spec();
     List<Spot> out = new ArrayList<>();
-    for (Bin bin : hosts(spec)) {
+    for (MachineCapacity bin : hosts(spec)) {
       if ((zone < 0 || bin.zone == zone)
           && bin.allows(spec)
           && (stops || bin.freeCpus() >= spec.need().cpus())
-          && !Draft.avoided(job, bin)) {
+          && !PlanBuilder.avoided(job, bin)) {
         draft.step();
         preemption.places(job, bin, stops, out);
       }
@@ -151,12 +151,12 @@
   }
 
   /** Machines that are large enough, the same for all gangs whose tasks need the same. */
-  private List<Bin> hosts(JobSpec spec) {
+  private List<MachineCapacity> hosts(JobSpec spec) {
     return hosts.computeIfAbsent(
         spec.need(),
         need -> {
-          List<Bin> out = new ArrayList<>();
-          for (Bin bin : draft.bins) {
+          List<MachineCapacity> out = new ArrayList<>();
+          for (MachineCapacity bin : draft.bins) {
             draft.step();
             if (bin.ready() && need.fitsIn(bin.flavor.capacity())) {
               out.add(bin);
--- a/src/main/java/org/ternhinge/schedule/Bin.java
+++ b/src/main/java/org/ternhinge/schedule/MachineCapacity.java
@@ -19,7 +19,7 @@
  * numbers: a round asks hundreds of machines about hundreds of tasks, and each question that made
  * an object cost more than its answer.
  */
-final class Bin {
+final class MachineCapacity {
   private static final double SIBLING_S = 4;
 
   final MachineView view;
@@ -48,7 +48,7 @@
   private Set<JobId> stoppedFor = Set.of();
   private boolean used;
 
-  Bin(MachineView view) {
+  MachineCapacity(MachineView view) {
     this.view = view;
     this.flavor = view.flavor();
     this.zone = view.zone();
@@ -65,7 +65,7 @@
     }
   }
 
-  Bin(Offer offer) {
+  MachineCapacity(Offer offer) {
     this.view = null;
     this.flavor = offer.flavor();
     this.zone = offer.zone();
--- a/src/main/java/org/ternhinge/schedule/Draft.java
+++ b/src/main/java/org/ternhinge/schedule/PlanBuilder.java
@@ -14,7 +14,7 @@
 import org.ternhinge.wire.JobSpec;
 
 /** A plan in the making: what is decided so far, and the room and limits that it leaves. */
-final class Draft {
+final class PlanBuilder {
   /** Seconds' worth of score for taking a place that a task with accelerators would need. */
   static final double ACCELERATOR_S = 120;
 
@@ -26,19 +26,19 @@
 
   final Snapshot snapshot;
   final Plan plan = new Plan();
-  final List<Bin> bins = new ArrayList<>();
-  final AcceleratedPlaces accelerated;
+  final List<MachineCapacity> bins = new ArrayList<>();
+  final AcceleratorPlaces accelerated;
   private final Map<String, Resources> teamUse;
   private final Map<JobId, int[]> zoneOpen = new HashMap<>();
   private Map<String, Resources> passingUse;
   private long steps;
 
-  Draft(Snapshot snapshot) {
+  PlanBuilder(Snapshot snapshot) {
     this.snapshot = snapshot;
     this.teamUse = new HashMap<>(snapshot.teamUse());
-    this.accelerated = new AcceleratedPlaces(snapshot);
+    this.accelerated = new AcceleratorPlaces(snapshot);
     for (MachineView m : snapshot.machines()) {
-      bins.add(new Bin(m));
+      bins.add(new MachineCapacity(m));
     }
   }
 
@@ -113,21 +113,21 @@
     return true;
   }
 
-  boolean within(Reach reach, JobSpec spec, Bin bin) {
+  boolean within(PlacementScope reach, JobSpec spec, MachineCapacity bin) {
     return (!reach.cached() || bin.hasImage(spec.image()))
         && (reach.mayBlock() || accelerated.lost(spec, bin) <= 0);
   }
 
-  static boolean avoided(JobView job, Bin bin) {
+  static boolean avoided(JobView job, MachineCapacity bin) {
     return !job.avoid().isEmpty() && job.avoid().contains(bin.view.id());
   }
 
-  double fetchSeconds(JobSpec spec, Bin bin) {
+  double fetchSeconds(JobSpec spec, MachineCapacity bin) {
     return bin.hasImage(spec.image()) ? 0 : bin.flavor.fetchSeconds(spec.imageGb());
   }
 
   /** Seconds of waiting and waste, as far as they can be told; the least is the best. */
-  double score(JobSpec spec, Bin bin) {
+  double score(JobSpec spec, MachineCapacity bin) {
     double score = fetchSeconds(spec, bin);
     int lost = accelerated.lost(spec, bin);
     if (lost > 0) {
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -32,17 +32,17 @@
   /** Tasks that found no room; the zones count what their job has or is kept room for. */
   private record Demand(JobView job, int tasks, int[] zones) {}
 
-  private final Draft draft;
-  private final Placing placing;
+  private final PlanBuilder draft;
+  private final TaskPlacer placing;
   private final Preemption preemption;
-  private final GangRoom gangRoom;
+  private final GangReservations gangRoom;
   private final List<Demand> unmet = new ArrayList<>();
 
   private Planner(Snapshot snapshot) {
-    this.draft = new Draft(snapshot);
-    this.placing = new Placing(draft);
+    this.draft = new PlanBuilder(snapshot);
+    this.placing = new TaskPlacer(draft);
     this.preemption = new Preemption(draft);
-    this.gangRoom = new GangRoom(draft, preemption);
+    this.gangRoom = new GangReservations(draft, preemption);
   }
 
   public static Plan plan(Snapshot snapshot) {
@@ -77,12 +77,12 @@
         }
       }
     }
-    Renting renting = new Renting(draft);
+    RentalPlanner renting = new RentalPlanner(draft);
     for (Demand demand : unmet) {
       renting.rentFor(demand.job, demand.tasks, demand.zones);
     }
     if (draft.snapshot.settled()) {
-      new Gathering(draft).run();
+      new Consolidation(draft).run();
     }
     draft.snapshot.spares().forEach(renting::keepFor);
     renting.finish();
@@ -114,7 +114,7 @@
     }
     draft.charge(spec, spec.tasks());
     if (job.reservedTasks() < spec.tasks()) {
-      GangRoom.Missing missing = gangRoom.make(job);
+      GangReservations.Missing missing = gangRoom.make(job);
       if (missing != null) {
         unmet.add(new Demand(job, missing.tasks(), missing.zones()));
       }
@@ -129,20 +129,20 @@
     int left = allowed;
     if (production) {
       // An image takes longer to fetch than lesser work to stop: first all places that have it.
-      placed += placing.place(job, placed, left, Reach.CACHED);
+      placed += placing.place(job, placed, left, PlacementScope.CACHED);
       left = allowed - placed - job.reservedTasks();
-      left -= preemption.makeRoom(job, left, Reach.CACHED);
+      left -= preemption.makeRoom(job, left, PlacementScope.CACHED);
     }
-    int more = placing.place(job, placed, left, Reach.PLAIN);
+    int more = placing.place(job, placed, left, PlacementScope.PLAIN);
     placed += more;
     left -= more + (production ? 0 : job.reservedTasks());
-    left -= preemption.makeRoom(job, left, Reach.PLAIN);
+    left -= preemption.makeRoom(job, left, PlacementScope.PLAIN);
     if (production && draft.snapshot.settled()) {
       // Last resort: places that tasks with accelerators will miss.
-      more = placing.place(job, placed, left, Reach.LAST);
+      more = placing.place(job, placed, left, PlacementScope.LAST);
       placed += more;
       left -= more;
-      left -= preemption.makeRoom(job, left, Reach.LAST);
+      left -= preemption.makeRoom(job, left, PlacementScope.LAST);
     }
     if (left > 0) {
       unmet.add(new Demand(job, left, draft.zones(job)));
@@ -150,10 +150,10 @@
     // What keeps the rest may be the team's limit, taken up by its own lesser work.
     int over = job.waiting() - Math.max(allowed, placed + job.reservedTasks());
     if (over > 0 && spec.priority() != Priority.LOW) {
-      over -= preemption.makeRoom(job, over, Reach.OWN);
+      over -= preemption.makeRoom(job, over, PlacementScope.OWN);
     }
     if (over > 0 && production) {
-      preemption.makeRoom(job, over, Reach.OWN_LAST);
+      preemption.makeRoom(job, over, PlacementScope.OWN_LAST);
     }
     draft.charge(spec, Math.min(job.reservedTasks(), job.waiting() - placed));
   }
--- a/src/main/java/org/ternhinge/schedule/Preemption.java
+++ b/src/main/java/org/ternhinge/schedule/Preemption.java
@@ -15,13 +15,13 @@
 
 /** Makes room by stopping tasks, as far as priorities and guarantees permit. */
 final class Preemption {
-  private record Option(Bin bin, List<AttemptView> victims, double cost) {}
+  private record Option(MachineCapacity bin, List<AttemptView> victims, double cost) {}
 
-  private final Draft draft;
-  private final Exhausted exhausted = new Exhausted();
+  private final PlanBuilder draft;
+  private final UnplaceableRequests exhausted = new UnplaceableRequests();
   private Priority lowest;
 
-  Preemption(Draft draft) {
+  Preemption(PlanBuilder draft) {
     this.draft = draft;
     for (MachineView m : draft.snapshot.machines()) {
       for (AttemptView a : m.attempts()) {
@@ -72,7 +72,7 @@
   }
 
   /** Makes room for up to so many tasks, one a machine; says for how many. */
-  int makeRoom(JobView job, int most, Reach reach) {
+  int makeRoom(JobView job, int most, PlacementScope reach) {
     if (most <= 0 || hopeless(job) || exhausted.holds(job, reach, true)) {
       return 0;
     }
@@ -80,7 +80,7 @@
     int[] zones = draft.zones(job);
     List<Option> options = new ArrayList<>();
     boolean stopsAlready = false;
-    for (Bin bin : draft.bins) {
+    for (MachineCapacity bin : draft.bins) {
       stopsAlready |= bin.stoppedFor(spec.id());
       Option option = option(job, bin, zones, reach);
       if (option != null) {
@@ -93,7 +93,7 @@
       if (made == most) {
         break;
       }
-      if (!Draft.zoneFits(spec, zones, o.bin.zone)) {
+      if (!PlanBuilder.zoneFits(spec, zones, o.bin.zone)) {
         continue;
       }
       List<Plan.Victim> victims = new ArrayList<>();
@@ -114,7 +114,7 @@
   }
 
   /** What may be stopped on a machine, the least loss first. */
-  private List<AttemptView> candidates(JobView job, Bin bin, Reach reach) {
+  private List<AttemptView> candidates(JobView job, MachineCapacity bin, PlacementScope reach) {
     JobSpec spec = job.spec();
     List<AttemptView> out = List.of();
     for (AttemptView a : bin.view.attempts()) {
@@ -141,12 +141,12 @@
    *
    * @param stops whether the job may have others stopped now
    */
-  void places(JobView job, Bin bin, boolean stops, List<GangRoom.Spot> into) {
+  void places(JobView job, MachineCapacity bin, boolean stops, List<GangReservations.Spot> into) {
     JobSpec spec = job.spec();
     Resources room = bin.roomAfterStops(spec.id());
     double cost = draft.score(spec, bin);
     while (spec.need().fitsIn(room)) {
-      into.add(new GangRoom.Spot(bin, List.of(), cost));
+      into.add(new GangReservations.Spot(bin, List.of(), cost));
       room = room.minus(spec.need());
     }
     if (!stops || hopeless(job) || bin.view.attempts().isEmpty()) {
@@ -154,12 +154,12 @@
     }
     SteadyTime now = draft.snapshot.now();
     List<AttemptView> victims = new ArrayList<>();
-    for (AttemptView a : candidates(job, bin, Reach.PLAIN)) {
+    for (AttemptView a : candidates(job, bin, PlacementScope.PLAIN)) {
       victims.add(a);
       room = room.plus(a.spec().need());
       cost += 1 + loss(a, now);
       if (spec.need().fitsIn(room)) {
-        into.add(new GangRoom.Spot(bin, List.copyOf(victims), cost));
+        into.add(new GangReservations.Spot(bin, List.copyOf(victims), cost));
         room = room.minus(spec.need());
         victims.clear();
       }
@@ -167,15 +167,15 @@
   }
 
   /** The cheapest stops on one machine that make room for one task, or null. */
-  private Option option(JobView job, Bin bin, int[] zones, Reach reach) {
+  private Option option(JobView job, MachineCapacity bin, int[] zones, PlacementScope reach) {
     JobSpec spec = job.spec();
     draft.step();
     if (!bin.ready()
         || bin.view.attempts().isEmpty()
         || bin.stoppedFor(spec.id())
         || !bin.allows(spec)
-        || !Draft.zoneFits(spec, zones, bin.zone)
-        || Draft.avoided(job, bin)) {
+        || !PlanBuilder.zoneFits(spec, zones, bin.zone)
+        || PlanBuilder.avoided(job, bin)) {
       return null;
     }
     SteadyTime now = draft.snapshot.now();
--- a/src/main/java/org/ternhinge/schedule/Renting.java
+++ b/src/main/java/org/ternhinge/schedule/RentalPlanner.java
@@ -16,20 +16,20 @@
 import org.ternhinge.wire.Priority;
 
 /** Rents for what found no room, keeps room for what may come, returns what is idle. */
-final class Renting {
+final class RentalPlanner {
   /** An array this long in the queue is worth a machine of its own for each task. */
   private static final double ARRAY_TURN_S = 60;
 
-  private final Draft draft;
-  private final List<Bin> coming = new ArrayList<>();
+  private final PlanBuilder draft;
+  private final List<MachineCapacity> coming = new ArrayList<>();
   private final int[] rented;
 
   /** What the least task asks for; machines with less are full. */
   private final long leastCpus;
 
-  private final Map<Alike, ArrayDeque<Bin>> keepersOf = new HashMap<>();
+  private final Map<Alike, ArrayDeque<MachineCapacity>> keepersOf = new HashMap<>();
 
-  Renting(Draft draft) {
+  RentalPlanner(PlanBuilder draft) {
     this.draft = draft;
     this.rented = new int[draft.snapshot.offers().size()];
     long least = Long.MAX_VALUE;
@@ -40,7 +40,7 @@
       least = Math.min(least, j.spec().need().cpus());
     }
     this.leastCpus = least;
-    for (Bin bin : draft.bins) {
+    for (MachineCapacity bin : draft.bins) {
       if (!bin.ready()) {
         coming.add(bin);
       }
@@ -48,7 +48,7 @@
     // Without these each round until the cloud's answer would rent for the same need once more.
     for (Coming c : draft.snapshot.coming()) {
       for (int i = 0; i < c.count(); i++) {
-        coming.add(new Bin(c.of()));
+        coming.add(new MachineCapacity(c.of()));
       }
     }
   }
@@ -77,7 +77,7 @@
       coming.removeIf(bin -> bin.freeCpus() < leastCpus);
     }
     while (left > 0) {
-      Bin bin = rent(spec, zones, left);
+      MachineCapacity bin = rent(spec, zones, left);
       if (bin == null) {
         return;
       }
@@ -86,13 +86,13 @@
     }
   }
 
-  private int fill(Bin bin, JobSpec spec, int[] zones, int most) {
+  private int fill(MachineCapacity bin, JobSpec spec, int[] zones, int most) {
     draft.step();
     int n = 0;
     while (n < most
         && bin.fits(spec)
         && bin.allows(spec)
-        && Draft.zoneFits(spec, zones, bin.zone)) {
+        && PlanBuilder.zoneFits(spec, zones, bin.zone)) {
       bin.take(spec);
       zones[bin.zone]++;
       n++;
@@ -100,7 +100,7 @@
     return n;
   }
 
-  private Bin rent(JobSpec spec, int[] zones, int wanted) {
+  private MachineCapacity rent(JobSpec spec, int[] zones, int wanted) {
     List<Offer> offers = draft.snapshot.offers();
     int best = -1;
     double least = Double.MAX_VALUE;
@@ -108,10 +108,12 @@
       Offer offer = offers.get(i);
       draft.step();
       int fits = spec.need().timesIn(offer.flavor().capacity());
-      if (fits == 0 || !Draft.zoneFits(spec, zones, offer.zone()) || rented[i] >= offer.most()) {
+      if (fits == 0
+          || !PlanBuilder.zoneFits(spec, zones, offer.zone())
+          || rented[i] >= offer.most()) {
         continue;
       }
-      Bin bin = new Bin(offer);
+      MachineCapacity bin = new MachineCapacity(offer);
       if (!bin.allows(spec)
           || (spec.priority() != Priority.PRODUCTION && draft.accelerated.lost(spec, bin) > 0)) {
         continue;
@@ -128,7 +130,7 @@
       return null;
     }
     rented[best]++;
-    return new Bin(offers.get(best));
+    return new MachineCapacity(offers.get(best));
   }
 
   /**
@@ -140,9 +142,9 @@
   void keepFor(JobView spare) {
     JobSpec spec = spare.spec();
     int left = spec.tasks();
-    ArrayDeque<Bin> keepers = keepersOf.computeIfAbsent(Alike.of(spec), k -> keepers());
+    ArrayDeque<MachineCapacity> keepers = keepersOf.computeIfAbsent(Alike.of(spec), k -> keepers());
     while (left > 0 && !keepers.isEmpty()) {
-      Bin bin = keepers.peekFirst();
+      MachineCapacity bin = keepers.peekFirst();
       draft.step();
       if (bin.allows(spec) && draft.accelerated.lost(spec, bin) == 0) {
         Resources room = stoppable(bin, spec);
@@ -170,10 +172,10 @@
   }
 
   /** Machines that are busy first: those that idle may be returned. */
-  private ArrayDeque<Bin> keepers() {
-    ArrayDeque<Bin> out = new ArrayDeque<>();
-    List<Bin> idle = new ArrayList<>();
-    for (Bin bin : draft.bins) {
+  private ArrayDeque<MachineCapacity> keepers() {
+    ArrayDeque<MachineCapacity> out = new ArrayDeque<>();
+    List<MachineCapacity> idle = new ArrayList<>();
+    for (MachineCapacity bin : draft.bins) {
       if (bin.view.attempts().isEmpty() && !bin.used()) {
         idle.add(bin);
       } else {
@@ -185,7 +187,7 @@
   }
 
   /** The room that a production job could get on a machine, others stopped. */
-  private static Resources stoppable(Bin bin, JobSpec spec) {
+  private static Resources stoppable(MachineCapacity bin, JobSpec spec) {
     Resources room = bin.free();
     for (AttemptView a : bin.view.attempts()) {
       if (a.spec().priority().compareTo(spec.priority()) > 0 && a.spec().kind() != JobKind.GANG) {
@@ -203,7 +205,7 @@
         draft.plan.rents().add(new Plan.Rent(o.flavor().name(), o.zoneName(), o.spot(), rented[i]));
       }
     }
-    for (Bin bin : draft.bins) {
+    for (MachineCapacity bin : draft.bins) {
       MachineView m = bin.view;
       if (m.ready()
           && !bin.used()
--- a/src/main/java/org/ternhinge/schedule/Placing.java
+++ b/src/main/java/org/ternhinge/schedule/TaskPlacer.java
@@ -16,14 +16,14 @@
  * fills the best ones; asking every machine for every task took a round's whole time with hundreds
  * of machines and arrays of hundreds of tasks.
  */
-final class Placing {
+final class TaskPlacer {
   /** Score, in seconds, in favour of a place that was made for the job. */
   private static final double KEPT_S = 1000;
 
-  private record Choice(Bin bin, int order, double score) {}
+  private record Choice(MachineCapacity bin, int order, double score) {}
 
-  private final Draft draft;
-  private final Exhausted exhausted = new Exhausted();
+  private final PlanBuilder draft;
+  private final UnplaceableRequests exhausted = new UnplaceableRequests();
 
   /** The fewest tasks of a gang, by what each needs, that found no room in this round. */
   private final Map<GangKind, Integer> gangsWithout = new HashMap<>();
@@ -42,33 +42,33 @@
     }
   }
 
-  private List<Bin> roomy = new ArrayList<>();
+  private List<MachineCapacity> roomy = new ArrayList<>();
   private final long leastCpus;
 
-  Placing(Draft draft) {
+  TaskPlacer(PlanBuilder draft) {
     this.draft = draft;
     long least = Long.MAX_VALUE;
     for (JobView j : draft.snapshot.jobs()) {
       least = Math.min(least, j.spec().need().cpus());
     }
     this.leastCpus = least;
-    for (Bin bin : draft.bins) {
+    for (MachineCapacity bin : draft.bins) {
       if (bin.ready() && bin.freeCpus() >= leastCpus) {
         roomy.add(bin);
       }
     }
   }
 
-  private List<Bin> roomy() {
+  private List<MachineCapacity> roomy() {
     int full = 0;
-    for (Bin bin : roomy) {
+    for (MachineCapacity bin : roomy) {
       if (bin.freeCpus() < leastCpus) {
         full++;
       }
     }
     if (full * 4 > roomy.size()) {
-      List<Bin> left = new ArrayList<>(roomy.size() - full);
-      for (Bin bin : roomy) {
+      List<MachineCapacity> left = new ArrayList<>(roomy.size() - full);
+      for (MachineCapacity bin : roomy) {
         if (bin.freeCpus() >= leastCpus) {
           left.add(bin);
         }
@@ -78,22 +78,24 @@
     return roomy;
   }
 
-  private boolean eligible(JobView job, Bin bin, int[] zones, int onlyZone, Reach reach) {
+  private boolean eligible(
+      JobView job, MachineCapacity bin, int[] zones, int onlyZone, PlacementScope reach) {
     JobSpec spec = job.spec();
     return bin.fits(spec)
         && bin.allows(spec)
         && (onlyZone < 0 || bin.zone == onlyZone)
-        && Draft.zoneFits(spec, zones, bin.zone)
-        && !Draft.avoided(job, bin)
+        && PlanBuilder.zoneFits(spec, zones, bin.zone)
+        && !PlanBuilder.avoided(job, bin)
         && (draft.within(reach, spec, bin) || bin.keptFor(spec.id()));
   }
 
-  private double score(JobSpec spec, Bin bin) {
+  private double score(JobSpec spec, MachineCapacity bin) {
     double score = draft.score(spec, bin);
     return bin.keptFor(spec.id()) ? score - KEPT_S : score;
   }
 
-  private PriorityQueue<Choice> choices(JobView job, int[] zones, int onlyZone, Reach reach) {
+  private PriorityQueue<Choice> choices(
+      JobView job, int[] zones, int onlyZone, PlacementScope reach) {
     PriorityQueue<Choice> out =
         new PriorityQueue<>(
             (a, b) -> {
@@ -101,7 +103,7 @@
               return c != 0 ? c : Integer.compare(a.order, b.order);
             });
     int order = 0;
-    for (Bin bin : roomy()) {
+    for (MachineCapacity bin : roomy()) {
       order++;
       draft.step();
       if (eligible(job, bin, zones, onlyZone, reach)) {
@@ -112,7 +114,7 @@
   }
 
   /** Places up to so many tasks, from a position among the pending ones on; says how many. */
-  int place(JobView job, int from, int most, Reach reach) {
+  int place(JobView job, int from, int most, PlacementScope reach) {
     int wanted = Math.min(most, job.pending().size() - from);
     if (wanted <= 0 || exhausted.holds(job, reach, false)) {
       return 0;
@@ -124,7 +126,7 @@
     PriorityQueue<Choice> choices = choices(job, zones, -1, reach);
     while (tasks.size() < wanted && !choices.isEmpty()) {
       Choice best = choices.poll();
-      Bin bin = best.bin;
+      MachineCapacity bin = best.bin;
       bin.take(spec);
       zones[bin.zone]++;
       tasks.add(job.pending().getInt(from + tasks.size()));
@@ -134,7 +136,7 @@
       if (eligible(job, bin, zones, -1, reach)) {
         choices.add(new Choice(bin, best.order, score(spec, bin)));
       }
-      while (!choices.isEmpty() && !Draft.zoneFits(spec, zones, choices.peek().bin.zone)) {
+      while (!choices.isEmpty() && !PlanBuilder.zoneFits(spec, zones, choices.peek().bin.zone)) {
         choices.poll();
       }
     }
@@ -159,12 +161,12 @@
     if (!ownPlaces && spec.tasks() >= gangsWithout.getOrDefault(kind, Integer.MAX_VALUE)) {
       return false;
     }
-    List<Bin> best = null;
+    List<MachineCapacity> best = null;
     double soonest = Double.MAX_VALUE;
     for (int z = spec.together() ? 0 : -1; z < (spec.together() ? job.zoneOpen().length : 0); z++) {
-      List<Bin> found = findGang(job, z);
+      List<MachineCapacity> found = findGang(job, z);
       double last = 0;
-      for (Bin bin : found) {
+      for (MachineCapacity bin : found) {
         last = Math.max(last, draft.fetchSeconds(spec, bin));
       }
       if (!found.isEmpty() && last < soonest) {
@@ -180,7 +182,7 @@
     }
     List<Integer> tasks = new ArrayList<>();
     List<MachineId> machines = new ArrayList<>();
-    for (Bin bin : best) {
+    for (MachineCapacity bin : best) {
       bin.take(spec);
       tasks.add(tasks.size());
       machines.add(bin.view.id());
@@ -191,21 +193,21 @@
   }
 
   /** Machines for each task of a gang, or none where not all find room; nothing is taken yet. */
-  private List<Bin> findGang(JobView job, int zone) {
+  private List<MachineCapacity> findGang(JobView job, int zone) {
     JobSpec spec = job.spec();
     int[] zones = new int[job.zoneOpen().length];
-    PriorityQueue<Choice> choices = choices(job, zones, zone, Reach.PLAIN);
-    List<Bin> found = new ArrayList<>();
+    PriorityQueue<Choice> choices = choices(job, zones, zone, PlacementScope.PLAIN);
+    List<MachineCapacity> found = new ArrayList<>();
     while (found.size() < spec.tasks() && !choices.isEmpty()) {
       Choice best = choices.poll();
       best.bin.reserve(spec);
       zones[best.bin.zone]++;
       found.add(best.bin);
       draft.step();
-      if (eligible(job, best.bin, zones, zone, Reach.PLAIN)) {
+      if (eligible(job, best.bin, zones, zone, PlacementScope.PLAIN)) {
         choices.add(new Choice(best.bin, best.order, score(spec, best.bin)));
       }
-      while (!choices.isEmpty() && !Draft.zoneFits(spec, zones, choices.peek().bin.zone)) {
+      while (!choices.isEmpty() && !PlanBuilder.zoneFits(spec, zones, choices.peek().bin.zone)) {
         choices.poll();
       }
     }
--- a/src/main/java/org/ternhinge/schedule/Exhausted.java
+++ b/src/main/java/org/ternhinge/schedule/UnplaceableRequests.java
@@ -18,7 +18,7 @@
  * round, and the round's bound on looks was used up before the last jobs in the queue had their
  * turn, round after round.
  */
-final class Exhausted {
+final class UnplaceableRequests {
   private record Kind(
       JobKind kind,
       Priority priority,
@@ -30,7 +30,7 @@
       String zone,
       List<String> types,
       String image,
-      Reach reach) {
+      PlacementScope reach) {
 
     // By hand for the reason given at the small types; asked for each job and reach of a round.
     @Override
@@ -59,7 +59,7 @@
 
   private final Map<Kind, List<Resources>> found = new HashMap<>();
 
-  private static Kind kind(JobView job, Reach reach, boolean stops) {
+  private static Kind kind(JobView job, PlacementScope reach, boolean stops) {
     JobSpec s = job.spec();
     return new Kind(
         s.kind(),
@@ -76,7 +76,7 @@
   }
 
   /** Whether a job need not look; places that were made for it are its own affair. */
-  boolean holds(JobView job, Reach reach, boolean stops) {
+  boolean holds(JobView job, PlacementScope reach, boolean stops) {
     if (found.isEmpty() || job.reservedTasks() > 0) {
       return false;
     }
@@ -92,7 +92,7 @@
    * A job has looked everywhere and wanted more. That says nothing of others where it was kept from
    * a machine by what is its own: tasks in a zone, or machines that it failed on.
    */
-  void note(JobView job, int[] zones, Reach reach, boolean stops) {
+  void note(JobView job, int[] zones, PlacementScope reach, boolean stops) {
     JobSpec s = job.spec();
     if (!job.avoid().isEmpty()) {
       return;
--- a/src/main/java/org/ternhinge/state/HttpStateStore.java
+++ b/src/main/java/org/ternhinge/state/HttpStateStore.java
@@ -7,7 +7,7 @@
 import java.util.concurrent.CompletableFuture;
 import org.ternhinge.http.HttpCaller;
 import org.ternhinge.http.Reply;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.limit.TokenBucket;
 import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.Outcome;
@@ -40,7 +40,12 @@
   }
 
   private <T> CompletableFuture<Outcome<T>> send(
-      String method, String path, byte[] body, double timeoutS, Lane lane, Reader<T> reader) {
+      String method,
+      String path,
+      byte[] body,
+      double timeoutS,
+      RequestPriority lane,
+      Reader<T> reader) {
     if (!requests.tryTake(lane, 1)) {
       return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, "no tokens"));
     }
@@ -88,7 +93,7 @@
   }
 
   @Override
-  public CompletableFuture<Outcome<Read>> get(String key, Lane lane) {
+  public CompletableFuture<Outcome<Read>> get(String key, RequestPriority lane) {
     return this.<Read>send(
             "GET", "/keys/" + key, null, READ_S, lane, b -> new Read(Optional.of(entry(b))))
         .thenApply(
@@ -96,7 +101,8 @@
   }
 
   @Override
-  public CompletableFuture<Outcome<Page>> list(String prefix, String after, int limit, Lane lane) {
+  public CompletableFuture<Outcome<Page>> list(
+      String prefix, String after, int limit, RequestPriority lane) {
     String path = "/keys?prefix=" + prefix + (after == null ? "" : "&from=" + after);
     return send(
         "GET",
@@ -117,7 +123,7 @@
   }
 
   @Override
-  public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
+  public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority lane) {
     int changes = txn.changes().size();
     if (changes > 0 && !writes.tryTake(lane, changes)) {
       return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, "no tokens"));
@@ -141,18 +147,19 @@
   @Override
   public CompletableFuture<Outcome<Long>> grant(long millis) {
     byte[] body = Json.bytes(Json.object().put("life_ms", millis));
-    return send("POST", "/holds", body, 1.0, Lane.RENEWAL, b -> Json.count(b, "leiga"));
+    return send("POST", "/holds", body, 1.0, RequestPriority.RENEWAL, b -> Json.count(b, "leiga"));
   }
 
   @Override
   public CompletableFuture<Outcome<Long>> renew(long lease) {
     byte[] none = new byte[] {'{', '}'};
-    return send("POST", "/holds/" + lease + "/extend", none, 1.0, Lane.RENEWAL, b -> lease);
+    return send(
+        "POST", "/holds/" + lease + "/extend", none, 1.0, RequestPriority.RENEWAL, b -> lease);
   }
 
   @Override
   public CompletableFuture<Outcome<Long>> revoke(long lease) {
-    return send("DELETE", "/holds/" + lease, null, 1.0, Lane.BOOKKEEPING, b -> lease);
+    return send("DELETE", "/holds/" + lease, null, 1.0, RequestPriority.BOOKKEEPING, b -> lease);
   }
 
   @Override
@@ -163,7 +170,7 @@
         path,
         null,
         waitS + 5,
-        Lane.BOOKKEEPING,
+        RequestPriority.BOOKKEEPING,
         body -> {
           List<Change.Seen> changes = new ArrayList<>();
           for (JsonNode item : Json.list(body, "log")) {
@@ -179,12 +186,12 @@
   }
 
   @Override
-  public int changesNow(Lane lane) {
+  public int changesNow(RequestPriority lane) {
     return requests.available(lane) > 0 ? writes.available(lane) : 0;
   }
 
   @Override
-  public double secondsUntilTxn(int changes, Lane lane) {
+  public double secondsUntilTxn(int changes, RequestPriority lane) {
     return Math.max(requests.secondsUntil(lane, 1), writes.secondsUntil(lane, changes));
   }
 }
--- a/src/main/java/org/ternhinge/state/StateStore.java
+++ b/src/main/java/org/ternhinge/state/StateStore.java
@@ -3,7 +3,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Revision;
 
@@ -19,11 +19,12 @@
   /** A key as it was read, and the revision of the store then. */
   record Read(Optional<Entry> entry) {}
 
-  CompletableFuture<Outcome<Read>> get(String key, Lane lane);
+  CompletableFuture<Outcome<Read>> get(String key, RequestPriority lane);
 
-  CompletableFuture<Outcome<Page>> list(String prefix, String after, int limit, Lane lane);
+  CompletableFuture<Outcome<Page>> list(
+      String prefix, String after, int limit, RequestPriority lane);
 
-  CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane);
+  CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority lane);
 
   CompletableFuture<Outcome<Long>> grant(long millis);
 
@@ -34,8 +35,8 @@
   CompletableFuture<Outcome<Changes>> follow(String prefix, Revision from, double waitS);
 
   /** How many changes a transaction may carry now; 0 while none may be sent. */
-  int changesNow(Lane lane);
+  int changesNow(RequestPriority lane);
 
   /** Seconds until a transaction of so many changes would find tokens. */
-  double secondsUntilTxn(int changes, Lane lane);
+  double secondsUntilTxn(int changes, RequestPriority lane);
 }
--- a/src/main/java/org/ternhinge/wire/Scan.java
+++ b/src/main/java/org/ternhinge/wire/JsonStreamReader.java
@@ -8,10 +8,10 @@
  * Reads a message token by token, for those that come by the hundred a second: building a tree of
  * each report first cost more than all that was then done with it.
  */
-final class Scan implements AutoCloseable {
+final class JsonStreamReader implements AutoCloseable {
   private final JsonParser parser;
 
-  Scan(byte[] body) throws IOException {
+  JsonStreamReader(byte[] body) throws IOException {
     parser = Json.parser(body);
   }
 
--- a/src/main/java/org/ternhinge/wire/WorkerReport.java
+++ b/src/main/java/org/ternhinge/wire/WorkerReport.java
@@ -29,7 +29,7 @@
     List<TaskReport> tasks) {
 
   public static WorkerReport read(byte[] body) throws WireException {
-    try (Scan in = new Scan(body)) {
+    try (JsonStreamReader in = new JsonStreamReader(body)) {
       in.beginObject();
       WorkerReport report = read(in);
       in.end();
@@ -39,7 +39,7 @@
     }
   }
 
-  private static WorkerReport read(Scan in) throws IOException, WireException {
+  private static WorkerReport read(JsonStreamReader in) throws IOException, WireException {
     String machine = null;
     String endpoint = null;
     String type = null;
@@ -87,7 +87,7 @@
         tasks);
   }
 
-  private static List<TaskReport> tasks(Scan in) throws IOException, WireException {
+  private static List<TaskReport> tasks(JsonStreamReader in) throws IOException, WireException {
     in.beginList("verkbitar");
     List<TaskReport> out = new ArrayList<>();
     while (in.nextObject()) {
@@ -96,7 +96,7 @@
     return List.copyOf(out);
   }
 
-  private static TaskReport task(Scan in) throws IOException, WireException {
+  private static TaskReport task(JsonStreamReader in) throws IOException, WireException {
     TaskId task = null;
     TaskState state = null;
     EndReason why = null;
--- a/src/test/java/org/ternhinge/cli/LoopbackIT.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackIT.java
@@ -39,9 +39,9 @@
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.SteadyTime;
+import org.ternhinge.sim.SimCluster;
 import org.ternhinge.sim.Specs;
 import org.ternhinge.sim.StoreCore;
-import org.ternhinge.sim.World;
 import org.ternhinge.state.Change;
 import org.ternhinge.state.Entry;
 import org.ternhinge.state.StateStore;
@@ -331,7 +331,7 @@
     String path = x.getRequestURI().getPath();
     Map<String, String> q = query(x);
     if (path.equals("/flavors")) {
-      reply(x, 200, Flavor.writeAll(World.FLAVORS));
+      reply(x, 200, Flavor.writeAll(SimCluster.FLAVORS));
     } else if (path.equals("/hosts") && x.getRequestMethod().equals("GET")) {
       ObjectNode none = Json.object().put("more", false);
       none.putArray("velar");
--- a/src/test/java/org/ternhinge/controller/MeetingsTest.java
+++ b/src/test/java/org/ternhinge/controller/CombinedFaultsTest.java
@@ -10,18 +10,18 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimUsers;
 import org.ternhinge.sim.Specs;
-import org.ternhinge.sim.Users;
-import org.ternhinge.sim.World;
 
 /** Two troubles at a time, as they meet on bad days, on virtual time. */
-class MeetingsTest {
-  private World world;
-  private Users users;
+class CombinedFaultsTest {
+  private SimCluster world;
+  private SimUsers users;
 
-  private void begin(long seed, World.Size size) {
-    world = new World(seed, 0, size);
-    users = new Users(world);
+  private void begin(long seed, SimCluster.Size size) {
+    world = new SimCluster(seed, 0, size);
+    users = new SimUsers(world);
     world.clock.runFor(5);
   }
 
@@ -110,7 +110,7 @@
   void aLeaderRefusedAloneAndThenEverybody(
       double refused, double cancelled, double out, String reportsTo) {
     for (long seed = 101; seed < 104; seed++) {
-      begin(seed, new World.Size(3, 4, 60, 30));
+      begin(seed, new SimCluster.Size(3, 4, 60, 30));
       List<JobId> goes = new ArrayList<>();
       goes.add(submit(job("wk-1", "batch", 8, 400)));
       goes.add(submit(job("wk-2", "daemon", 3, 0)));
@@ -164,7 +164,7 @@
   @ParameterizedTest(name = "hung for {0} s, cancelled after {1} s")
   @CsvSource({"2, 0.5", "5, 1", "12, 1", "20, 3", "23, 1", "23, 20", "30, 1", "44, 5", "44, 40"})
   void cancelledWhileItsMachinesHang(double hang, double after) {
-    begin(111, World.SMALL);
+    begin(111, SimCluster.SMALL);
     JobId goes = submit(job("wk-1", "batch", 6, 400));
     JobId stays = submit(job("wk-2", "daemon", 3, 0));
     run(60);
@@ -181,7 +181,7 @@
   @ParameterizedTest(name = "seed {0}, hung for {1} s")
   @CsvSource({"121, 3", "122, 8", "123, 15", "124, 22", "125, 30"})
   void aHeldStartOverAChangeOfLeader(long seed, double hang) {
-    begin(seed, World.SMALL);
+    begin(seed, SimCluster.SMALL);
     JobId first = submit(job("wk-1", "batch", 6, 300));
     run(60);
     world.troubles.hangWorkersOf(first, 2, hang);
@@ -198,7 +198,7 @@
   @ParameterizedTest(name = "held for {0} s")
   @CsvSource({"9", "15", "25", "40"})
   void aLateReportOfAnEarlierSessionAtANewLeader(double held) {
-    begin(131, World.SMALL);
+    begin(131, SimCluster.SMALL);
     JobId stays = submit(job("wk-1", "daemon", 4, 0));
     run(60);
     for (var w : world.workersOf(stays)) {
@@ -216,7 +216,7 @@
   @ParameterizedTest(name = "seed {0}, cut {1} s, cancelled after {2} s")
   @CsvSource({"141, 20, 1", "142, 40, 3", "143, 40, 8", "144, 60, 8", "145, 30, 12"})
   void aTeamAtItsLimitOverAChangeOfLeader(long seed, double cut, double after) {
-    begin(seed, World.SMALL);
+    begin(seed, SimCluster.SMALL);
     JobId goes = submit(job("wk-1", "batch", 6, 400));
     JobId longer = submit(job("wk-2", "batch", 6, 60));
     JobId waits = submit(job("wk-3", "batch", 8, 10));
@@ -236,7 +236,7 @@
   @ParameterizedTest(name = "{0}, seed {1}")
   @CsvSource({"batch, 151", "batch, 152", "group, 153", "group, 154", "daemon, 155"})
   void workBoundToAZoneLosesMachines(String kind, long seed) {
-    begin(seed, new World.Size(3, 4, 60, 30));
+    begin(seed, new SimCluster.Size(3, 4, 60, 30));
     ObjectNode body = job("wk-1", kind, 3, 60).put("lanvelar", false).put("together", true);
     body.put("svaedi", "west");
     JobId bound = submit(body);
@@ -267,7 +267,7 @@
     "90, 20, true"
   })
   void muteMachinesAndACancellation(double mute, double after, boolean crash) {
-    begin(161, World.SMALL);
+    begin(161, SimCluster.SMALL);
     JobId goes = submit(job("wk-1", "batch", 6, 400));
     JobId stays = submit(job("wk-2", "daemon", 3, 0));
     run(60);
@@ -287,7 +287,7 @@
   @ParameterizedTest(name = "seed {0}, outage {1} s, late writes {2}")
   @CsvSource({"171, 0, 0", "172, 30, 0", "173, 50, 0.2", "174, 0, 0.4"})
   void tenLeadersInTwoMinutes(long seed, double outage, double late) {
-    begin(seed, World.SMALL);
+    begin(seed, SimCluster.SMALL);
     JobId stays = submit(job("wk-1", "daemon", 3, 0));
     JobId array = submit(job("wk-2", "batch", 12, 25));
     JobId goes = submit(job("wk-3", "batch", 3, 400));
@@ -309,7 +309,7 @@
   @ParameterizedTest(name = "{0} for {1} s")
   @CsvSource({"east, 15", "west, 15", "east, 40", "west, 40", "east, 80", "west, 80"})
   void aZoneWithItsControllers(String zone, double seconds) {
-    begin(181, new World.Size(3, 4, 60, 30));
+    begin(181, new SimCluster.Size(3, 4, 60, 30));
     JobId stays = submit(job("wk-1", "daemon", 4, 0).put("scatter", true));
     JobId goes = submit(job("wk-2", "batch", 8, 400));
     run(60);
@@ -325,7 +325,7 @@
   /** Cancels, questions and repeats at the very end of a job, with no other trouble. */
   @Test
   void aCancelMeetsTheEndOfTheLastTask() {
-    begin(191, World.SMALL);
+    begin(191, SimCluster.SMALL);
     users.cancelAtEnd(1);
     List<JobId> jobs = new ArrayList<>();
     for (int i = 0; i < 30; i++) {
@@ -344,7 +344,7 @@
   @ParameterizedTest(name = "seed {0}, latency {1} s")
   @CsvSource({"201, 0.4", "202, 0.8", "203, 1.2"})
   void slowThenRefusedThenOut(long seed, double latency) {
-    begin(seed, World.SMALL);
+    begin(seed, SimCluster.SMALL);
     JobId goes = submit(job("wk-1", "batch", 6, 400));
     JobId stays = submit(job("wk-2", "daemon", 3, 0));
     run(60);
@@ -363,7 +363,7 @@
   @ParameterizedTest(name = "seed {0}, {1} tasks, hung for {2} s")
   @CsvSource({"211, 2, 12", "212, 3, 20", "213, 2, 35", "214, 3, 50"})
   void tasksThatEndFarApartOverAChangeOfLeader(long seed, int tasks, double hang) {
-    begin(seed, World.SMALL);
+    begin(seed, SimCluster.SMALL);
     JobId job = submit(job("wk-1", "batch", tasks, 30).put("cpus", 3.0).put("lanvelar", false));
     run(30);
     world.troubles.hangWorkersOf(job, 1, hang);
@@ -378,7 +378,7 @@
   @ParameterizedTest(name = "away for {0} s, cancelled {1} s before")
   @CsvSource({"20, 0.5", "30, 0.02", "30, 0.5", "40, 0.1", "60, 3"})
   void allControllersAway(double away, double before) {
-    begin(221, World.SMALL);
+    begin(221, SimCluster.SMALL);
     JobId goes = submit(job("wk-1", "batch", 6, 400));
     JobId stays = submit(job("wk-2", "daemon", 3, 0));
     run(60);
@@ -407,7 +407,7 @@
     "hung, 40, 30"
   })
   void aLeaderEndsWhileMachinesAreOutOfReach(String how, double seconds, double away) {
-    begin(231, World.SMALL);
+    begin(231, SimCluster.SMALL);
     JobId job = submit(job("wk-1", "batch", 6, 120));
     JobId goes = submit(job("wk-2", "batch", 4, 400));
     run(40);
@@ -434,7 +434,7 @@
   @ParameterizedTest(name = "seed {0}, {1} s each way")
   @CsvSource({"141, 0.1", "142, 0.3", "143, 0.5", "144, 0.8"})
   void moreWorkThanRoomOverSlowLinks(long seed, double slow) {
-    begin(seed, World.SMALL);
+    begin(seed, SimCluster.SMALL);
     List<JobId> lesser = new ArrayList<>();
     List<JobId> urgent = new ArrayList<>();
     for (int i = 0; i < 8; i++) {
@@ -467,7 +467,7 @@
   @ParameterizedTest(name = "seed {0}, share {1}")
   @CsvSource({"241, 0.2", "242, 0.4", "243, 0.6", "244, 0.4"})
   void lateWritesWhileJobsEndAndAreCancelled(long seed, double share) {
-    begin(seed, World.SMALL);
+    begin(seed, SimCluster.SMALL);
     users.cancelAtEnd(0.3);
     world.troubles.lateWrites(share, 90);
     List<JobId> jobs = new ArrayList<>();
--- a/src/test/java/org/ternhinge/controller/EndOfDayTest.java
+++ b/src/test/java/org/ternhinge/controller/EndOfDayChecksTest.java
@@ -12,18 +12,18 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimUsers;
 import org.ternhinge.sim.Specs;
-import org.ternhinge.sim.Users;
-import org.ternhinge.sim.World;
 
 /** What is checked at a day's end, one trouble at a time, on virtual time. */
-class EndOfDayTest {
-  private World world;
-  private Users users;
+class EndOfDayChecksTest {
+  private SimCluster world;
+  private SimUsers users;
 
-  private void begin(long seed, World.Size size) {
-    world = new World(seed, 0, size);
-    users = new Users(world);
+  private void begin(long seed, SimCluster.Size size) {
+    world = new SimCluster(seed, 0, size);
+    users = new SimUsers(world);
     world.clock.runFor(5);
   }
 
@@ -54,7 +54,7 @@
 
   @Test
   void aMachineThatHearsNothingIsLeftOutAndUsedAgainWhenHealed() {
-    begin(51, new World.Size(3, 1, 1000, 30));
+    begin(51, new SimCluster.Size(3, 1, 1000, 30));
     submit("wk-1", "batch", 160, 1, 8);
     run(40);
     var deaf = world.deafenSomeWorker(200);
@@ -75,7 +75,7 @@
 
   @Test
   void workOfASilentMachineStartsElsewhereWhenItsLeaseIsOver() {
-    begin(55, World.SMALL);
+    begin(55, SimCluster.SMALL);
     JobId stays = submit("wk-1", "daemon", 4, 2, 0);
     run(60);
     assertEquals(4, world.runningTasks(stays));
@@ -92,7 +92,7 @@
 
   @Test
   void aLateCopyDoesNotReviveAReturnedMachine() {
-    begin(52, World.SMALL);
+    begin(52, SimCluster.SMALL);
     untilDone(submit("wk-1", "batch", 16, 2, 5), 120);
     run(120);
     List<MachineId> gone = world.goneMachines();
@@ -109,7 +109,7 @@
   @ParameterizedTest(name = "leader {0}, {1} s")
   @CsvSource({"true, 12", "true, 60", "false, 12", "false, 60"})
   void aControllerThatKeepsOnlyItsWorkers(boolean leader, double seconds) {
-    begin(53, World.SMALL);
+    begin(53, SimCluster.SMALL);
     JobId stays = submit("wk-1", "daemon", 3, 2, 0);
     JobId goes = submit("wk-2", "batch", 4, 1, 300);
     run(60);
@@ -135,7 +135,7 @@
   @ParameterizedTest(name = "{0}: health {1}")
   @CsvSource({"leader alone, 503", "follower alone, 503", "outage, 200", "refused alone, 200"})
   void aNodeThatCanAnswerNobodyIsUnhealthy(String trouble, int status) {
-    begin(56, World.SMALL);
+    begin(56, SimCluster.SMALL);
     run(10);
     int node = trouble.startsWith("follower") ? (world.leader() + 1) % 3 : world.leader();
     switch (trouble) {
@@ -152,7 +152,7 @@
   /** What is over needs no leader to be told. */
   @Test
   void aCancelOfADoneJobIsAnsweredWhileNobodyLeads() {
-    begin(57, World.SMALL);
+    begin(57, SimCluster.SMALL);
     JobId job = submit("wk-1", "batch", 2, 1, 5);
     untilDone(job, 60);
     int leader = world.leader();
@@ -168,7 +168,7 @@
   @ParameterizedTest(name = "seed {0}")
   @CsvSource({"61", "62", "63", "64"})
   void backWithinAFractionOfASecondInMidElection(long seed) {
-    begin(seed, World.SMALL);
+    begin(seed, SimCluster.SMALL);
     JobId stays = submit("wk-1", "daemon", 3, 2, 0);
     JobId array = submit("wk-2", "batch", 30, 1, 10);
     run(20);
@@ -189,7 +189,7 @@
   /** Small work without end must not starve the largest, and every kind gets its part. */
   @Test
   void theLargestBeginWithinFourMinutesBesideSmallWorkWithoutEnd() {
-    begin(71, new World.Size(3, 4, 1000, 30));
+    begin(71, new SimCluster.Size(3, 4, 1000, 30));
     List<JobId> small = new ArrayList<>();
     List<JobId> large = new ArrayList<>();
     for (int step = 0; step < 130; step++) {
@@ -217,7 +217,7 @@
   /** Work is bounded by counts at the grown size: it follows what changes, not the fleet's size. */
   @Test
   void hundredsOfMachinesWithFiveControllers() {
-    begin(81, new World.Size(5, 70, 4000, 30));
+    begin(81, new SimCluster.Size(5, 70, 4000, 30));
     List<JobId> jobs = new ArrayList<>();
     for (int i = 0; i < 60; i++) {
       jobs.add(submit("wk-1" + String.format("%03d", i), "daemon", 6, 4, 0));
--- a/src/test/java/org/ternhinge/controller/Faults.java
+++ b/src/test/java/org/ternhinge/controller/Faults.java
@@ -1,15 +1,15 @@
 package org.ternhinge.controller;
 
 import org.ternhinge.model.JobId;
-import org.ternhinge.sim.Users;
-import org.ternhinge.sim.World;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimUsers;
 
 /** Seeded troubles by their kind, for the tests that run whole days of them. */
 final class Faults {
-  private final World world;
-  private final Users users;
+  private final SimCluster world;
+  private final SimUsers users;
 
-  Faults(World world, Users users) {
+  Faults(SimCluster world, SimUsers users) {
     this.world = world;
     this.users = users;
   }
--- a/src/test/java/org/ternhinge/controller/TroubleTest.java
+++ b/src/test/java/org/ternhinge/controller/JobFailuresTest.java
@@ -8,7 +8,7 @@
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.sim.SimClock;
 
-class TroubleTest {
+class JobFailuresTest {
   /**
    * No job may wait for 90 s beside a machine that fits; a mark that never ends would have it so.
    */
@@ -17,7 +17,7 @@
     SteadyTime start = new SimClock().now();
     MachineId first = new MachineId("n-1");
     MachineId second = new MachineId("n-2");
-    Trouble t = new Trouble();
+    JobFailures t = new JobFailures();
     t.failedOn(first, start);
     t.failedOn(second, start.plusSeconds(20));
     assertEquals(Set.of(first, second), t.avoid(start.plusSeconds(30)));
--- a/src/test/java/org/ternhinge/controller/KeepAliveTest.java
+++ b/src/test/java/org/ternhinge/controller/KeepAliveTest.java
@@ -15,9 +15,9 @@
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Session;
 import org.ternhinge.model.TaskId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimUsers;
 import org.ternhinge.sim.Specs;
-import org.ternhinge.sim.Users;
-import org.ternhinge.sim.World;
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.Json;
 import org.ternhinge.wire.TaskReport;
@@ -31,14 +31,14 @@
  */
 class KeepAliveTest {
   private final JobId job = new JobId("wk-1");
-  private World world;
-  private Users users;
+  private SimCluster world;
+  private SimUsers users;
   private MachineId machine;
 
   @BeforeEach
   void aServiceRuns() {
-    world = new World(95, 0);
-    users = new Users(world);
+    world = new SimCluster(95, 0);
+    users = new SimUsers(world);
     world.clock.runFor(5);
     users.submit(Specs.json("wk-1", "daemon", 2).put("forgang", "production"));
     world.clock.runFor(40);
--- a/src/test/java/org/ternhinge/controller/FleetTest.java
+++ b/src/test/java/org/ternhinge/controller/LargeFleetTest.java
@@ -8,28 +8,28 @@
 import org.junit.jupiter.api.Test;
 import org.ternhinge.http.SocketShares;
 import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimUsers;
 import org.ternhinge.sim.Specs;
-import org.ternhinge.sim.Users;
-import org.ternhinge.sim.World;
 
 /**
  * The largest fleet that users speak of, on virtual time: 1,700 machines and five controllers, with
  * the troubles that strike many at once. Work is bounded by counts, never by time.
  */
-class FleetTest {
+class LargeFleetTest {
   private static final int PER_OFFER = 215;
   private static final int FLEET = 8 * PER_OFFER;
   private static final double WRITES = 40;
 
-  private World world;
-  private Users users;
+  private SimCluster world;
+  private SimUsers users;
   private final List<JobId> services = new ArrayList<>();
   private final List<JobId> others = new ArrayList<>();
 
   /** The world's counts at some time. */
   private record Counts(
       double at, long orders, long changes, long rents, long returns, long lists) {
-    static Counts of(World w) {
+    static Counts of(SimCluster w) {
       return new Counts(
           w.clock.seconds(), w.orders, w.changes, w.rentCalls, w.returnCalls, w.listings);
     }
@@ -74,8 +74,8 @@
 
   @Test
   void seventeenHundredMachinesHoldWhenManyFailTogether() {
-    world = new World(91, 0, new World.Size(5, PER_OFFER, 12000, WRITES));
-    users = new Users(world);
+    world = new SimCluster(91, 0, new SimCluster.Size(5, PER_OFFER, 12000, WRITES));
+    users = new SimUsers(world);
     world.clock.runFor(5);
     Counts start = Counts.of(world);
     for (int i = 0; i < 200; i++) {
--- a/src/test/java/org/ternhinge/controller/SlotsTest.java
+++ b/src/test/java/org/ternhinge/controller/PackedRecordsTest.java
@@ -22,7 +22,7 @@
 import org.ternhinge.state.Txn;
 import org.ternhinge.wire.Json;
 
-class SlotsTest {
+class PackedRecordsTest {
   @ParameterizedTest(name = "{0} {1}")
   @CsvSource(
       delimiter = '|',
@@ -38,7 +38,7 @@
   void takesOverItsOwnRecordsAndLeavesOthersAlone(String key, String value, String facts)
       throws Exception {
     LedgerWriter writer = new LedgerWriter(null, null, null, new SimClock(), null, 16, a -> {});
-    Slots slots = new Slots(writer, "r/", 8 * 1024);
+    PackedRecords slots = new PackedRecords(writer, "r/", 8 * 1024);
     List<String> found = new ArrayList<>();
     slots.known(
         new Entry(key, Json.parse(value.getBytes()), new Revision(7)),
@@ -79,7 +79,7 @@
             new ReentrantLock(),
             16,
             a -> {});
-    Slots slots = new Slots(writer, key.substring(0, 2), 8192);
+    PackedRecords slots = new PackedRecords(writer, key.substring(0, 2), 8192);
     List<String> found = new ArrayList<>();
     slots.known(core.get(key).entry().orElseThrow(), (name, fact) -> found.add(name + fact));
     String fact = Json.parse(value.getBytes(StandardCharsets.UTF_8)).get(known).toString();
--- a/src/test/java/org/ternhinge/controller/PipelinesTest.java
+++ b/src/test/java/org/ternhinge/controller/PipelinesTest.java
@@ -17,9 +17,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimUsers;
 import org.ternhinge.sim.Specs;
-import org.ternhinge.sim.Users;
-import org.ternhinge.sim.World;
 import org.ternhinge.state.Change;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Json;
@@ -28,18 +28,18 @@
 class PipelinesTest {
   private static final double CANCEL_S = 44;
 
-  private World world;
-  private Users users;
+  private SimCluster world;
+  private SimUsers users;
   private int jobs;
 
-  private void begin(long seed, double loss, World.Size size) {
-    world = new World(seed, loss, size, World.COMING);
-    users = new Users(world);
+  private void begin(long seed, double loss, SimCluster.Size size) {
+    world = new SimCluster(seed, loss, size, SimCluster.COMING);
+    users = new SimUsers(world);
     world.clock.runFor(5);
   }
 
   private void begin(long seed) {
-    begin(seed, 0, new World.Size(3, 4, 60, 30));
+    begin(seed, 0, new SimCluster.Size(3, 4, 60, 30));
   }
 
   private static ObjectNode job(String id, int tasks, double runs, List<JobId> after) {
@@ -140,7 +140,7 @@
     "1043, 0.02, zones_apart"
   })
   void rulesHold(long seed, double loss, String faults) {
-    begin(seed, loss, new World.Size(3, 3, 36, 30));
+    begin(seed, loss, new SimCluster.Size(3, 3, 36, 30));
     Faults troubles = new Faults(world, users);
     boolean odd = faults.equals("odd") || faults.equals("meet");
     if (odd) {
@@ -644,7 +644,7 @@
     "leader, lower"
   })
   void thousandsAfterOne(String asked, String then) {
-    begin(351, 0, new World.Size(3, 4, 60, 30));
+    begin(351, 0, new SimCluster.Size(3, 4, 60, 30));
     JobId first = submit("wk-1", 2, 3000);
     run(20);
     List<JobId> all = new ArrayList<>();
@@ -700,7 +700,7 @@
   /** A job that waits leaves its team's limit to others, however much it will need. */
   @Test
   void whoWaitsHoldsNoPartOfTheLimit() {
-    begin(361, 0, new World.Size(3, 4, 24, 30));
+    begin(361, 0, new SimCluster.Size(3, 4, 24, 30));
     JobId first = submit("wk-1", 2, 60);
     JobId waits = submit("wk-2", 12, 5, first);
     ObjectNode gang = job("wk-3", 2, 5, List.of(first)).put("gerd", "group").put("cpus", 4.0);
@@ -756,7 +756,7 @@
   @ParameterizedTest(name = "seed {0}, late writes {1}")
   @CsvSource({"411, 0", "412, 0", "413, 0.3", "414, 0.3"})
   void manyEndsAndUrgentStartsAtOnce(long seed, double late) {
-    begin(seed, 0, new World.Size(3, 10, 200, 30));
+    begin(seed, 0, new SimCluster.Size(3, 10, 200, 30));
     world.troubles.lowerLimits();
     for (int i = 0; i < 24; i++) {
       JobId first = submit("wk-1" + String.format("%02d", i), 1, 20);
@@ -794,7 +794,7 @@
   })
   void largeRecordsOfTheOldVersion(int count, int tasks, String kind, String lowered)
       throws Exception {
-    begin(381, 0, new World.Size(3, 20, 400, 30));
+    begin(381, 0, new SimCluster.Size(3, 20, 400, 30));
     run(10);
     for (int i = 0; i < 3; i++) {
       world.crash(i, 3 + i * 0.2);
@@ -881,7 +881,7 @@
   @ParameterizedTest(name = "seed {0}, lowered at {1} s")
   @CsvSource({"391, 0", "392, 12", "393, 30"})
   void workGoesOnUnderLowerLimits(long seed, double at) {
-    begin(seed, 0, new World.Size(3, 10, 200, 30));
+    begin(seed, 0, new SimCluster.Size(3, 10, 200, 30));
     world.clock.after(at, world.troubles::lowerLimits);
     int led = world.leaderships;
     List<JobId> firsts = new ArrayList<>();
@@ -909,8 +909,8 @@
   @ParameterizedTest(name = "{0}, lowered {1} s after the last is replaced")
   @CsvSource({"batch, 0", "batch, 10", "batch, 25", "group, 5", "daemon, 0", "daemon, 20"})
   void largeRecordsOfWorkThatRuns(String kind, double lowered) {
-    world = new World(401, 0, new World.Size(3, 160, 1200, 30));
-    users = new Users(world);
+    world = new SimCluster(401, 0, new SimCluster.Size(3, 160, 1200, 30));
+    users = new SimUsers(world);
     world.clock.runFor(5);
     List<JobId> all = new ArrayList<>();
     for (int i = 0; i < 2; i++) {
@@ -926,7 +926,7 @@
     int largest =
         all.stream().mapToInt(id -> Json.bytes(world.held("j/" + id)).length).max().orElse(0);
     assertTrue(largest > 2500, "records of " + largest + " bytes");
-    world.announce(World.COMING);
+    world.announce(SimCluster.COMING);
     for (int i = 0; i < 3; i++) {
       world.crash(i, 2);
       run(6);
--- a/src/test/java/org/ternhinge/controller/DetoursTest.java
+++ b/src/test/java/org/ternhinge/controller/ReportRelayTest.java
@@ -7,7 +7,7 @@
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.SteadyTime;
 
-class DetoursTest {
+class ReportRelayTest {
   private static final MachineId WORKER = new MachineId("n-1");
 
   @ParameterizedTest
@@ -20,7 +20,7 @@
     "'0 60', RR" // a report much later says nothing of the leader
   })
   void aWorkerThatComesBackSoonIsRelayed(String times, String expected) {
-    Detours detours = new Detours();
+    ReportRelay detours = new ReportRelay();
     StringBuilder seen = new StringBuilder();
     for (String t : times.split(" ")) {
       SteadyTime at = new SteadyTime(0).plusSeconds(Double.parseDouble(t));
--- a/src/test/java/org/ternhinge/controller/FaultTest.java
+++ b/src/test/java/org/ternhinge/controller/SeededFaultTest.java
@@ -8,17 +8,17 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimUsers;
 import org.ternhinge.sim.Specs;
-import org.ternhinge.sim.Users;
-import org.ternhinge.sim.World;
 
 /**
  * The whole controller under seeded faults, on virtual time. The rules are checked on what the
  * stand-ins saw running and on what users were told.
  */
-class FaultTest {
-  private World world;
-  private Users users;
+class SeededFaultTest {
+  private SimCluster world;
+  private SimUsers users;
   private Faults troubles;
   private int jobs;
 
@@ -72,8 +72,8 @@
     "50, 0.02, meet"
   })
   void rulesHold(long seed, double loss, String faults) {
-    world = new World(seed, loss);
-    users = new Users(world);
+    world = new SimCluster(seed, loss);
+    users = new SimUsers(world);
     troubles = new Faults(world, users);
     boolean odd = faults.equals("odd") || faults.equals("meet");
     if (odd) {
--- a/src/test/java/org/ternhinge/ledger/DependenciesTest.java
+++ b/src/test/java/org/ternhinge/ledger/DependenciesTest.java
@@ -62,7 +62,7 @@
   }
 
   private String admitted(Job job) {
-    List<Placement> one = List.of(new Placement(0, Sites.on("n-1", 1)));
+    List<Placement> one = List.of(new Placement(0, TestMachines.on("n-1", 1)));
     return ledger.admit(job, one, t -> false);
   }
 
--- a/src/test/java/org/ternhinge/ledger/LedgerTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerTest.java
@@ -35,8 +35,8 @@
     return job;
   }
 
-  private static Site site(String name, int zone, String type, boolean spot) {
-    return new Site(
+  private static MachineAttributes site(String name, int zone, String type, boolean spot) {
+    return new MachineAttributes(
         new MachineId(name),
         new Session(1),
         type,
@@ -46,8 +46,8 @@
         Resources.offer(8, 0, 64));
   }
 
-  private static final Site A = site("n-1", 0, "small", false);
-  private static final Site B = site("n-2", 1, "small", false);
+  private static final MachineAttributes A = site("n-1", 0, "small", false);
+  private static final MachineAttributes B = site("n-2", 1, "small", false);
 
   @ParameterizedTest(name = "{0}")
   @CsvSource(
@@ -74,7 +74,8 @@
     Job job = job(json);
     List<Placement> list = new ArrayList<>();
     for (String p : places.split(" ")) {
-      Site s = p.endsWith("A") ? A : p.endsWith("B") ? B : site("n-3", 0, "small", true);
+      MachineAttributes s =
+          p.endsWith("A") ? A : p.endsWith("B") ? B : site("n-3", 0, "small", true);
       list.add(new Placement(p.charAt(0) - '0', s));
     }
     String said = ledger.open(job, list, t -> false, NOW);
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.config.Team;
 import org.ternhinge.ledger.Ledger.Placement;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.Term;
@@ -85,7 +85,7 @@
   /** Only what the writer uses. */
   private final class Store implements StateStore {
     @Override
-    public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
+    public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority lane) {
       sent.add(txn);
       CompletableFuture<Outcome<Revision>> out = new CompletableFuture<>();
       boolean mute = unanswered-- > 0;
@@ -97,22 +97,23 @@
     }
 
     @Override
-    public int changesNow(Lane lane) {
+    public int changesNow(RequestPriority lane) {
       return budget;
     }
 
     @Override
-    public double secondsUntilTxn(int changes, Lane lane) {
+    public double secondsUntilTxn(int changes, RequestPriority lane) {
       return 0;
     }
 
     @Override
-    public CompletableFuture<Outcome<Read>> get(String key, Lane lane) {
+    public CompletableFuture<Outcome<Read>> get(String key, RequestPriority lane) {
       return CompletableFuture.completedFuture(Outcome.applied(core.get(key)));
     }
 
     @Override
-    public CompletableFuture<Outcome<Page>> list(String p, String after, int limit, Lane lane) {
+    public CompletableFuture<Outcome<Page>> list(
+        String p, String after, int limit, RequestPriority lane) {
       throw new UnsupportedOperationException();
     }
 
@@ -155,7 +156,7 @@
   }
 
   private void open(Job job, int from, int to) {
-    Site site = Sites.on("n-1", 1);
+    MachineAttributes site = TestMachines.on("n-1", 1);
     List<Placement> places = new ArrayList<>();
     for (int i = from; i < to; i++) {
       places.add(new Placement(i, site));
--- a/src/test/java/org/ternhinge/ledger/PieceRoomTest.java
+++ b/src/test/java/org/ternhinge/ledger/PieceCapacityTest.java
@@ -23,15 +23,15 @@
 /**
  * Whatever is admitted fits the state service's limit on values, and goes on fitting as it ends.
  */
-class PieceRoomTest {
+class PieceCapacityTest {
   private static final SteadyTime NOW = new SteadyTime(0);
 
   private static ObjectNode json(String kind, int tasks) {
     return Specs.json("wk-1", kind, tasks).put("cpus", 0.001).put("memory_gb", 0.001);
   }
 
-  private static Site site(int machine) {
-    return Sites.on(String.format("n-%06d", 990_000 + machine), 1234);
+  private static MachineAttributes site(int machine) {
+    return TestMachines.on(String.format("n-%06d", 990_000 + machine), 1234);
   }
 
   private static void allFit(Job job, int valueBytes) {
--- a/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
@@ -230,8 +230,8 @@
   private void open(Job job, String machine, int session, int zone, int from, int to) {
     List<Placement> places = new ArrayList<>();
     for (int i = from; i < to; i++) {
-      Site site =
-          new Site(
+      MachineAttributes site =
+          new MachineAttributes(
               new MachineId(machine),
               new Session(session),
               "small",
--- a/src/test/java/org/ternhinge/ledger/Sites.java
+++ b/src/test/java/org/ternhinge/ledger/TestMachines.java
@@ -5,11 +5,11 @@
 import org.ternhinge.model.Session;
 
 /** Where tests place tasks: a small ordinary machine in the first zone. */
-final class Sites {
-  private Sites() {}
+final class TestMachines {
+  private TestMachines() {}
 
-  static Site on(String machine, long session) {
-    return new Site(
+  static MachineAttributes on(String machine, long session) {
+    return new MachineAttributes(
         new MachineId(machine),
         new Session(session),
         "small",
--- a/src/test/java/org/ternhinge/limit/TokenBucketTest.java
+++ b/src/test/java/org/ternhinge/limit/TokenBucketTest.java
@@ -14,12 +14,12 @@
   @Test
   void renewalsFindTokensWhenQueriesHaveTakenTheirs() {
     int queries = 0;
-    while (bucket.tryTake(Lane.QUERY, 1)) {
+    while (bucket.tryTake(RequestPriority.QUERY, 1)) {
       queries++;
     }
     assertEquals(6, queries, "two fifths are left to those before");
     int renewals = 0;
-    while (bucket.tryTake(Lane.RENEWAL, 1)) {
+    while (bucket.tryTake(RequestPriority.RENEWAL, 1)) {
       renewals++;
     }
     assertEquals(4, renewals);
@@ -27,26 +27,26 @@
 
   @Test
   void refillsAtItsRateAndNoFurther() {
-    while (bucket.tryTake(Lane.RENEWAL, 1)) {
+    while (bucket.tryTake(RequestPriority.RENEWAL, 1)) {
       clock.runFor(0);
     }
-    assertEquals(0.5, bucket.secondsUntil(Lane.RENEWAL, 5), 1e-6);
+    assertEquals(0.5, bucket.secondsUntil(RequestPriority.RENEWAL, 5), 1e-6);
     clock.runFor(100);
-    assertTrue(bucket.tryTake(Lane.RENEWAL, 10));
-    assertFalse(bucket.tryTake(Lane.RENEWAL, 1));
+    assertTrue(bucket.tryTake(RequestPriority.RENEWAL, 10));
+    assertFalse(bucket.tryTake(RequestPriority.RENEWAL, 1));
   }
 
   @Test
   void aRefusalByTheOtherSidePausesAll() {
     bucket.drain();
-    assertFalse(bucket.tryTake(Lane.RENEWAL, 1));
+    assertFalse(bucket.tryTake(RequestPriority.RENEWAL, 1));
     clock.runFor(0.31);
-    assertTrue(bucket.tryTake(Lane.RENEWAL, 1));
+    assertTrue(bucket.tryTake(RequestPriority.RENEWAL, 1));
   }
 
   @Test
   void moreThanTheBucketHoldsIsHadWhenItIsFull() {
-    assertTrue(bucket.tryTake(Lane.ATTEMPT, 15), "else it would wait for ever");
-    assertTrue(bucket.secondsUntil(Lane.RENEWAL, 1) > 0.5);
+    assertTrue(bucket.tryTake(RequestPriority.ATTEMPT, 15), "else it would wait for ever");
+    assertTrue(bucket.secondsUntil(RequestPriority.RENEWAL, 1) > 0.5);
   }
 }
--- a/src/test/java/org/ternhinge/sim/DirectStore.java
+++ b/src/test/java/org/ternhinge/sim/DirectStore.java
@@ -1,7 +1,7 @@
 package org.ternhinge.sim;
 
 import java.util.concurrent.CompletableFuture;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Revision;
 import org.ternhinge.state.StateStore;
@@ -20,17 +20,18 @@
   }
 
   @Override
-  public CompletableFuture<Outcome<Read>> get(String key, Lane lane) {
+  public CompletableFuture<Outcome<Read>> get(String key, RequestPriority lane) {
     return now(Outcome.applied(core.get(key)));
   }
 
   @Override
-  public CompletableFuture<Outcome<Page>> list(String prefix, String after, int limit, Lane lane) {
+  public CompletableFuture<Outcome<Page>> list(
+      String prefix, String after, int limit, RequestPriority lane) {
     return now(Outcome.applied(core.list(prefix, after, limit)));
   }
 
   @Override
-  public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
+  public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority lane) {
     return now(core.txn(txn));
   }
 
@@ -58,12 +59,12 @@
   }
 
   @Override
-  public int changesNow(Lane lane) {
+  public int changesNow(RequestPriority lane) {
     return Integer.MAX_VALUE;
   }
 
   @Override
-  public double secondsUntilTxn(int changes, Lane lane) {
+  public double secondsUntilTxn(int changes, RequestPriority lane) {
     return 0;
   }
 }
--- a/src/test/java/org/ternhinge/sim/Troubles.java
+++ b/src/test/java/org/ternhinge/sim/FaultInjector.java
@@ -18,8 +18,8 @@
  * Troubles that hold messages up or back. They draw from a source of their own, so that a seed
  * means the same days with and without them.
  */
-public final class Troubles {
-  private final World world;
+public final class FaultInjector {
+  private final SimCluster world;
   private final SplittableRandom random;
   private double lateShare;
   private SteadyTime lateUntil;
@@ -32,7 +32,7 @@
   /** Machines whose next report is held back, and for how long. */
   private final Map<MachineId, Double> toHold = new HashMap<>();
 
-  Troubles(World world, long seed) {
+  FaultInjector(SimCluster world, long seed) {
     this.world = world;
     this.random = new SplittableRandom(seed * 31 + 7);
   }
@@ -78,12 +78,12 @@
    * transactions are answered 400, faster ones 429.
    */
   public void lowerLimits(double valueKb, int txnOps, double writeRps) {
-    world.stateLimits.set(new World.Limits(valueKb, txnOps, writeRps));
+    world.stateLimits.set(new SimCluster.Limits(valueKb, txnOps, writeRps));
   }
 
   /** The limits become those that the settings name as coming. */
   public void lowerLimits() {
-    world.stateLimits.set(World.COMING);
+    world.stateLimits.set(SimCluster.COMING);
   }
 
   /** Again and again the state service refuses whoever leads by then. */
--- a/src/test/java/org/ternhinge/sim/SimCloud.java
+++ b/src/test/java/org/ternhinge/sim/SimCloud.java
@@ -19,11 +19,11 @@
     <T> CompletableFuture<T> guard(CompletableFuture<T> from);
   }
 
-  private final World world;
+  private final SimCluster world;
   private final int node;
   private final Guard owner;
 
-  SimCloud(World world, int node, Guard owner) {
+  SimCloud(SimCluster world, int node, Guard owner) {
     this.world = world;
     this.node = node;
     this.owner = owner;
@@ -33,11 +33,11 @@
   public CompletableFuture<Outcome<List<Flavor>>> flavors() {
     return owner.guard(
         world.troubles.<List<Flavor>>call(
-            Troubles.zoneOf(node),
+            FaultInjector.zoneOf(node),
             null,
             () -> false,
             5,
-            to -> to.accept(Outcome.applied(World.FLAVORS))));
+            to -> to.accept(Outcome.applied(SimCluster.FLAVORS))));
   }
 
   @Override
@@ -45,7 +45,7 @@
     world.rentCalls++;
     return owner.guard(
         world.troubles.<List<MachineId>>call(
-            Troubles.zoneOf(node),
+            FaultInjector.zoneOf(node),
             null,
             () -> false,
             5,
@@ -57,7 +57,7 @@
     world.returnCalls++;
     return owner.guard(
         world.troubles.<Integer>call(
-            Troubles.zoneOf(node),
+            FaultInjector.zoneOf(node),
             null,
             () -> false,
             5,
@@ -76,7 +76,7 @@
   @Override
   public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
     world.listings++;
-    if (world.troubles.apart(Troubles.zoneOf(node), null)) {
+    if (world.troubles.apart(FaultInjector.zoneOf(node), null)) {
       return owner.guard(world.troubles.mute(5));
     }
     List<HostInfo> hosts = new ArrayList<>();
@@ -100,12 +100,12 @@
 
   /** What the cloud has rented out, to whomever. */
   static final class Stock {
-    private final World world;
+    private final SimCluster world;
     private final Map<String, List<MachineId>> rentals = new HashMap<>();
     private final Map<String, Integer> booting = new HashMap<>();
     private int machinesMade;
 
-    Stock(World world) {
+    Stock(SimCluster world) {
       this.world = world;
     }
 
@@ -135,7 +135,7 @@
             for (int i = 0; i < Math.min(q.count(), left); i++) {
               MachineId id = new MachineId(String.format("n-%06d", machinesMade++));
               out.add(id);
-              Flavor f = World.FLAVORS.get(q.type().equals("small") ? 0 : 1);
+              Flavor f = SimCluster.FLAVORS.get(q.type().equals("small") ? 0 : 1);
               world.clock.after(
                   f.bootS() * (0.6 + world.random.nextDouble()),
                   () -> {
--- a/src/test/java/org/ternhinge/sim/World.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -19,12 +19,12 @@
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Team;
 import org.ternhinge.config.Tuning;
-import org.ternhinge.controller.Lead;
-import org.ternhinge.controller.Node;
+import org.ternhinge.controller.ControllerNode;
+import org.ternhinge.controller.Leadership;
 import org.ternhinge.election.Election;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.limit.TokenBucket;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
@@ -55,7 +55,7 @@
  * Three controllers with stand-ins for everything around them, in virtual time. What ran where is
  * kept by the stand-ins, and the rules are checked on that, not on anything the service says.
  */
-public final class World {
+public final class SimCluster {
   /**
    * How much of everything there is.
    *
@@ -95,9 +95,9 @@
 
   public final SimClock clock = new SimClock();
   final SplittableRandom random;
-  final Net net;
+  final SimNetwork net;
   private final StoreCore store = new StoreCore(clock);
-  public final Troubles troubles;
+  public final FaultInjector troubles;
   private final Size size;
   private Limits limits;
   final StateLimits stateLimits;
@@ -196,11 +196,11 @@
         0.025);
   }
 
-  public World(long seed, double lossShare) {
+  public SimCluster(long seed, double lossShare) {
     this(seed, lossShare, SMALL);
   }
 
-  public World(long seed, double lossShare, Size size) {
+  public SimCluster(long seed, double lossShare, Size size) {
     this(seed, lossShare, size, null);
   }
 
@@ -210,7 +210,7 @@
    *
    * @param coming or null
    */
-  public World(long seed, double lossShare, Size size, Limits coming) {
+  public SimCluster(long seed, double lossShare, Size size, Limits coming) {
     this.size = size;
     Limits first = new Limits(8, 16, size.writeRps);
     limits = coming == null ? first : first.lesser(coming);
@@ -220,8 +220,8 @@
     workerCut = new SteadyTime[size.nodes];
     peerCut = new SteadyTime[size.nodes];
     random = new SplittableRandom(seed);
-    troubles = new Troubles(this, seed);
-    net = new Net(clock, random.split());
+    troubles = new FaultInjector(this, seed);
+    net = new SimNetwork(clock, random.split());
     net.lossShare = lossShare;
     for (int i = 0; i < size.nodes; i++) {
       start(i);
@@ -234,19 +234,19 @@
   private final class Incarnation implements Clock, SimCloud.Guard {
     private final int index;
     private boolean alive = true;
-    private final Node node;
+    private final ControllerNode node;
 
     Incarnation(int index) {
       this.index = index;
       ReentrantLock lock = new ReentrantLock();
       Settings settings = settings("node-" + index);
-      Lead.Surroundings around =
-          new Lead.Surroundings(
+      Leadership.Surroundings around =
+          new Leadership.Surroundings(
               settings,
               Tuning.DEFAULT,
               new Store(this),
-              new SimCloud(World.this, index, this),
-              new Orders(this),
+              new SimCloud(SimCluster.this, index, this),
+              new CommandDispatcher(this),
               this,
               lock,
               r -> after(0.001, r),
@@ -260,12 +260,12 @@
               Election.grace(Tuning.DEFAULT, settings.workers()),
               lock,
               random.split());
-      Node.Peers peers =
-          new Node.Peers() {
+      ControllerNode.Peers peers =
+          new ControllerNode.Peers() {
             @Override
             public void ask(
                 String to, Request request, double timeoutS, Consumer<Response> answer) {
-              World.this.ask(Incarnation.this, to, request, timeoutS, answer);
+              SimCluster.this.ask(Incarnation.this, to, request, timeoutS, answer);
             }
 
             @Override
@@ -273,7 +273,7 @@
           };
       Store state = (Store) around.store();
       node =
-          new Node(
+          new ControllerNode(
               around,
               election,
               peers,
@@ -551,7 +551,7 @@
     from.guard(
             troubles.<Response>call(
                 zoneOf(from),
-                Troubles.zoneOf(i),
+                FaultInjector.zoneOf(i),
                 () -> !past(peerCut[from.index]) || !past(peerCut[i]),
                 timeoutS,
                 back -> {
@@ -604,26 +604,26 @@
     }
 
     @Override
-    public CompletableFuture<Outcome<Read>> get(String key, Lane lane) {
+    public CompletableFuture<Outcome<Read>> get(String key, RequestPriority lane) {
       return send(1.5, () -> Outcome.applied(store.get(key)));
     }
 
     @Override
     public CompletableFuture<Outcome<Page>> list(
-        String prefix, String after, int limit, Lane lane) {
+        String prefix, String after, int limit, RequestPriority lane) {
       return send(5, () -> Outcome.applied(store.list(prefix, after, limit)));
     }
 
     private Outcome<Revision> carryOut(Txn txn) {
       Outcome<Revision> out = store.txn(txn);
       if (out instanceof Outcome.Applied) {
-        txn.changes().forEach(World.this::startsAfterEnds);
+        txn.changes().forEach(SimCluster.this::startsAfterEnds);
       }
       return out;
     }
 
     @Override
-    public CompletableFuture<Outcome<Revision>> txn(Txn txn, Lane lane) {
+    public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority lane) {
       if (!writes.tryTake(lane, txn.changes().size())) {
         return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, ""));
       }
@@ -692,18 +692,18 @@
     }
 
     @Override
-    public int changesNow(Lane lane) {
+    public int changesNow(RequestPriority lane) {
       return writes.available(lane);
     }
 
     @Override
-    public double secondsUntilTxn(int changes, Lane lane) {
+    public double secondsUntilTxn(int changes, RequestPriority lane) {
       return writes.secondsUntil(lane, changes);
     }
   }
 
   private static String zoneOf(Incarnation node) {
-    return Troubles.zoneOf(node.index);
+    return FaultInjector.zoneOf(node.index);
   }
 
   /** Machines that the cloud has of each type, zone and kind. */
@@ -724,10 +724,10 @@
         .orElse(-1);
   }
 
-  private final class Orders implements Workers {
+  private final class CommandDispatcher implements Workers {
     private final Incarnation owner;
 
-    Orders(Incarnation owner) {
+    CommandDispatcher(Incarnation owner) {
       this.owner = owner;
     }
 
@@ -775,7 +775,7 @@
     troubles
         .<Response>call(
             null,
-            Troubles.zoneOf(i),
+            FaultInjector.zoneOf(i),
             () -> false,
             5,
             to -> deliver(i, request, r -> to.accept(Outcome.applied(r))))
--- a/src/test/java/org/ternhinge/sim/Net.java
+++ b/src/test/java/org/ternhinge/sim/SimNetwork.java
@@ -8,7 +8,7 @@
 import org.ternhinge.model.Outcome.Reason;
 
 /** A network that delays, loses and holds back messages, by the seed. */
-final class Net {
+final class SimNetwork {
   private final SimClock clock;
   private final RandomGenerator random;
   double lossShare;
@@ -19,7 +19,7 @@
   /** Whether a cut holds messages back, to deliver them late, or only ever loses them. */
   boolean holdsBack = true;
 
-  Net(SimClock clock, RandomGenerator random) {
+  SimNetwork(SimClock clock, RandomGenerator random) {
     this.clock = clock;
     this.random = random;
   }
--- a/src/test/java/org/ternhinge/sim/Users.java
+++ b/src/test/java/org/ternhinge/sim/SimUsers.java
@@ -20,7 +20,7 @@
 /**
  * Users that submit, ask and cancel as the protocol page says, and hold the service to its word.
  */
-public final class Users {
+public final class SimUsers {
   private static final byte[] NONE = new byte[0];
 
   /** A job about which nothing is answered for so long counts as forgotten. */
@@ -29,7 +29,7 @@
   /** For so long a submission is repeated, as the protocol page has it. */
   private static final double SUBMITS_FOR_S = 60;
 
-  private final World world;
+  private final SimCluster world;
   private final Map<JobId, JobSpec> accepted = new LinkedHashMap<>();
   private final Map<JobId, String> lastTold = new HashMap<>();
   private final Map<JobId, Double> lastAnswered = new HashMap<>();
@@ -39,7 +39,7 @@
   private final Map<JobId, ObjectNode> bodies = new HashMap<>();
   private final Set<JobId> heardDone = new HashSet<>();
   private final List<Pending> pending = new ArrayList<>();
-  private final LeftWaiting leftWaiting;
+  private final StarvationCheck leftWaiting;
   private final SplittableRandom random = new SplittableRandom(5);
   private double quietSince = Double.MAX_VALUE;
   private int odd;
@@ -55,9 +55,9 @@
   /** Odd requests that were answered, by their status. */
   public final Map<Integer, Integer> oddAnswers = new TreeMap<>();
 
-  public Users(World world) {
+  public SimUsers(SimCluster world) {
     this.world = world;
-    this.leftWaiting = new LeftWaiting(world);
+    this.leftWaiting = new StarvationCheck(world);
   }
 
   public List<JobId> accepted() {
@@ -411,7 +411,7 @@
     }
     Double cancelled = world.toldCancelledAt(id);
     boolean unfinished = state.equals("queued") || state.equals("running");
-    if (unfinished && cancelled != null && now() > cancelled + World.CANCEL_S + 0.5) {
+    if (unfinished && cancelled != null && now() > cancelled + SimCluster.CANCEL_S + 0.5) {
       broken("orphaned: " + id + " is " + state + " although cancelled at " + cancelled);
     }
     if (state.equals("cancelled")) {
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -51,7 +51,7 @@
     }
   }
 
-  final World world;
+  final SimCluster world;
   final MachineId id;
   final Flavor flavor;
   final String zone;
@@ -81,7 +81,7 @@
   /** What has arrived while it hung, in order. */
   private final List<Runnable> waiting = new ArrayList<>();
 
-  SimWorker(World world, MachineId id, Flavor flavor, String zone, boolean spot) {
+  SimWorker(SimCluster world, MachineId id, Flavor flavor, String zone, boolean spot) {
     this.world = world;
     this.id = id;
     this.flavor = flavor;
@@ -177,7 +177,7 @@
   }
 
   private boolean leaseOver() {
-    return world.clock.now().secondsSince(leaseFrom) > World.LEASE_S;
+    return world.clock.now().secondsSince(leaseFrom) > SimCluster.LEASE_S;
   }
 
   private void checkLease() {
@@ -266,7 +266,7 @@
         .troubles
         .<Response>call(
             zone,
-            Troubles.zoneOf(asked),
+            FaultInjector.zoneOf(asked),
             () -> cut() || world.nodeCutFromWorkers(asked),
             4,
             to ->
@@ -296,7 +296,7 @@
     }
     boolean late = world.clock.now().secondsSince(sent) > 4;
     Outcome<Response> o = late ? Outcome.unknown("late") : outcome;
-    double next = World.REPORT_S * (0.75 + world.random.nextDouble() / 2);
+    double next = SimCluster.REPORT_S * (0.75 + world.random.nextDouble() / 2);
     if (o instanceof Outcome.Applied<Response> a && a.value().status() == 200) {
       if (inSession == session) {
         obey(a.value().body(), sent);
--- a/src/test/java/org/ternhinge/sim/LeftWaiting.java
+++ b/src/test/java/org/ternhinge/sim/StarvationCheck.java
@@ -8,17 +8,17 @@
 import org.ternhinge.wire.JobSpec;
 
 /** Jobs that wait although a machine that fits has room and their team is under its limit. */
-final class LeftWaiting {
+final class StarvationCheck {
   private static final double MOST_S = 90;
 
-  private final World world;
+  private final SimCluster world;
 
   /** Since when a job has been waiting beside room, and the starts that it had then. */
   private final Map<JobId, Double> since = new HashMap<>();
 
   private final Map<JobId, Integer> startsThen = new HashMap<>();
 
-  LeftWaiting(World world) {
+  StarvationCheck(SimCluster world) {
     this.world = world;
   }
 
@@ -57,7 +57,7 @@
     if (!spec.together()) {
       return placesIn(null, spec, wanted) >= wanted;
     }
-    for (String zone : World.ZONES) {
+    for (String zone : SimCluster.ZONES) {
       if (placesIn(zone, spec, wanted) >= wanted) {
         return true;
       }
--- a/src/test/java/org/ternhinge/sim/StateLimits.java
+++ b/src/test/java/org/ternhinge/sim/StateLimits.java
@@ -2,7 +2,7 @@
 
 import java.nio.charset.StandardCharsets;
 import java.util.function.Function;
-import org.ternhinge.limit.Lane;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.limit.TokenBucket;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.Outcome;
@@ -18,20 +18,20 @@
   private static final int CONDITIONS_TO_A_CHANGE = 4;
 
   private final TokenBucket writes;
-  private World.Limits now;
+  private SimCluster.Limits now;
 
   /** Transactions that were too large, and those that came too fast. */
   int tooLarge;
 
   int tooFast;
 
-  StateLimits(Clock clock, World.Limits first) {
+  StateLimits(Clock clock, SimCluster.Limits first) {
     this.now = first;
     this.writes = new TokenBucket(clock, first.writeRps());
   }
 
   /** What is stored stays as it is. */
-  void set(World.Limits to) {
+  void set(SimCluster.Limits to) {
     now = to;
     writes.setRate(to.writeRps());
   }
@@ -45,7 +45,7 @@
     }
     // Counted before the conditions are looked at, and also if they fail.
     int changes = txn.changes().size();
-    if (changes > 0 && !writes.tryTake(Lane.RENEWAL, changes)) {
+    if (changes > 0 && !writes.tryTake(RequestPriority.RENEWAL, changes)) {
       tooFast++;
       return Outcome.notApplied(Reason.REFUSED, "429");
     }
