--- a/src/main/java/org/ternhinge/cli/Service.java
+++ b/src/main/java/org/ternhinge/cli/Service.java
@@ -17,7 +17,7 @@
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Tuning;
 import org.ternhinge.controller.ControllerNode;
-import org.ternhinge.controller.Leadership;
+import org.ternhinge.controller.ControllerServices;
 import org.ternhinge.election.Election;
 import org.ternhinge.http.HttpCaller;
 import org.ternhinge.http.HttpServer;
@@ -73,8 +73,8 @@
     long seed = System.nanoTime() ^ (System.currentTimeMillis() << 20);
     SplittableRandom random = new SplittableRandom(seed * 31 + settings.node().hashCode());
     PeerLink link = new PeerLink(loop, settings.peers());
-    Leadership.Surroundings around =
-        new Leadership.Surroundings(
+    ControllerServices around =
+        new ControllerServices(
             settings,
             tuning,
             store,
--- a/src/main/java/org/ternhinge/controller/CommandDispatcher.java
+++ b/src/main/java/org/ternhinge/controller/CommandDispatcher.java
@@ -50,7 +50,7 @@
   private final LinkedHashSet<Machine> queue = new LinkedHashSet<>();
 
   CommandDispatcher(
-      Leadership lead, Leadership.Surroundings around, Authority authority, Ledger ledger) {
+      Leadership lead, ControllerServices around, Authority authority, Ledger ledger) {
     this.lead = lead;
     this.settings = around.settings();
     this.workers = around.workers();
--- a/src/main/java/org/ternhinge/controller/ControllerNode.java
+++ b/src/main/java/org/ternhinge/controller/ControllerNode.java
@@ -69,7 +69,7 @@
     void leads(boolean leading);
   }
 
-  private final Leadership.Surroundings around;
+  private final ControllerServices around;
   private final Lock lock;
   private final StateStore store;
   private final Election election;
@@ -81,8 +81,7 @@
   private final NodeConnectivity contact;
   private Leadership lead;
 
-  public ControllerNode(
-      Leadership.Surroundings around, Election election, Peers peers, Share share) {
+  public ControllerNode(ControllerServices around, Election election, Peers peers, Share share) {
     this.around = around;
     this.lock = around.lock();
     this.store = around.store();
--- a/src/main/java/org/ternhinge/controller/Leadership.java
+++ b/src/main/java/org/ternhinge/controller/Leadership.java
@@ -121,19 +121,7 @@
   private Revision watched;
   private Revision loadedAt;
 
-  /** Everything around a leadership that outlives it. */
-  public record Surroundings(
-      Settings settings,
-      Tuning tuning,
-      StateStore store,
-      Cloud cloud,
-      Workers workers,
-      Clock clock,
-      Lock lock,
-      Executor scheduler,
-      Metrics metrics) {}
-
-  Leadership(Surroundings s, Authority authority, Collection<Flavor> known) {
+  Leadership(ControllerServices s, Authority authority, Collection<Flavor> known) {
     this.settings = s.settings();
     this.tuning = s.tuning();
     this.authority = authority;
--- a/src/main/java/org/ternhinge/controller/MachineInventory.java
+++ b/src/main/java/org/ternhinge/controller/MachineInventory.java
@@ -44,7 +44,7 @@
 
   MachineInventory(
       Leadership lead,
-      Leadership.Surroundings around,
+      ControllerServices around,
       Authority authority,
       CommandDispatcher orders,
       Rentals rentals,
--- a/src/main/java/org/ternhinge/controller/ReportProcessor.java
+++ b/src/main/java/org/ternhinge/controller/ReportProcessor.java
@@ -58,7 +58,7 @@
 
   ReportProcessor(
       Leadership lead,
-      Leadership.Surroundings around,
+      ControllerServices around,
       Authority authority,
       Ledger ledger,
       Map<String, Flavor> flavors,
--- a/src/main/java/org/ternhinge/controller/SnapshotCache.java
+++ b/src/main/java/org/ternhinge/controller/SnapshotCache.java
@@ -54,7 +54,7 @@
   private final Map<JobId, JobFailures> troubles;
 
   SnapshotCache(
-      Leadership.Surroundings around,
+      ControllerServices around,
       Authority authority,
       Ledger ledger,
       Map<String, Flavor> flavors,
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -20,7 +20,7 @@
 import org.ternhinge.config.Team;
 import org.ternhinge.config.Tuning;
 import org.ternhinge.controller.ControllerNode;
-import org.ternhinge.controller.Leadership;
+import org.ternhinge.controller.ControllerServices;
 import org.ternhinge.election.Election;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
@@ -240,8 +240,8 @@
       this.index = index;
       ReentrantLock lock = new ReentrantLock();
       Settings settings = settings("node-" + index);
-      Leadership.Surroundings around =
-          new Leadership.Surroundings(
+      ControllerServices around =
+          new ControllerServices(
               settings,
               Tuning.DEFAULT,
               new Store(this),
