Pin the records and frames of the first version with dependent jobs

What has stored, and sends between nodes, has to stay readable and is written the same today, as is already pinned for the version in production. The literals were written by the code of: jobs with dependencies waiting, running, with folded pieces, cancelled by a user or by a dependency; piece sizes under small limits; records cut anew; packed rentals and returns; machine types; frames with dependencies.

--- a/src/test/java/org/ternhinge/controller/PackedRecordsTest.java
+++ b/src/test/java/org/ternhinge/controller/PackedRecordsTest.java
@@ -1,11 +1,14 @@
 package org.ternhinge.controller;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import com.fasterxml.jackson.databind.node.BooleanNode;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.TreeSet;
 import java.util.concurrent.locks.ReentrantLock;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -21,8 +24,28 @@
 import org.ternhinge.state.Entry;
 import org.ternhinge.state.Txn;
 import org.ternhinge.wire.Json;
+import org.ternhinge.wire.RentalRequest;
 
 class PackedRecordsTest {
+  /** Records by their keys, written by the code of commit d679fcc. */
+  private static final Map<String, String> D679FCC =
+      Map.of(
+          "r/0",
+          "{\"t5-1\":{\"leigubeidni\":\"t5-1\",\"velagerd\":\"fast\",\"svaedi\":\"east\","
+              + "\"lanvelar\":false,\"count\":11},\"t5-2\":{\"leigubeidni\":\"t5-2\","
+              + "\"velagerd\":\"small\",\"svaedi\":\"east\",\"lanvelar\":true,\"count\":12}}",
+          "r/1",
+          "{\"t5-3\":{\"leigubeidni\":\"t5-3\",\"velagerd\":\"fast\",\"svaedi\":\"west\","
+              + "\"lanvelar\":false,\"count\":13},\"t5-4\":{\"leigubeidni\":\"t5-4\","
+              + "\"velagerd\":\"small\",\"svaedi\":\"west\",\"lanvelar\":true,\"count\":14}}",
+          "r/2",
+          "{\"t5-5\":{\"leigubeidni\":\"t5-5\",\"velagerd\":\"fast\",\"svaedi\":\"west\","
+              + "\"lanvelar\":false,\"count\":15}}",
+          "x/0",
+          "{\"n-000002\":true,\"n-000001\":true,\"n-000003\":true}",
+          "x/1",
+          "{\"n-000005\":true,\"n-000004\":true}");
+
   @ParameterizedTest(name = "{0} {1}")
   @CsvSource(
       delimiter = '|',
@@ -93,6 +116,62 @@
     assertEquals("{}", core.get(key).entry().orElseThrow().value().toString());
   }
 
+  /**
+   * Several facts in a record, and how many go into one under a small limit, as the code of commit
+   * d679fcc writes them: five rentals, five returns.
+   */
+  @ParameterizedTest(name = "{0} in records of {1} bytes")
+  @CsvSource({"r/, 256, 3", "x/, 64, 2"})
+  void recordsOfTheFirstVersionWithDependentJobs(String prefix, int valueBytes, int records)
+      throws Exception {
+    SimClock clock = new SimClock();
+    StoreCore core = new StoreCore(clock);
+    core.txn(new Txn(Map.of(), List.of(new Change.Put("term", Json.object().put("n", 1), 0))));
+    PackedRecords written = packed(core, clock, prefix, valueBytes);
+    for (int i = 1; i <= 5; i++) {
+      if (prefix.equals("r/")) {
+        written.put("t5-" + i, rental(i).write(), () -> {});
+      } else {
+        written.put("n-00000" + i, BooleanNode.TRUE, () -> {});
+      }
+    }
+    clock.runFor(3);
+    PackedRecords read = packed(core, clock, prefix, valueBytes);
+    TreeSet<String> found = new TreeSet<>();
+    for (int i = 0; i < records; i++) {
+      Entry entry = core.get(prefix + i).entry().orElseThrow();
+      assertEquals(D679FCC.get(prefix + i), entry.value().toString());
+      read.known(entry, (name, fact) -> found.add(name + fact));
+    }
+    assertTrue(core.get(prefix + records).entry().isEmpty());
+    TreeSet<String> all = new TreeSet<>();
+    for (int i = 1; i <= 5; i++) {
+      all.add(prefix.equals("r/") ? "t5-" + i + rental(i).write() : "n-00000" + i + "true");
+    }
+    assertEquals(all, found);
+  }
+
+  private static RentalRequest rental(int number) {
+    boolean even = number % 2 == 0;
+    String zone = number < 3 ? "east" : "west";
+    return new RentalRequest("t5-" + number, even ? "small" : "fast", zone, even, 10 + number);
+  }
+
+  private static PackedRecords packed(
+      StoreCore core, SimClock clock, String prefix, int valueBytes) {
+    Revision term = core.get("term").entry().orElseThrow().revision();
+    LedgerWriter writer =
+        new LedgerWriter(
+            new Ledger(Map.of(), 8192, clock),
+            new DirectStore(core),
+            new Leader(term),
+            clock,
+            new ReentrantLock(),
+            16,
+            a -> {});
+    return new PackedRecords(writer, prefix, valueBytes);
+  }
+
   private record Leader(Revision termRevision) implements Authority {
     @Override
     public Term term() {
--- a/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
@@ -5,6 +5,8 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -13,6 +15,7 @@
 import java.util.StringJoiner;
 import java.util.TreeSet;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -32,6 +35,8 @@
 import org.ternhinge.sim.StoreCore;
 import org.ternhinge.state.Change;
 import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
 import org.ternhinge.wire.Json;
 import org.ternhinge.wire.RentalRequest;
@@ -41,6 +46,10 @@
  * What the version in production writes, byte for byte. During an upgrade both versions serve: each
  * reads what the other wrote and writes it back, so the literals here are a contract and not
  * examples. They were written by that version's own code.
+ *
+ * <p>The literals whose names begin with {@code WAITING}, {@code DEPENDENT} or {@code RECUT} were
+ * written by the code of commit d679fcc, the first version with dependent jobs that was released;
+ * what it has stored has to stay readable in the same way.
  */
 class ProductionRecordsTest {
   private static final Revision AT = new Revision(9);
@@ -80,6 +89,33 @@
   private static final String CANCELLED =
       TWENTY + "\"h\":4,\"c\":true,\"f\":\"1\",\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
 
+  // ---- written by the code of commit d679fcc ----------------------------------------------------
+
+  /** A job of twenty tasks that names two others, up to its piece size. */
+  private static final String DEPENDENT_TWENTY =
+      "{\"s\":{\"ref\":\"wk-000002\",\"runflokkur\":\"c\",\"eigandi\":\"red\",\"gerd\":\"batch\","
+          + "\"forgang\":\"normal\",\"verkbitar\":20,\"cpus\":1.0,\"accelerators\":0.0,"
+          + "\"memory_gb\":1.0,\"mynd\":\"img-1\",\"pull_gb\":1.0,\"together\":false,"
+          + "\"scatter\":false,\"lanvelar\":true,\"aaetlun_s\":10.0,\"vista_bil_s\":0.0,"
+          + "\"vistun_s\":0.0,\"bidur_eftir\":[\"wk-000398\",\"wk-000405\"]},"
+          + "\"t\":1700000000123,";
+
+  private static final String WAITING = DEPENDENT_TWENTY + "\"p\":127,\"h\":0,\"d\":\"\",\"o\":[]}";
+
+  /** A job before it is cancelled: nothing of it ever started, and all later pieces are over. */
+  private static final String WAITING_CANCELLED =
+      DEPENDENT_TWENTY + "\"p\":8,\"h\":0,\"c\":true,\"f\":\"1-2\",\"d\":\"\",\"o\":[]}";
+
+  private static final String DEPENDENT_OPEN =
+      DEPENDENT_TWENTY + "\"p\":8,\"h\":3,\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
+  private static final String DEPENDENT_FOLDED =
+      DEPENDENT_TWENTY
+          + "\"p\":8,\"h\":4,\"f\":\"1\",\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
+  private static final String DEPENDENT_CANCELLED =
+      DEPENDENT_TWENTY
+          + "\"p\":8,\"h\":4,\"c\":true,\"f\":\"1\",\"d\":\"0-2,5\","
+          + "\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
+
   private final SimClock clock = new SimClock();
   private final StoreCore core = new StoreCore(clock);
   private final Ledger ledger = new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), 8192, clock);
@@ -98,7 +134,13 @@
       case "full" -> FULL;
       case "open" -> OPEN;
       case "folded" -> FOLDED;
-      default -> CANCELLED;
+      case "cancelled" -> CANCELLED;
+      case "waiting" -> WAITING;
+      case "waiting, cancelled" -> WAITING_CANCELLED;
+      case "dependent, open" -> DEPENDENT_OPEN;
+      case "dependent, folded" -> DEPENDENT_FOLDED;
+      case "dependent, cancelled" -> DEPENDENT_CANCELLED;
+      default -> throw new IllegalArgumentException(name);
     };
   }
 
@@ -138,6 +180,14 @@
         + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
     // Which tasks of a folded piece were done is not known once the job is cancelled.
     "cancelled, wk-000002, 20, 8, 4, true, 0 1 2 5, "
+        + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
+    "waiting, wk-000002, 20, 127, 0, false, '', ''",
+    "'waiting, cancelled', wk-000002, 20, 8, 0, true, '', ''",
+    "'dependent, open', wk-000002, 20, 8, 3, false, 0 1 2 5, "
+        + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
+    "'dependent, folded', wk-000002, 20, 8, 4, false, 0 1 2 5 8 9 10 11 12 13 14 15, "
+        + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
+    "'dependent, cancelled', wk-000002, 20, 8, 4, true, 0 1 2 5, "
         + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0"
   })
   void aFirstPieceIsReadAndWrittenBack(
@@ -198,6 +248,112 @@
     assertEquals(PLAIN, text(RecordCodec.fresh(Specs.of(plain), ACCEPTED, 8192)));
   }
 
+  /** A job with dependencies is accepted with the same record. */
+  @Test
+  void aFreshRecordWithDependenciesIsTheSame() {
+    assertEquals(WAITING, text(RecordCodec.fresh(Specs.of(twenty("batch", 2)), ACCEPTED, 8192)));
+  }
+
+  /** How many tasks a piece of a fresh record is for, under the limits on values. */
+  @ParameterizedTest(name = "{0}, {1} bytes, {2} dependencies")
+  @CsvSource({
+    "batch, 1024, 0, 33, true",
+    "batch, 1024, 2, 30, true",
+    "batch, 1024, 40, 8, false",
+    "batch, 2048, 0, 97, true",
+    "batch, 2048, 2, 94, true",
+    "batch, 2048, 40, 62, true",
+    "batch, 3072, 40, 126, true",
+    "batch, 5120, 40, 127, true",
+    "batch, 8192, 0, 127, true",
+    "group, 1024, 0, 13, true",
+    "group, 1024, 2, 12, true",
+    "group, 1024, 40, 8, false",
+    "group, 2048, 0, 39, true",
+    "group, 2048, 40, 25, true",
+    "group, 5120, 2, 114, true",
+    "group, 8192, 40, 127, true",
+    "daemon, 1024, 0, 13, true",
+    "daemon, 2048, 0, 39, true",
+    "daemon, 3072, 0, 64, true",
+    "daemon, 8192, 0, 127, true"
+  })
+  void aPieceIsForAsManyTasks(
+      String kind, int valueBytes, int dependencies, int tasks, boolean fits) {
+    JobSpec spec = Specs.of(twenty(kind, dependencies));
+    assertEquals(tasks, RecordCodec.pieceSize(spec, valueBytes));
+    assertEquals(fits, RecordCodec.fits(spec, valueBytes));
+    assertEquals(tasks, RecordCodec.fresh(spec, ACCEPTED, valueBytes).get("p").asInt());
+  }
+
+  /** A job of twenty tasks that names so many others. */
+  private static ObjectNode twenty(String kind, int dependencies) {
+    ObjectNode body = Specs.json("wk-000002", kind, 20);
+    if (dependencies > 0) {
+      ArrayNode ids = body.putArray("bidur_eftir");
+      for (int i = 0; i < dependencies; i++) {
+        ids.add(String.format("wk-%06d", 398 + i * 7));
+      }
+    }
+    return body;
+  }
+
+  /** The jobs that one waits for by its record alone; none once it has started or is cancelled. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "plain, ''",
+    "waiting, wk-000398 wk-000405",
+    "'waiting, cancelled', ''",
+    "'dependent, open', ''",
+    "'dependent, folded', ''",
+    "'dependent, cancelled', ''"
+  })
+  void whatARecordWaitsFor(String name, String ids) throws WireException {
+    String found =
+        RecordCodec.waitsFor(json(literal(name))).stream()
+            .map(JobId::value)
+            .collect(Collectors.joining(" "));
+    assertEquals(ids, found);
+  }
+
+  /** A job that waited, ran, and was cancelled leaves the same records all along. */
+  @Test
+  void aDependentJobsHistoryIsWrittenTheSame() {
+    Job job = new Job(Specs.of(twenty("batch", 2)), ACCEPTED, 8);
+    ledger.adopt(job);
+    assertTrue(job.waits());
+    endOfDependency("wk-000398", JobState.Phase.DONE);
+    endOfDependency("wk-000405", JobState.Phase.DONE);
+    assertFalse(job.waits());
+    open(job, "n-000007", 1, 0, 0, 8);
+    open(job, "n-000009", 3, 1, 8, 12);
+    open(job, "n-000008", 2, 1, 16, 18);
+    close(job, 0, 1, 2, 5, 8, 9);
+    assertEquals(DEPENDENT_OPEN, text(RecordCodec.encode(job, 0)));
+    assertEquals(SECOND, text(RecordCodec.encode(job, 1)));
+    assertEquals(THIRD, text(RecordCodec.encode(job, 2)));
+    open(job, "n-000009", 3, 1, 12, 16);
+    close(job, 10, 11, 12, 13, 14, 15);
+    assertEquals(DEPENDENT_FOLDED, text(RecordCodec.encode(job, 0)));
+    ledger.cancel(job);
+    assertEquals(DEPENDENT_CANCELLED, text(RecordCodec.encode(job, 0)));
+    assertEquals("{\"s\":\"cancelled\",\"n\":12}", text(RecordCodec.end(job)));
+  }
+
+  /** A job that never started since one before it is cancelled. */
+  @Test
+  void aCancellationByDependencyIsWrittenTheSame() {
+    Job job = new Job(Specs.of(twenty("batch", 2)), ACCEPTED, 8);
+    ledger.adopt(job);
+    endOfDependency("wk-000398", JobState.Phase.CANCELLED);
+    assertEquals(WAITING_CANCELLED, text(RecordCodec.encode(job, 0)));
+    assertEquals("{\"s\":\"cancelled\",\"n\":0}", text(RecordCodec.end(job)));
+  }
+
+  private void endOfDependency(String id, JobState.Phase phase) {
+    ledger.dependencies().resolved(new JobState(new JobId(id), phase, 1, 0));
+  }
+
   /** The same history gives the same records. */
   @Test
   void aJobsHistoryIsWrittenTheSame() {
@@ -259,6 +415,11 @@
         "open | RUNNING | 4 | 4",
         "folded | RUNNING | 12 | 4",
         "cancelled | CANCELLED | 0 | 0",
+        "waiting | QUEUED | 0 | 0",
+        "waiting, cancelled | CANCELLED | 0 | 0",
+        "dependent, open | RUNNING | 4 | 4",
+        "dependent, folded | RUNNING | 12 | 4",
+        "dependent, cancelled | CANCELLED | 0 | 0",
         "{\"s\":\"done\",\"n\":2} | DONE | 2 | 0",
         "{\"s\":\"cancelled\",\"n\":12} | CANCELLED | 12 | 0"
       })
@@ -296,6 +457,26 @@
     assertEquals(rental, text(request.write()));
   }
 
+  /** Machine types as the versions keep them for the next start. */
+  @Test
+  void machineTypesAreTheSame() throws WireException {
+    String types =
+        "{\"velagerdir\":[{\"name\":\"small\",\"cpus\":4.0,\"accelerators\":0.0,"
+            + "\"memory_gb\":16.0,\"cache_gb\":50.0,\"pull_gb_per_s\":1.0,\"hourly\":0.2,"
+            + "\"low_price\":0.1,\"startup_s\":5.0,\"svaedin\":[\"east\",\"west\"]},"
+            + "{\"name\":\"fast\",\"cpus\":16.0,\"accelerators\":2.0,\"memory_gb\":64.0,"
+            + "\"cache_gb\":50.0,\"pull_gb_per_s\":1.5,\"hourly\":3.0,\"low_price\":1.0,"
+            + "\"startup_s\":8.0,\"svaedin\":[\"west\"]}]}";
+    List<String> both = List.of("east", "west");
+    List<Flavor> expected =
+        List.of(
+            new Flavor("small", Resources.offer(4, 0, 16), 4, 0, 16, 50, 1, 0.2, 0.1, 5, both),
+            new Flavor(
+                "fast", Resources.offer(16, 2, 64), 16, 2, 64, 50, 1.5, 3, 1, 8, List.of("west")));
+    assertEquals(expected, Flavor.readAll(json(types)));
+    assertEquals(types, text(Flavor.writeAll(expected)));
+  }
+
   // ---- term and leader --------------------------------------------------------------------------
 
   private Election election(List<Authority> elected) {
@@ -350,7 +531,10 @@
         value("leader"));
   }
 
-  /** Only by its own word a leader knows dependent jobs; production would drop what they name. */
+  /**
+   * Only by its own word a leader knows dependent jobs; production would drop what they name. The
+   * first line is what production writes, the second what commit d679fcc does.
+   */
   @ParameterizedTest(name = "{0}")
   @CsvSource(
       delimiter = '|',
--- a/src/test/java/org/ternhinge/peer/FrameTest.java
+++ b/src/test/java/org/ternhinge/peer/FrameTest.java
@@ -59,7 +59,11 @@
             + "0100000003474554000000112f7375626d697373696f6e732f776b2d3100000000",
         "258 | POST | /submissions | {\"ref\":\"wk-1\"} | 000000330000000000000102"
             + "0100000004504f53540000000c2f7375626d697373696f6e73"
-            + "0000000e7b22726566223a22776b2d31227d"
+            + "0000000e7b22726566223a22776b2d31227d",
+        // Written by the code of commit d679fcc, which hands jobs with dependencies to the leader.
+        "259 | POST | /submissions | {\"ref\":\"wk-2\",\"bidur_eftir\":[\"wk-1\"]} | "
+            + "0000004a00000000000001030100000004504f53540000000c2f7375626d697373696f6e73"
+            + "000000257b22726566223a22776b2d32222c2262696475725f6566746972223a5b22776b2d31225d7d"
       })
   void aRequestOfProduction(long id, String method, String path, String body, String hex) {
     byte[] bytes = body == null ? new byte[0] : body.getBytes(StandardCharsets.UTF_8);
@@ -80,7 +84,15 @@
             + "0000004a000000000000000802000000c80000000000000035"
             + "7b22726566223a22776b2d31222c22617374616e64223a22717565756564222c"
             + "22646f6e65223a302c2272756e6e696e67223a307d",
-        "9 | 503 | 2 | {} | 00000017000000000000000902000001f700000002000000027b7d"
+        "9 | 503 | 2 | {} | 00000017000000000000000902000001f700000002000000027b7d",
+        // Written by the code of commit d679fcc.
+        "10 | 201 | 0 | {\"ref\":\"wk-2\",\"astand\":\"queued\"} | "
+            + "00000035000000000000000a02000000c90000000000000020"
+            + "7b22726566223a22776b2d32222c22617374616e64223a22717565756564227d",
+        "11 | 422 | 0 | {\"error\":\"wk-1 was never accepted\"} | "
+            + "00000038000000000000000b02000001a60000000000000023"
+            + "7b226572726f72223a22776b2d3120776173206e65766572206163636570746564227d",
+        "12 | 503 | 1 | {} | 00000017000000000000000c02000001f700000001000000027b7d"
       })
   void aResponseOfProduction(long id, int status, int retryAfterS, String body, String hex) {
     byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
