Leadership: own classes for the executor, the machine registry and the machine types

Rentals, releases, the inventory, the report processor, the dispatcher and the dependency resolver asked the whole leadership for these. They now take the executor, the registry, the types and the round trigger that they need. Behaviour is unchanged.

--- a/src/main/java/org/ternhinge/controller/CommandDispatcher.java
+++ b/src/main/java/org/ternhinge/controller/CommandDispatcher.java
@@ -33,7 +33,8 @@
   /** A machine that owes so many reports is not told anything directly. */
   private static final double SILENT_REPORTS = 2.5;
 
-  private final Leadership lead;
+  private final LeadershipExecutor executor;
+  private final ReportSink reports;
   private final Settings settings;
   private final Workers workers;
   private final Clock clock;
@@ -50,8 +51,13 @@
   private final LinkedHashSet<Machine> queue = new LinkedHashSet<>();
 
   CommandDispatcher(
-      Leadership lead, ControllerServices around, Authority authority, Ledger ledger) {
-    this.lead = lead;
+      LeadershipExecutor executor,
+      ReportSink reports,
+      ControllerServices around,
+      Authority authority,
+      Ledger ledger) {
+    this.executor = executor;
+    this.reports = reports;
     this.settings = around.settings();
     this.workers = around.workers();
     this.clock = around.clock();
@@ -118,7 +124,7 @@
         .order(to, authority.term(), session, commands)
         .whenComplete(
             (o, e) ->
-                lead.locked(
+                executor.locked(
                     () -> {
                       underWay--;
                       then.accept(o);
@@ -163,7 +169,7 @@
       settleStrays(m, session, commands);
       m.hearing.heard();
       metrics.ordered(now.secondsSince(sent));
-      lead.take(m, r, false, now);
+      reports.take(m, r, false, now);
     } else if (outcome instanceof Outcome.NotApplied<Answer> not
         && not.reason() == Reason.NO_CONNECTION) {
       settleStrays(m, session, commands);
--- a/src/main/java/org/ternhinge/controller/DependencyResolver.java
+++ b/src/main/java/org/ternhinge/controller/DependencyResolver.java
@@ -13,37 +13,48 @@
 
 /**
  * Reads how jobs ended that others wait for and that ended before this leadership, or too long ago
- * to be remembered. Each is read once however many wait for it, and only a few at a time.
+ * to be remembered. Each is read once however many wait for it, and only a few at a time, so that a
+ * takeover with many waiting jobs leaves the state service's rate to urgent writes. Guarded by the
+ * controller's lock.
  */
 final class DependencyResolver {
-  private static final int MOST = 8;
+  /** Reads that may be under way at once. */
+  private static final int MAX_READS = 8;
 
-  /** A job that is nowhere yet has just been accepted by another node; the watch will bring it. */
-  private static final double AGAIN_S = 0.5;
+  /**
+   * Seconds until a job that was found nowhere is looked for again: it has just been accepted by
+   * another node, and the watch will bring it.
+   */
+  private static final double RETRY_S = 0.5;
 
-  private final Leadership lead;
   private final StateStore store;
   private final Ledger ledger;
-  private int underWay;
+  private final LeadershipExecutor executor;
+  private final Runnable onResolved;
+  private int readsUnderWay;
 
-  DependencyResolver(Leadership lead, StateStore store, Ledger ledger) {
-    this.lead = lead;
+  /**
+   * @param onResolved runs after the end of a job has become known
+   */
+  DependencyResolver(
+      StateStore store, Ledger ledger, LeadershipExecutor executor, Runnable onResolved) {
     this.store = store;
     this.ledger = ledger;
+    this.executor = executor;
+    this.onResolved = onResolved;
   }
 
-  /** Asks for what is not known; called under the lock whenever a job may have come. */
+  /** Reads what is not known; called under the lock whenever a job may have come. */
   void pump() {
     Dependencies dependencies = ledger.dependencies();
-    while (underWay < MOST) {
+    while (readsUnderWay < MAX_READS) {
       JobId id = dependencies.nextUnresolved();
       if (id == null) {
         return;
       }
-      underWay++;
-      store
-          .get(Keys.end(id), RequestPriority.ENDING)
-          .whenComplete((o, e) -> lead.locked(() -> answered(id, o)));
+      readsUnderWay++;
+      executor.whenAnswered(
+          store.get(Keys.end(id), RequestPriority.ENDING), outcome -> answered(id, outcome));
     }
   }
 
@@ -53,18 +64,18 @@
             ? read.value().entry()
             : Optional.empty();
     if (end.isPresent()) {
-      underWay--;
+      readsUnderWay--;
       ledger.dependencies().resolved(RecordCodec.decodeEnd(id, end.get().value()));
-      lead.dependenciesChanged();
+      onResolved.run();
       pump();
-      return;
+    } else {
+      executor.later(RETRY_S, () -> retry(id));
     }
-    lead.later(
-        AGAIN_S,
-        () -> {
-          underWay--;
-          ledger.dependencies().unknown(id);
-          pump();
-        });
+  }
+
+  private void retry(JobId id) {
+    readsUnderWay--;
+    ledger.dependencies().unknown(id);
+    pump();
   }
 }
--- a/src/main/java/org/ternhinge/controller/Leadership.java
+++ b/src/main/java/org/ternhinge/controller/Leadership.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
@@ -57,10 +56,8 @@
  * One leadership, from election to its end: recovery, reports, rounds, rentals. Everything it knows
  * dies with it; the next one starts from the state service. All methods run under the lock.
  */
-public final class Leadership {
+public final class Leadership implements RoundTrigger {
   private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
-  static final double DRIFT = Settings.DRIFT;
-
   private static final double FOLLOW_S = 20;
   private static final double RESERVE_S = 12;
   private static final double DESCRIBE_S = 20;
@@ -91,10 +88,9 @@
   private final Ledger ledger;
   private final LedgerWriter writer;
   private final SnapshotCache views;
-  private final Map<MachineId, Machine> machines = new TreeMap<>();
-
-  private final Set<MachineId> returned = new HashSet<>();
-  private final Map<String, Flavor> flavors = new LinkedHashMap<>();
+  private final LeadershipExecutor executor;
+  private final MachineRegistry machines;
+  private final MachineTypes machineTypes;
   private final Map<JobId, JobFailures> troubles = new HashMap<>();
   private final Map<Job, List<Consumer<JobState>>> cancelWaits = new LinkedHashMap<>();
   private final Rentals rentals;
@@ -105,11 +101,9 @@
   private final ArrivalRates arrivals;
   private final DependencyResolver endReads;
   private final SteadyTime electedAt;
-  private final SteadyTime silentBy;
 
   private final List<Runnable> waiting = new ArrayList<>();
   private boolean ready;
-  private boolean stopped;
   private boolean roundAsked;
   private boolean roundRunning;
   private SteadyTime lastRound;
@@ -135,11 +129,14 @@
     this.electedAt = clock.now();
     this.lastRound = electedAt;
     this.described = electedAt;
-    double lease = settings.workers().leaseS() * (1 + DRIFT) + tuning.marginS();
+    double lease = settings.workers().leaseS() * (1 + Settings.DRIFT) + tuning.marginS();
     // An earlier leader may have gone on answering reports for the grace that it was allowed.
-    this.silentBy =
-        electedAt.plusSeconds(Election.grace(tuning, settings.workers()) * (1 + DRIFT) + lease);
-    known.forEach(f -> flavors.put(f.name(), f));
+    this.machines =
+        new MachineRegistry(
+            electedAt.plusSeconds(
+                Election.grace(tuning, settings.workers()) * (1 + Settings.DRIFT) + lease));
+    this.executor = new LeadershipExecutor(clock, lock);
+    this.machineTypes = new MachineTypes(cloud, executor, known);
     int value = settings.stateLimits().valueBytes();
     this.ledger = new Ledger(settings.teams(), value, clock);
     this.writer =
@@ -153,19 +150,44 @@
             this::nowDurable);
     PackedRecords rented = new PackedRecords(writer, Keys.RENTALS, value);
     PackedRecords returning = new PackedRecords(writer, Keys.RELEASES, value);
-    this.rentals = new Rentals(this, cloud, rented, authority, clock, lock);
-    this.returns = new MachineReleases(this, cloud, authority, lock, returning);
+    this.rentals =
+        new Rentals(
+            s, authority, executor, machines, machineTypes, ledger, this, rented, electedAt);
+    this.returns =
+        new MachineReleases(this, s, authority, executor, machines, this, returning, electedAt);
     this.arrivals = new ArrivalRates(settings.objectives());
-    this.orders = new CommandDispatcher(this, s, authority, ledger);
-    this.listing = new MachineInventory(this, s, authority, orders, rentals, returns);
+    this.orders = new CommandDispatcher(executor, this::take, s, authority, ledger);
+    this.listing =
+        new MachineInventory(
+            this,
+            s,
+            authority,
+            orders,
+            rentals,
+            returns,
+            executor,
+            machines,
+            this,
+            this::take,
+            electedAt);
     this.reports =
-        new ReportProcessor(this, s, authority, ledger, flavors, troubles, rentals, orders);
-    this.views = new SnapshotCache(s, authority, ledger, flavors, troubles);
-    this.endReads = new DependencyResolver(this, store, ledger);
+        new ReportProcessor(
+            this,
+            machines,
+            this,
+            s,
+            authority,
+            ledger,
+            machineTypes.byName(),
+            troubles,
+            rentals,
+            orders);
+    this.views = new SnapshotCache(s, authority, ledger, machineTypes.byName(), troubles);
+    this.endReads = new DependencyResolver(store, ledger, executor, this::dependenciesChanged);
   }
 
   void stop() {
-    stopped = true;
+    executor.stop();
     writer.stop();
     runWaiting();
   }
@@ -189,28 +211,13 @@
     return authority;
   }
 
-  void locked(Runnable action) {
-    lock.lock();
-    try {
-      if (!stopped) {
-        action.run();
-      }
-    } finally {
-      lock.unlock();
-    }
-  }
-
-  void later(double seconds, Runnable action) {
-    clock.after(seconds, () -> locked(action));
-  }
-
   // ---- recovery -------------------------------------------------------------------------------
 
   void start() {
     new LedgerLoader(store, clock, lock)
         .load(
             loaded -> {
-              if (!stopped) {
+              if (!executor.stopped()) {
                 recovered(loaded);
               }
             });
@@ -228,7 +235,7 @@
       rentals.resume(e);
     }
     for (MachineId id : ledger.machinesInUse()) {
-      machine(id, now);
+      machines.findOrAdd(id, now);
     }
     for (Job job : ledger.jobs()) {
       if (job.cancelled()) {
@@ -244,11 +251,11 @@
         "term {}: {} jobs, {} machines in use",
         authority.term(),
         ledger.jobs().size(),
-        machines.size());
+        machines.all().size());
     runWaiting();
     follow();
     listing.list();
-    refreshFlavors();
+    machineTypes.refresh();
     endReads.pump();
     writer.pump();
     watch();
@@ -261,7 +268,7 @@
         .follow(Keys.JOBS, watched, FOLLOW_S)
         .whenComplete(
             (o, e) ->
-                locked(
+                executor.locked(
                     () -> {
                       if (o instanceof Outcome.Applied<StateStore.Changes> seen) {
                         for (Change.Seen c : seen.value().changes()) {
@@ -276,7 +283,7 @@
                         // Led anew: a recovery reads all that was missed, page by page.
                         authority.lost("the watch fell behind");
                       } else {
-                        later(0.3, this::follow);
+                        executor.later(0.3, this::follow);
                       }
                     }));
   }
@@ -309,12 +316,12 @@
       arrivals.saw(job.spec(), clock.now());
       for (Job raised : ledger.dependencies().takeRaised()) {
         for (Attempt a : raised.openAttempts()) {
-          machine(a.machine(), clock.now()).view = null;
+          machines.findOrAdd(a.machine(), clock.now()).view = null;
         }
       }
       endReads.pump();
       writer.pump();
-      askRound();
+      requestRound();
     }
   }
 
@@ -369,35 +376,20 @@
   }
 
   /** The fate of a job that others wait for has become known. */
-  void dependenciesChanged() {
+  private void dependenciesChanged() {
     if (ledger.dependencies().takeReady()) {
-      askRound();
+      requestRound();
     }
     writer.pump();
   }
 
   // ---- reports --------------------------------------------------------------------------------
 
-  Machine machine(MachineId id, SteadyTime now) {
-    return machines.computeIfAbsent(id, k -> new Machine(k, now, silentBy));
-  }
-
-  Collection<Machine> machines() {
-    return machines.values();
-  }
-
-  boolean wasReturned(MachineId id) {
-    return returned.contains(id);
-  }
-
-  Flavor flavor(String type) {
-    return flavors.get(type);
-  }
-
   /**
    * Whether a worker's lease may be renewed while no commands may be given: not while something on
-   * it has to be stopped, for the lease's end is then what stops it. That is so for every open
-   * attempt that is unwanted, and for every task shown that the ledger does not hold there.
+   * it has to be stopped, for the lease's end is then what stops it. That is so for
+   * every open attempt that is unwanted, and for every task shown that the ledger does not hold
+   * there.
    */
   boolean mayKeepAlive(WorkerReport r) {
     for (Attempt a : ledger.attemptsOn(r.machine())) {
@@ -418,7 +410,7 @@
     return reports.report(r, mayCommand);
   }
 
-  boolean take(Machine m, WorkerReport r, boolean isReport, SteadyTime now) {
+  private boolean take(Machine m, WorkerReport r, boolean isReport, SteadyTime now) {
     return reports.take(m, r, isReport, now);
   }
 
@@ -430,7 +422,7 @@
       return;
     }
     ledger.close(a, done);
-    Machine m = machines.get(a.machine());
+    Machine m = machines.find(a.machine());
     if (m != null) {
       m.view = null;
     }
@@ -447,7 +439,7 @@
       }
     }
     writer.pump();
-    askRound();
+    requestRound();
   }
 
   void stopAttempt(Attempt a, double graceS) {
@@ -455,7 +447,7 @@
       return;
     }
     a.stop(graceS, clock.now());
-    Machine m = machines.get(a.machine());
+    Machine m = machines.find(a.machine());
     if (m != null) {
       m.view = null;
     }
@@ -486,7 +478,7 @@
   }
 
   private boolean unsent(Attempt a) {
-    Machine m = machines.get(a.machine());
+    Machine m = machines.find(a.machine());
     return !a.recovered()
         && a.seen() == Attempt.Seen.UNSEEN
         && a.startAnswered() < 0
@@ -497,11 +489,11 @@
   private void nowDurable(List<Attempt> attempts) {
     answerCancels();
     if (ledger.dependencies().takeReady()) {
-      askRound();
+      requestRound();
     }
     Set<Machine> touched = new LinkedHashSet<>();
     for (Attempt a : attempts) {
-      Machine m = machines.get(a.machine());
+      Machine m = machines.find(a.machine());
       if (m == null || !a.session().equals(m.session)) {
         continue;
       }
@@ -525,16 +517,16 @@
     if (authority.valid()) {
       expire(clock.now());
     }
-    later(WATCH_S, this::watch);
+    executor.later(WATCH_S, this::watch);
   }
 
   private void tick() {
-    askRound();
+    requestRound();
     if (LOG.isDebugEnabled() && clock.now().secondsSince(described) >= DESCRIBE_S) {
       described = clock.now();
-      machines.values().forEach(this::describe);
+      machines.all().forEach(this::describe);
     }
-    later(tuning.roundS(), this::tick);
+    executor.later(tuning.roundS(), this::tick);
   }
 
   /** One line a machine, for whoever reads the log to see what runs where. */
@@ -555,8 +547,9 @@
         views.placeable(m, clock.now()) ? "" : "closed");
   }
 
-  void askRound() {
-    if (roundAsked || !ready || stopped) {
+  @Override
+  public void requestRound() {
+    if (roundAsked || !ready || executor.stopped()) {
       return;
     }
     roundAsked = true;
@@ -571,15 +564,15 @@
     lock.lock();
     try {
       roundAsked = false;
-      if (stopped || roundRunning) {
+      if (executor.stopped() || roundRunning) {
         return;
       }
       lastRound = clock.now();
-      if (!authority.valid() || flavors.isEmpty()) {
+      if (!authority.valid() || machineTypes.byName().isEmpty()) {
         return;
       }
       roundRunning = true;
-      snapshot = views.snapshot(machines.values(), arrivals, rentals, electedAt, lastRound);
+      snapshot = views.snapshot(machines.all(), arrivals, rentals, electedAt, lastRound);
     } finally {
       lock.unlock();
     }
@@ -592,7 +585,7 @@
     lock.lock();
     try {
       roundRunning = false;
-      if (!stopped && plan != null && authority.valid()) {
+      if (!executor.stopped() && plan != null && authority.valid()) {
         apply(plan);
       }
       SteadyTime now = clock.now();
@@ -606,10 +599,10 @@
   /** Leases that have run out, and machines and reservations whose time is over. */
   private void expire(SteadyTime now) {
     boolean fence = false;
-    for (Machine m : List.copyOf(machines.values())) {
+    for (Machine m : List.copyOf(machines.all())) {
       if (!m.kept.isEmpty() && m.kept.removeIf(k -> k.until().isBefore(now))) {
         m.view = null;
-        askRound();
+        requestRound();
       }
       if (m.endpoint != null && !m.orderInFlight && orders.free() && m.hearing.callNow(now)) {
         orders.call(m, now);
@@ -683,7 +676,7 @@
         () -> {
           raising = false;
           LOG.info("raised the term to {} against stray starts", authority.term());
-          machines.values().forEach(m -> m.fenceStrays(authority.term()));
+          machines.all().forEach(m -> m.fenceStrays(authority.term()));
         });
   }
 
@@ -706,7 +699,7 @@
       }
       List<Ledger.Placement> placements = new ArrayList<>();
       for (int i = 0; i < p.tasks().size(); i++) {
-        Machine m = machines.get(p.machines().get(i));
+        Machine m = machines.find(p.machines().get(i));
         // One task that still shows somewhere must not keep the rest of its array waiting.
         boolean waits =
             !job.spec().isGang() && reports.ghost(new TaskId(p.job(), p.tasks().get(i)));
@@ -719,7 +712,7 @@
                   m.zone,
                   m.zoneName,
                   m.spot,
-                  flavors.get(m.type).capacity());
+                  machineTypes.find(m.type).capacity());
           placements.add(new Ledger.Placement(p.tasks().get(i), site));
         }
       }
@@ -736,15 +729,15 @@
         LOG.debug("{} {} goes to {}", p.job(), job.spec().jobClass(), p.machines());
       }
       for (Ledger.Placement placed : placements) {
-        Machine m = machines.get(placed.site().machine());
+        Machine m = machines.find(placed.site().machine());
         m.view = null;
         dropReservation(m, p.job());
-        Flavor f = flavors.get(m.type);
+        Flavor f = machineTypes.find(m.type);
         m.hasImage(job.spec().image(), job.spec().imageGb(), f.cacheGb());
       }
     }
     for (Plan.Stop s : plan.stops()) {
-      Machine m = machines.get(s.machine());
+      Machine m = machines.find(s.machine());
       if (m == null) {
         // Gone while the plan was made.
         continue;
@@ -769,7 +762,7 @@
       rentals.rent(r);
     }
     for (MachineId id : plan.releases()) {
-      Machine m = machines.get(id);
+      Machine m = machines.find(id);
       if (m != null && ledger.attemptsOn(id).isEmpty() && !m.releasing) {
         returns.release(m);
       }
@@ -803,43 +796,13 @@
       close(a, false, "machine gone");
     }
     machines.remove(m.id);
-    returned.add(m.id);
     if (m.endpoint != null) {
       workers.forget(m.endpoint);
     }
   }
 
   void learn(List<Flavor> known) {
-    known.forEach(f -> flavors.put(f.name(), f));
-    askRound();
-  }
-
-  private void refreshFlavors() {
-    cloud
-        .flavors()
-        .whenComplete(
-            (o, e) ->
-                locked(
-                    () -> {
-                      if (o instanceof Outcome.Applied<List<Flavor>> applied) {
-                        applied.value().forEach(f -> flavors.put(f.name(), f));
-                        later(60, this::refreshFlavors);
-                      } else {
-                        later(3, this::refreshFlavors);
-                      }
-                    }));
-  }
-
-  boolean idle(Machine m) {
-    return ledger.attemptsOn(m.id).isEmpty();
-  }
-
-  Settings settings() {
-    return settings;
-  }
-
-  /** A machine from before this leadership gets as long to report as one that boots. */
-  SteadyTime electedAt() {
-    return electedAt;
+    machineTypes.learn(known);
+    requestRound();
   }
 }
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/LeadershipExecutor.java
@@ -0,0 +1,61 @@
+package org.ternhinge.controller;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.Lock;
+import java.util.function.Consumer;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.Outcome;
+
+/**
+ * Runs the actions of one leadership under the controller's lock for as long as the leadership
+ * lasts. An answer or a timer that arrives after its end is dropped, so that nothing acts on a
+ * ledger that another leader may have changed since.
+ */
+final class LeadershipExecutor {
+  private final Clock clock;
+  private final Lock lock;
+
+  /** Guarded by the lock. */
+  private boolean stopped;
+
+  LeadershipExecutor(Clock clock, Lock lock) {
+    this.clock = clock;
+    this.lock = lock;
+  }
+
+  /** The leadership is over: from now on no action runs. Called under the lock. */
+  void stop() {
+    stopped = true;
+  }
+
+  /** Whether the leadership is over. Called under the lock. */
+  boolean stopped() {
+    return stopped;
+  }
+
+  /** Runs an action under the lock, or not at all once the leadership is over. */
+  void locked(Runnable action) {
+    lock.lock();
+    try {
+      if (!stopped) {
+        action.run();
+      }
+    } finally {
+      lock.unlock();
+    }
+  }
+
+  /** Runs an action under the lock after a delay, unless the leadership is over by then. */
+  void later(double seconds, Runnable action) {
+    clock.after(seconds, () -> locked(action));
+  }
+
+  /**
+   * Hands an answer on under the lock, unless the leadership is over by then.
+   *
+   * @param next gets the outcome, or null where the client failed without one
+   */
+  <T> void whenAnswered(CompletableFuture<Outcome<T>> answer, Consumer<Outcome<T>> next) {
+    answer.whenComplete((outcome, error) -> locked(() -> next.accept(outcome)));
+  }
+}
--- a/src/main/java/org/ternhinge/controller/MachineInventory.java
+++ b/src/main/java/org/ternhinge/controller/MachineInventory.java
@@ -31,6 +31,11 @@
   private static final int GREETS_PART = 2;
 
   private final Leadership lead;
+  private final LeadershipExecutor executor;
+  private final MachineRegistry machines;
+  private final RoundTrigger rounds;
+  private final ReportSink reports;
+  private final SteadyTime electedAt;
   private final Settings settings;
   private final Tuning tuning;
   private final Cloud cloud;
@@ -48,8 +53,18 @@
       Authority authority,
       CommandDispatcher orders,
       Rentals rentals,
-      MachineReleases returns) {
+      MachineReleases returns,
+      LeadershipExecutor executor,
+      MachineRegistry machines,
+      RoundTrigger rounds,
+      ReportSink reports,
+      SteadyTime electedAt) {
     this.lead = lead;
+    this.executor = executor;
+    this.machines = machines;
+    this.rounds = rounds;
+    this.reports = reports;
+    this.electedAt = electedAt;
     this.settings = around.settings();
     this.tuning = around.tuning();
     this.cloud = around.cloud();
@@ -72,7 +87,7 @@
         .list(after, 500)
         .whenComplete(
             (o, e) ->
-                lead.locked(
+                executor.locked(
                     () -> {
                       if (o instanceof Outcome.Applied<HostInfo.Page> applied) {
                         HostInfo.Page p = applied.value();
@@ -83,7 +98,7 @@
                         }
                         listed();
                       }
-                      lead.later(settings.cloudLimits().listLagS() / 2, this::list);
+                      executor.later(settings.cloudLimits().listLagS() / 2, this::list);
                     }));
   }
 
@@ -92,14 +107,14 @@
     Set<MachineId> shown = new HashSet<>();
     // Most workers find their way by themselves; those that have not after a while are told, few
     // at a time, since a new leader has better things to do than to call hundreds of machines.
-    boolean soon = now.secondsSince(lead.electedAt()) < 2 * settings.workers().reportS();
+    boolean soon = now.secondsSince(electedAt) < 2 * settings.workers().reportS();
     int greets = soon ? 0 : orders.spare() / GREETS_PART;
     for (HostInfo h : listing) {
       shown.add(h.machine());
-      if (lead.wasReturned(h.machine())) {
+      if (machines.wasRemoved(h.machine())) {
         continue;
       }
-      Machine m = lead.machine(h.machine(), now);
+      Machine m = machines.findOrAdd(h.machine(), now);
       if (m.type == null) {
         m.type = h.type();
         m.zoneName = h.zone();
@@ -127,9 +142,8 @@
     }
     // A machine stays listed until it is gone, and no list is older than twice the lag: one that
     // was listed earlier than that and is missing now has been taken.
-    double oldest =
-        2 * settings.cloudLimits().listLagS() * (1 + Leadership.DRIFT) + tuning.marginS();
-    for (Machine m : List.copyOf(lead.machines())) {
+    double oldest = 2 * settings.cloudLimits().listLagS() * (1 + Settings.DRIFT) + tuning.marginS();
+    for (Machine m : List.copyOf(machines.all())) {
       if (m.listedAt != null
           && !shown.contains(m.id)
           && listingSince.secondsSince(m.listedAt) > oldest) {
@@ -139,7 +153,7 @@
       }
     }
     rentals.listed(shown, now);
-    lead.askRound();
+    rounds.requestRound();
   }
 
   /**
@@ -173,7 +187,7 @@
             return;
           }
           WorkerReport r = applied.value().report();
-          lead.take(m, r, false, clock.now());
+          reports.take(m, r, false, clock.now());
           if (applied.value() instanceof Workers.Answer.Refused
               && r.token().compareTo(authority.term()) <= 0
               && tries > 1) {
--- a/src/main/java/org/ternhinge/controller/MachineReleases.java
+++ b/src/main/java/org/ternhinge/controller/MachineReleases.java
@@ -10,6 +10,7 @@
 import org.ternhinge.ledger.Authority;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
+import org.ternhinge.model.SteadyTime;
 import org.ternhinge.state.Entry;
 
 /**
@@ -22,6 +23,10 @@
   private static final int MOST_NAMES = 100;
 
   private final Leadership lead;
+  private final LeadershipExecutor executor;
+  private final MachineRegistry machines;
+  private final RoundTrigger rounds;
+  private final SteadyTime electedAt;
   private final Cloud cloud;
   private final Authority authority;
   private final Lock lock;
@@ -30,11 +35,22 @@
   private boolean calling;
 
   MachineReleases(
-      Leadership lead, Cloud cloud, Authority authority, Lock lock, PackedRecords record) {
+      Leadership lead,
+      ControllerServices services,
+      Authority authority,
+      LeadershipExecutor executor,
+      MachineRegistry machines,
+      RoundTrigger rounds,
+      PackedRecords record,
+      SteadyTime electedAt) {
     this.lead = lead;
-    this.cloud = cloud;
+    this.executor = executor;
+    this.machines = machines;
+    this.rounds = rounds;
+    this.electedAt = electedAt;
+    this.cloud = services.cloud();
     this.authority = authority;
-    this.lock = lock;
+    this.lock = services.lock();
     this.record = record;
   }
 
@@ -43,7 +59,7 @@
     record.known(
         entry,
         (name, value) -> {
-          Machine m = lead.machine(new MachineId(name), lead.electedAt());
+          Machine m = machines.findOrAdd(new MachineId(name), electedAt);
           m.releasing = true;
           due(m);
         });
@@ -91,7 +107,7 @@
         lead.drop(m);
         record.remove(m.id.value());
       }
-      lead.askRound();
+      rounds.requestRound();
       call();
     } finally {
       lock.unlock();
@@ -99,7 +115,7 @@
   }
 
   private void again() {
-    lead.later(
+    executor.later(
         RETRY_S,
         () -> {
           calling = false;
--- a/src/main/java/org/ternhinge/controller/Rentals.java
+++ b/src/main/java/org/ternhinge/controller/Rentals.java
@@ -12,7 +12,9 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.ternhinge.cloud.Cloud;
+import org.ternhinge.config.Settings;
 import org.ternhinge.ledger.Authority;
+import org.ternhinge.ledger.Ledger;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
@@ -57,7 +59,13 @@
     private double pauseS;
   }
 
-  private final Leadership lead;
+  private final Settings settings;
+  private final LeadershipExecutor executor;
+  private final MachineRegistry machines;
+  private final MachineTypes machineTypes;
+  private final Ledger ledger;
+  private final RoundTrigger rounds;
+  private final SteadyTime electedAt;
   private final Cloud cloud;
   private final PackedRecords record;
   private final Authority authority;
@@ -68,18 +76,27 @@
   private long counter;
 
   Rentals(
-      Leadership lead,
-      Cloud cloud,
-      PackedRecords record,
+      ControllerServices services,
       Authority authority,
-      Clock clock,
-      Lock lock) {
-    this.lead = lead;
-    this.cloud = cloud;
+      LeadershipExecutor executor,
+      MachineRegistry machines,
+      MachineTypes machineTypes,
+      Ledger ledger,
+      RoundTrigger rounds,
+      PackedRecords record,
+      SteadyTime electedAt) {
+    this.settings = services.settings();
+    this.executor = executor;
+    this.machines = machines;
+    this.machineTypes = machineTypes;
+    this.ledger = ledger;
+    this.rounds = rounds;
+    this.electedAt = electedAt;
+    this.cloud = services.cloud();
     this.record = record;
     this.authority = authority;
-    this.clock = clock;
-    this.lock = lock;
+    this.clock = services.clock();
+    this.lock = services.lock();
   }
 
   private void locked(Runnable action) {
@@ -134,7 +151,7 @@
 
   private void send(Rental rental) {
     if (!authority.valid()) {
-      lead.later(RETRY_S, () -> send(rental));
+      executor.later(RETRY_S, () -> send(rental));
       return;
     }
     cloud.rent(rental.request).whenComplete((o, e) -> locked(() -> answered(rental, o)));
@@ -147,14 +164,14 @@
     if (outcome instanceof Outcome.Applied<List<MachineId>> applied) {
       rental.unseen = new HashSet<>();
       for (MachineId id : applied.value()) {
-        if (lead.wasReturned(id)) {
+        if (machines.wasRemoved(id)) {
           continue;
         }
-        Machine m = lead.machine(id, now);
+        Machine m = machines.findOrAdd(id, now);
         if (m.type == null) {
           m.type = q.type();
           m.zoneName = q.zone();
-          m.zone = lead.settings().zones().indexOf(q.zone());
+          m.zone = settings.zones().indexOf(q.zone());
           m.spot = q.spot();
           m.rentedAt = now;
         }
@@ -168,21 +185,21 @@
         refusals.remove(key);
       }
       finishIfSeen(rental);
-      lead.askRound();
+      rounds.requestRound();
     } else if (outcome != null && outcome.isBecause(Reason.HELD_BACK)) {
       // The cloud's rate is used up; the recorded request only waits for its turn.
-      lead.later(HELD_BACK_S, () -> send(rental));
+      executor.later(HELD_BACK_S, () -> send(rental));
     } else if (outcome instanceof Outcome.NotApplied<List<MachineId>> not) {
       boolean full = not.reason() == Reason.CONFLICT;
       if (full || not.reason() == Reason.INVALID || !rental.maybeSent) {
         refuse(key, now);
         forget(rental);
       } else {
-        lead.later(RETRY_S, () -> send(rental));
+        executor.later(RETRY_S, () -> send(rental));
       }
     } else {
       rental.maybeSent = true;
-      lead.later(RETRY_S, () -> send(rental));
+      executor.later(RETRY_S, () -> send(rental));
     }
   }
 
@@ -256,21 +273,21 @@
    * would cost a boot and the images of each.
    */
   void expire(SteadyTime now, MachineReleases returns) {
-    double lease = lead.settings().workers().leaseS();
-    int[] all = new int[lead.settings().zones().size()];
+    double lease = settings.workers().leaseS();
+    int[] all = new int[settings.zones().size()];
     int[] silentThere = new int[all.length];
-    for (Machine m : lead.machines()) {
+    for (Machine m : machines.all()) {
       if (m.reported && !m.gone && m.zone >= 0) {
         all[m.zone]++;
         silentThere[m.zone] += m.leaseEnds.isBefore(now) ? 1 : 0;
       }
     }
-    for (Machine m : List.copyOf(lead.machines())) {
-      Flavor f = m.type == null ? null : lead.flavor(m.type);
-      if (f != null && !m.releasing && !m.gone && lead.idle(m)) {
+    for (Machine m : List.copyOf(machines.all())) {
+      Flavor f = m.type == null ? null : machineTypes.find(m.type);
+      if (f != null && !m.releasing && !m.gone && ledger.attemptsOn(m.id).isEmpty()) {
         boolean neverUp =
             !m.reported
-                && now.secondsSince(m.rentedAt.max(lead.electedAt()))
+                && now.secondsSince(m.rentedAt.max(electedAt))
                     > Math.max(3 * f.bootS(), f.bootS() + 45);
         boolean many =
             m.zone >= 0
--- a/src/main/java/org/ternhinge/controller/ReportProcessor.java
+++ b/src/main/java/org/ternhinge/controller/ReportProcessor.java
@@ -29,7 +29,7 @@
  * Takes in what workers say of themselves, in the order in which they said it, and settles attempts
  * by it. A report that shows nothing new costs a comparison.
  */
-final class ReportProcessor {
+final class ReportProcessor implements ReportSink {
   private static final Logger LOG = LoggerFactory.getLogger(ReportProcessor.class);
 
   /** A session that ends so long before its lease can have ended was answered in vain. */
@@ -39,6 +39,8 @@
   private static final int MOST_DEAF = 3;
 
   private final Leadership lead;
+  private final MachineRegistry machines;
+  private final RoundTrigger rounds;
   private final Settings settings;
   private final Tuning tuning;
   private final Clock clock;
@@ -58,6 +60,8 @@
 
   ReportProcessor(
       Leadership lead,
+      MachineRegistry machines,
+      RoundTrigger rounds,
       ControllerServices around,
       Authority authority,
       Ledger ledger,
@@ -66,6 +70,8 @@
       Rentals rentals,
       CommandDispatcher orders) {
     this.lead = lead;
+    this.machines = machines;
+    this.rounds = rounds;
     this.settings = around.settings();
     this.tuning = around.tuning();
     this.clock = around.clock();
@@ -95,11 +101,11 @@
       authority.lost("a worker has seen term " + r.token());
       return Optional.empty();
     }
-    if (lead.wasReturned(r.machine())) {
+    if (machines.wasRemoved(r.machine())) {
       // A late copy: what is certainly gone must not come back to life by it.
       return Optional.empty();
     }
-    Machine m = lead.machine(r.machine(), now);
+    Machine m = machines.findOrAdd(r.machine(), now);
     if (m.gone) {
       return Optional.empty();
     }
@@ -127,11 +133,11 @@
 
   private SteadyTime leaseFrom(SteadyTime answered) {
     return answered.plusSeconds(
-        settings.workers().leaseS() * (1 + Leadership.DRIFT) + tuning.marginS());
+        settings.workers().leaseS() * (1 + Settings.DRIFT) + tuning.marginS());
   }
 
-  /** Applies a message of a worker; false if a newer one was already known. */
-  boolean take(Machine m, WorkerReport r, boolean isReport, SteadyTime now) {
+  @Override
+  public boolean take(Machine m, WorkerReport r, boolean isReport, SteadyTime now) {
     int newer = r.session().compareTo(m.session);
     if (newer < 0
         || (newer == 0 && r.sequence() <= m.sequence)
@@ -175,7 +181,7 @@
         m.idleSince = now;
       }
       rentals.seen(m.id);
-      lead.askRound();
+      rounds.requestRound();
     }
     if (m.endpoint == null || !m.endpointText.equals(r.endpoint())) {
       try {
@@ -208,17 +214,17 @@
   private void missed(Machine m, SteadyTime now) {
     m.hearing.missed(now, othersHear());
     if (m.hearing.deaf()) {
-      lead.askRound();
+      rounds.requestRound();
     }
   }
 
   /** Where many machines seem deaf at once it is the way from this node, not they. */
   private boolean othersHear() {
     int deaf = 0;
-    for (Machine m : lead.machines()) {
+    for (Machine m : machines.all()) {
       deaf += m.hearing.deaf() ? 1 : 0;
     }
-    return deaf < Math.max(MOST_DEAF, lead.machines().size() / 10);
+    return deaf < Math.max(MOST_DEAF, machines.all().size() / 10);
   }
 
   /** Keeps count of what the machines show, by the difference to a machine's last message. */
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/RoundTrigger.java
@@ -0,0 +1,11 @@
+package org.ternhinge.controller;
+
+/** Asks for a scheduling round, for whatever changes what could be placed where. */
+@FunctionalInterface
+interface RoundTrigger {
+  /**
+   * Asks for a round soon. Requests made before it has begun are served by the same round. Called
+   * under the controller's lock.
+   */
+  void requestRound();
+}
