Leadership: the life cycle of attempts and the removal of machines in classes of their own

AttemptLifecycle sends durable starts, stops and closes; MachineRemoval ends what ran on machines that are gone. The report processor, the releases and the inventory take these instead of the leadership. Behaviour is unchanged.

--- a/src/main/java/org/ternhinge/controller/Leadership.java
+++ b/src/main/java/org/ternhinge/controller/Leadership.java
@@ -79,7 +79,6 @@
   private final Authority authority;
   private final StateStore store;
   private final Cloud cloud;
-  private final Workers workers;
   private final Clock clock;
   private final Lock lock;
   private final Executor scheduler;
@@ -97,6 +96,7 @@
   private final MachineReleases returns;
   private final MachineInventory listing;
   private final CommandDispatcher orders;
+  private final AttemptLifecycle attempts;
   private final ReportProcessor reports;
   private final ArrivalRates arrivals;
   private final DependencyResolver endReads;
@@ -121,7 +121,6 @@
     this.authority = authority;
     this.store = s.store();
     this.cloud = s.cloud();
-    this.workers = s.workers();
     this.clock = s.clock();
     this.lock = s.lock();
     this.scheduler = s.scheduler();
@@ -153,26 +152,11 @@
     this.rentals =
         new Rentals(
             s, authority, executor, machines, machineTypes, ledger, this, rented, electedAt);
-    this.returns =
-        new MachineReleases(this, s, authority, executor, machines, this, returning, electedAt);
-    this.arrivals = new ArrivalRates(settings.objectives());
     this.orders = new CommandDispatcher(executor, this::take, s, authority, ledger);
-    this.listing =
-        new MachineInventory(
-            this,
-            s,
-            authority,
-            orders,
-            rentals,
-            returns,
-            executor,
-            machines,
-            this,
-            this::take,
-            electedAt);
+    this.attempts = new AttemptLifecycle(ledger, writer, machines, orders, this, clock);
     this.reports =
         new ReportProcessor(
-            this,
+            attempts,
             machines,
             this,
             s,
@@ -182,6 +166,23 @@
             troubles,
             rentals,
             orders);
+    MachineRemoval removal = new MachineRemoval(machines, ledger, reports, attempts, s.workers());
+    this.returns =
+        new MachineReleases(removal, s, authority, executor, machines, this, returning, electedAt);
+    this.listing =
+        new MachineInventory(
+            removal,
+            s,
+            authority,
+            orders,
+            rentals,
+            returns,
+            executor,
+            machines,
+            this,
+            reports,
+            electedAt);
+    this.arrivals = new ArrivalRates(settings.objectives());
     this.views = new SnapshotCache(s, authority, ledger, machineTypes.byName(), troubles);
     this.endReads = new DependencyResolver(store, ledger, executor, this::dependenciesChanged);
   }
@@ -347,10 +348,7 @@
   void cancel(Job job, Consumer<JobState> told) {
     cancelWaits.computeIfAbsent(job, k -> new ArrayList<>()).add(told);
     ledger.cancel(job);
-    for (Attempt a : List.copyOf(job.openAttempts())) {
-      stopAttempt(a, 0);
-    }
-    settleUnsent(job);
+    attempts.stopAll(job);
     writer.pump();
     answerCancels();
   }
@@ -416,99 +414,13 @@
 
   // ---- attempts -------------------------------------------------------------------------------
 
-  void close(Attempt a, boolean done, String why) {
-    Job job = a.job();
-    if (job.open(a.task().index()) != a) {
-      return;
-    }
-    ledger.close(a, done);
-    Machine m = machines.find(a.machine());
-    if (m != null) {
-      m.view = null;
-    }
-    if (m != null && ledger.attemptsOn(m.id).isEmpty()) {
-      m.idleSince = clock.now();
-    }
-    LOG.debug("closed {} attempt {} on {}: {}", a.task(), a.number(), a.machine(), why);
-    if (!done && job.spec().isGang() && !job.cancelled()) {
-      // A gang that lost a task ends as a whole, unless it is saving in good order.
-      for (Attempt other : List.copyOf(job.openAttempts())) {
-        if (!other.stopping()) {
-          stopAttempt(other, 0);
-        }
-      }
-    }
-    writer.pump();
-    requestRound();
-  }
-
-  void stopAttempt(Attempt a, double graceS) {
-    if (a.stopping() && a.stopGraceS() <= graceS) {
-      return;
-    }
-    a.stop(graceS, clock.now());
-    Machine m = machines.find(a.machine());
-    if (m != null) {
-      m.view = null;
-    }
-    if (m != null && a.seen() != Attempt.Seen.UNSEEN) {
-      m.outbox.add(new Command(Command.Op.STOP, a.task(), a.number(), graceS));
-      orders.order(m);
-    }
-  }
-
-  /** Stops an attempt, and with it its gang, so that progress is saved. */
-  void stopWithGrace(Attempt a, double graceS) {
-    if (a.job().spec().isGang()) {
-      for (Attempt other : List.copyOf(a.job().openAttempts())) {
-        stopAttempt(other, graceS);
-      }
-    } else {
-      stopAttempt(a, graceS);
-    }
-  }
-
-  /** Attempts that were never sent are gone as soon as they are unwanted. */
-  private void settleUnsent(Job job) {
-    for (Attempt a : List.copyOf(job.openAttempts())) {
-      if (a.stopping() && unsent(a)) {
-        close(a, false, "never sent");
-      }
-    }
-  }
-
-  private boolean unsent(Attempt a) {
-    Machine m = machines.find(a.machine());
-    return !a.recovered()
-        && a.seen() == Attempt.Seen.UNSEEN
-        && a.startAnswered() < 0
-        && (m == null || m.strayStarts.getInt(Machine.key(a)) == 0);
-  }
-
   /** The state service holds these attempts: their starts may go out. */
-  private void nowDurable(List<Attempt> attempts) {
+  private void nowDurable(List<Attempt> opened) {
     answerCancels();
     if (ledger.dependencies().takeReady()) {
       requestRound();
     }
-    Set<Machine> touched = new LinkedHashSet<>();
-    for (Attempt a : attempts) {
-      Machine m = machines.find(a.machine());
-      if (m == null || !a.session().equals(m.session)) {
-        continue;
-      }
-      if (a.stopping() || a.job().cancelled()) {
-        a.stop(0, clock.now());
-        m.view = null;
-        if (unsent(a)) {
-          close(a, false, "never sent");
-        }
-        continue;
-      }
-      m.outbox.add(new Command(Command.Op.START, a.task(), a.number(), 0));
-      touched.add(m);
-    }
-    touched.forEach(orders::order);
+    attempts.startDurable(opened);
   }
 
   // ---- rounds ---------------------------------------------------------------------------------
@@ -645,7 +557,7 @@
       if (a.session().compareTo(last) > 0) {
         last = a.session();
       }
-      close(a, false, "lease over");
+      attempts.close(a, false, "lease over");
     }
     m.deadSession = last;
     m.forgetStrays();
@@ -686,7 +598,7 @@
         && a.stopGraceS() > 0
         && now.secondsSince(a.stopAt())
             > a.stopGraceS() + settings.workers().gangPeerS() + settings.workers().reportS()) {
-      stopAttempt(a, 0);
+      attempts.stop(a, 0);
     }
   }
 
@@ -750,10 +662,8 @@
         if (a != null) {
           LOG.debug("{} makes room for {}", a.task(), s.forJob());
           double grace = job.spec().checkpointS() > 0 ? job.spec().saveS() + 1 : 0;
-          stopWithGrace(a, grace);
-          if (unsent(a)) {
-            close(a, false, "never sent");
-          }
+          attempts.stopWithGang(a, grace);
+          attempts.closeIfNeverSent(a);
         }
       }
     }
@@ -780,27 +690,6 @@
 
   // ---- machines that are gone -----------------------------------------------------------------
 
-  void lost(Machine m, String why) {
-    m.gone = true;
-    reports.show(m, List.of());
-    for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
-      close(a, false, why);
-    }
-  }
-
-  /** A machine that is certainly gone; its name never comes back. */
-  void drop(Machine m) {
-    m.gone = true;
-    reports.show(m, List.of());
-    for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
-      close(a, false, "machine gone");
-    }
-    machines.remove(m.id);
-    if (m.endpoint != null) {
-      workers.forget(m.endpoint);
-    }
-  }
-
   void learn(List<Flavor> known) {
     machineTypes.learn(known);
     requestRound();
--- a/src/main/java/org/ternhinge/controller/MachineInventory.java
+++ b/src/main/java/org/ternhinge/controller/MachineInventory.java
@@ -30,7 +30,7 @@
   /** Of the orders that may still go out, one in so many may tell workers of the term. */
   private static final int GREETS_PART = 2;
 
-  private final Leadership lead;
+  private final MachineRemoval removal;
   private final LeadershipExecutor executor;
   private final MachineRegistry machines;
   private final RoundTrigger rounds;
@@ -48,7 +48,7 @@
   private SteadyTime listingSince;
 
   MachineInventory(
-      Leadership lead,
+      MachineRemoval removal,
       ControllerServices around,
       Authority authority,
       CommandDispatcher orders,
@@ -59,7 +59,7 @@
       RoundTrigger rounds,
       ReportSink reports,
       SteadyTime electedAt) {
-    this.lead = lead;
+    this.removal = removal;
     this.executor = executor;
     this.machines = machines;
     this.rounds = rounds;
@@ -134,7 +134,7 @@
       rentals.seen(m.id);
       if (h.state() == HostInfo.State.FAILED && !m.gone) {
         LOG.info("machine {} has failed", m.id);
-        lead.lost(m, "machine failed");
+        removal.lost(m, "machine failed");
         if (!m.releasing) {
           returns.release(m);
         }
@@ -148,8 +148,8 @@
           && !shown.contains(m.id)
           && listingSince.secondsSince(m.listedAt) > oldest) {
         LOG.info("machine {} is no longer listed", m.id);
-        lead.lost(m, "machine taken");
-        lead.drop(m);
+        removal.lost(m, "machine taken");
+        removal.remove(m);
       }
     }
     rentals.listed(shown, now);
--- a/src/main/java/org/ternhinge/controller/MachineReleases.java
+++ b/src/main/java/org/ternhinge/controller/MachineReleases.java
@@ -22,7 +22,7 @@
   private static final double RETRY_S = 1.5;
   private static final int MOST_NAMES = 100;
 
-  private final Leadership lead;
+  private final MachineRemoval removal;
   private final LeadershipExecutor executor;
   private final MachineRegistry machines;
   private final RoundTrigger rounds;
@@ -35,7 +35,7 @@
   private boolean calling;
 
   MachineReleases(
-      Leadership lead,
+      MachineRemoval removal,
       ControllerServices services,
       Authority authority,
       LeadershipExecutor executor,
@@ -43,7 +43,7 @@
       RoundTrigger rounds,
       PackedRecords record,
       SteadyTime electedAt) {
-    this.lead = lead;
+    this.removal = removal;
     this.executor = executor;
     this.machines = machines;
     this.rounds = rounds;
@@ -104,7 +104,7 @@
       calling = false;
       for (Machine m : some) {
         due.remove(m);
-        lead.drop(m);
+        removal.remove(m);
         record.remove(m.id.value());
       }
       rounds.requestRound();
--- a/src/main/java/org/ternhinge/controller/ReportProcessor.java
+++ b/src/main/java/org/ternhinge/controller/ReportProcessor.java
@@ -29,7 +29,7 @@
  * Takes in what workers say of themselves, in the order in which they said it, and settles attempts
  * by it. A report that shows nothing new costs a comparison.
  */
-final class ReportProcessor implements ReportSink {
+final class ReportProcessor implements ReportSink, ReportedTasks {
   private static final Logger LOG = LoggerFactory.getLogger(ReportProcessor.class);
 
   /** A session that ends so long before its lease can have ended was answered in vain. */
@@ -38,7 +38,7 @@
   /** So many machines may seem deaf before that is taken for this node's own trouble. */
   private static final int MOST_DEAF = 3;
 
-  private final Leadership lead;
+  private final AttemptLifecycle attempts;
   private final MachineRegistry machines;
   private final RoundTrigger rounds;
   private final Settings settings;
@@ -59,7 +59,7 @@
   private boolean missedStart;
 
   ReportProcessor(
-      Leadership lead,
+      AttemptLifecycle attempts,
       MachineRegistry machines,
       RoundTrigger rounds,
       ControllerServices around,
@@ -69,7 +69,7 @@
       Map<JobId, JobFailures> troubles,
       Rentals rentals,
       CommandDispatcher orders) {
-    this.lead = lead;
+    this.attempts = attempts;
     this.machines = machines;
     this.rounds = rounds;
     this.settings = around.settings();
@@ -84,8 +84,8 @@
     this.orders = orders;
   }
 
-  /** Whether a machine shows a task which, having no open attempt, should be nowhere. */
-  boolean ghost(TaskId task) {
+  @Override
+  public boolean ghost(TaskId task) {
     return shown.containsKey(task);
   }
 
@@ -148,7 +148,7 @@
       // The worker's lease ran out: everything of its earlier sessions is gone.
       for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
         if (a.session().compareTo(r.session()) < 0) {
-          lead.close(a, false, "session over");
+          attempts.close(a, false, "session over");
         }
       }
       m.forgetStrays();
@@ -228,7 +228,8 @@
   }
 
   /** Keeps count of what the machines show, by the difference to a machine's last message. */
-  void show(Machine m, List<TaskReport> tasks) {
+  @Override
+  public void show(Machine m, List<TaskReport> tasks) {
     for (TaskReport t : m.tasks) {
       if (!t.ended() && shown.addTo(t.task(), -1) <= 1) {
         shown.removeInt(t.task());
@@ -298,12 +299,12 @@
     }
     if (a.recovered()) {
       if (r.token().compareTo(authority.term()) >= 0) {
-        lead.close(a, false, "never arrived or is gone");
+        attempts.close(a, false, "never arrived or is gone");
       }
       return;
     }
     if (a.seen() != Attempt.Seen.UNSEEN) {
-      lead.close(a, false, "vanished");
+      attempts.close(a, false, "vanished");
       return;
     }
     boolean answerSettled = a.startAnswered() < 0 || (isReport && r.sequence() > a.startAnswered());
@@ -311,7 +312,7 @@
       missedStart = true;
     }
     if (a.stopping() && answerSettled && m.strayStarts.getInt(Machine.key(a)) == 0) {
-      lead.close(a, false, "stopped before it started");
+      attempts.close(a, false, "stopped before it started");
     }
   }
 
@@ -335,7 +336,7 @@
     if (a.seen() == Attempt.Seen.RUNNING && why != EndReason.ERROR) {
       m.hasImage(job.spec().image(), job.spec().imageGb(), cacheOf(m));
     }
-    lead.close(a, why == EndReason.DONE, why.word());
+    attempts.close(a, why == EndReason.DONE, why.word());
   }
 
   private double cacheOf(Machine m) {
@@ -371,9 +372,9 @@
     for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
       JobSpec spec = a.job().spec();
       if (spec.isService()) {
-        lead.stopAttempt(a, 0);
+        attempts.stop(a, 0);
       } else if (spec.checkpointS() > 0 && spec.saveS() > 0) {
-        lead.stopWithGrace(a, spec.saveS() + 1);
+        attempts.stopWithGang(a, spec.saveS() + 1);
       }
     }
   }
