--- a/src/main/java/org/ternhinge/controller/Leadership.java
+++ b/src/main/java/org/ternhinge/controller/Leadership.java
@@ -1,10 +1,8 @@
 package org.ternhinge.controller;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -23,28 +21,21 @@
 import org.ternhinge.ledger.Job;
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.ledger.Ledger;
-import org.ternhinge.ledger.LedgerLoader;
 import org.ternhinge.ledger.LedgerWriter;
 import org.ternhinge.ledger.MachineAttributes;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
-import org.ternhinge.model.Outcome;
-import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.model.TaskId;
 import org.ternhinge.schedule.Plan;
 import org.ternhinge.schedule.Planner;
 import org.ternhinge.schedule.Snapshot;
-import org.ternhinge.state.Change;
-import org.ternhinge.state.Entry;
-import org.ternhinge.state.StateStore;
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobState;
-import org.ternhinge.wire.WireException;
 import org.ternhinge.wire.WorkerReport;
 
 /**
@@ -53,7 +44,6 @@
  */
 public final class Leadership implements RoundTrigger {
   private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
-  private static final double FOLLOW_S = 20;
   private static final double RESERVE_S = 12;
   private static final double DESCRIBE_S = 20;
 
@@ -69,7 +59,6 @@
   private final Settings settings;
   private final Tuning tuning;
   private final Authority authority;
-  private final StateStore store;
   private final Cloud cloud;
   private final Clock clock;
   private final Lock lock;
@@ -83,7 +72,6 @@
   private final MachineRegistry machines;
   private final MachineTypes machineTypes;
   private final Map<JobId, JobFailures> troubles = new HashMap<>();
-  private final Map<Job, List<Consumer<JobState>>> cancelWaits = new LinkedHashMap<>();
   private final Rentals rentals;
   private final MachineReleases returns;
   private final MachineInventory listing;
@@ -92,6 +80,9 @@
   private final ReportProcessor reports;
   private final LeaseMonitor leaseMonitor;
   private final UnusableMachineCheck unusableMachines;
+  private final Cancellations cancellations;
+  private final JobWatch jobWatch;
+  private final LeadershipRecovery recovery;
   private final ArrivalRates arrivals;
   private final DependencyResolver endReads;
   private final SteadyTime electedAt;
@@ -104,14 +95,10 @@
   private double roundTookS;
   private SteadyTime described;
 
-  private Revision watched;
-  private Revision loadedAt;
-
   Leadership(ControllerServices s, Authority authority, Collection<Flavor> known) {
     this.settings = s.settings();
     this.tuning = s.tuning();
     this.authority = authority;
-    this.store = s.store();
     this.cloud = s.cloud();
     this.clock = s.clock();
     this.lock = s.lock();
@@ -133,7 +120,7 @@
     this.writer =
         new LedgerWriter(
             ledger,
-            store,
+            s.store(),
             authority,
             clock,
             lock,
@@ -171,7 +158,11 @@
         new UnusableMachineCheck(settings, machines, machineTypes, ledger, returns, electedAt);
     this.arrivals = new ArrivalRates(settings.objectives());
     this.views = new SnapshotCache(s, authority, ledger, machineTypes.byName(), troubles);
-    this.endReads = new DependencyResolver(store, ledger, executor, this::dependenciesChanged);
+    this.endReads = new DependencyResolver(s.store(), ledger, executor, this::dependenciesChanged);
+    this.cancellations = new Cancellations(ledger, attempts, writer);
+    this.jobWatch =
+        new JobWatch(s, authority, executor, ledger, writer, machines, arrivals, endReads, this);
+    this.recovery = new LeadershipRecovery(s, executor, ledger, machines, rentals, returns);
   }
 
   void stop() {
@@ -201,38 +192,13 @@
 
   // ---- recovery -------------------------------------------------------------------------------
 
+  /** Recovers what earlier leaderships recorded, and then schedules until it is stopped. */
   void start() {
-    new LedgerLoader(store, clock, lock)
-        .load(
-            loaded -> {
-              if (!executor.stopped()) {
-                recovered(loaded);
-              }
-            });
+    recovery.start(this::recovered);
   }
 
-  private void recovered(LedgerLoader.Loaded loaded) {
-    SteadyTime now = clock.now();
-    for (Job job : loaded.jobs()) {
-      ledger.adopt(job);
-    }
-    for (Entry e : loaded.releases()) {
-      returns.resume(e);
-    }
-    for (Entry e : loaded.rentals()) {
-      rentals.resume(e);
-    }
-    for (MachineId id : ledger.machinesInUse()) {
-      machines.findOrAdd(id, now);
-    }
-    for (Job job : ledger.jobs()) {
-      if (job.cancelled()) {
-        // The duty to end a cancelled job's tasks passes from leader to leader.
-        job.openAttempts().forEach(a -> a.stop(0, now));
-      }
-    }
-    watched = loaded.revision();
-    loadedAt = loaded.revision();
+  private void recovered(Revision revision) {
+    jobWatch.loaded(revision);
     ready = true;
     metrics.takeOver(clock.now().secondsSince(electedAt));
     LOG.info(
@@ -241,7 +207,7 @@
         ledger.jobs().size(),
         machines.all().size());
     runWaiting();
-    follow();
+    jobWatch.follow();
     listing.list();
     machineTypes.refresh();
     endReads.pump();
@@ -250,67 +216,9 @@
     tick();
   }
 
-  /** Jobs that other nodes accepted come by the watch. */
-  private void follow() {
-    store
-        .follow(Keys.JOBS, watched, FOLLOW_S)
-        .whenComplete(
-            (o, e) ->
-                executor.locked(
-                    () -> {
-                      if (o instanceof Outcome.Applied<StateStore.Changes> seen) {
-                        for (Change.Seen c : seen.value().changes()) {
-                          adopt(c.key(), c.value(), c.revision());
-                        }
-                        if (seen.value().revision().value() > watched.value()) {
-                          watched = seen.value().revision();
-                        }
-                        follow();
-                      } else if (o != null
-                          && (o.isBecause(Reason.TOO_OLD) || o.isBecause(Reason.TOO_LARGE))) {
-                        // Led anew: a recovery reads all that was missed, page by page.
-                        authority.lost("the watch fell behind");
-                      } else {
-                        executor.later(0.3, this::follow);
-                      }
-                    }));
-  }
-
-  private void adopt(String key, JsonNode value, Revision revision) {
-    if (value == null || key.indexOf('/', Keys.JOBS.length()) >= 0) {
-      return;
-    }
-    JobId id = new JobId(key.substring(Keys.JOBS.length()));
-    if (ledger.job(id) != null || ledger.ended(id) != null) {
-      return;
-    }
-    try {
-      adopt(LedgerLoader.read(value, revision, clock.now()), revision);
-    } catch (WireException | IllegalArgumentException e) {
-      LOG.error("job record {} is unreadable: {}", key, e.getMessage());
-    }
-  }
-
-  /**
-   * Takes in a job whose record was just created, here or by another node. A record from before the
-   * load was part of it, or had ended by then: the answer to its acceptance may come late, and must
-   * not bring an ended job back.
-   */
+  /** Takes in a job whose record was just created by this node. */
   void adopt(Job job, Revision created) {
-    JobId id = job.spec().id();
-    if (created.compareTo(loadedAt) > 0 && ledger.job(id) == null && ledger.ended(id) == null) {
-      ledger.adopt(job);
-      LOG.debug("accepted {} of {}", id, job.spec().jobClass());
-      arrivals.saw(job.spec(), clock.now());
-      for (Job raised : ledger.dependencies().takeRaised()) {
-        for (Attempt a : raised.openAttempts()) {
-          machines.findOrAdd(a.machine(), clock.now()).view = null;
-        }
-      }
-      endReads.pump();
-      writer.pump();
-      requestRound();
-    }
+    jobWatch.adopt(job, created);
   }
 
   // ---- users ----------------------------------------------------------------------------------
@@ -333,27 +241,7 @@
    * @param told gets the state once the state service holds it, and not before
    */
   void cancel(Job job, Consumer<JobState> told) {
-    cancelWaits.computeIfAbsent(job, k -> new ArrayList<>()).add(told);
-    ledger.cancel(job);
-    attempts.stopAll(job);
-    writer.pump();
-    answerCancels();
-  }
-
-  private void answerCancels() {
-    cancelWaits
-        .entrySet()
-        .removeIf(
-            e -> {
-              Job job = e.getKey();
-              if (!job.cancelDurable() && !job.finalDurable()) {
-                return false;
-              }
-              JobState ended = ledger.ended(job.spec().id());
-              JobState state = ended != null ? ended : Ledger.stateOf(job);
-              e.getValue().forEach(told -> told.accept(state));
-              return true;
-            });
+    cancellations.cancel(job, told);
   }
 
   Job job(JobId id) {
@@ -388,7 +276,7 @@
 
   /** The state service holds these attempts: their starts may go out. */
   private void nowDurable(List<Attempt> opened) {
-    answerCancels();
+    cancellations.answerDurable();
     if (ledger.dependencies().takeReady()) {
       requestRound();
     }
