Leadership: scheduling rounds, plan execution and the fleet log as classes

What is left of Leadership wires its parts, starts them after the recovery and stops them. A plan's kinds of decision are carried out by a method each. Behaviour is unchanged.

--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/FleetLog.java
@@ -0,0 +1,62 @@
+package org.ternhinge.controller;
+
+import java.util.Map;
+import java.util.TreeMap;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.ternhinge.ledger.Attempt;
+import org.ternhinge.ledger.Ledger;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.SteadyTime;
+
+/**
+ * Writes one line a machine to the debug log now and then, for whoever wants to see what runs
+ * where. Costs nothing while debug logging is off. Guarded by the controller's lock.
+ */
+final class FleetLog {
+  private static final Logger LOG = LoggerFactory.getLogger(FleetLog.class);
+
+  /** Seconds between two descriptions of the fleet. */
+  private static final double INTERVAL_S = 20;
+
+  private final Clock clock;
+  private final Ledger ledger;
+  private final MachineRegistry machines;
+  private final SnapshotCache snapshots;
+  private SteadyTime lastLogged;
+
+  FleetLog(Clock clock, Ledger ledger, MachineRegistry machines, SnapshotCache snapshots) {
+    this.clock = clock;
+    this.ledger = ledger;
+    this.machines = machines;
+    this.snapshots = snapshots;
+    this.lastLogged = clock.now();
+  }
+
+  /** Describes the fleet if it is time to. */
+  void logIfDue() {
+    SteadyTime now = clock.now();
+    if (LOG.isDebugEnabled() && now.secondsSince(lastLogged) >= INTERVAL_S) {
+      lastLogged = now;
+      machines.all().forEach(machine -> log(machine, now));
+    }
+  }
+
+  private void log(Machine machine, SteadyTime now) {
+    Map<String, Integer> attemptsByClass = new TreeMap<>();
+    for (Attempt attempt : ledger.attemptsOn(machine.id)) {
+      attemptsByClass.merge(
+          attempt.job().spec().jobClass() + " " + attempt.seen(), 1, Integer::sum);
+    }
+    LOG.debug(
+        "fleet {} {} {}{} {} {}{}{}",
+        machine.id,
+        machine.type,
+        machine.zoneName,
+        machine.spot ? " spot" : "",
+        attemptsByClass,
+        machine.reported ? "" : "not up ",
+        machine.releasing ? "releasing " : "",
+        snapshots.placeable(machine, now) ? "" : "closed");
+  }
+}
--- a/src/main/java/org/ternhinge/controller/Leadership.java
+++ b/src/main/java/org/ternhinge/controller/Leadership.java
@@ -6,13 +6,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.TreeMap;
-import java.util.concurrent.Executor;
-import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
-import org.ternhinge.cloud.Cloud;
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Tuning;
 import org.ternhinge.election.Election;
@@ -22,175 +18,203 @@
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.ledger.LedgerWriter;
-import org.ternhinge.ledger.MachineAttributes;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
-import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.SteadyTime;
-import org.ternhinge.model.TaskId;
-import org.ternhinge.schedule.Plan;
-import org.ternhinge.schedule.Planner;
-import org.ternhinge.schedule.Snapshot;
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobState;
 import org.ternhinge.wire.WorkerReport;
 
 /**
- * One leadership, from election to its end: recovery, reports, rounds, rentals. Everything it knows
- * dies with it; the next one starts from the state service. All methods run under the lock.
+ * One leadership, from election to its end: builds the parts that schedule, starts them once the
+ * ledger has been recovered, and stops them. Everything that they know dies with it, and the next
+ * leadership starts from the state service, so nothing is carried over that another leader may have
+ * changed in between. All methods run under the controller's lock.
  */
-public final class Leadership implements RoundTrigger {
+public final class Leadership {
   private static final Logger LOG = LoggerFactory.getLogger(Leadership.class);
-  private static final double RESERVE_S = 12;
-  private static final double DESCRIBE_S = 20;
 
-  /** How often leases and reservations are looked at. */
-  private static final double WATCH_S = 0.5;
+  /** Seconds between two looks at leases and reservations; short against a worker's lease. */
+  private static final double LEASE_CHECK_S = 0.5;
 
-  /**
-   * Rounds take at most about one part in so many of the time. With four, they took more of it at a
-   * thousand machines than all reports and orders did.
-   */
-  private static final double ROUND_PAUSE = 15;
-
-  private final Settings settings;
   private final Tuning tuning;
-  private final Authority authority;
-  private final Cloud cloud;
   private final Clock clock;
-  private final Lock lock;
-  private final Executor scheduler;
   private final Metrics metrics;
+  private final Authority authority;
+  private final SteadyTime electedAt;
 
+  private final LeadershipExecutor executor;
   private final Ledger ledger;
   private final LedgerWriter writer;
-  private final SnapshotCache views;
-  private final LeadershipExecutor executor;
   private final MachineRegistry machines;
   private final MachineTypes machineTypes;
-  private final Map<JobId, JobFailures> troubles = new HashMap<>();
-  private final Rentals rentals;
-  private final MachineReleases returns;
-  private final MachineInventory listing;
-  private final CommandDispatcher orders;
   private final AttemptLifecycle attempts;
   private final ReportProcessor reports;
   private final LeaseMonitor leaseMonitor;
   private final UnusableMachineCheck unusableMachines;
+  private final MachineInventory inventory;
+  private final DependencyResolver dependencyResolver;
   private final Cancellations cancellations;
   private final JobWatch jobWatch;
   private final LeadershipRecovery recovery;
-  private final ArrivalRates arrivals;
-  private final DependencyResolver endReads;
-  private final SteadyTime electedAt;
+  private final SchedulingRounds rounds;
+  private final FleetLog fleetLog;
+
+  /** Requests that came before the ledger was there. */
+  private final List<Runnable> waitingForReady = new ArrayList<>();
 
-  private final List<Runnable> waiting = new ArrayList<>();
   private boolean ready;
-  private boolean roundAsked;
-  private boolean roundRunning;
-  private SteadyTime lastRound;
-  private double roundTookS;
-  private SteadyTime described;
-
-  Leadership(ControllerServices s, Authority authority, Collection<Flavor> known) {
-    this.settings = s.settings();
-    this.tuning = s.tuning();
+
+  /**
+   * @param authority the term that this leadership acts under
+   * @param knownTypes the machine types that the node knows already
+   */
+  Leadership(ControllerServices services, Authority authority, Collection<Flavor> knownTypes) {
+    Settings settings = services.settings();
+    this.tuning = services.tuning();
+    this.clock = services.clock();
+    this.metrics = services.metrics();
     this.authority = authority;
-    this.cloud = s.cloud();
-    this.clock = s.clock();
-    this.lock = s.lock();
-    this.scheduler = s.scheduler();
-    this.metrics = s.metrics();
     this.electedAt = clock.now();
-    this.lastRound = electedAt;
-    this.described = electedAt;
-    double lease = settings.workers().leaseS() * (1 + Settings.DRIFT) + tuning.marginS();
-    // An earlier leader may have gone on answering reports for the grace that it was allowed.
-    this.machines =
-        new MachineRegistry(
-            electedAt.plusSeconds(
-                Election.grace(tuning, settings.workers()) * (1 + Settings.DRIFT) + lease));
-    this.executor = new LeadershipExecutor(clock, lock);
-    this.machineTypes = new MachineTypes(cloud, executor, known);
-    int value = settings.stateLimits().valueBytes();
-    this.ledger = new Ledger(settings.teams(), value, clock);
+    this.executor = new LeadershipExecutor(clock, services.lock());
+    this.ledger = new Ledger(settings.teams(), settings.stateLimits().valueBytes(), clock);
     this.writer =
         new LedgerWriter(
             ledger,
-            s.store(),
+            services.store(),
             authority,
             clock,
-            lock,
+            services.lock(),
             settings.stateLimits().txnOps(),
-            this::nowDurable);
-    PackedRecords rented = new PackedRecords(writer, Keys.RENTALS, value);
-    PackedRecords returning = new PackedRecords(writer, Keys.RELEASES, value);
-    this.rentals = new Rentals(s, authority, executor, machines, this, rented);
-    this.orders = new CommandDispatcher(executor, this::take, s, authority, ledger);
-    this.attempts = new AttemptLifecycle(ledger, writer, machines, orders, this, clock);
+            this::written);
+    this.machines = new MachineRegistry(initialLeaseEnd(settings, tuning, electedAt));
+    this.machineTypes = new MachineTypes(services.cloud(), executor, knownTypes);
+    RoundTrigger roundTrigger = this::requestRound;
+    Map<JobId, JobFailures> jobFailures = new HashMap<>();
+    Rentals rentals =
+        new Rentals(
+            services,
+            authority,
+            executor,
+            machines,
+            roundTrigger,
+            packedRecords(Keys.RENTALS, settings));
+    CommandDispatcher dispatcher =
+        new CommandDispatcher(executor, this::takeReport, services, authority, ledger);
+    this.attempts = new AttemptLifecycle(ledger, writer, machines, dispatcher, roundTrigger, clock);
     this.reports =
         new ReportProcessor(
             attempts,
             machines,
-            this,
-            s,
+            roundTrigger,
+            services,
             authority,
             ledger,
             machineTypes.byName(),
-            troubles,
+            jobFailures,
             rentals,
-            orders);
-    MachineRemoval removal = new MachineRemoval(machines, ledger, reports, attempts, s.workers());
-    this.returns =
-        new MachineReleases(removal, s, authority, executor, machines, this, returning, electedAt);
-    this.listing =
+            dispatcher);
+    MachineRemoval removal =
+        new MachineRemoval(machines, ledger, reports, attempts, services.workers());
+    MachineReleases releases =
+        new MachineReleases(
+            removal,
+            services,
+            authority,
+            executor,
+            machines,
+            roundTrigger,
+            packedRecords(Keys.RELEASES, settings),
+            electedAt);
+    this.inventory =
         new MachineInventory(
-            removal, s, authority, orders, rentals, returns, executor, machines, this, reports,
+            removal,
+            services,
+            authority,
+            dispatcher,
+            rentals,
+            releases,
+            executor,
+            machines,
+            roundTrigger,
+            reports,
             electedAt);
-    TermFence termFence = new TermFence(authority, writer, machines);
     this.leaseMonitor =
         new LeaseMonitor(
-            settings.workers(), ledger, machines, attempts, reports, orders, termFence, this);
+            settings.workers(),
+            ledger,
+            machines,
+            attempts,
+            reports,
+            dispatcher,
+            new TermFence(authority, writer, machines),
+            roundTrigger);
     this.unusableMachines =
-        new UnusableMachineCheck(settings, machines, machineTypes, ledger, returns, electedAt);
-    this.arrivals = new ArrivalRates(settings.objectives());
-    this.views = new SnapshotCache(s, authority, ledger, machineTypes.byName(), troubles);
-    this.endReads = new DependencyResolver(s.store(), ledger, executor, this::dependenciesChanged);
+        new UnusableMachineCheck(settings, machines, machineTypes, ledger, releases, electedAt);
+    ArrivalRates arrivalRates = new ArrivalRates(settings.objectives());
+    SnapshotCache snapshots =
+        new SnapshotCache(
+            services,
+            authority,
+            ledger,
+            machineTypes.byName(),
+            jobFailures,
+            machines,
+            arrivalRates,
+            rentals,
+            electedAt);
+    this.dependencyResolver =
+        new DependencyResolver(services.store(), ledger, executor, this::dependenciesChanged);
     this.cancellations = new Cancellations(ledger, attempts, writer);
     this.jobWatch =
-        new JobWatch(s, authority, executor, ledger, writer, machines, arrivals, endReads, this);
-    this.recovery = new LeadershipRecovery(s, executor, ledger, machines, rentals, returns);
-  }
-
-  void stop() {
-    executor.stop();
-    writer.stop();
-    runWaiting();
-  }
-
-  private void runWaiting() {
-    List<Runnable> actions = List.copyOf(waiting);
-    waiting.clear();
-    actions.forEach(Runnable::run);
-  }
-
-  boolean ready() {
-    return ready;
+        new JobWatch(
+            services,
+            authority,
+            executor,
+            ledger,
+            writer,
+            machines,
+            arrivalRates,
+            dependencyResolver,
+            roundTrigger);
+    this.recovery = new LeadershipRecovery(services, executor, ledger, machines, rentals, releases);
+    PlanExecutor planExecutor =
+        new PlanExecutor(
+            clock,
+            ledger,
+            writer,
+            machines,
+            machineTypes,
+            snapshots,
+            reports,
+            attempts,
+            rentals,
+            releases);
+    this.rounds =
+        new SchedulingRounds(services, authority, executor, machineTypes, snapshots, planExecutor);
+    this.fleetLog = new FleetLog(clock, ledger, machines, snapshots);
   }
 
-  /** Runs an action when the ledger is there, or when this leadership has ended before. */
-  void whenReady(Runnable action) {
-    waiting.add(action);
+  /**
+   * When the lease of a machine that this leadership has not heard from is over at the latest. An
+   * earlier leader may have gone on answering reports for the grace that it was allowed.
+   */
+  private static SteadyTime initialLeaseEnd(
+      Settings settings, Tuning tuning, SteadyTime electedAt) {
+    double driftFactor = 1 + Settings.DRIFT;
+    double graceS = Election.grace(tuning, settings.workers()) * driftFactor;
+    double leaseS = settings.workers().leaseS() * driftFactor + tuning.marginS();
+    return electedAt.plusSeconds(graceS + leaseS);
   }
 
-  Authority authority() {
-    return authority;
+  private PackedRecords packedRecords(String prefix, Settings settings) {
+    return new PackedRecords(writer, prefix, settings.stateLimits().valueBytes());
   }
 
-  // ---- recovery -------------------------------------------------------------------------------
+  // ---- life cycle -----------------------------------------------------------------------------
 
   /** Recovers what earlier leaderships recorded, and then schedules until it is stopped. */
   void start() {
@@ -200,6 +224,7 @@
   private void recovered(Revision revision) {
     jobWatch.loaded(revision);
     ready = true;
+    rounds.enable();
     metrics.takeOver(clock.now().secondsSince(electedAt));
     LOG.info(
         "term {}: {} jobs, {} machines in use",
@@ -208,74 +233,70 @@
         machines.all().size());
     runWaiting();
     jobWatch.follow();
-    listing.list();
+    inventory.list();
     machineTypes.refresh();
-    endReads.pump();
+    dependencyResolver.pump();
     writer.pump();
-    watch();
+    checkLeases();
     tick();
   }
 
-  /** Takes in a job whose record was just created by this node. */
-  void adopt(Job job, Revision created) {
-    jobWatch.adopt(job, created);
+  /** The leadership is over: no part of it acts any more. */
+  void stop() {
+    executor.stop();
+    writer.stop();
+    runWaiting();
   }
 
-  // ---- users ----------------------------------------------------------------------------------
-
-  /**
-   * The state of a job, or null where only the state service can tell: a write whose answer is
-   * still out may be carried out already, and another node may have told a user so.
-   */
-  JobState stateOf(JobId id) {
-    Job job = ledger.job(id);
-    if (job == null) {
-      return ledger.ended(id);
-    }
-    return ledger.stateFor(job);
+  private void runWaiting() {
+    List<Runnable> actions = List.copyOf(waitingForReady);
+    waitingForReady.clear();
+    actions.forEach(Runnable::run);
   }
 
-  /**
-   * Cancels a job that this ledger holds.
-   *
-   * @param told gets the state once the state service holds it, and not before
-   */
-  void cancel(Job job, Consumer<JobState> told) {
-    cancellations.cancel(job, told);
+  /** Whether the ledger is there, without which nothing may be answered. */
+  boolean ready() {
+    return ready;
   }
 
-  Job job(JobId id) {
-    return ledger.job(id);
+  /** Runs an action when the ledger is there, or when this leadership has ended before. */
+  void whenReady(Runnable action) {
+    waitingForReady.add(action);
   }
 
-  /** The fate of a job that others wait for has become known. */
-  private void dependenciesChanged() {
-    if (ledger.dependencies().takeReady()) {
-      requestRound();
-    }
-    writer.pump();
+  /** The term that this leadership acts under. */
+  Authority authority() {
+    return authority;
   }
 
-  // ---- reports --------------------------------------------------------------------------------
+  // ---- what recurs ----------------------------------------------------------------------------
 
-  /** Whether a worker's lease may be renewed while no commands may be given. */
-  boolean mayKeepAlive(WorkerReport report) {
-    return leaseMonitor.mayRenewWithoutCommands(report);
+  private void checkLeases() {
+    if (authority.valid()) {
+      SteadyTime now = clock.now();
+      leaseMonitor.check(now);
+      unusableMachines.check(now);
+    }
+    executor.later(LEASE_CHECK_S, this::checkLeases);
   }
 
-  /** Takes in a report and says what the worker is to do; empty where it must not be answered. */
-  Optional<List<Command>> report(WorkerReport r, boolean mayCommand) {
-    return reports.report(r, mayCommand);
+  /**
+   * A round now and then even if nothing asks for one: reservations and waits age by themselves.
+   */
+  private void tick() {
+    requestRound();
+    fleetLog.logIfDue();
+    executor.later(tuning.roundS(), this::tick);
   }
 
-  private boolean take(Machine m, WorkerReport r, boolean isReport, SteadyTime now) {
-    return reports.take(m, r, isReport, now);
+  private void requestRound() {
+    rounds.requestRound();
   }
 
-  // ---- attempts -------------------------------------------------------------------------------
+  // ---- what the parts tell each other ---------------------------------------------------------
 
-  /** The state service holds these attempts: their starts may go out. */
-  private void nowDurable(List<Attempt> opened) {
+  /** The state service holds a transaction: what waited for that goes on. */
+  private void written(List<Attempt> opened) {
     cancellations.answerDurable();
     if (ledger.dependencies().takeReady()) {
       requestRound();
@@ -283,183 +304,62 @@
     attempts.startDurable(opened);
   }
 
-  // ---- rounds ---------------------------------------------------------------------------------
-
-  private void watch() {
-    if (authority.valid()) {
-      SteadyTime now = clock.now();
-      leaseMonitor.check(now);
-      unusableMachines.check(now);
+  /** The fate of a job that others wait for has become known. */
+  private void dependenciesChanged() {
+    if (ledger.dependencies().takeReady()) {
+      requestRound();
     }
-    executor.later(WATCH_S, this::watch);
+    writer.pump();
   }
 
-  private void tick() {
-    requestRound();
-    if (LOG.isDebugEnabled() && clock.now().secondsSince(described) >= DESCRIBE_S) {
-      described = clock.now();
-      machines.all().forEach(this::describe);
-    }
-    executor.later(tuning.roundS(), this::tick);
+  private boolean takeReport(
+      Machine machine, WorkerReport report, boolean isReport, SteadyTime now) {
+    return reports.take(machine, report, isReport, now);
   }
 
-  /** One line a machine, for whoever reads the log to see what runs where. */
-  private void describe(Machine m) {
-    Map<String, Integer> classes = new TreeMap<>();
-    for (Attempt a : ledger.attemptsOn(m.id)) {
-      classes.merge(a.job().spec().jobClass() + " " + a.seen(), 1, Integer::sum);
-    }
-    LOG.debug(
-        "fleet {} {} {}{} {} {}{}{}",
-        m.id,
-        m.type,
-        m.zoneName,
-        m.spot ? " spot" : "",
-        classes,
-        m.reported ? "" : "not up ",
-        m.releasing ? "releasing " : "",
-        views.placeable(m, clock.now()) ? "" : "closed");
+  // ---- what the node asks ---------------------------------------------------------------------
+
+  /** Adds machine types that the node has read. */
+  void learn(List<Flavor> types) {
+    machineTypes.learn(types);
+    requestRound();
   }
 
-  @Override
-  public void requestRound() {
-    if (roundAsked || !ready || executor.stopped()) {
-      return;
-    }
-    roundAsked = true;
-    // A long round is followed by a longer pause: reports and the renewal come first.
-    double gap = Math.max(tuning.roundGapS(), Math.min(tuning.roundS(), roundTookS * ROUND_PAUSE));
-    double wait = Math.max(0.01, gap - clock.now().secondsSince(lastRound));
-    clock.after(wait, () -> scheduler.execute(this::round));
+  /** Takes in a job whose record was just created by this node. */
+  void adopt(Job job, Revision created) {
+    jobWatch.adopt(job, created);
   }
 
-  private void round() {
-    Snapshot snapshot;
-    lock.lock();
-    try {
-      roundAsked = false;
-      if (executor.stopped() || roundRunning) {
-        return;
-      }
-      lastRound = clock.now();
-      if (!authority.valid() || machineTypes.byName().isEmpty()) {
-        return;
-      }
-      roundRunning = true;
-      snapshot = views.snapshot(machines.all(), arrivals, rentals, electedAt, lastRound);
-    } finally {
-      lock.unlock();
-    }
-    Plan plan = null;
-    try {
-      plan = Planner.plan(snapshot);
-    } catch (RuntimeException e) {
-      LOG.error("the planner failed", e);
-    }
-    lock.lock();
-    try {
-      roundRunning = false;
-      if (!executor.stopped() && plan != null && authority.valid()) {
-        apply(plan);
-      }
-      SteadyTime now = clock.now();
-      roundTookS = now.secondsSince(lastRound);
-      metrics.round(roundTookS, plan == null ? 0 : plan.steps());
-    } finally {
-      lock.unlock();
-    }
+  /** The job of this id, or null where the ledger does not hold it. */
+  Job job(JobId id) {
+    return ledger.job(id);
   }
 
-  private void apply(Plan plan) {
-    SteadyTime now = clock.now();
-    for (Plan.Place p : plan.places()) {
-      Job job = ledger.job(p.job());
-      if (job == null) {
-        continue;
-      }
-      List<Ledger.Placement> placements = new ArrayList<>();
-      for (int i = 0; i < p.tasks().size(); i++) {
-        Machine m = machines.find(p.machines().get(i));
-        // One task that still shows somewhere must not keep the rest of its array waiting.
-        boolean waits =
-            !job.spec().isGang() && reports.ghost(new TaskId(p.job(), p.tasks().get(i)));
-        if (m != null && !waits && views.placeable(m, now)) {
-          MachineAttributes site =
-              new MachineAttributes(
-                  m.id,
-                  m.session,
-                  m.type,
-                  m.zone,
-                  m.zoneName,
-                  m.spot,
-                  machineTypes.find(m.type).capacity());
-          placements.add(new Ledger.Placement(p.tasks().get(i), site));
-        }
-      }
-      if (!job.spec().isGang()) {
-        placements = ledger.whatFits(job, placements);
-      }
-      String against =
-          placements.isEmpty() ? "no machine" : ledger.open(job, placements, reports::ghost, now);
-      if (against != null) {
-        LOG.debug("{} not placed: {}", p.job(), against);
-        continue;
-      }
-      if (LOG.isDebugEnabled()) {
-        LOG.debug("{} {} goes to {}", p.job(), job.spec().jobClass(), p.machines());
-      }
-      for (Ledger.Placement placed : placements) {
-        Machine m = machines.find(placed.site().machine());
-        m.view = null;
-        dropReservation(m, p.job());
-        Flavor f = machineTypes.find(m.type);
-        m.hasImage(job.spec().image(), job.spec().imageGb(), f.cacheGb());
-      }
-    }
-    for (Plan.Stop s : plan.stops()) {
-      Machine m = machines.find(s.machine());
-      if (m == null) {
-        // Gone while the plan was made.
-        continue;
-      }
-      m.view = null;
-      m.kept.add(new Machine.Kept(s.forJob(), s.room(), now.plusSeconds(RESERVE_S)));
-      for (Plan.Victim v : s.victims()) {
-        Job job = ledger.job(v.job());
-        Attempt a = job == null ? null : job.open(v.index());
-        if (a != null) {
-          LOG.debug("{} makes room for {}", a.task(), s.forJob());
-          double grace = job.spec().checkpointS() > 0 ? job.spec().saveS() + 1 : 0;
-          attempts.stopWithGang(a, grace);
-          attempts.closeIfNeverSent(a);
-        }
-      }
-    }
-    writer.pump();
-    for (Plan.Rent r : plan.rents()) {
-      rentals.rent(r);
-    }
-    for (MachineId id : plan.releases()) {
-      Machine m = machines.find(id);
-      if (m != null && ledger.attemptsOn(id).isEmpty() && !m.releasing) {
-        returns.release(m);
-      }
-    }
+  /**
+   * The state of a job, or null where only the state service can tell: a write whose answer is
+   * still out may be carried out already, and another node may have told a user so.
+   */
+  JobState stateOf(JobId id) {
+    Job job = ledger.job(id);
+    return job == null ? ledger.ended(id) : ledger.stateFor(job);
   }
 
-  private static void dropReservation(Machine m, JobId job) {
-    for (int i = 0; i < m.kept.size(); i++) {
-      if (m.kept.get(i).job().equals(job)) {
-        m.kept.remove(i);
-        return;
-      }
-    }
+  /**
+   * Cancels a job that this ledger holds.
+   *
+   * @param listener gets the state once the state service holds it, and not before
+   */
+  void cancel(Job job, Consumer<JobState> listener) {
+    cancellations.cancel(job, listener);
   }
 
-  // ---- machines that are gone -----------------------------------------------------------------
+  /** Whether a worker's lease may be renewed while no commands may be given. */
+  boolean mayKeepAlive(WorkerReport report) {
+    return leaseMonitor.mayRenewWithoutCommands(report);
+  }
 
-  void learn(List<Flavor> known) {
-    machineTypes.learn(known);
-    requestRound();
+  /** Takes in a report and says what the worker is to do; empty where it must not be answered. */
+  Optional<List<Command>> report(WorkerReport report, boolean mayCommand) {
+    return reports.report(report, mayCommand);
   }
 }
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/PlanExecutor.java
@@ -0,0 +1,188 @@
+package org.ternhinge.controller;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.ternhinge.ledger.Attempt;
+import org.ternhinge.ledger.Job;
+import org.ternhinge.ledger.Ledger;
+import org.ternhinge.ledger.LedgerWriter;
+import org.ternhinge.ledger.MachineAttributes;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.schedule.Plan;
+
+/**
+ * Carries out a plan as far as it still holds. The planner works on a snapshot without the lock, so
+ * jobs and machines may have changed or gone since: each decision is checked again, and the
+ * ledger's admission has the last word on each placement. Guarded by the controller's lock.
+ */
+final class PlanExecutor {
+  private static final Logger LOG = LoggerFactory.getLogger(PlanExecutor.class);
+
+  /**
+   * Seconds for which room is kept for a job after others were stopped for it: long enough for them
+   * to save and go, short enough that room is not lost to a job that goes elsewhere.
+   */
+  private static final double RESERVATION_S = 12;
+
+  /** Seconds beside the time to save, for the stop to arrive and the end to be reported. */
+  private static final double SAVE_MARGIN_S = 1;
+
+  private final Clock clock;
+  private final Ledger ledger;
+  private final LedgerWriter writer;
+  private final MachineRegistry machines;
+  private final MachineTypes machineTypes;
+  private final SnapshotCache snapshots;
+  private final ReportedTasks reportedTasks;
+  private final AttemptLifecycle attempts;
+  private final Rentals rentals;
+  private final MachineReleases releases;
+
+  PlanExecutor(
+      Clock clock,
+      Ledger ledger,
+      LedgerWriter writer,
+      MachineRegistry machines,
+      MachineTypes machineTypes,
+      SnapshotCache snapshots,
+      ReportedTasks reportedTasks,
+      AttemptLifecycle attempts,
+      Rentals rentals,
+      MachineReleases releases) {
+    this.clock = clock;
+    this.ledger = ledger;
+    this.writer = writer;
+    this.machines = machines;
+    this.machineTypes = machineTypes;
+    this.snapshots = snapshots;
+    this.reportedTasks = reportedTasks;
+    this.attempts = attempts;
+    this.rentals = rentals;
+    this.releases = releases;
+  }
+
+  /** Carries out what still holds; called under the lock while the leadership certainly holds. */
+  void execute(Plan plan) {
+    SteadyTime now = clock.now();
+    for (Plan.Place place : plan.places()) {
+      place(place, now);
+    }
+    for (Plan.Stop stop : plan.stops()) {
+      makeRoom(stop, now);
+    }
+    writer.pump();
+    for (Plan.Rent rent : plan.rents()) {
+      rentals.rent(rent);
+    }
+    for (MachineId id : plan.releases()) {
+      release(id);
+    }
+  }
+
+  private void place(Plan.Place place, SteadyTime now) {
+    Job job = ledger.job(place.job());
+    if (job == null) {
+      return;
+    }
+    List<Ledger.Placement> placements = placements(place, job, now);
+    if (!job.spec().isGang()) {
+      placements = ledger.whatFits(job, placements);
+    }
+    String refusal =
+        placements.isEmpty()
+            ? "no machine"
+            : ledger.open(job, placements, reportedTasks::ghost, now);
+    if (refusal != null) {
+      LOG.debug("{} not placed: {}", place.job(), refusal);
+      return;
+    }
+    LOG.debug("{} {} goes to {}", place.job(), job.spec().jobClass(), place.machines());
+    for (Ledger.Placement placement : placements) {
+      placed(job, machines.find(placement.site().machine()));
+    }
+  }
+
+  /** The placements whose machine still takes tasks. */
+  private List<Ledger.Placement> placements(Plan.Place place, Job job, SteadyTime now) {
+    List<Ledger.Placement> placements = new ArrayList<>();
+    for (int i = 0; i < place.tasks().size(); i++) {
+      int index = place.tasks().get(i);
+      Machine machine = machines.find(place.machines().get(i));
+      // One task that still shows somewhere must not keep the rest of its array waiting.
+      boolean waits = !job.spec().isGang() && reportedTasks.ghost(new TaskId(place.job(), index));
+      if (machine != null && !waits && snapshots.placeable(machine, now)) {
+        placements.add(new Ledger.Placement(index, attributes(machine)));
+      }
+    }
+    return placements;
+  }
+
+  private MachineAttributes attributes(Machine machine) {
+    return new MachineAttributes(
+        machine.id,
+        machine.session,
+        machine.type,
+        machine.zone,
+        machine.zoneName,
+        machine.spot,
+        machineTypes.find(machine.type).capacity());
+  }
+
+  /** A task of the job has been opened on the machine. */
+  private void placed(Job job, Machine machine) {
+    machine.view = null;
+    dropReservation(machine, job.spec().id());
+    double cacheGb = machineTypes.find(machine.type).cacheGb();
+    machine.hasImage(job.spec().image(), job.spec().imageGb(), cacheGb);
+  }
+
+  /** One task placed uses up one reservation. */
+  private static void dropReservation(Machine machine, JobId job) {
+    for (int i = 0; i < machine.kept.size(); i++) {
+      if (machine.kept.get(i).job().equals(job)) {
+        machine.kept.remove(i);
+        return;
+      }
+    }
+  }
+
+  /** Stops tasks of lesser urgency on a machine, and keeps their room for the job they made way. */
+  private void makeRoom(Plan.Stop stop, SteadyTime now) {
+    Machine machine = machines.find(stop.machine());
+    if (machine == null) {
+      // Gone while the plan was made.
+      return;
+    }
+    machine.view = null;
+    SteadyTime until = now.plusSeconds(RESERVATION_S);
+    machine.kept.add(new Machine.Kept(stop.forJob(), stop.room(), until));
+    for (Plan.Victim victim : stop.victims()) {
+      preempt(victim, stop.forJob());
+    }
+  }
+
+  private void preempt(Plan.Victim victim, JobId forJob) {
+    Job job = ledger.job(victim.job());
+    Attempt attempt = job == null ? null : job.open(victim.index());
+    if (attempt == null) {
+      return;
+    }
+    LOG.debug("{} makes room for {}", attempt.task(), forJob);
+    boolean saves = job.spec().checkpointS() > 0;
+    attempts.stopWithGang(attempt, saves ? job.spec().saveS() + SAVE_MARGIN_S : 0);
+    attempts.closeIfNeverSent(attempt);
+  }
+
+  private void release(MachineId id) {
+    Machine machine = machines.find(id);
+    if (machine != null && ledger.attemptsOn(id).isEmpty() && !machine.releasing) {
+      releases.release(machine);
+    }
+  }
+}
--- a/src/main/java/org/ternhinge/controller/SnapshotCache.java
+++ b/src/main/java/org/ternhinge/controller/SnapshotCache.java
@@ -3,7 +3,6 @@
 import it.unimi.dsi.fastutil.ints.IntArrayList;
 import it.unimi.dsi.fastutil.ints.IntList;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -52,13 +51,21 @@
   private final Ledger ledger;
   private final Map<String, Flavor> flavors;
   private final Map<JobId, JobFailures> troubles;
+  private final MachineRegistry machines;
+  private final ArrivalRates arrivalRates;
+  private final Rentals rentals;
+  private final SteadyTime electedAt;
 
   SnapshotCache(
       ControllerServices around,
       Authority authority,
       Ledger ledger,
       Map<String, Flavor> flavors,
-      Map<JobId, JobFailures> troubles) {
+      Map<JobId, JobFailures> troubles,
+      MachineRegistry machines,
+      ArrivalRates arrivalRates,
+      Rentals rentals,
+      SteadyTime electedAt) {
     this.settings = around.settings();
     this.tuning = around.tuning();
     this.clock = around.clock();
@@ -66,6 +73,10 @@
     this.ledger = ledger;
     this.flavors = flavors;
     this.troubles = troubles;
+    this.machines = machines;
+    this.arrivalRates = arrivalRates;
+    this.rentals = rentals;
+    this.electedAt = electedAt;
   }
 
   /** Whether tasks may be placed on a machine now. */
@@ -86,15 +97,11 @@
         && now.secondsSince(m.lastReport) < settings.workers().reportS() * 2.2;
   }
 
-  Snapshot snapshot(
-      Collection<Machine> machines,
-      ArrivalRates arrivals,
-      Rentals rentals,
-      SteadyTime electedAt,
-      SteadyTime now) {
+  /** What the planner is shown as of now. */
+  Snapshot snapshot(SteadyTime now) {
     Map<JobId, Integer> reserved = new HashMap<>();
-    List<Snapshot.MachineView> views = new ArrayList<>(machines.size());
-    for (Machine m : machines) {
+    List<Snapshot.MachineView> views = new ArrayList<>(machines.all().size());
+    for (Machine m : machines.all()) {
       Flavor f = m.type == null ? null : flavors.get(m.type);
       if (f == null || m.gone || m.releasing || m.zone < 0 || m.noticeAt != null || m.sick(now)) {
         continue;
@@ -120,12 +127,12 @@
     return new Snapshot(
         views,
         jobViews(now, reserved),
-        arrivals.spares(now, settings.zones().size()),
+        arrivalRates.spares(now, settings.zones().size()),
         settings.teams(),
         use,
         rentals.offers(flavors.values(), settings.zones(), now),
         rentals.coming(flavors, settings.zones()),
-        settled(machines, electedAt, now),
+        settled(now),
         tuning.idleS(),
         now);
   }
@@ -134,12 +141,12 @@
    * Whether what is ready is all that there is: every machine that is up has reported, or has had
    * time to. Before, work would be sent to places of last resort beside others not yet in sight.
    */
-  private boolean settled(Collection<Machine> machines, SteadyTime electedAt, SteadyTime now) {
+  private boolean settled(SteadyTime now) {
     if (now.secondsSince(electedAt) > 2 * settings.workers().reportS()) {
       return true;
     }
     boolean listed = false;
-    for (Machine m : machines) {
+    for (Machine m : machines.all()) {
       listed |= m.listedAt != null;
       if (!m.reported && (m.listedUp || !ledger.attemptsOn(m.id).isEmpty())) {
         return false;
