Users are answered in time however slow the state service is

Calls of the state service may now be waited for longer than users wait. A submission or a cancellation is answered 503 after 4.5 s and a poll after 1.8 s where nothing else has come; the write goes on, and a repeated submission finds its record.

SlowStateServiceTest plays the whole controller with answers of up to 0.3, 0.8, 1.0, 1.3 and 1.8 s each way: the leader stays or another is elected, jobs start, cancellations are kept, and all is quick again afterwards.

--- a/src/main/java/org/ternhinge/controller/ControllerNode.java
+++ b/src/main/java/org/ternhinge/controller/ControllerNode.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -54,6 +55,12 @@
   private static final double CANCEL_S = 4;
   private static final int ACCEPT_TRIES = 3;
 
+  /** A user drops the answer to a submission or a cancellation after 5 s. */
+  private static final double ANSWER_S = 4.5;
+
+  /** A user drops the answer to a poll after 2 s. */
+  private static final double POLL_ANSWER_S = 1.8;
+
   /** Shorter than the time after which a worker drops the answer. */
   private static final double RELAY_S = 2.5;
 
@@ -209,7 +216,8 @@
     if (path.equals(WORKERS_PATH)) {
       only("POST", request, answer, () -> report(request, fromPeer, answer));
     } else if (path.equals("/submissions")) {
-      only("POST", request, answer, () -> submit(request, fromPeer, answer));
+      only(
+          "POST", request, answer, () -> submit(request, fromPeer, answerWithin(ANSWER_S, answer)));
     } else if (path.startsWith("/submissions/")) {
       String rest = path.substring("/submissions/".length());
       boolean cancels = rest.endsWith("/cancel");
@@ -217,9 +225,17 @@
       if (!JobId.isValid(name)) {
         answer.accept(Response.of(404));
       } else if (cancels) {
-        only("POST", request, answer, () -> cancel(new JobId(name), request, fromPeer, answer));
+        only(
+            "POST",
+            request,
+            answer,
+            () -> cancel(new JobId(name), request, fromPeer, answerWithin(ANSWER_S, answer)));
       } else {
-        only("GET", request, answer, () -> query(new JobId(name), request, fromPeer, answer));
+        only(
+            "GET",
+            request,
+            answer,
+            () -> query(new JobId(name), request, fromPeer, answerWithin(POLL_ANSWER_S, answer)));
       }
     } else if (path.equals("/healthz")) {
       only("GET", request, answer, () -> answer.accept(health()));
@@ -228,6 +244,16 @@
     }
   }
 
+  /**
+   * An answer that is 503 where none has come in time: a slow state service is waited for longer
+   * than users wait.
+   */
+  private Consumer<Response> answerWithin(double seconds, Consumer<Response> answer) {
+    Once once = new Once(answer);
+    later(seconds, () -> once.accept(Response.busy(RETRY_AFTER_S)));
+    return once;
+  }
+
   private static void only(
       String method, Request request, Consumer<Response> answer, Runnable then) {
     if (request.method().equals(method)) {
@@ -563,17 +589,17 @@
 
   /** Lets only the first answer through. */
   private static final class Once implements Consumer<Response> {
-    private Consumer<Response> answer;
+    private final AtomicReference<Consumer<Response>> answer;
 
     Once(Consumer<Response> answer) {
-      this.answer = answer;
+      this.answer = new AtomicReference<>(answer);
     }
 
     @Override
     public void accept(Response response) {
-      if (answer != null) {
-        answer.accept(response);
-        answer = null;
+      Consumer<Response> first = answer.getAndSet(null);
+      if (first != null) {
+        first.accept(response);
       }
     }
   }
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/SlowStateServiceTest.java
@@ -0,0 +1,209 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.http.Request;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimUsers;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.Json;
+
+/**
+ * The whole controller over a state service whose answers take long, on virtual time. Delays vary
+ * from a quarter of the given ones to all of them.
+ */
+class SlowStateServiceTest {
+  private static final double QUIET_S = 5;
+
+  private SimCluster world;
+  private SimUsers users;
+
+  private void begin(long seed) {
+    world = new SimCluster(seed, 0, new SimCluster.Size(3, 4, 60, 30));
+    users = new SimUsers(world);
+    world.clock.runFor(QUIET_S);
+  }
+
+  private JobId submit(String id, String kind, int tasks, double runsS) {
+    ObjectNode body = Specs.json(id, kind, tasks).put("cpus", 2.0).put("aaetlun_s", runsS);
+    if (kind.equals("daemon")) {
+      body.put("forgang", "production").put("lanvelar", false);
+    }
+    users.submit(body);
+    return new JobId(id);
+  }
+
+  private void run(double seconds) {
+    double end = world.clock.seconds() + seconds;
+    while (world.clock.seconds() < end - 1e-6) {
+      world.clock.runFor(Math.min(3, end - world.clock.seconds()));
+      users.pollAll();
+    }
+  }
+
+  private void slow(double seconds, double eachWayS) {
+    world.troubles.slowState(seconds, 2 * eachWayS);
+  }
+
+  private void quickAgain() {
+    run(30);
+    users.quiet();
+    JobId last = submit("wk-9", "batch", 2, 5);
+    double submitted = world.clock.seconds();
+    run(60);
+    assertTrue(world.began(last).isPresent(), "a job after the slowness has not begun");
+    double waitedS = world.began(last).getAsDouble() - submitted;
+    assertTrue(waitedS < 15, "a job after the slowness began only after " + waitedS + " s");
+    run(100);
+    assertEquals("done", users.lastTold(last));
+    assertEquals(List.of(), world.broken);
+  }
+
+  /** The leader stays, jobs are accepted and start, and cancellations are kept. */
+  @ParameterizedTest(name = "seed {0}, {1} s each way")
+  @CsvSource({
+    "301, 0.3", "302, 0.8", "303, 1.0", "304, 1.3", "305, 1.8",
+    "311, 0.3", "312, 0.8", "313, 1.0", "314, 1.3", "315, 1.8"
+  })
+  void workGoesOnUnderTheSameLeader(long seed, double eachWayS) {
+    begin(seed);
+    JobId stays = submit("wk-1", "daemon", 3, 0);
+    JobId goes = submit("wk-2", "batch", 6, 400);
+    run(60);
+    assertEquals(6, world.runningTasks(goes));
+    int leaderships = world.leaderships;
+    slow(200, eachWayS);
+    run(10);
+    JobId array = submit("wk-3", "batch", 4, 10);
+    JobId gang = submit("wk-4", "group", 2, 20);
+    run(20);
+    users.cancel(goes);
+    run(120);
+    assertEquals(leaderships, world.leaderships, "the leader did not stay");
+    assertTrue(world.began(array).isPresent(), "the array has not begun");
+    assertTrue(world.began(gang).isPresent(), "the gang has not begun");
+    assertEquals(0, world.runningTasks(goes));
+    assertEquals("cancelled", users.lastTold(goes));
+    run(60);
+    quickAgain();
+    assertEquals("done", users.lastTold(array));
+    assertEquals("done", users.lastTold(gang));
+    assertEquals(3, world.runningTasks(stays));
+  }
+
+  /** A leader ends, or is refused alone, while the service is slow: another takes over. */
+  @ParameterizedTest(name = "seed {0}, {1} s each way, {2}")
+  @CsvSource({
+    "321, 0.3, crash",
+    "322, 0.8, crash",
+    "323, 1.0, crash",
+    "324, 1.3, crash",
+    "325, 1.8, crash",
+    "331, 0.3, refused",
+    "332, 0.8, refused",
+    "333, 1.0, refused",
+    "334, 1.3, refused",
+    "335, 1.8, refused"
+  })
+  void anotherIsElectedWhileItIsSlow(long seed, double eachWayS, String how) {
+    begin(seed);
+    JobId stays = submit("wk-1", "daemon", 3, 0);
+    JobId goes = submit("wk-2", "batch", 6, 400);
+    run(60);
+    slow(240, eachWayS);
+    run(20);
+    int leaderships = world.leaderships;
+    int old = world.leader();
+    if (how.equals("crash")) {
+      world.crash(old, 60);
+    } else {
+      world.cutState(old, 30);
+    }
+    run(45);
+    assertTrue(world.leaderships > leaderships, "nobody was elected");
+    assertTrue(world.leader() >= 0 && world.leader() != old, "nobody leads");
+    users.cancel(goes);
+    JobId array = submit("wk-3", "batch", 4, 10);
+    run(90);
+    assertTrue(world.began(array).isPresent(), "the array has not begun");
+    assertEquals("cancelled", users.lastTold(goes));
+    assertEquals(0, world.runningTasks(goes));
+    run(85);
+    quickAgain();
+    assertEquals("done", users.lastTold(array));
+    assertEquals(3, world.runningTasks(stays));
+  }
+
+  /** Every message takes long, those of users, workers and controllers too. */
+  @ParameterizedTest(name = "seed {0}, {1} s each way")
+  @CsvSource({"341, 0.3", "342, 0.8", "343, 1.0", "344, 1.3", "345, 1.8"})
+  void urgentWorkBeginsOverSlowLinks(long seed, double eachWayS) {
+    begin(seed);
+    JobId stays = submit("wk-1", "daemon", 3, 0);
+    JobId goes = submit("wk-2", "batch", 6, 400);
+    run(60);
+    world.slowLinks(eachWayS);
+    run(10);
+    users.submit(Specs.json("wk-3", "batch", 4).put("forgang", "high").put("eigandi", "blue"));
+    users.cancel(goes);
+    run(150);
+    assertTrue(world.began(new JobId("wk-3")).isPresent(), "urgent work has not begun");
+    world.slowLinks(0);
+    quickAgain();
+    assertEquals("cancelled", users.lastTold(goes));
+    assertEquals(0, world.runningTasks(goes));
+    assertEquals(3, world.runningTasks(stays));
+  }
+
+  /** Whatever the state service takes, a node answers users before they give up. */
+  @ParameterizedTest(name = "{0} s each way")
+  @CsvSource({"0.3", "0.8", "1.3", "1.8", "3"})
+  void usersAreAnsweredInTime(double eachWayS) {
+    begin(351);
+    submit("wk-1", "batch", 2, 400);
+    run(30);
+    slow(120, eachWayS);
+    List<String> late = new ArrayList<>();
+    for (int i = 0; i < 30; i++) {
+      int node = i % 3;
+      ask(node, "GET", "/submissions/wk-1", null, 2, late);
+      ask(node, "GET", "/submissions/wk-77", null, 2, late);
+      ObjectNode body = Specs.json("wk-2" + i, "batch", 1);
+      world.know(Specs.of(body));
+      ask(node, "POST", "/submissions", Json.bytes(body), 5, late);
+      body.putArray("bidur_eftir").add("wk-1");
+      body.put("ref", "wk-3" + i);
+      world.know(Specs.of(body), List.of(new JobId("wk-1")));
+      ask(node, "POST", "/submissions", Json.bytes(body), 5, late);
+      ask(node, "POST", "/submissions/wk-77/cancel", null, 5, late);
+      world.clock.runFor(3);
+    }
+    world.clock.runFor(10);
+    assertEquals(List.of(), late);
+  }
+
+  private void ask(
+      int node, String method, String path, byte[] body, double withinS, List<String> late) {
+    double asked = world.clock.seconds();
+    Request request = new Request(method, path, body == null ? new byte[0] : body);
+    String what = method + " " + path + " at node " + node;
+    late.add(what + " was not answered");
+    world.deliver(
+        node,
+        request,
+        response -> {
+          late.remove(what + " was not answered");
+          double tookS = world.clock.seconds() - asked;
+          if (tookS > withinS) {
+            late.add(what + " took " + tookS + " s");
+          }
+        });
+  }
+}
