Ledger: records are split into segments, repartitioned and merged

A record's "piece", "recut" and "folded" were words of our own. They are renamed throughout code, tests and pages; keys and stored bytes stay.

--- a/src/main/java/org/ternhinge/ledger/Job.java
+++ b/src/main/java/org/ternhinge/ledger/Job.java
@@ -14,19 +14,19 @@
 import org.ternhinge.wire.Priority;
 
 /**
- * A job that is not yet over, with its open attempts. Its record in the state service is cut into
- * pieces of a fixed number of tasks, so that a large array fits the limit on values; only the
- * pieces that changed are written. Everything here is changed by the {@link Ledger} alone.
+ * A job that is not yet over, with its open attempts. Its record in the state service is split into
+ * segments of a fixed number of tasks, so that a large array fits the limit on values; only the
+ * segments that changed are written. Everything here is changed by the {@link Ledger} alone.
  */
 public final class Job {
   private final JobSpec spec;
   private final long acceptedMillis;
-  private int pieceSize;
+  private int segmentSize;
   private final BitSet done = new BitSet();
   private final Int2ObjectOpenHashMap<Attempt> open = new Int2ObjectOpenHashMap<>();
   private final BitSet dirty = new BitSet();
   private final BitSet inFlight = new BitSet();
-  private final BitSet folded = new BitSet();
+  private final BitSet merged = new BitSet();
   private final Int2LongOpenHashMap revisions = new Int2LongOpenHashMap();
 
   private AttemptNumber highest = AttemptNumber.NONE;
@@ -41,13 +41,13 @@
   private long readyMillis;
   private boolean cancelledByDependency;
   private int specBytes;
-  private boolean recutWanted;
-  private boolean recutTooLarge;
+  private boolean repartitionWanted;
+  private boolean repartitionTooLarge;
 
-  Job(JobSpec spec, long acceptedMillis, int pieceSize) {
+  Job(JobSpec spec, long acceptedMillis, int segmentSize) {
     this.spec = spec;
     this.acceptedMillis = acceptedMillis;
-    this.pieceSize = pieceSize;
+    this.segmentSize = segmentSize;
     this.planned = spec;
     this.readyMillis = acceptedMillis;
   }
@@ -109,8 +109,8 @@
     return acceptedMillis;
   }
 
-  public int pieceSize() {
-    return pieceSize;
+  public int segmentSize() {
+    return segmentSize;
   }
 
   /** How long its description is in its record. */
@@ -121,36 +121,36 @@
     return specBytes;
   }
 
-  /** Cuts the record anew; the next write has to carry all of it, or nothing is in it yet. */
-  void recut(int size) {
-    pieceSize = size;
-    recutWanted = false;
+  /** Changes the segment size: the next write has to carry the whole record, unless it is empty. */
+  void repartition(int size) {
+    segmentSize = size;
+    repartitionWanted = false;
   }
 
-  /** Whether tasks wait for the record to be cut anew. */
-  boolean recutWanted() {
-    return recutWanted;
+  /** Whether tasks wait for the record to be repartitioned. */
+  boolean repartitionWanted() {
+    return repartitionWanted;
   }
 
-  void recutWanted(boolean wanted) {
-    recutWanted = wanted;
+  void repartitionWanted(boolean wanted) {
+    repartitionWanted = wanted;
   }
 
-  /** Whether its record, cut anew, would not fit one transaction. */
-  boolean recutTooLarge() {
-    return recutTooLarge;
+  /** Whether its record, repartitioned, would not fit one transaction. */
+  boolean repartitionTooLarge() {
+    return repartitionTooLarge;
   }
 
-  void markRecutTooLarge() {
-    recutTooLarge = true;
+  void markRepartitionTooLarge() {
+    repartitionTooLarge = true;
   }
 
-  public int pieces() {
-    return (spec.tasks() + pieceSize - 1) / pieceSize;
+  public int segments() {
+    return (spec.tasks() + segmentSize - 1) / segmentSize;
   }
 
-  int pieceOf(int index) {
-    return index / pieceSize;
+  int segmentOf(int index) {
+    return index / segmentSize;
   }
 
   public boolean isDone(int index) {
@@ -276,44 +276,44 @@
     return inFlight;
   }
 
-  BitSet folded() {
-    return folded;
+  BitSet merged() {
+    return merged;
   }
 
   /** Whether what is known of this task is what the state service holds. */
   public boolean recorded(int index) {
-    int piece = pieceOf(index);
-    return !dirty.get(piece) && !inFlight.get(piece);
+    int segment = segmentOf(index);
+    return !dirty.get(segment) && !inFlight.get(segment);
   }
 
-  Revision revision(int piece) {
-    return new Revision(revisions.get(piece));
+  Revision revision(int segment) {
+    return new Revision(revisions.get(segment));
   }
 
-  void revision(int piece, Revision revision) {
+  void revision(int segment, Revision revision) {
     if (revision.value() == 0) {
-      revisions.remove(piece);
+      revisions.remove(segment);
     } else {
-      revisions.put(piece, revision.value());
+      revisions.put(segment, revision.value());
     }
   }
 
-  boolean pieceOver(int piece) {
-    int from = piece * pieceSize;
-    int to = Math.min(spec.tasks(), from + pieceSize);
+  boolean segmentOver(int segment) {
+    int from = segment * segmentSize;
+    int to = Math.min(spec.tasks(), from + segmentSize);
     if (!cancelled && done.nextClearBit(from) < to) {
       return false;
     }
     for (Attempt a : open.values()) {
-      if (pieceOf(a.task().index()) == piece) {
+      if (segmentOf(a.task().index()) == segment) {
         return false;
       }
     }
     return true;
   }
 
-  /** Pieces after the first that still have a key of their own. */
-  BitSet livePieces() {
+  /** Segments after the first that still have a key of their own. */
+  BitSet liveSegments() {
     BitSet live = new BitSet();
     revisions.keySet().forEach(p -> live.set(p));
     live.clear(0);
--- a/src/main/java/org/ternhinge/ledger/Keys.java
+++ b/src/main/java/org/ternhinge/ledger/Keys.java
@@ -18,8 +18,8 @@
     return JOBS + id.value();
   }
 
-  static String piece(JobId id, int piece) {
-    return piece == 0 ? job(id) : JOBS + id.value() + "/" + piece;
+  static String segment(JobId id, int segment) {
+    return segment == 0 ? job(id) : JOBS + id.value() + "/" + segment;
   }
 
   public static String end(JobId id) {
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -122,48 +122,47 @@
 
   /** Of tasks that are to start, those whose attempts the job's record has room for. */
   public List<Placement> whatFits(Job job, List<Placement> placements) {
-    if (PieceCapacity.always(job, valueBytes)) {
+    if (SegmentCapacity.always(job, valueBytes)) {
       return placements;
     }
-    PieceCapacity room = new PieceCapacity(job, valueBytes);
+    SegmentCapacity room = new SegmentCapacity(job, valueBytes);
     AttemptNumber number = job.highest().next();
     List<Placement> fits =
         placements.stream()
             .filter(p -> room.take(p.index(), number, p.site().machine(), p.site().session()))
             .toList();
-    if (fits.size() < placements.size() && job.spec().isService() && mayRecut(job)) {
-      // Nothing of a service ends by itself, so waiting for room in a large piece could be for
+    if (fits.size() < placements.size() && job.spec().isService() && mayRepartition(job)) {
+      // Nothing of a service ends by itself, so waiting for room in a large segment could be for
       // ever.
-      // An array's tasks end: to write its first piece for this each round would only cost changes.
-      job.recutWanted(true);
+      // An array's tasks end: to write its first segment for this each round would only cost
+      // changes.
+      job.repartitionWanted(true);
       job.dirty().set(0);
       dirty(job);
     }
     return fits;
   }
 
-  /**
-   * Whether a record was cut into larger pieces than it would be now, and can be cut as a whole.
-   */
-  boolean mayRecut(Job job) {
-    return RecordCodec.pieceSize(job.spec(), valueBytes) < job.pieceSize()
-        && job.folded().isEmpty()
+  /** Whether a record has larger segments than it would have now, and may be repartitioned. */
+  boolean mayRepartition(Job job) {
+    return RecordCodec.segmentSize(job.spec(), valueBytes) < job.segmentSize()
+        && job.merged().isEmpty()
         && job.inFlight().isEmpty()
-        && !job.recutTooLarge()
+        && !job.repartitionTooLarge()
         && !job.over();
   }
 
   /**
-   * A gang laid down under a larger limit may not fit its pieces any more. While it waits nothing
-   * stands in them but in the first, so that the next write of that one cuts it anew.
+   * A gang laid down under a larger limit may not fit its segments any more. While it waits nothing
+   * stands in them but in the first, so that the next write of that one repartitions it.
    */
-  private void recut(Job job) {
+  private void repartition(Job job) {
     if (job.spec().isGang()
-        && mayRecut(job)
+        && mayRepartition(job)
         && job.openMap().isEmpty()
-        && job.livePieces().isEmpty()
-        && !PieceCapacity.always(job, valueBytes)) {
-      job.recut(RecordCodec.pieceSize(job.spec(), valueBytes));
+        && job.liveSegments().isEmpty()
+        && !SegmentCapacity.always(job, valueBytes)) {
+      job.repartition(RecordCodec.segmentSize(job.spec(), valueBytes));
       job.dirty().clear();
       job.dirty().set(0);
     }
@@ -178,7 +177,7 @@
    */
   public String open(
       Job job, List<Placement> placements, Predicate<TaskId> ghosts, SteadyTime now) {
-    recut(job);
+    repartition(job);
     String against = admit(job, placements, ghosts);
     if (against != null) {
       return against;
@@ -192,7 +191,7 @@
       Attempt a =
           new Attempt(job, p.index(), number, s.machine(), s.session(), s.zone(), false, now);
       job.openMap().put(p.index(), a);
-      job.dirty().set(job.pieceOf(p.index()));
+      job.dirty().set(job.segmentOf(p.index()));
       count(a);
     }
     dirty(job);
@@ -284,11 +283,11 @@
       return;
     }
     discount(a);
-    job.dirty().set(job.pieceOf(a.task().index()));
+    job.dirty().set(job.segmentOf(a.task().index()));
     if (done) {
       if (job.spec().isGang()) {
         job.done().set(0, job.spec().tasks());
-        for (int p = 0; p < job.pieces(); p++) {
+        for (int p = 0; p < job.segments(); p++) {
           job.dirty().set(p);
         }
       } else {
@@ -335,9 +334,9 @@
   }
 
   private void settle(Job job) {
-    for (int p = 1; p < job.pieces(); p++) {
-      if (!job.folded().get(p) && job.pieceOver(p) && mayFold(job, p)) {
-        job.folded().set(p);
+    for (int p = 1; p < job.segments(); p++) {
+      if (!job.merged().get(p) && job.segmentOver(p) && mayMerge(job, p)) {
+        job.merged().set(p);
         job.dirty().set(0);
         job.dirty().set(p);
         dirty(job);
@@ -350,16 +349,16 @@
     }
   }
 
-  /** The first piece lists what is folded; a piece that would make the list too long stays. */
-  private boolean mayFold(Job job, int piece) {
-    BitSet folded = job.folded();
-    boolean joins = folded.get(piece + 1) || folded.get(piece - 1);
-    int most = RecordCodec.foldedRanges(valueBytes);
-    if (joins || folded.cardinality() < most) {
+  /** The first segment lists what is merged; a segment that would make the list too long stays. */
+  private boolean mayMerge(Job job, int segment) {
+    BitSet merged = job.merged();
+    boolean joins = merged.get(segment + 1) || merged.get(segment - 1);
+    int most = RecordCodec.mergedRanges(valueBytes);
+    if (joins || merged.cardinality() < most) {
       return true;
     }
     int ranges = 0;
-    for (int i = folded.nextSetBit(0); i >= 0; i = folded.nextSetBit(folded.nextClearBit(i))) {
+    for (int i = merged.nextSetBit(0); i >= 0; i = merged.nextSetBit(merged.nextClearBit(i))) {
       ranges++;
     }
     return ranges < most;
--- a/src/main/java/org/ternhinge/ledger/LedgerLoader.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerLoader.java
@@ -99,11 +99,11 @@
           Job job = RecordCodec.decodeFirst(e.value(), e.revision(), now);
           found.put(job.spec().id(), job);
         } else {
-          // Keys come in order, so the first piece is there already.
+          // Keys come in order, so the first segment is there already.
           Job job = found.get(new JobId(name.substring(0, slash)));
           if (job != null) {
-            int piece = Integer.parseInt(name.substring(slash + 1));
-            RecordCodec.decodeBody(job, piece, e.value(), e.revision(), now);
+            int segment = Integer.parseInt(name.substring(slash + 1));
+            RecordCodec.decodeBody(job, segment, e.value(), e.revision(), now);
           }
         }
       } catch (WireException | RuntimeException x) {
--- a/src/main/java/org/ternhinge/ledger/LedgerWriter.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -44,7 +44,7 @@
 
   private static final double LATE_S = 2;
 
-  private record Part(Job job, int piece, boolean cancels, boolean ends, List<Attempt> opens) {}
+  private record Part(Job job, int segment, boolean cancels, boolean ends, List<Attempt> opens) {}
 
   /** A key beside the jobs' records; what it is set to is asked for when it is written. */
   private record Extra(String key, Supplier<JsonNode> value, List<Runnable> then) {}
@@ -100,7 +100,7 @@
   private Batch batch;
 
   /** A job whose record is cut anew before anything else, since that takes a batch of its own. */
-  private Job recutNext;
+  private Job repartitionNext;
 
   private boolean busy;
   private boolean looking;
@@ -328,14 +328,14 @@
     List<Attempt> opened = new ArrayList<>();
     for (Part part : done.parts) {
       Job job = part.job;
-      job.inFlight().clear(part.piece);
+      job.inFlight().clear(part.segment);
       if (part.ends) {
         job.finalIsDurable();
         ledger.ended(job);
         continue;
       }
-      boolean gone = part.piece > 0 && job.folded().get(part.piece);
-      job.revision(part.piece, gone ? Revision.NONE : revision);
+      boolean gone = part.segment > 0 && job.merged().get(part.segment);
+      job.revision(part.segment, gone ? Revision.NONE : revision);
       if (part.cancels) {
         ledger.cancelIsDurable(job);
       }
@@ -363,15 +363,15 @@
   private Batch build(int limit) {
     Batch b = new Batch(limit);
     b.conditions.put(Keys.TERM, authority.termRevision());
-    if (recutNext != null) {
-      Job job = recutNext;
-      int size = RecordCodec.pieceSize(job.spec(), ledger.valueBytes());
+    if (repartitionNext != null) {
+      Job job = repartitionNext;
+      int size = RecordCodec.segmentSize(job.spec(), ledger.valueBytes());
       // While tokens are short it waits for its turn, which comes before everything else's.
-      if (!ledger.mayRecut(job)) {
-        recutNext = null;
-      } else if (pieces(job, size) <= b.limit) {
-        recutNext = null;
-        recut(b, job, size);
+      if (!ledger.mayRepartition(job)) {
+        repartitionNext = null;
+      } else if (segments(job, size) <= b.limit) {
+        repartitionNext = null;
+        repartition(b, job, size);
       }
       if (!b.changes.isEmpty()) {
         return b;
@@ -427,20 +427,20 @@
     }
     BitSet dirty = job.dirty();
     boolean whole = true;
-    if (job.recutWanted()) {
-      wantRecut(job);
+    if (job.repartitionWanted()) {
+      wantRepartition(job);
     }
     for (int p = dirty.nextSetBit(0); p >= 0; p = dirty.nextSetBit(p + 1)) {
       if (b.changes.size() >= b.limit) {
         return false;
       }
-      String key = Keys.piece(job.spec().id(), p);
-      boolean fold = p > 0 && job.folded().get(p);
-      if (fold && job.revision(p).value() == 0) {
+      String key = Keys.segment(job.spec().id(), p);
+      boolean merge = p > 0 && job.merged().get(p);
+      if (merge && job.revision(p).value() == 0) {
         dirty.clear(p);
         continue;
       }
-      if (fold) {
+      if (merge) {
         b.changes.add(new Change.Delete(key));
       } else {
         ObjectNode value = RecordCodec.encode(job, p);
@@ -449,7 +449,7 @@
           // Laid down under a larger limit, by admission nothing else is: it can be written again
           // once enough of its attempts have ended, or cut anew. Until then the state service holds
           // more of them than there are, which is the safe side.
-          wantRecut(job);
+          wantRepartition(job);
           whole = false;
           continue;
         }
@@ -471,56 +471,56 @@
     return true;
   }
 
-  private void wantRecut(Job job) {
-    job.recutWanted(false);
-    int pieces = pieces(job, RecordCodec.pieceSize(job.spec(), ledger.valueBytes()));
-    if (pieces > txnOps) {
-      job.markRecutTooLarge();
-    } else if (recutNext == null && ledger.mayRecut(job)) {
-      recutNext = job;
+  private void wantRepartition(Job job) {
+    job.repartitionWanted(false);
+    int segments = segments(job, RecordCodec.segmentSize(job.spec(), ledger.valueBytes()));
+    if (segments > txnOps) {
+      job.markRepartitionTooLarge();
+    } else if (repartitionNext == null && ledger.mayRepartition(job)) {
+      repartitionNext = job;
     }
   }
 
-  private static int pieces(Job job, int size) {
+  private static int segments(Job job, int size) {
     return (job.spec().tasks() + size - 1) / size;
   }
 
   /**
-   * Cuts a record into smaller pieces, all in one transaction: how many tasks a piece is for stands
-   * in the first, so that a leader that came in between would read the others wrongly. Smaller
-   * pieces are more, so each of the old ones is written over. Left as it is where a piece would
-   * still be too large: an array has more open attempts then than its admission allows, and they
-   * end.
+   * Cuts a record into smaller segments, all in one transaction: how many tasks a segment is for
+   * stands in the first, so that a leader that came in between would read the others wrongly.
+   * Smaller segments are more, so each of the old ones is written over. Left as it is where a
+   * segment would still be too large: an array has more open attempts then than its admission
+   * allows, and they end.
    */
-  private void recut(Batch b, Job job, int size) {
-    int before = job.pieceSize();
-    job.recut(size);
+  private void repartition(Batch b, Job job, int size) {
+    int before = job.segmentSize();
+    job.repartition(size);
     List<ObjectNode> values = new ArrayList<>();
-    for (int p = 0; p < job.pieces(); p++) {
+    for (int p = 0; p < job.segments(); p++) {
       ObjectNode value = RecordCodec.encode(job, p);
       if (Json.bytes(value).length > ledger.valueBytes()) {
-        job.recut(before);
+        job.repartition(before);
         return;
       }
       values.add(value);
     }
-    for (int p = 0; p < job.pieces(); p++) {
+    for (int p = 0; p < job.segments(); p++) {
       ObjectNode value = values.get(p);
-      String key = Keys.piece(job.spec().id(), p);
+      String key = Keys.segment(job.spec().id(), p);
       b.bytes += Json.bytes(value).length + key.length() + 80;
       b.changes.add(new Change.Put(key, value, 0));
       b.conditions.put(key, job.revision(p));
       b.parts.add(new Part(job, p, p == 0 && job.cancelled(), false, opensIn(job, p)));
     }
     job.dirty().clear();
-    job.inFlight().set(0, job.pieces());
+    job.inFlight().set(0, job.segments());
     ledger.clean(job);
   }
 
-  private static List<Attempt> opensIn(Job job, int piece) {
+  private static List<Attempt> opensIn(Job job, int segment) {
     List<Attempt> out = new ArrayList<>();
     for (Attempt a : job.openAttempts()) {
-      if (!a.durable() && job.pieceOf(a.task().index()) == piece) {
+      if (!a.durable() && job.segmentOf(a.task().index()) == segment) {
         out.add(a);
       }
     }
@@ -528,7 +528,7 @@
   }
 
   private boolean addEnd(Batch b, Job job) {
-    BitSet live = job.livePieces();
+    BitSet live = job.liveSegments();
     if (b.changes.size() + live.cardinality() + 2 > b.limit) {
       return addSomeOfEnd(b, job, live);
     }
@@ -538,20 +538,20 @@
     b.conditions.put(Keys.job(job.spec().id()), job.revision(0));
     b.changes.add(new Change.Delete(Keys.job(job.spec().id())));
     for (int p = live.nextSetBit(0); p >= 0; p = live.nextSetBit(p + 1)) {
-      String key = Keys.piece(job.spec().id(), p);
+      String key = Keys.segment(job.spec().id(), p);
       b.conditions.put(key, job.revision(p));
       b.changes.add(new Change.Delete(key));
     }
     b.parts.add(new Part(job, 0, false, true, List.of()));
-    job.inFlight().set(0, job.pieces());
+    job.inFlight().set(0, job.segments());
     ledger.clean(job);
     return true;
   }
 
   /**
-   * The end doesn't fit as a whole: pieces go first, as many as fit, the job's end last. The first
-   * piece has to say that they are done before they may go: a leader that came in between would
-   * take their tasks for tasks that never ran.
+   * The end doesn't fit as a whole: segments go first, as many as fit, the job's end last. The
+   * first segment has to say that they are done before they may go: a leader that came in between
+   * would take their tasks for tasks that never ran.
    */
   private boolean addSomeOfEnd(Batch b, Job job, BitSet live) {
     if (live.isEmpty() || b.changes.size() >= b.limit) {
@@ -569,9 +569,9 @@
       if (b.changes.size() >= b.limit) {
         break;
       }
-      job.folded().set(p);
-      b.conditions.put(Keys.piece(id, p), job.revision(p));
-      b.changes.add(new Change.Delete(Keys.piece(id, p)));
+      job.merged().set(p);
+      b.conditions.put(Keys.segment(id, p), job.revision(p));
+      b.changes.add(new Change.Delete(Keys.segment(id, p)));
       b.parts.add(new Part(job, p, false, false, List.of()));
       job.dirty().clear(p);
       job.inFlight().set(p);
--- a/src/main/java/org/ternhinge/ledger/RecordCodec.java
+++ b/src/main/java/org/ternhinge/ledger/RecordCodec.java
@@ -23,17 +23,17 @@
 
 /**
  * The layout of records. Field names are short because values are limited: s job, t time of
- * acceptance, p piece size, h highest attempt, c cancelled, f folded pieces, d done tasks, o open
- * attempts as {@code attempt:machine:session:zone:ranges}.
+ * acceptance, p segment size, h highest attempt, c cancelled, f merged segments, d done tasks, o
+ * open attempts as {@code attempt:machine:session:zone:ranges}.
  */
 public final class RecordCodec {
-  /** Names, numbers and punctuation of a piece, beside what is counted apart. */
+  /** Names, numbers and punctuation of a segment, beside what is counted apart. */
   private static final int FRAME_BYTES = 160;
 
-  /** Part of a record that the list of folded pieces may take. */
-  private static final int FOLDED_PART = 10;
+  /** Part of a record that the list of merged segments may take. */
+  private static final int MERGED_PART = 10;
 
-  /** Bytes of one range of folded pieces at most, such as {@code 780-787,}. */
+  /** Bytes of one range of merged segments at most, such as {@code 780-787,}. */
   private static final int RANGE_BYTES = 10;
 
   /** An attempt alone on its machine, at most, with its task's number. */
@@ -44,14 +44,14 @@
 
   private static final int LEAST_TASKS = 8;
 
-  /** Larger pieces would save few changes, and cost more bytes for each. */
+  /** Larger segments would save few changes, and cost more bytes for each. */
   private static final int MOST_TASKS = 127;
 
   private RecordCodec() {}
 
-  /** Bytes of the first piece that are left for its tasks. */
+  /** Bytes of the first segment that are left for its tasks. */
   private static int room(int specBytes, int valueBytes) {
-    return valueBytes - specBytes - FRAME_BYTES - valueBytes / FOLDED_PART;
+    return valueBytes - specBytes - FRAME_BYTES - valueBytes / MERGED_PART;
   }
 
   static int specBytes(JobSpec spec) {
@@ -65,26 +65,26 @@
   }
 
   /**
-   * How many tasks a piece of a job's record is for. Those of a gang or a service may all be on
-   * machines of their own; an array's admission is bounded by {@link PieceCapacity}.
+   * How many tasks a segment of a job's record is for. Those of a gang or a service may all be on
+   * machines of their own; an array's admission is bounded by {@link SegmentCapacity}.
    */
-  public static int pieceSize(JobSpec spec, int valueBytes) {
+  public static int segmentSize(JobSpec spec, int valueBytes) {
     double each = spec.kind() == JobKind.ARRAY ? BYTES_SHARED : BYTES_ALONE;
     int tasks = (int) (room(specBytes(spec), valueBytes) / each);
     return Math.max(LEAST_TASKS, Math.min(MOST_TASKS, tasks));
   }
 
-  /** How many ranges of folded pieces the first piece may list. */
-  static int foldedRanges(int valueBytes) {
-    return valueBytes / FOLDED_PART / RANGE_BYTES;
+  /** How many ranges of merged segments the first segment may list. */
+  static int mergedRanges(int valueBytes) {
+    return valueBytes / MERGED_PART / RANGE_BYTES;
   }
 
-  /** Bytes of a piece, at most, however its tasks end, without the attempts' heads. */
-  static int baseBytes(Job job, int piece, int valueBytes) {
-    int from = piece * job.pieceSize();
-    int to = Math.min(job.spec().tasks(), from + job.pieceSize());
+  /** Bytes of a segment, at most, however its tasks end, without the attempts' heads. */
+  static int baseBytes(Job job, int segment, int valueBytes) {
+    int from = segment * job.segmentSize();
+    int to = Math.min(job.spec().tasks(), from + job.segmentSize());
     int digits = Integer.toString(to).length();
-    int own = piece == 0 ? job.specBytes() + valueBytes / FOLDED_PART : 0;
+    int own = segment == 0 ? job.specBytes() + valueBytes / MERGED_PART : 0;
     return FRAME_BYTES + own + (to - from) * (digits + 1);
   }
 
@@ -96,7 +96,7 @@
         + 10;
   }
 
-  /** The jobs that a job still waits for by its first piece alone: none once it was to start. */
+  /** The jobs that a job still waits for by its first segment alone: none once it was to start. */
   public static List<JobId> waitsFor(JsonNode value) {
     JsonNode ids = value.path("s").path("bidur_eftir");
     boolean started =
@@ -111,36 +111,36 @@
     return out;
   }
 
-  /** Whether a first piece is of a service. */
+  /** Whether a first segment is of a service. */
   public static boolean isService(JsonNode value) {
     return value.path("s").path("gerd").asText().equals(JobKind.SERVICE.word());
   }
 
   /** The record of a job that was just accepted. */
   public static ObjectNode fresh(JobSpec spec, long acceptedMillis, int valueBytes) {
-    return first(new Job(spec, acceptedMillis, pieceSize(spec, valueBytes)));
+    return first(new Job(spec, acceptedMillis, segmentSize(spec, valueBytes)));
   }
 
-  static ObjectNode encode(Job job, int piece) {
-    return piece == 0 ? first(job) : body(job, piece, Json.object());
+  static ObjectNode encode(Job job, int segment) {
+    return segment == 0 ? first(job) : body(job, segment, Json.object());
   }
 
   private static ObjectNode first(Job job) {
     ObjectNode out = Json.object();
     out.set("s", job.spec().write());
-    out.put("t", job.acceptedMillis()).put("p", job.pieceSize()).put("h", job.highest().value());
+    out.put("t", job.acceptedMillis()).put("p", job.segmentSize()).put("h", job.highest().value());
     if (job.cancelled()) {
       out.put("c", true);
     }
-    if (!job.folded().isEmpty()) {
-      out.put("f", TaskRanges.encode(job.folded(), 0, Integer.MAX_VALUE));
+    if (!job.merged().isEmpty()) {
+      out.put("f", TaskRanges.encode(job.merged(), 0, Integer.MAX_VALUE));
     }
     return body(job, 0, out);
   }
 
-  private static ObjectNode body(Job job, int piece, ObjectNode out) {
-    int from = piece * job.pieceSize();
-    int to = Math.min(job.spec().tasks(), from + job.pieceSize());
+  private static ObjectNode body(Job job, int segment, ObjectNode out) {
+    int from = segment * job.segmentSize();
+    int to = Math.min(job.spec().tasks(), from + job.segmentSize());
     out.put("d", TaskRanges.encode(job.done(), from, to));
     Map<String, BitSet> groups = new LinkedHashMap<>();
     for (int i = from; i < to; i++) {
@@ -155,36 +155,36 @@
     return out;
   }
 
-  /** Reads the first piece. */
+  /** Reads the first segment. */
   static Job decodeFirst(JsonNode value, Revision revision, SteadyTime now) throws WireException {
     JsonNode spec = value.get("s");
     if (spec == null) {
       throw new WireException("s: missing");
     }
-    int pieceSize = (int) Json.count(value, "p");
-    if (pieceSize < 1) {
+    int segmentSize = (int) Json.count(value, "p");
+    if (segmentSize < 1) {
       throw new WireException("p: out of range");
     }
-    Job job = new Job(JobSpec.read(spec), Json.count(value, "t"), pieceSize);
+    Job job = new Job(JobSpec.read(spec), Json.count(value, "t"), segmentSize);
     job.highest(new AttemptNumber(Json.count(value, "h")));
     if (value.path("c").asBoolean()) {
       job.markCancelled(true);
     }
-    for (int piece : TaskRanges.decode(value.path("f").asText(""))) {
-      job.folded().set(piece);
+    for (int segment : TaskRanges.decode(value.path("f").asText(""))) {
+      job.merged().set(segment);
       if (!job.cancelled()) {
-        int from = piece * pieceSize;
-        job.done().set(from, Math.min(job.spec().tasks(), from + pieceSize));
+        int from = segment * segmentSize;
+        job.done().set(from, Math.min(job.spec().tasks(), from + segmentSize));
       }
     }
     decodeBody(job, 0, value, revision, now);
     return job;
   }
 
-  static void decodeBody(Job job, int piece, JsonNode value, Revision revision, SteadyTime now)
+  static void decodeBody(Job job, int segment, JsonNode value, Revision revision, SteadyTime now)
       throws WireException {
-    job.revision(piece, revision);
-    if (job.folded().get(piece)) {
+    job.revision(segment, revision);
+    if (job.merged().get(segment)) {
       return;
     }
     for (int i : TaskRanges.decode(Json.text(value, "d"))) {
@@ -220,14 +220,14 @@
     return new JobState(id, phase, value.path("n").asInt(), 0);
   }
 
-  /** Reads what a user may be told from the first piece alone. */
+  /** Reads what a user may be told from the first segment alone. */
   public static JobState decodeState(JobId id, JsonNode value) {
     if (value.path("c").asBoolean()) {
       return new JobState(id, JobState.Phase.CANCELLED, 0, 0);
     }
     int done = TaskRanges.decode(value.path("d").asText("")).size();
-    int pieceSize = value.path("p").asInt();
-    done += TaskRanges.decode(value.path("f").asText("")).size() * pieceSize;
+    int segmentSize = value.path("p").asInt();
+    done += TaskRanges.decode(value.path("f").asText("")).size() * segmentSize;
     int open = 0;
     for (JsonNode item : value.path("o")) {
       String text = item.asText();
--- a/src/test/java/org/ternhinge/controller/PipelinesTest.java
+++ b/src/test/java/org/ternhinge/controller/PipelinesTest.java
@@ -833,7 +833,7 @@
   }
 
   /**
-   * A job as the old version holds it, in pieces of 127 tasks, each on a machine of its own that
+   * A job as the old version holds it, in segments of 127 tasks, each on a machine of its own that
    * nobody finds any more; a half of them done, for the kind so named.
    */
   private JobId oldJob(String id, int tasks, String kind, int n) throws Exception {
--- a/src/test/java/org/ternhinge/ledger/LedgerTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerTest.java
@@ -30,7 +30,7 @@
 
   private Job job(ObjectNode json) {
     JobSpec spec = Specs.of(json);
-    Job job = new Job(spec, 1, RecordCodec.pieceSize(spec, 8 * 1024));
+    Job job = new Job(spec, 1, RecordCodec.segmentSize(spec, 8 * 1024));
     ledger.adopt(job);
     return job;
   }
@@ -133,14 +133,14 @@
   }
 
   @Test
-  void piecesOfTheLargestArrayFitTheLimitAndReadBack() throws Exception {
+  void segmentsOfTheLargestArrayFitTheLimitAndReadBack() throws Exception {
     ObjectNode json = Specs.json("wk-99999999999999999999", "batch", 100_000);
     json.put("runflokkur", "c".repeat(128)).put("mynd", "m".repeat(128));
     var types = json.putArray("velagerdir");
     for (int i = 0; i < 16; i++) {
       types.add("t".repeat(128));
     }
-    int size = RecordCodec.pieceSize(Specs.of(json), 8 * 1024);
+    int size = RecordCodec.segmentSize(Specs.of(json), 8 * 1024);
     Job job = new Job(Specs.of(json), 1, size);
     for (int i = 0; i < 2 * size; i++) {
       MachineId m = new MachineId(String.format("n-%06d", 990_000 + i));
@@ -148,9 +148,9 @@
       job.openMap().put(i, new Attempt(job, i, number, m, new Session(12), 1, false, NOW));
     }
     job.highest(new org.ternhinge.model.AttemptNumber(99_999));
-    for (int piece = 0; piece < 2; piece++) {
-      int bytes = Json.bytes(RecordCodec.encode(job, piece)).length;
-      assertTrue(bytes <= 8 * 1024, "piece " + piece + " takes " + bytes);
+    for (int segment = 0; segment < 2; segment++) {
+      int bytes = Json.bytes(RecordCodec.encode(job, segment)).length;
+      assertTrue(bytes <= 8 * 1024, "segment " + segment + " takes " + bytes);
     }
     Job back = RecordCodec.decodeFirst(RecordCodec.encode(job, 0), new Revision(5), NOW);
     RecordCodec.decodeBody(back, 1, RecordCodec.encode(job, 1), new Revision(6), NOW);
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -173,8 +173,8 @@
       Entry first = core.get(Keys.job(job.spec().id())).entry().orElseThrow();
       Job back = RecordCodec.decodeFirst(first.value(), first.revision(), clock.now());
       for (Entry e : core.list(first.key() + "/", null, 100).entries()) {
-        int piece = Integer.parseInt(e.key().substring(first.key().length() + 1));
-        RecordCodec.decodeBody(back, piece, e.value(), e.revision(), clock.now());
+        int segment = Integer.parseInt(e.key().substring(first.key().length() + 1));
+        RecordCodec.decodeBody(back, segment, e.value(), e.revision(), clock.now());
       }
       for (int i = 0; i < job.spec().tasks(); i++) {
         assertTrue(back.isDone(i) || back.open(i) != null, "task " + i + " would run again");
--- a/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
@@ -47,9 +47,9 @@
  * reads what the other wrote and writes it back, so the literals here are a contract and not
  * examples. They were written by that version's own code.
  *
- * <p>The literals whose names begin with {@code WAITING}, {@code DEPENDENT} or {@code RECUT} were
- * written by the code of commit d679fcc, the first version with dependent jobs that was released;
- * what it has stored has to stay readable in the same way.
+ * <p>The literals whose names begin with {@code WAITING} or {@code DEPENDENT} were written by the
+ * code of commit d679fcc, the first version with dependent jobs that was released; what it has
+ * stored has to stay readable in the same way.
  */
 class ProductionRecordsTest {
   private static final Revision AT = new Revision(9);
@@ -72,7 +72,9 @@
           + "\"vistun_s\":4.0,\"skiladagur_s\":900.0},"
           + "\"t\":1700000000123,\"p\":127,\"h\":0,\"d\":\"\",\"o\":[]}";
 
-  /** A job of twenty tasks in pieces of eight, up to where its first piece tells of its tasks. */
+  /**
+   * A job of twenty tasks in segments of eight, up to where its first segment tells of its tasks.
+   */
   private static final String TWENTY =
       "{\"s\":{\"ref\":\"wk-000002\",\"runflokkur\":\"c\",\"eigandi\":\"red\",\"gerd\":\"batch\","
           + "\"forgang\":\"normal\",\"verkbitar\":20,\"cpus\":1.0,\"accelerators\":0.0,"
@@ -84,14 +86,14 @@
       TWENTY + "\"h\":3,\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
   private static final String SECOND = "{\"d\":\"8-9\",\"o\":[\"2:n-000009:3:1:10-11\"]}";
   private static final String THIRD = "{\"d\":\"\",\"o\":[\"3:n-000008:2:1:16-17\"]}";
-  private static final String FOLDED =
+  private static final String MERGED =
       TWENTY + "\"h\":4,\"f\":\"1\",\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
   private static final String CANCELLED =
       TWENTY + "\"h\":4,\"c\":true,\"f\":\"1\",\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
 
   // ---- written by the code of commit d679fcc ----------------------------------------------------
 
-  /** A job of twenty tasks that names two others, up to its piece size. */
+  /** A job of twenty tasks that names two others, up to its segment size. */
   private static final String DEPENDENT_TWENTY =
       "{\"s\":{\"ref\":\"wk-000002\",\"runflokkur\":\"c\",\"eigandi\":\"red\",\"gerd\":\"batch\","
           + "\"forgang\":\"normal\",\"verkbitar\":20,\"cpus\":1.0,\"accelerators\":0.0,"
@@ -102,13 +104,13 @@
 
   private static final String WAITING = DEPENDENT_TWENTY + "\"p\":127,\"h\":0,\"d\":\"\",\"o\":[]}";
 
-  /** A job before it is cancelled: nothing of it ever started, and all later pieces are over. */
+  /** A job before it is cancelled: nothing of it ever started, and all later segments are over. */
   private static final String WAITING_CANCELLED =
       DEPENDENT_TWENTY + "\"p\":8,\"h\":0,\"c\":true,\"f\":\"1-2\",\"d\":\"\",\"o\":[]}";
 
   private static final String DEPENDENT_OPEN =
       DEPENDENT_TWENTY + "\"p\":8,\"h\":3,\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
-  private static final String DEPENDENT_FOLDED =
+  private static final String DEPENDENT_MERGED =
       DEPENDENT_TWENTY
           + "\"p\":8,\"h\":4,\"f\":\"1\",\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
   private static final String DEPENDENT_CANCELLED =
@@ -133,12 +135,12 @@
       case "plain" -> PLAIN;
       case "full" -> FULL;
       case "open" -> OPEN;
-      case "folded" -> FOLDED;
+      case "merged" -> MERGED;
       case "cancelled" -> CANCELLED;
       case "waiting" -> WAITING;
       case "waiting, cancelled" -> WAITING_CANCELLED;
       case "dependent, open" -> DEPENDENT_OPEN;
-      case "dependent, folded" -> DEPENDENT_FOLDED;
+      case "dependent, merged" -> DEPENDENT_MERGED;
       case "dependent, cancelled" -> DEPENDENT_CANCELLED;
       default -> throw new IllegalArgumentException(name);
     };
@@ -176,25 +178,25 @@
     "full, wk-000412, 2, 127, 0, false, '', ''",
     "open, wk-000002, 20, 8, 3, false, 0 1 2 5, "
         + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
-    "folded, wk-000002, 20, 8, 4, false, 0 1 2 5 8 9 10 11 12 13 14 15, "
+    "merged, wk-000002, 20, 8, 4, false, 0 1 2 5 8 9 10 11 12 13 14 15, "
         + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
-    // Which tasks of a folded piece were done is not known once the job is cancelled.
+    // Which tasks of a merged segment were done is not known once the job is cancelled.
     "cancelled, wk-000002, 20, 8, 4, true, 0 1 2 5, "
         + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
     "waiting, wk-000002, 20, 127, 0, false, '', ''",
     "'waiting, cancelled', wk-000002, 20, 8, 0, true, '', ''",
     "'dependent, open', wk-000002, 20, 8, 3, false, 0 1 2 5, "
         + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
-    "'dependent, folded', wk-000002, 20, 8, 4, false, 0 1 2 5 8 9 10 11 12 13 14 15, "
+    "'dependent, merged', wk-000002, 20, 8, 4, false, 0 1 2 5 8 9 10 11 12 13 14 15, "
         + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0",
     "'dependent, cancelled', wk-000002, 20, 8, 4, true, 0 1 2 5, "
         + "03=1@n-000007#1/0 04=1@n-000007#1/0 06=1@n-000007#1/0 07=1@n-000007#1/0"
   })
-  void aFirstPieceIsReadAndWrittenBack(
+  void aFirstSegmentIsReadAndWrittenBack(
       String name,
       String id,
       int tasks,
-      int piece,
+      int segment,
       long highest,
       boolean cancelled,
       String done,
@@ -203,7 +205,7 @@
     Job job = read(literal(name));
     assertEquals(id, job.spec().id().value());
     assertEquals(tasks, job.spec().tasks());
-    assertEquals(piece, job.pieceSize());
+    assertEquals(segment, job.segmentSize());
     assertEquals(ACCEPTED, job.acceptedMillis());
     assertEquals(highest, job.highest().value());
     assertEquals(cancelled, job.cancelled());
@@ -215,7 +217,7 @@
   }
 
   @Test
-  void laterPiecesAreReadAndWrittenBack() throws WireException {
+  void laterSegmentsAreReadAndWrittenBack() throws WireException {
     Job job = read(OPEN);
     RecordCodec.decodeBody(job, 1, json(SECOND), AT, clock.now());
     RecordCodec.decodeBody(job, 2, json(THIRD), AT, clock.now());
@@ -254,7 +256,7 @@
     assertEquals(WAITING, text(RecordCodec.fresh(Specs.of(twenty("batch", 2)), ACCEPTED, 8192)));
   }
 
-  /** How many tasks a piece of a fresh record is for, under the limits on values. */
+  /** How many tasks a segment of a fresh record is for, under the limits on values. */
   @ParameterizedTest(name = "{0}, {1} bytes, {2} dependencies")
   @CsvSource({
     "batch, 1024, 0, 33, true",
@@ -278,10 +280,10 @@
     "daemon, 3072, 0, 64, true",
     "daemon, 8192, 0, 127, true"
   })
-  void aPieceIsForAsManyTasks(
+  void aSegmentIsForAsManyTasks(
       String kind, int valueBytes, int dependencies, int tasks, boolean fits) {
     JobSpec spec = Specs.of(twenty(kind, dependencies));
-    assertEquals(tasks, RecordCodec.pieceSize(spec, valueBytes));
+    assertEquals(tasks, RecordCodec.segmentSize(spec, valueBytes));
     assertEquals(fits, RecordCodec.fits(spec, valueBytes));
     assertEquals(tasks, RecordCodec.fresh(spec, ACCEPTED, valueBytes).get("p").asInt());
   }
@@ -305,7 +307,7 @@
     "waiting, wk-000398 wk-000405",
     "'waiting, cancelled', ''",
     "'dependent, open', ''",
-    "'dependent, folded', ''",
+    "'dependent, merged', ''",
     "'dependent, cancelled', ''"
   })
   void whatARecordWaitsFor(String name, String ids) throws WireException {
@@ -334,7 +336,7 @@
     assertEquals(THIRD, text(RecordCodec.encode(job, 2)));
     open(job, "n-000009", 3, 1, 12, 16);
     close(job, 10, 11, 12, 13, 14, 15);
-    assertEquals(DEPENDENT_FOLDED, text(RecordCodec.encode(job, 0)));
+    assertEquals(DEPENDENT_MERGED, text(RecordCodec.encode(job, 0)));
     ledger.cancel(job);
     assertEquals(DEPENDENT_CANCELLED, text(RecordCodec.encode(job, 0)));
     assertEquals("{\"s\":\"cancelled\",\"n\":12}", text(RecordCodec.end(job)));
@@ -368,7 +370,7 @@
     assertEquals(THIRD, text(RecordCodec.encode(job, 2)));
     open(job, "n-000009", 3, 1, 12, 16);
     close(job, 10, 11, 12, 13, 14, 15);
-    assertEquals(FOLDED, text(RecordCodec.encode(job, 0)));
+    assertEquals(MERGED, text(RecordCodec.encode(job, 0)));
     ledger.cancel(job);
     assertEquals(CANCELLED, text(RecordCodec.encode(job, 0)));
     assertEquals("{\"s\":\"cancelled\",\"n\":12}", text(RecordCodec.end(job)));
@@ -406,19 +408,19 @@
     }
   }
 
-  /** What a node that doesn't lead tells a user from the first piece or the end alone. */
+  /** What a node that doesn't lead tells a user from the first segment or the end alone. */
   @ParameterizedTest(name = "{0}")
   @CsvSource(
       delimiter = '|',
       value = {
         "plain | QUEUED | 0 | 0",
         "open | RUNNING | 4 | 4",
-        "folded | RUNNING | 12 | 4",
+        "merged | RUNNING | 12 | 4",
         "cancelled | CANCELLED | 0 | 0",
         "waiting | QUEUED | 0 | 0",
         "waiting, cancelled | CANCELLED | 0 | 0",
         "dependent, open | RUNNING | 4 | 4",
-        "dependent, folded | RUNNING | 12 | 4",
+        "dependent, merged | RUNNING | 12 | 4",
         "dependent, cancelled | CANCELLED | 0 | 0",
         "{\"s\":\"done\",\"n\":2} | DONE | 2 | 0",
         "{\"s\":\"cancelled\",\"n\":12} | CANCELLED | 12 | 0"
@@ -437,8 +439,8 @@
   void keysAreTheSame() {
     JobId id = new JobId("wk-000002");
     assertEquals("j/wk-000002", Keys.job(id));
-    assertEquals("j/wk-000002", Keys.piece(id, 0));
-    assertEquals("j/wk-000002/2", Keys.piece(id, 2));
+    assertEquals("j/wk-000002", Keys.segment(id, 0));
+    assertEquals("j/wk-000002/2", Keys.segment(id, 2));
     assertEquals("f/wk-000002", Keys.end(id));
     assertEquals("r/ x/ term leader flavors", String.join(" ", others()));
   }
--- a/src/test/java/org/ternhinge/ledger/RecutRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/RepartitionedRecordsTest.java
@@ -32,11 +32,11 @@
 import org.ternhinge.wire.WireException;
 
 /**
- * Records that were laid down under a larger limit on values and are cut into smaller pieces, byte
- * for byte. The literals were written by the code of commit d679fcc, the first version that does
- * so; what it has stored has to stay readable, and is written the same today.
+ * Records that were laid down under a larger limit on values and are repartitioned into smaller
+ * segments, byte for byte. The literals were written by the code of commit d679fcc, the first
+ * version that does so; what it has stored has to stay readable, and is written the same today.
  */
-class RecutRecordsTest {
+class RepartitionedRecordsTest {
   private static final JobId JOB = new JobId("wk-000002");
   private static final int SMALL_VALUE_BYTES = 900;
 
@@ -52,9 +52,9 @@
   private final Ledger ledger =
       new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), SMALL_VALUE_BYTES, clock);
 
-  /** A service is cut anew when tasks of it find no room in its record. */
+  /** A service is repartitioned when tasks of it find no room in its record. */
   @Test
-  void aServiceIsCutTheSame() throws WireException {
+  void aServiceIsRepartitionedTheSame() throws WireException {
     ObjectNode large = stored("daemon");
     large.put("h", 3);
     ArrayNode open = (ArrayNode) large.get("o");
@@ -77,9 +77,12 @@
     assertReadBack(job);
   }
 
-  /** A gang is cut anew when it starts, since nothing of it stands in the record while it waits. */
+  /**
+   * A gang is repartitioned when it starts, since nothing of it stands in the record while it
+   * waits.
+   */
   @Test
-  void aGangIsCutTheSame() throws WireException {
+  void aGangIsRepartitionedTheSame() throws WireException {
     Job job = adopt(stored("group"));
     assertNull(ledger.open(job, placements(0), task -> false, clock.now()));
     write();
@@ -153,21 +156,21 @@
 
   private List<String> held() {
     List<String> out = new ArrayList<>();
-    for (int piece = 0; core.get(Keys.piece(JOB, piece)).entry().isPresent(); piece++) {
-      out.add(text(core.get(Keys.piece(JOB, piece)).entry().get().value()));
+    for (int segment = 0; core.get(Keys.segment(JOB, segment)).entry().isPresent(); segment++) {
+      out.add(text(core.get(Keys.segment(JOB, segment)).entry().get().value()));
     }
     return out;
   }
 
-  /** Whoever leads next finds the same attempts in the pieces. */
+  /** Whoever leads next finds the same attempts in the segments. */
   private void assertReadBack(Job written) throws WireException {
     Job read = null;
-    for (int piece = 0; piece < held().size(); piece++) {
-      Entry entry = core.get(Keys.piece(JOB, piece)).entry().orElseThrow();
-      if (piece == 0) {
+    for (int segment = 0; segment < held().size(); segment++) {
+      Entry entry = core.get(Keys.segment(JOB, segment)).entry().orElseThrow();
+      if (segment == 0) {
         read = RecordCodec.decodeFirst(entry.value(), entry.revision(), clock.now());
       } else {
-        RecordCodec.decodeBody(read, piece, entry.value(), entry.revision(), clock.now());
+        RecordCodec.decodeBody(read, segment, entry.value(), entry.revision(), clock.now());
       }
     }
     assertEquals(open(written), open(read));
--- a/src/test/java/org/ternhinge/ledger/PieceCapacityTest.java
+++ b/src/test/java/org/ternhinge/ledger/SegmentCapacityTest.java
@@ -23,7 +23,7 @@
 /**
  * Whatever is admitted fits the state service's limit on values, and goes on fitting as it ends.
  */
-class PieceCapacityTest {
+class SegmentCapacityTest {
   private static final SteadyTime NOW = new SteadyTime(0);
 
   private static ObjectNode json(String kind, int tasks) {
@@ -35,9 +35,9 @@
   }
 
   private static void allFit(Job job, int valueBytes) {
-    for (int p = 0; p < job.pieces(); p++) {
+    for (int p = 0; p < job.segments(); p++) {
       int bytes = Json.bytes(RecordCodec.encode(job, p)).length;
-      assertTrue(bytes <= valueBytes, "piece " + p + " takes " + bytes);
+      assertTrue(bytes <= valueBytes, "segment " + p + " takes " + bytes);
     }
   }
 
@@ -57,7 +57,7 @@
     Ledger ledger = new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), value, new SimClock());
     JobSpec spec = Specs.of(json(kind, tasks));
     assertTrue(RecordCodec.fits(spec, value));
-    Job job = new Job(spec, 1, RecordCodec.pieceSize(spec, value));
+    Job job = new Job(spec, 1, RecordCodec.segmentSize(spec, value));
     ledger.adopt(job);
     SplittableRandom random = new SplittableRandom(tasks);
     int machine = 0;
@@ -89,11 +89,12 @@
   }
 
   /**
-   * Pieces of 127 tasks, as under 8 KiB, and then 2 KiB: a gang is cut anew, an array holds back.
+   * Segments of 127 tasks, as under 8 KiB, and then 2 KiB: a gang is repartitioned, an array holds
+   * back.
    */
   @ParameterizedTest(name = "{0}")
   @CsvSource({"group, 110", "batch, 200"})
-  void largePiecesOfBeforeUnderASmallerLimit(String kind, int tasks) {
+  void largeSegmentsOfBeforeUnderASmallerLimit(String kind, int tasks) {
     Ledger ledger = new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), 2048, new SimClock());
     Job job = new Job(Specs.of(json(kind, tasks)), 1, 127);
     ledger.adopt(job);
@@ -108,12 +109,12 @@
   }
 
   /**
-   * Tasks without room ask for a record cut anew only where that helps: a write in each round for
-   * nothing would take the changes that others wait for.
+   * Tasks without room ask for a repartitioned record only where that helps: a write in each round
+   * for nothing would take the changes that others wait for.
    */
   @ParameterizedTest(name = "{0} of {1} tasks: {2}")
   @CsvSource({"daemon, 140, true", "batch, 1800, false", "batch, 140, false"})
-  void onlyAServiceAsksForItsRecordToBeCutAnew(String kind, int tasks, boolean asks) {
+  void onlyAServiceAsksForItsRecordToBeRepartitioned(String kind, int tasks, boolean asks) {
     Ledger ledger = new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), 2048, new SimClock());
     Job job = new Job(Specs.of(json(kind, tasks)), 1, 127);
     ledger.adopt(job);
@@ -123,11 +124,11 @@
     }
     assertTrue(ledger.whatFits(job, all).size() < all.size());
     assertEquals(asks, ledger.hasDirty());
-    assertEquals(asks, job.recutWanted());
-    job.markRecutTooLarge();
-    job.recutWanted(false);
+    assertEquals(asks, job.repartitionWanted());
+    job.markRepartitionTooLarge();
+    job.repartitionWanted(false);
     ledger.whatFits(job, all);
-    assertFalse(job.recutWanted(), "nor where it can't be");
+    assertFalse(job.repartitionWanted(), "nor where it can't be");
   }
 
   @Test
