Ledger writer: choosing, building, verifying and settling are apart

Now TransactionAssembler chooses, JobRecordWrites, AuxiliaryWrites and RecordRepartitioner build on a TransactionDraft, TransactionVerifier reads back after a lost answer, TransactionSettlement brings the ledger up to date, and LedgerWriter keeps to one transaction at a time. What is written, and in which order, stays.

--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/RecordRepartitioner.java
@@ -0,0 +1,90 @@
+package org.ternhinge.ledger;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.ternhinge.wire.Json;
+
+/**
+ * Splits a record into smaller segments where an earlier version wrote it under a larger limit on
+ * values. All of it is written in one transaction: the segment size stands in the first segment, so
+ * a leader that came in between two transactions would read the other segments wrongly.
+ */
+final class RecordRepartitioner {
+  private final Ledger ledger;
+  private final int maxChanges;
+
+  /** The job whose record goes into a transaction of its own before anything else, or null. */
+  private Job next;
+
+  /**
+   * @param maxChanges the most changes that the state service takes in a transaction
+   */
+  RecordRepartitioner(Ledger ledger, int maxChanges) {
+    this.ledger = ledger;
+    this.maxChanges = maxChanges;
+  }
+
+  /** Asks for a record to be repartitioned; one job at a time can wait for it. */
+  void request(Job job) {
+    job.repartitionWanted(false);
+    if (segmentCount(job, targetSize(job)) > maxChanges) {
+      job.markRepartitionTooLarge();
+    } else if (next == null && ledger.mayRepartition(job)) {
+      next = job;
+    }
+  }
+
+  /**
+   * Adds the record that waits to an empty transaction. While tokens are too few for the whole of
+   * it, the job keeps its turn.
+   */
+  void addTo(TransactionDraft draft) {
+    if (next == null) {
+      return;
+    }
+    Job job = next;
+    int size = targetSize(job);
+    if (!ledger.mayRepartition(job)) {
+      next = null;
+    } else if (segmentCount(job, size) <= draft.freeChanges()) {
+      next = null;
+      repartition(draft, job, size);
+    }
+  }
+
+  private int targetSize(Job job) {
+    return RecordCodec.segmentSize(job.spec(), ledger.valueBytes());
+  }
+
+  private static int segmentCount(Job job, int segmentSize) {
+    return (job.spec().tasks() + segmentSize - 1) / segmentSize;
+  }
+
+  /**
+   * Smaller segments are more, so each of the old ones is written over. The record is left as it is
+   * where a segment would still be too large: then an array has more open attempts than its
+   * admission allows, and they will end.
+   */
+  private void repartition(TransactionDraft draft, Job job, int size) {
+    int previousSize = job.segmentSize();
+    job.repartition(size);
+    List<ObjectNode> values = new ArrayList<>();
+    for (int segment = 0; segment < job.segments(); segment++) {
+      ObjectNode value = RecordCodec.encode(job, segment);
+      if (Json.bytes(value).length > ledger.valueBytes()) {
+        job.repartition(previousSize);
+        return;
+      }
+      values.add(value);
+    }
+    for (int segment = 0; segment < job.segments(); segment++) {
+      String key = Keys.segment(job.spec().id(), segment);
+      draft.put(key, values.get(segment), job.revision(segment));
+      draft.add(RecordWrite.Segment.of(job, segment));
+    }
+    job.dirty().clear();
+    job.inFlight().set(0, job.segments());
+    ledger.clean(job);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/RecordWrite.java
@@ -0,0 +1,32 @@
+package org.ternhinge.ledger;
+
+import java.util.List;
+
+/** What a transaction changes in one job's record, and what follows once that is durable. */
+sealed interface RecordWrite {
+
+  /** The job whose record is written. */
+  Job job();
+
+  /**
+   * One segment is set, or removed where it was merged into the first one.
+   *
+   * @param cancels whether the write makes the job's cancellation durable
+   * @param opens attempts that the write makes durable, so that their tasks may be started
+   */
+  record Segment(Job job, int index, boolean cancels, List<Attempt> opens) implements RecordWrite {
+
+    /** The write of a segment as the job stands now. */
+    static Segment of(Job job, int index) {
+      List<Attempt> opens =
+          job.openAttempts().stream()
+              .filter(attempt -> !attempt.durable())
+              .filter(attempt -> job.segmentOf(attempt.task().index()) == index)
+              .toList();
+      return new Segment(job, index, index == 0 && job.cancelled(), opens);
+    }
+  }
+
+  /** The final record replaces all that is left of the record. */
+  record End(Job job) implements RecordWrite {}
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/TransactionSettlement.java
@@ -0,0 +1,65 @@
+package org.ternhinge.ledger;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.ternhinge.model.Revision;
+
+/** Brings the ledger up to date once the state service holds a transaction. */
+final class TransactionSettlement {
+  private final Ledger ledger;
+  private final AuxiliaryWrites auxiliaryWrites;
+  private final Consumer<List<Attempt>> onDurable;
+
+  /**
+   * @param onDurable hears after every transaction of the attempts that may now be started, also
+   *     where there are none
+   */
+  TransactionSettlement(
+      Ledger ledger, AuxiliaryWrites auxiliaryWrites, Consumer<List<Attempt>> onDurable) {
+    this.ledger = ledger;
+    this.auxiliaryWrites = auxiliaryWrites;
+    this.onDurable = onDurable;
+  }
+
+  /** A transaction was applied, which gave the keys that it set this version. */
+  void applied(LedgerTransaction transaction, Revision revision) {
+    List<Attempt> durable = new ArrayList<>();
+    for (RecordWrite write : transaction.recordWrites()) {
+      if (write instanceof RecordWrite.Segment segment) {
+        segmentApplied(segment, revision);
+        durable.addAll(markDurable(segment));
+      } else if (write instanceof RecordWrite.End end) {
+        endApplied(end.job());
+      }
+    }
+    transaction.auxiliaryWrites().forEach(write -> auxiliaryWrites.applied(write, revision));
+    onDurable.accept(durable);
+  }
+
+  private void segmentApplied(RecordWrite.Segment write, Revision revision) {
+    Job job = write.job();
+    job.inFlight().clear(write.index());
+    boolean removed = write.index() > 0 && job.merged().get(write.index());
+    job.revision(write.index(), removed ? Revision.NONE : revision);
+    if (write.cancels()) {
+      ledger.cancelIsDurable(job);
+    }
+  }
+
+  /** Marks the attempts that a write opened, but for those that were closed in the meantime. */
+  private static List<Attempt> markDurable(RecordWrite.Segment write) {
+    List<Attempt> open =
+        write.opens().stream()
+            .filter(attempt -> write.job().open(attempt.task().index()) == attempt)
+            .toList();
+    open.forEach(Attempt::markDurable);
+    return open;
+  }
+
+  private void endApplied(Job job) {
+    job.inFlight().clear(0);
+    job.finalIsDurable();
+    ledger.ended(job);
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/TransactionVerifier.java
@@ -0,0 +1,102 @@
+package org.ternhinge.ledger;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.LockedExecutor;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Revision;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Entry;
+import org.ternhinge.state.StateStore;
+
+/**
+ * Finds out by reading back whether an earlier copy of a transaction was applied, where its answer
+ * was lost and a later copy met a conflict.
+ *
+ * <p>The term is read first, and only under this leadership's own term an equal value proves
+ * anything: another leader may have written the same value, a cancellation say, without whatever
+ * else the transaction was to make durable.
+ */
+final class TransactionVerifier {
+  /** Seconds until a read that failed is tried again. */
+  private static final double RETRY_S = 0.2;
+
+  /** What the state service shows of a transaction. */
+  sealed interface Verdict {}
+
+  /** An earlier copy was applied at this version. */
+  record WasApplied(Revision revision) implements Verdict {}
+
+  /** No copy was or will be applied: another leader has written meanwhile. */
+  record Overtaken(String reason) implements Verdict {}
+
+  private final StateStore store;
+  private final Authority authority;
+  private final Clock clock;
+  private final LockedExecutor locked;
+  private boolean stopped;
+
+  TransactionVerifier(StateStore store, Authority authority, Clock clock, LockedExecutor locked) {
+    this.store = store;
+    this.authority = authority;
+    this.clock = clock;
+    this.locked = locked;
+  }
+
+  /** Gives no verdict from now on. */
+  void stop() {
+    stopped = true;
+  }
+
+  /** Reads until the state service has answered, then gives the verdict once, under the lock. */
+  void verify(LedgerTransaction transaction, Consumer<Verdict> onVerdict) {
+    read(Keys.TERM, transaction, onVerdict, term -> termRead(transaction, term, onVerdict));
+  }
+
+  private void termRead(
+      LedgerTransaction transaction, Optional<Entry> term, Consumer<Verdict> onVerdict) {
+    if (transaction.changes(Keys.TERM)) {
+      // A raised term differs from every claimed one, which names its node's process.
+      onVerdict.accept(compare(transaction.changeOf(Keys.TERM), term));
+    } else if (term.map(Entry::revision).filter(authority.termRevision()::equals).isPresent()) {
+      Change probe = transaction.probe();
+      read(probe.key(), transaction, onVerdict, entry -> onVerdict.accept(compare(probe, entry)));
+    } else {
+      onVerdict.accept(new Overtaken("a write of ours was overtaken by another term"));
+    }
+  }
+
+  private static Verdict compare(Change change, Optional<Entry> entry) {
+    boolean applied =
+        change instanceof Change.Put put
+            ? entry.isPresent() && entry.get().value().equals(put.value())
+            : entry.isEmpty();
+    return applied
+        ? new WasApplied(entry.map(Entry::revision).orElse(Revision.NONE))
+        : new Overtaken("a write of ours was overtaken");
+  }
+
+  /** Reads a key; a read that fails starts the verification again, since the term may change. */
+  private void read(
+      String key,
+      LedgerTransaction transaction,
+      Consumer<Verdict> onVerdict,
+      Consumer<Optional<Entry>> then) {
+    store
+        .get(key, RequestPriority.ATTEMPT)
+        .whenComplete(
+            locked.callback(
+                (outcome, error) -> {
+                  if (stopped) {
+                    return;
+                  }
+                  if (outcome instanceof Outcome.Applied<StateStore.Read> read) {
+                    then.accept(read.value().entry());
+                  } else {
+                    clock.after(RETRY_S, locked.guarded(() -> verify(transaction, onVerdict)));
+                  }
+                }));
+  }
+}
