Ledger writer: a segment merged while it is being written is removed

A segment whose last task ended while the segment was under way was merged, and when the write was applied the ledger took it for one without a key. The key stayed for ever, also after the job's end. Removals are now told from other writes when they are built. The new test failed without this.

--- a/src/main/java/org/ternhinge/ledger/JobRecordWrites.java
+++ b/src/main/java/org/ternhinge/ledger/JobRecordWrites.java
@@ -74,7 +74,7 @@
       return Added.TRANSACTION_FULL;
     }
     draft.putSegment(key, value, bytes, job.revision(segment));
-    noteSent(draft, job, segment);
+    sent(draft, RecordWrite.Segment.of(job, segment), segment);
     return Added.DONE;
   }
 
@@ -84,14 +84,18 @@
       job.dirty().clear(segment);
       return;
     }
+    delete(draft, job, segment);
+  }
+
+  private static void delete(TransactionDraft draft, Job job, int segment) {
     draft.delete(Keys.segment(job.spec().id(), segment), job.revision(segment));
-    noteSent(draft, job, segment);
+    sent(draft, new RecordWrite.SegmentRemoval(job, segment), segment);
   }
 
-  private static void noteSent(TransactionDraft draft, Job job, int segment) {
-    draft.add(RecordWrite.Segment.of(job, segment));
-    job.dirty().clear(segment);
-    job.inFlight().set(segment);
+  private static void sent(TransactionDraft draft, RecordWrite write, int segment) {
+    draft.add(write);
+    write.job().dirty().clear(segment);
+    write.job().inFlight().set(segment);
   }
 
   private boolean addEnd(TransactionDraft draft, Job job) {
@@ -124,12 +128,11 @@
     JobId id = job.spec().id();
     if (job.dirty().get(0) && !job.revision(0).equals(Revision.NONE)) {
       draft.put(Keys.job(id), RecordCodec.encode(job, 0), job.revision(0));
-      noteSent(draft, job, 0);
+      sent(draft, RecordWrite.Segment.of(job, 0), 0);
     }
     for (int s = live.nextSetBit(0); s >= 0 && !draft.isFull(); s = live.nextSetBit(s + 1)) {
       job.merged().set(s);
-      draft.delete(Keys.segment(id, s), job.revision(s));
-      noteSent(draft, job, s);
+      delete(draft, job, s);
     }
     return true;
   }
--- a/src/main/java/org/ternhinge/ledger/RecordWrite.java
+++ b/src/main/java/org/ternhinge/ledger/RecordWrite.java
@@ -9,7 +9,7 @@
   Job job();
 
   /**
-   * One segment is set, or removed where it was merged into the first one.
+   * One segment is set.
    *
    * @param cancels whether the write makes the job's cancellation durable
    * @param opens attempts that the write makes durable, so that their tasks may be started
@@ -27,6 +27,12 @@
     }
   }
 
+  /**
+   * One segment is removed, since it was merged into the first. Removals are told from other writes
+   * when they are built: a segment that is merged only while it is being written has a key.
+   */
+  record SegmentRemoval(Job job, int index) implements RecordWrite {}
+
   /** The final record replaces all that is left of the record. */
   record End(Job job) implements RecordWrite {}
 }
--- a/src/main/java/org/ternhinge/ledger/TransactionSettlement.java
+++ b/src/main/java/org/ternhinge/ledger/TransactionSettlement.java
@@ -29,6 +29,9 @@
       if (write instanceof RecordWrite.Segment segment) {
         segmentApplied(segment, revision);
         durable.addAll(markDurable(segment));
+      } else if (write instanceof RecordWrite.SegmentRemoval removal) {
+        removal.job().inFlight().clear(removal.index());
+        removal.job().revision(removal.index(), Revision.NONE);
       } else if (write instanceof RecordWrite.End end) {
         endApplied(end.job());
       }
@@ -40,8 +43,7 @@
   private void segmentApplied(RecordWrite.Segment write, Revision revision) {
     Job job = write.job();
     job.inFlight().clear(write.index());
-    boolean removed = write.index() > 0 && job.merged().get(write.index());
-    job.revision(write.index(), removed ? Revision.NONE : revision);
+    job.revision(write.index(), revision);
     if (write.cancels()) {
       ledger.cancelIsDurable(job);
     }
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -240,6 +240,39 @@
     assertEquals(durable, cancelled.cancelDurable());
   }
 
+  /**
+   * A segment's last task may end while the segment is being written, which merges it. The write
+   * that was under way has left a key all the same, and nothing but its removal ever ends that.
+   */
+  @Test
+  void aSegmentThatIsMergedWhileItIsWrittenIsRemoved() {
+    core.txn(new Txn(Map.of(), List.of(new Change.Put(Keys.TERM, Json.object().put("n", 1), 0))));
+    Job job = accept("wk-1", "batch", "normal", TASKS);
+    open(job, 0, TASKS);
+    writer.pump();
+    clock.runFor(5);
+    int segment = 1;
+    List<Attempt> attempts =
+        job.openAttempts().stream()
+            .filter(attempt -> job.segmentOf(attempt.task().index()) == segment)
+            .toList();
+    attempts.subList(1, attempts.size()).forEach(attempt -> ledger.close(attempt, true));
+    String key = Keys.segment(job.spec().id(), segment);
+    int before = sent.size();
+    afterEach =
+        () -> {
+          if (sent.size() == before + 1) {
+            assertEquals(key, sent.get(before).changes().get(0).key());
+            ledger.close(attempts.get(0), true);
+          }
+        };
+    clock.runFor(1);
+    writer.pump();
+    clock.runFor(5);
+    assertTrue(job.merged().get(segment));
+    assertTrue(core.get(key).entry().isEmpty(), "a key that nobody would remove");
+  }
+
   @Test
   void whatUsersWaitForMostIsWrittenFirst() {
     core.txn(new Txn(Map.of(), List.of(new Change.Put(Keys.TERM, Json.object().put("n", 1), 0))));
