Ledger writer: all versions are noted before anything follows from a write

What followed from one auxiliary write, such as a rental that found no tokens and was forgotten at once, could write again while the version of another key of the same transaction was not noted yet. The next transaction was a conflict then, and the leadership was given up. The new test failed without this.

--- a/src/main/java/org/ternhinge/ledger/AuxiliaryWrites.java
+++ b/src/main/java/org/ternhinge/ledger/AuxiliaryWrites.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
 import org.ternhinge.model.Revision;
@@ -68,13 +69,19 @@
     return true;
   }
 
-  /** The state service holds a write at a version. */
-  void applied(AuxiliaryWrite write, Revision revision) {
-    if (write.key().equals(Keys.TERM)) {
-      authority.raised(authority.term().next(), revision);
+  /**
+   * The state service holds these writes at a version. All versions are noted before anything
+   * follows from the writes: that may write at once, and a version that is out of date would make
+   * its transaction a conflict, which ends the leadership.
+   */
+  void applied(List<AuxiliaryWrite> writes, Revision revision) {
+    for (AuxiliaryWrite write : writes) {
+      if (write.key().equals(Keys.TERM)) {
+        authority.raised(authority.term().next(), revision);
+      }
+      revisions.put(write.key(), revision);
     }
-    revisions.put(write.key(), revision);
-    write.onDurable().forEach(Runnable::run);
+    writes.forEach(write -> write.onDurable().forEach(Runnable::run));
   }
 
   private Revision revisionOf(String key) {
--- a/src/main/java/org/ternhinge/ledger/TransactionSettlement.java
+++ b/src/main/java/org/ternhinge/ledger/TransactionSettlement.java
@@ -36,7 +36,7 @@
         endApplied(end.job());
       }
     }
-    transaction.auxiliaryWrites().forEach(write -> auxiliaryWrites.applied(write, revision));
+    auxiliaryWrites.applied(transaction.auxiliaryWrites(), revision);
     onDurable.accept(durable);
   }
 
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -273,6 +273,25 @@
     assertTrue(core.get(key).entry().isEmpty(), "a key that nobody would remove");
   }
 
+  /** What one key's write sets off may write another key of the same transaction at once. */
+  @Test
+  void everyVersionOfATransactionIsKnownBeforeAnythingFollowsFromIt() {
+    core.txn(new Txn(Map.of(), List.of(new Change.Put(Keys.TERM, Json.object().put("n", 1), 0))));
+    ledAt = termNow();
+    writer.write("r/1", Json::object, null);
+    writer.write("r/0", Json::object, () -> writer.write("r/0", Json::object, null));
+    writer.write("x/0", Json::object, null);
+    afterEach =
+        () -> {
+          if (sent.size() == 2) {
+            writer.write("x/0", () -> Json.object().put("last", true), null);
+          }
+        };
+    clock.runFor(1);
+    assertEquals(List.of(), lost);
+    assertEquals("{\"last\":true}", core.get("x/0").entry().orElseThrow().value().toString());
+  }
+
   @Test
   void whatUsersWaitForMostIsWrittenFirst() {
     core.txn(new Txn(Map.of(), List.of(new Change.Put(Keys.TERM, Json.object().put("n", 1), 0))));
