--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/AuxiliaryWritesTest.java
@@ -0,0 +1,73 @@
+package org.ternhinge.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.ternhinge.model.Revision;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.wire.Json;
+
+class AuxiliaryWritesTest {
+  private static final Revision TERM = new Revision(7);
+  private static final int VALUE_BYTES = 2048;
+
+  private final AuxiliaryWrites writes =
+      new AuxiliaryWrites(new Ledger(Map.of(), VALUE_BYTES, new SimClock()), null);
+  private final List<String> durable = new ArrayList<>();
+
+  private LedgerTransaction next(int maxChanges) {
+    TransactionDraft draft = new TransactionDraft(TERM, maxChanges);
+    writes.addTo(draft);
+    return draft.build().orElseThrow();
+  }
+
+  @Test
+  void requestsForAKeyJoinUntilItIsWritten() {
+    writes.request("r/0", () -> Json.object().put("n", 1), () -> durable.add("first"));
+    writes.request("r/0", () -> Json.object().put("n", 1), () -> durable.add("second"));
+    LedgerTransaction sent = next(16);
+    assertEquals(1, sent.size());
+    assertTrue(writes.isEmpty());
+    writes.applied(sent.auxiliaryWrites(), new Revision(9));
+    assertEquals(List.of("first", "second"), durable);
+    writes.request("r/0", Json::object, null);
+    assertEquals(new Revision(9), next(16).request().conditions().get("r/0"));
+  }
+
+  @Test
+  void aKeyOfAnEarlierLeaderIsWrittenOverItsVersion() {
+    writes.known("r/1", new Revision(5));
+    writes.request("r/1", Json::object, null);
+    writes.request("r/2", Json::object, null);
+    Map<String, Revision> conditions = next(16).request().conditions();
+    assertEquals(new Revision(5), conditions.get("r/1"));
+    assertEquals(Revision.NONE, conditions.get("r/2"));
+  }
+
+  @Test
+  void whatFindsNoRoomWaitsForTheNextTransaction() {
+    writes.request("r/0", Json::object, null);
+    writes.request("r/1", Json::object, null);
+    TransactionDraft draft = new TransactionDraft(TERM, 1);
+    assertFalse(writes.addTo(draft));
+    assertFalse(writes.isEmpty());
+    assertEquals("r/1", next(1).request().changes().get(0).key());
+  }
+
+  /** Written by a version that knew a larger limit: the state service would refuse it. */
+  @Test
+  void aValueThatIsTooLargeWaitsUntilItHasShrunk() {
+    int[] bytes = {VALUE_BYTES};
+    writes.request("r/0", () -> Json.object().put("n", "x".repeat(bytes[0])), null);
+    writes.request("r/1", Json::object, null);
+    assertEquals("r/1", next(16).request().changes().get(0).key());
+    assertFalse(writes.isEmpty());
+    bytes[0] = VALUE_BYTES / 2;
+    assertEquals("r/0", next(16).request().changes().get(0).key());
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/TransactionVerifierTest.java
@@ -0,0 +1,167 @@
+package org.ternhinge.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.ReentrantLock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.model.LockedExecutor;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Term;
+import org.ternhinge.sim.DirectStore;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.StoreCore;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Json;
+
+/** What reading back proves of a transaction whose answer was lost. */
+class TransactionVerifierTest {
+  private static final ObjectNode OURS = Json.object().put("value", "ours");
+
+  private final SimClock clock = new SimClock();
+  private final StoreCore core = new StoreCore(clock);
+  private final List<TransactionVerifier.Verdict> verdicts = new ArrayList<>();
+
+  /** Reads that fail before one is answered. */
+  private int failures;
+
+  private int reads;
+
+  private final class FailingStore extends DirectStore {
+    FailingStore() {
+      super(core);
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Read>> get(String key, RequestPriority priority) {
+      reads++;
+      return failures-- > 0
+          ? CompletableFuture.completedFuture(Outcome.unknown("no answer"))
+          : super.get(key, priority);
+    }
+  }
+
+  private record Leader(Revision termRevision) implements Authority {
+    @Override
+    public Term term() {
+      return new Term(1);
+    }
+
+    @Override
+    public boolean valid() {
+      return true;
+    }
+
+    @Override
+    public void raised(Term term, Revision revision) {
+      throw new AssertionError("a verifier only reads");
+    }
+
+    @Override
+    public void lost(String why) {
+      throw new AssertionError("a verifier only reads");
+    }
+  }
+
+  private Revision put(String key, ObjectNode value) {
+    core.txn(new Txn(Map.of(), List.of(new Change.Put(key, value, 0))));
+    return core.get(key).entry().orElseThrow().revision();
+  }
+
+  private TransactionVerifier verifier(Revision termRevision) {
+    return new TransactionVerifier(
+        new FailingStore(),
+        new Leader(termRevision),
+        clock,
+        new LockedExecutor(new ReentrantLock()));
+  }
+
+  private static LedgerTransaction transaction(Change... changes) {
+    return new LedgerTransaction(new Txn(Map.of(), List.of(changes)), List.of(), List.of());
+  }
+
+  private String verdict() {
+    assertEquals(1, verdicts.size());
+    return verdicts.get(0) instanceof TransactionVerifier.Overtaken overtaken
+        ? overtaken.reason()
+        : "applied";
+  }
+
+  /** The removal of {@code j/b} tells nothing where {@code j/a} is set. */
+  @ParameterizedTest(name = "term {0}, j/a holds {1}")
+  @CsvSource({
+    "ours, ours, applied",
+    "ours, theirs, a write of ours was overtaken",
+    "ours, nothing, a write of ours was overtaken",
+    "theirs, ours, a write of ours was overtaken by another term",
+    "absent, ours, a write of ours was overtaken by another term"
+  })
+  void aValueProvesSomethingUnderOurOwnTermOnly(String term, String value, String expected) {
+    if (!value.equals("nothing")) {
+      put("j/a", Json.object().put("value", value));
+    }
+    Revision ours = term.equals("absent") ? new Revision(1) : put("term", Json.object());
+    if (term.equals("theirs")) {
+      put("term", Json.object().put("inc", "b"));
+    }
+    LedgerTransaction sent = transaction(new Change.Delete("j/b"), new Change.Put("j/a", OURS, 0));
+    verifier(ours).verify(sent, verdicts::add);
+    assertEquals(expected, verdict());
+  }
+
+  @ParameterizedTest(name = "the removed key is there: {0}")
+  @CsvSource({"false, applied", "true, a write of ours was overtaken"})
+  void aTransactionOfRemovalsIsProvenByAnAbsentKey(boolean there, String expected) {
+    if (there) {
+      put("j/a", OURS);
+    }
+    Revision term = put("term", Json.object());
+    verifier(term).verify(transaction(new Change.Delete("j/a")), verdicts::add);
+    assertEquals(expected, verdict());
+  }
+
+  /** The raise itself changed the term's version, so its value is what counts. */
+  @ParameterizedTest(name = "the term holds {0}")
+  @CsvSource(
+      delimiter = '|',
+      value = {"2 | | applied", "2 | b | a write of ours was overtaken"})
+  void aRaisedTermIsKnownByItsValue(int number, String process, String expected) {
+    Revision before = put("term", Json.object().put("n", 1));
+    ObjectNode now = Json.object().put("n", number);
+    put("term", process == null ? now : now.put("inc", process));
+    Change raise = new Change.Put("term", Json.object().put("n", 2), 0);
+    verifier(before).verify(transaction(new Change.Put("j/a", OURS, 0), raise), verdicts::add);
+    assertEquals(expected, verdict());
+  }
+
+  @Test
+  void aFailedReadIsRepeatedFromTheTermOn() {
+    put("j/a", OURS);
+    Revision term = put("term", Json.object());
+    failures = 2;
+    verifier(term).verify(transaction(new Change.Put("j/a", OURS, 0)), verdicts::add);
+    assertEquals(List.of(), verdicts);
+    clock.runFor(1);
+    assertEquals("applied", verdict());
+    assertEquals(4, reads);
+  }
+
+  @Test
+  void noVerdictIsGivenOnceStopped() {
+    put("j/a", OURS);
+    TransactionVerifier verifier = verifier(put("term", Json.object()));
+    verifier.stop();
+    verifier.verify(transaction(new Change.Put("j/a", OURS, 0)), verdicts::add);
+    clock.runFor(1);
+    assertEquals(List.of(), verdicts);
+  }
+}
