Ledger: the sizes of records apart from their layout, fields by name

RecordCodec estimated sizes, wrote and read records, and knew two of the site's field names. RecordSize has the sizes, JobSpec the site's names again, and the fields of a record are named constants. The check whether a record may be repartitioned no longer writes out the job's description: its length is kept.

--- a/src/main/java/org/ternhinge/api/Submissions.java
+++ b/src/main/java/org/ternhinge/api/Submissions.java
@@ -5,7 +5,7 @@
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Team;
 import org.ternhinge.ledger.Ledger;
-import org.ternhinge.ledger.RecordCodec;
+import org.ternhinge.ledger.RecordSize;
 import org.ternhinge.model.Resources;
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobSpec;
@@ -31,7 +31,7 @@
     if (spec.dependencies().contains(spec.id())) {
       return "the job waits for itself";
     }
-    if (!RecordCodec.fits(spec, settings.stateLimits().valueBytes())) {
+    if (!RecordSize.fits(spec, settings.stateLimits().valueBytes())) {
       return "the job's description is too long";
     }
     if (spec.zone() != null && spec.scatter() && atOnce > spec.zoneLimit()) {
--- a/src/main/java/org/ternhinge/ledger/Job.java
+++ b/src/main/java/org/ternhinge/ledger/Job.java
@@ -116,7 +116,7 @@
   /** How long its description is in its record. */
   int specBytes() {
     if (specBytes == 0) {
-      specBytes = RecordCodec.specBytes(spec);
+      specBytes = RecordSize.specBytes(spec);
     }
     return specBytes;
   }
@@ -149,6 +149,16 @@
     return (spec.tasks() + segmentSize - 1) / segmentSize;
   }
 
+  /** The first task of a segment. */
+  int firstTask(int segment) {
+    return segment * segmentSize;
+  }
+
+  /** The number after that of a segment's last task. */
+  int endOfTasks(int segment) {
+    return Math.min(spec.tasks(), firstTask(segment) + segmentSize);
+  }
+
   int segmentOf(int index) {
     return index / segmentSize;
   }
@@ -299,9 +309,7 @@
   }
 
   boolean segmentOver(int segment) {
-    int from = segment * segmentSize;
-    int to = Math.min(spec.tasks(), from + segmentSize);
-    if (!cancelled && done.nextClearBit(from) < to) {
+    if (!cancelled && done.nextClearBit(firstTask(segment)) < endOfTasks(segment)) {
       return false;
     }
     for (Attempt a : open.values()) {
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -145,7 +145,7 @@
 
   /** Whether a record has larger segments than it would have now, and may be repartitioned. */
   boolean mayRepartition(Job job) {
-    return RecordCodec.segmentSize(job.spec(), valueBytes) < job.segmentSize()
+    return RecordSize.segmentSize(job, valueBytes) < job.segmentSize()
         && job.merged().isEmpty()
         && job.inFlight().isEmpty()
         && !job.repartitionTooLarge()
@@ -162,7 +162,7 @@
         && job.openMap().isEmpty()
         && job.liveSegments().isEmpty()
         && !SegmentCapacity.always(job, valueBytes)) {
-      job.repartition(RecordCodec.segmentSize(job.spec(), valueBytes));
+      job.repartition(RecordSize.segmentSize(job, valueBytes));
       job.dirty().clear();
       job.dirty().set(0);
     }
@@ -353,7 +353,7 @@
   private boolean mayMerge(Job job, int segment) {
     BitSet merged = job.merged();
     boolean joins = merged.get(segment + 1) || merged.get(segment - 1);
-    int most = RecordCodec.mergedRanges(valueBytes);
+    int most = RecordSize.mergedRanges(valueBytes);
     if (joins || merged.cardinality() < most) {
       return true;
     }
--- a/src/main/java/org/ternhinge/ledger/LedgerLoader.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerLoader.java
@@ -103,7 +103,7 @@
           Job job = found.get(new JobId(name.substring(0, slash)));
           if (job != null) {
             int segment = Integer.parseInt(name.substring(slash + 1));
-            RecordCodec.decodeBody(job, segment, e.value(), e.revision(), now);
+            RecordCodec.decodeTasks(job, segment, e.value(), e.revision(), now);
           }
         }
       } catch (WireException | RuntimeException x) {
--- a/src/main/java/org/ternhinge/ledger/RecordCodec.java
+++ b/src/main/java/org/ternhinge/ledger/RecordCodec.java
@@ -3,7 +3,6 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,221 +14,211 @@
 import org.ternhinge.model.Session;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.model.TaskRanges;
-import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
 import org.ternhinge.wire.Json;
 import org.ternhinge.wire.WireException;
 
 /**
- * The layout of records. Field names are short because values are limited: s job, t time of
- * acceptance, p segment size, h highest attempt, c cancelled, f merged segments, d done tasks, o
- * open attempts as {@code attempt:machine:session:zone:ranges}.
+ * The layout of records in the state service. Other versions read and write the same records, so
+ * the names of fields are a contract; they are short because values are limited in size.
+ *
+ * <p>A record's first segment describes the job; every segment, the first included, lists the done
+ * tasks and open attempts of its own range of tasks.
  */
 public final class RecordCodec {
-  /** Names, numbers and punctuation of a segment, beside what is counted apart. */
-  private static final int FRAME_BYTES = 160;
+  /** The job's description, as it was submitted. */
+  private static final String SPEC = "s";
 
-  /** Part of a record that the list of merged segments may take. */
-  private static final int MERGED_PART = 10;
+  /** Milliseconds of the wall clock at which the job was accepted. */
+  private static final String ACCEPTED = "t";
 
-  /** Bytes of one range of merged segments at most, such as {@code 780-787,}. */
-  private static final int RANGE_BYTES = 10;
+  /** How many tasks a segment of this record is for. */
+  private static final String SEGMENT_SIZE = "p";
 
-  /** An attempt alone on its machine, at most, with its task's number. */
-  static final int BYTES_ALONE = 36;
+  /** The highest attempt number that the job has used. */
+  private static final String HIGHEST_ATTEMPT = "h";
 
-  /** A task of an array on average, where several share an attempt's number and machine. */
-  private static final double BYTES_SHARED = 14.5;
+  /** Present and true once the job is cancelled. */
+  private static final String CANCELLED = "c";
 
-  private static final int LEAST_TASKS = 8;
+  /** Ranges of segments that are over and have no key of their own any more. */
+  private static final String MERGED = "f";
 
-  /** Larger segments would save few changes, and cost more bytes for each. */
-  private static final int MOST_TASKS = 127;
+  /** Ranges of tasks that are done. */
+  private static final String DONE = "d";
 
-  private RecordCodec() {}
-
-  /** Bytes of the first segment that are left for its tasks. */
-  private static int room(int specBytes, int valueBytes) {
-    return valueBytes - specBytes - FRAME_BYTES - valueBytes / MERGED_PART;
-  }
-
-  static int specBytes(JobSpec spec) {
-    return Json.bytes(spec.write()).length;
-  }
+  /** Open attempts, each {@code attempt:machine:session:zone:ranges of tasks}. */
+  private static final String OPEN = "o";
 
-  /** Whether a job's description leaves room for its tasks in a record. */
-  public static boolean fits(JobSpec spec, int valueBytes) {
-    int least = Math.min(spec.tasks(), LEAST_TASKS) * BYTES_ALONE;
-    return room(specBytes(spec), valueBytes) >= least;
-  }
+  /** Parts of an open attempt's text. */
+  private static final int ATTEMPT_PARTS = 5;
 
-  /**
-   * How many tasks a segment of a job's record is for. Those of a gang or a service may all be on
-   * machines of their own; an array's admission is bounded by {@link SegmentCapacity}.
-   */
-  public static int segmentSize(JobSpec spec, int valueBytes) {
-    double each = spec.kind() == JobKind.ARRAY ? BYTES_SHARED : BYTES_ALONE;
-    int tasks = (int) (room(specBytes(spec), valueBytes) / each);
-    return Math.max(LEAST_TASKS, Math.min(MOST_TASKS, tasks));
-  }
+  /** How a job ended, in its final record. */
+  private static final String END_STATE = "s";
 
-  /** How many ranges of merged segments the first segment may list. */
-  static int mergedRanges(int valueBytes) {
-    return valueBytes / MERGED_PART / RANGE_BYTES;
-  }
+  /** How many tasks were done at a job's end. */
+  private static final String END_DONE = "n";
 
-  /** Bytes of a segment, at most, however its tasks end, without the attempts' heads. */
-  static int baseBytes(Job job, int segment, int valueBytes) {
-    int from = segment * job.segmentSize();
-    int to = Math.min(job.spec().tasks(), from + job.segmentSize());
-    int digits = Integer.toString(to).length();
-    int own = segment == 0 ? job.specBytes() + valueBytes / MERGED_PART : 0;
-    return FRAME_BYTES + own + (to - from) * (digits + 1);
-  }
+  private static final String END_STATE_CANCELLED = "cancelled";
+  private static final String END_STATE_DONE = "done";
 
-  /** Bytes of what stands before an open attempt's tasks, for each attempt and machine. */
-  static int headBytes(AttemptNumber number, MachineId machine, Session session) {
-    return machine.value().length()
-        + Long.toString(number.value()).length()
-        + Long.toString(session.value()).length()
-        + 10;
-  }
+  private RecordCodec() {}
 
-  /** The jobs that a job still waits for by its first segment alone: none once it was to start. */
+  /**
+   * The jobs that a job still waits for by its first segment alone: none once a task of it was ever
+   * to start.
+   */
   public static List<JobId> waitsFor(JsonNode value) {
-    JsonNode ids = value.path("s").path("bidur_eftir");
     boolean started =
-        value.path("h").asLong() > 0
-            || !value.path("d").asText("").isEmpty()
-            || !value.path("o").isEmpty();
-    if (started || value.path("c").asBoolean()) {
-      return List.of();
-    }
-    List<JobId> out = new ArrayList<>();
-    ids.forEach(id -> out.add(new JobId(id.asText())));
-    return out;
+        value.path(HIGHEST_ATTEMPT).asLong() > 0
+            || !value.path(DONE).asText("").isEmpty()
+            || !value.path(OPEN).isEmpty();
+    boolean cancelled = value.path(CANCELLED).asBoolean();
+    return started || cancelled ? List.of() : JobSpec.dependenciesOf(value.path(SPEC));
   }
 
   /** Whether a first segment is of a service. */
   public static boolean isService(JsonNode value) {
-    return value.path("s").path("gerd").asText().equals(JobKind.SERVICE.word());
+    return JobSpec.isService(value.path(SPEC));
   }
 
   /** The record of a job that was just accepted. */
   public static ObjectNode fresh(JobSpec spec, long acceptedMillis, int valueBytes) {
-    return first(new Job(spec, acceptedMillis, segmentSize(spec, valueBytes)));
+    return encodeFirst(new Job(spec, acceptedMillis, RecordSize.segmentSize(spec, valueBytes)));
   }
 
+  /** A segment as the job stands now. */
   static ObjectNode encode(Job job, int segment) {
-    return segment == 0 ? first(job) : body(job, segment, Json.object());
+    return segment == 0 ? encodeFirst(job) : encodeTasks(job, segment, Json.object());
   }
 
-  private static ObjectNode first(Job job) {
+  private static ObjectNode encodeFirst(Job job) {
     ObjectNode out = Json.object();
-    out.set("s", job.spec().write());
-    out.put("t", job.acceptedMillis()).put("p", job.segmentSize()).put("h", job.highest().value());
+    out.set(SPEC, job.spec().write());
+    out.put(ACCEPTED, job.acceptedMillis());
+    out.put(SEGMENT_SIZE, job.segmentSize());
+    out.put(HIGHEST_ATTEMPT, job.highest().value());
     if (job.cancelled()) {
-      out.put("c", true);
+      out.put(CANCELLED, true);
     }
     if (!job.merged().isEmpty()) {
-      out.put("f", TaskRanges.encode(job.merged(), 0, Integer.MAX_VALUE));
+      out.put(MERGED, TaskRanges.encode(job.merged(), 0, Integer.MAX_VALUE));
     }
-    return body(job, 0, out);
+    return encodeTasks(job, 0, out);
+  }
+
+  private static ObjectNode encodeTasks(Job job, int segment, ObjectNode out) {
+    int from = job.firstTask(segment);
+    int to = job.endOfTasks(segment);
+    out.put(DONE, TaskRanges.encode(job.done(), from, to));
+    ArrayNode open = out.putArray(OPEN);
+    tasksByAttempt(job, from, to)
+        .forEach((head, tasks) -> open.add(head + TaskRanges.encode(tasks, from, to)));
+    return out;
   }
 
-  private static ObjectNode body(Job job, int segment, ObjectNode out) {
-    int from = segment * job.segmentSize();
-    int to = Math.min(job.spec().tasks(), from + job.segmentSize());
-    out.put("d", TaskRanges.encode(job.done(), from, to));
-    Map<String, BitSet> groups = new LinkedHashMap<>();
+  /** The open tasks of a range by what stands before them in the record, in order of the tasks. */
+  private static Map<String, BitSet> tasksByAttempt(Job job, int from, int to) {
+    Map<String, BitSet> tasks = new LinkedHashMap<>();
     for (int i = from; i < to; i++) {
-      Attempt a = job.open(i);
-      if (a != null) {
-        String head = a.number() + ":" + a.machine() + ":" + a.session() + ":" + a.zone() + ":";
-        groups.computeIfAbsent(head, k -> new BitSet()).set(i);
+      Attempt attempt = job.open(i);
+      if (attempt != null) {
+        tasks.computeIfAbsent(attemptHead(attempt), head -> new BitSet()).set(i);
       }
     }
-    ArrayNode open = out.putArray("o");
-    groups.forEach((head, set) -> open.add(head + TaskRanges.encode(set, from, to)));
-    return out;
+    return tasks;
+  }
+
+  private static String attemptHead(Attempt attempt) {
+    return attempt.number()
+        + ":"
+        + attempt.machine()
+        + ":"
+        + attempt.session()
+        + ":"
+        + attempt.zone()
+        + ":";
   }
 
   /** Reads the first segment. */
   static Job decodeFirst(JsonNode value, Revision revision, SteadyTime now) throws WireException {
-    JsonNode spec = value.get("s");
+    JsonNode spec = value.get(SPEC);
     if (spec == null) {
-      throw new WireException("s: missing");
+      throw new WireException(SPEC + ": missing");
     }
-    int segmentSize = (int) Json.count(value, "p");
+    int segmentSize = (int) Json.count(value, SEGMENT_SIZE);
     if (segmentSize < 1) {
-      throw new WireException("p: out of range");
+      throw new WireException(SEGMENT_SIZE + ": out of range");
     }
-    Job job = new Job(JobSpec.read(spec), Json.count(value, "t"), segmentSize);
-    job.highest(new AttemptNumber(Json.count(value, "h")));
-    if (value.path("c").asBoolean()) {
+    Job job = new Job(JobSpec.read(spec), Json.count(value, ACCEPTED), segmentSize);
+    job.highest(new AttemptNumber(Json.count(value, HIGHEST_ATTEMPT)));
+    if (value.path(CANCELLED).asBoolean()) {
       job.markCancelled(true);
     }
-    for (int segment : TaskRanges.decode(value.path("f").asText(""))) {
+    for (int segment : TaskRanges.decode(value.path(MERGED).asText(""))) {
       job.merged().set(segment);
       if (!job.cancelled()) {
-        int from = segment * segmentSize;
-        job.done().set(from, Math.min(job.spec().tasks(), from + segmentSize));
+        // Of a cancelled job's merged segments it isn't known which tasks were done.
+        job.done().set(job.firstTask(segment), job.endOfTasks(segment));
       }
     }
-    decodeBody(job, 0, value, revision, now);
+    decodeTasks(job, 0, value, revision, now);
     return job;
   }
 
-  static void decodeBody(Job job, int segment, JsonNode value, Revision revision, SteadyTime now)
+  /** Reads what a segment says of its tasks into the job. */
+  static void decodeTasks(Job job, int segment, JsonNode value, Revision revision, SteadyTime now)
       throws WireException {
     job.revision(segment, revision);
     if (job.merged().get(segment)) {
       return;
     }
-    for (int i : TaskRanges.decode(Json.text(value, "d"))) {
+    for (int i : TaskRanges.decode(Json.text(value, DONE))) {
       job.done().set(i);
     }
-    for (JsonNode item : Json.list(value, "o")) {
-      String[] parts = item.asText().split(":", 5);
-      if (parts.length != 5) {
-        throw new WireException("o: " + item.asText());
-      }
-      AttemptNumber number = new AttemptNumber(Long.parseLong(parts[0]));
-      MachineId machine = new MachineId(parts[1]);
-      Session session = new Session(Long.parseLong(parts[2]));
-      int zone = Integer.parseInt(parts[3]);
-      for (int i : TaskRanges.decode(parts[4])) {
-        Attempt a = new Attempt(job, i, number, machine, session, zone, true, now);
-        job.openMap().put(i, a);
-      }
+    for (JsonNode item : Json.list(value, OPEN)) {
+      decodeAttempts(job, item.asText(), now);
     }
   }
 
+  private static void decodeAttempts(Job job, String text, SteadyTime now) throws WireException {
+    String[] parts = text.split(":", ATTEMPT_PARTS);
+    if (parts.length != ATTEMPT_PARTS) {
+      throw new WireException(OPEN + ": " + text);
+    }
+    AttemptNumber number = new AttemptNumber(Long.parseLong(parts[0]));
+    MachineId machine = new MachineId(parts[1]);
+    Session session = new Session(Long.parseLong(parts[2]));
+    int zone = Integer.parseInt(parts[3]);
+    for (int i : TaskRanges.decode(parts[4])) {
+      job.openMap().put(i, new Attempt(job, i, number, machine, session, zone, true, now));
+    }
+  }
+
+  /** The final record of a job that is over. */
   static ObjectNode end(Job job) {
-    boolean cancelled = job.cancelled();
-    ObjectNode out = Json.object();
-    out.put("s", cancelled ? "cancelled" : "done").put("n", job.doneCount());
-    return out;
+    String state = job.cancelled() ? END_STATE_CANCELLED : END_STATE_DONE;
+    return Json.object().put(END_STATE, state).put(END_DONE, job.doneCount());
   }
 
   /** Reads a job's final record. */
   public static JobState decodeEnd(JobId id, JsonNode value) {
-    boolean cancelled = value.path("s").asText().equals("cancelled");
+    boolean cancelled = value.path(END_STATE).asText().equals(END_STATE_CANCELLED);
     JobState.Phase phase = cancelled ? JobState.Phase.CANCELLED : JobState.Phase.DONE;
-    return new JobState(id, phase, value.path("n").asInt(), 0);
+    return new JobState(id, phase, value.path(END_DONE).asInt(), 0);
   }
 
   /** Reads what a user may be told from the first segment alone. */
   public static JobState decodeState(JobId id, JsonNode value) {
-    if (value.path("c").asBoolean()) {
+    if (value.path(CANCELLED).asBoolean()) {
       return new JobState(id, JobState.Phase.CANCELLED, 0, 0);
     }
-    int done = TaskRanges.decode(value.path("d").asText("")).size();
-    int segmentSize = value.path("p").asInt();
-    done += TaskRanges.decode(value.path("f").asText("")).size() * segmentSize;
+    int segmentSize = value.path(SEGMENT_SIZE).asInt();
+    int done = TaskRanges.decode(value.path(DONE).asText("")).size();
+    done += TaskRanges.decode(value.path(MERGED).asText("")).size() * segmentSize;
     int open = 0;
-    for (JsonNode item : value.path("o")) {
+    for (JsonNode item : value.path(OPEN)) {
       String text = item.asText();
       open += TaskRanges.decode(text.substring(text.lastIndexOf(':') + 1)).size();
     }
--- a/src/main/java/org/ternhinge/ledger/RecordRepartitioner.java
+++ b/src/main/java/org/ternhinge/ledger/RecordRepartitioner.java
@@ -54,7 +54,7 @@
   }
 
   private int targetSize(Job job) {
-    return RecordCodec.segmentSize(job.spec(), ledger.valueBytes());
+    return RecordSize.segmentSize(job, ledger.valueBytes());
   }
 
   private static int segmentCount(Job job, int segmentSize) {
--- a/src/main/java/org/ternhinge/ledger/SegmentCapacity.java
+++ b/src/main/java/org/ternhinge/ledger/SegmentCapacity.java
@@ -37,7 +37,7 @@
    */
   static boolean always(Job job, int valueBytes) {
     int tasks = Math.min(job.spec().tasks(), job.segmentSize());
-    return RecordCodec.baseBytes(job, 0, valueBytes) + tasks * RecordCodec.BYTES_ALONE
+    return RecordSize.baseBytes(job, 0, valueBytes) + tasks * RecordSize.BYTES_ALONE
         <= valueBytes;
   }
 
@@ -46,7 +46,7 @@
   }
 
   private static int bytes(Head h) {
-    return RecordCodec.headBytes(h.number, h.machine, h.session);
+    return RecordSize.headBytes(h.number, h.machine, h.session);
   }
 
   /** Takes room for an attempt that is to open; false where its segment has none. */
@@ -55,7 +55,7 @@
     if (heads.contains(head)) {
       return true;
     }
-    int base = RecordCodec.baseBytes(job, head.segment, valueBytes);
+    int base = RecordSize.baseBytes(job, head.segment, valueBytes);
     int more = bytes(head);
     if (base + used.get(head.segment) + more > valueBytes) {
       return false;
--- a/src/main/java/org/ternhinge/wire/JobSpec.java
+++ b/src/main/java/org/ternhinge/wire/JobSpec.java
@@ -132,6 +132,21 @@
     return List.copyOf(out);
   }
 
+  /**
+   * The jobs that a description names as dependencies, without reading all of it; nothing is
+   * checked, since it was when the job was accepted.
+   */
+  public static List<JobId> dependenciesOf(JsonNode body) {
+    List<JobId> out = new ArrayList<>();
+    body.path("bidur_eftir").forEach(id -> out.add(new JobId(id.asText())));
+    return out;
+  }
+
+  /** Whether a description is of a service, without reading all of it. */
+  public static boolean isService(JsonNode body) {
+    return body.path("gerd").asText().equals(JobKind.SERVICE.word());
+  }
+
   private static String name(JsonNode body, String field) throws WireException {
     String text = Json.text(body, field);
     if (text.isEmpty() || text.length() > MAX_NAME) {
--- a/src/test/java/org/ternhinge/ledger/DependenciesTest.java
+++ b/src/test/java/org/ternhinge/ledger/DependenciesTest.java
@@ -47,7 +47,7 @@
       ids.add("wk-" + b);
     }
     JobSpec spec = Specs.of(json);
-    Job job = new Job(spec, 1, RecordCodec.segmentSize(spec, VALUE));
+    Job job = new Job(spec, 1, RecordSize.segmentSize(spec, VALUE));
     jobs.put(name, job);
     ledger.adopt(job);
     return job;
--- a/src/test/java/org/ternhinge/ledger/LedgerTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerTest.java
@@ -30,7 +30,7 @@
 
   private Job job(ObjectNode json) {
     JobSpec spec = Specs.of(json);
-    Job job = new Job(spec, 1, RecordCodec.segmentSize(spec, 8 * 1024));
+    Job job = new Job(spec, 1, RecordSize.segmentSize(spec, 8 * 1024));
     ledger.adopt(job);
     return job;
   }
@@ -140,7 +140,7 @@
     for (int i = 0; i < 16; i++) {
       types.add("t".repeat(128));
     }
-    int size = RecordCodec.segmentSize(Specs.of(json), 8 * 1024);
+    int size = RecordSize.segmentSize(Specs.of(json), 8 * 1024);
     Job job = new Job(Specs.of(json), 1, size);
     for (int i = 0; i < 2 * size; i++) {
       MachineId m = new MachineId(String.format("n-%06d", 990_000 + i));
@@ -153,7 +153,7 @@
       assertTrue(bytes <= 8 * 1024, "segment " + segment + " takes " + bytes);
     }
     Job back = RecordCodec.decodeFirst(RecordCodec.encode(job, 0), new Revision(5), NOW);
-    RecordCodec.decodeBody(back, 1, RecordCodec.encode(job, 1), new Revision(6), NOW);
+    RecordCodec.decodeTasks(back, 1, RecordCodec.encode(job, 1), new Revision(6), NOW);
     assertEquals(job.openMap().keySet(), back.openMap().keySet());
     assertEquals(job.highest(), back.highest());
     assertEquals(job.open(size).machine(), back.open(size).machine());
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -174,7 +174,7 @@
       Job back = RecordCodec.decodeFirst(first.value(), first.revision(), clock.now());
       for (Entry e : core.list(first.key() + "/", null, 100).entries()) {
         int segment = Integer.parseInt(e.key().substring(first.key().length() + 1));
-        RecordCodec.decodeBody(back, segment, e.value(), e.revision(), clock.now());
+        RecordCodec.decodeTasks(back, segment, e.value(), e.revision(), clock.now());
       }
       for (int i = 0; i < job.spec().tasks(); i++) {
         assertTrue(back.isDone(i) || back.open(i) != null, "task " + i + " would run again");
--- a/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
@@ -219,8 +219,8 @@
   @Test
   void laterSegmentsAreReadAndWrittenBack() throws WireException {
     Job job = read(OPEN);
-    RecordCodec.decodeBody(job, 1, json(SECOND), AT, clock.now());
-    RecordCodec.decodeBody(job, 2, json(THIRD), AT, clock.now());
+    RecordCodec.decodeTasks(job, 1, json(SECOND), AT, clock.now());
+    RecordCodec.decodeTasks(job, 2, json(THIRD), AT, clock.now());
     assertEquals("0 1 2 5 8 9", done(job));
     assertTrue(open(job).contains("10=2@n-000009#3/1 11=2@n-000009#3/1 16=3@n-000008#2/1"));
     assertEquals(OPEN, text(RecordCodec.encode(job, 0)));
@@ -283,8 +283,8 @@
   void aSegmentIsForAsManyTasks(
       String kind, int valueBytes, int dependencies, int tasks, boolean fits) {
     JobSpec spec = Specs.of(twenty(kind, dependencies));
-    assertEquals(tasks, RecordCodec.segmentSize(spec, valueBytes));
-    assertEquals(fits, RecordCodec.fits(spec, valueBytes));
+    assertEquals(tasks, RecordSize.segmentSize(spec, valueBytes));
+    assertEquals(fits, RecordSize.fits(spec, valueBytes));
     assertEquals(tasks, RecordCodec.fresh(spec, ACCEPTED, valueBytes).get("p").asInt());
   }
 
--- a/src/test/java/org/ternhinge/ledger/RecordRepartitionerTest.java
+++ b/src/test/java/org/ternhinge/ledger/RecordRepartitionerTest.java
@@ -36,7 +36,7 @@
   }
 
   private static int targetSegments(Job job) {
-    int size = RecordCodec.segmentSize(job.spec(), VALUE_BYTES);
+    int size = RecordSize.segmentSize(job.spec(), VALUE_BYTES);
     return (TASKS + size - 1) / size;
   }
 
--- a/src/test/java/org/ternhinge/ledger/RepartitionedRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/RepartitionedRecordsTest.java
@@ -170,7 +170,7 @@
       if (segment == 0) {
         read = RecordCodec.decodeFirst(entry.value(), entry.revision(), clock.now());
       } else {
-        RecordCodec.decodeBody(read, segment, entry.value(), entry.revision(), clock.now());
+        RecordCodec.decodeTasks(read, segment, entry.value(), entry.revision(), clock.now());
       }
     }
     assertEquals(open(written), open(read));
--- a/src/test/java/org/ternhinge/ledger/SegmentCapacityTest.java
+++ b/src/test/java/org/ternhinge/ledger/SegmentCapacityTest.java
@@ -56,8 +56,8 @@
     int value = kb * 1024;
     Ledger ledger = new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), value, new SimClock());
     JobSpec spec = Specs.of(json(kind, tasks));
-    assertTrue(RecordCodec.fits(spec, value));
-    Job job = new Job(spec, 1, RecordCodec.segmentSize(spec, value));
+    assertTrue(RecordSize.fits(spec, value));
+    Job job = new Job(spec, 1, RecordSize.segmentSize(spec, value));
     ledger.adopt(job);
     SplittableRandom random = new SplittableRandom(tasks);
     int machine = 0;
@@ -134,11 +134,11 @@
   @Test
   void aDescriptionThatLeavesNoRoomIsRefused() {
     ObjectNode json = json("batch", 100);
-    assertTrue(RecordCodec.fits(Specs.of(json), 2048));
+    assertTrue(RecordSize.fits(Specs.of(json), 2048));
     var ids = json.putArray("bidur_eftir");
     for (int i = 0; i < 150; i++) {
       ids.add("wk-" + (100_000 + i));
     }
-    assertFalse(RecordCodec.fits(Specs.of(json), 2048));
+    assertFalse(RecordSize.fits(Specs.of(json), 2048));
   }
 }
