--- a/src/main/java/org/ternhinge/ledger/LedgerLoader.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerLoader.java
@@ -1,7 +1,9 @@
 package org.ternhinge.ledger;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
+import java.util.Deque;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -12,6 +14,7 @@
 import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
+import org.ternhinge.model.LockedExecutor;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.SteadyTime;
@@ -19,10 +22,18 @@
 import org.ternhinge.state.StateStore;
 import org.ternhinge.wire.WireException;
 
-/** Reads everything that a new leader starts from. */
+/**
+ * Reads everything that a new leader starts from: all unfinished jobs, the rentals and the releases
+ * under way. A record that can't be read is left out and logged; it doesn't keep the others back.
+ */
 public final class LedgerLoader {
   private static final Logger LOG = LoggerFactory.getLogger(LedgerLoader.class);
-  private static final int PAGE = 500;
+
+  /** Keys asked for at once: within the state service's page of 1000 items and 512 KiB. */
+  private static final int PAGE_KEYS = 500;
+
+  /** Seconds until a page that wasn't answered is asked for again. */
+  private static final double RETRY_S = 0.3;
 
   /**
    * What the state service holds.
@@ -32,85 +43,99 @@
   public record Loaded(
       List<Job> jobs, List<Entry> rentals, List<Entry> releases, Revision revision) {}
 
+  /** All keys with a prefix, as far as they are read. */
+  private record Range(String prefix, List<Entry> entries) {
+    Range(String prefix) {
+      this(prefix, new ArrayList<>());
+    }
+
+    /** The key after which the next page begins, or null for the first page. */
+    String lastKey() {
+      return entries.isEmpty() ? null : entries.get(entries.size() - 1).key();
+    }
+  }
+
   private final StateStore store;
   private final Clock clock;
-  private final Lock lock;
-  private final List<Entry> jobs = new ArrayList<>();
-  private final List<Entry> rentals = new ArrayList<>();
-  private final List<Entry> releases = new ArrayList<>();
+  private final LockedExecutor locked;
+  private final Range jobs = new Range(Keys.JOBS);
+  private final Range rentals = new Range(Keys.RENTALS);
+  private final Range releases = new Range(Keys.RELEASES);
+  private final Deque<Range> unread = new ArrayDeque<>(List.of(jobs, rentals, releases));
+
+  /** Of the first page: whatever changed after it may be missing in later ones. */
   private Revision revision;
 
+  /**
+   * @param lock taken whenever an answer comes
+   */
   public LedgerLoader(StateStore store, Clock clock, Lock lock) {
     this.store = store;
     this.clock = clock;
-    this.lock = lock;
+    this.locked = new LockedExecutor(lock);
+  }
+
+  /** Reads until all is there, however often it has to ask; then calls back under the lock. */
+  public void load(Consumer<Loaded> onLoaded) {
+    if (unread.isEmpty()) {
+      onLoaded.accept(finish());
+      return;
+    }
+    Range range = unread.peek();
+    store
+        .list(range.prefix(), range.lastKey(), PAGE_KEYS, RequestPriority.RENEWAL)
+        .whenComplete(locked.callback((outcome, error) -> answered(range, outcome, onLoaded)));
   }
 
-  /** Reads until all is there, however often it has to ask. */
-  public void load(Consumer<Loaded> then) {
-    page(
-        Keys.JOBS,
-        null,
-        jobs,
-        () ->
-            page(
-                Keys.RENTALS,
-                null,
-                rentals,
-                () -> page(Keys.RELEASES, null, releases, () -> then.accept(finish()))));
+  private void answered(
+      Range range, Outcome<StateStore.Page> outcome, Consumer<Loaded> onLoaded) {
+    if (outcome instanceof Outcome.Applied<StateStore.Page> applied) {
+      take(range, applied.value());
+      load(onLoaded);
+    } else {
+      clock.after(RETRY_S, locked.guarded(() -> load(onLoaded)));
+    }
   }
 
-  private void page(String prefix, String after, List<Entry> into, Runnable then) {
-    store
-        .list(prefix, after, PAGE, RequestPriority.RENEWAL)
-        .whenComplete(
-            (o, e) -> {
-              lock.lock();
-              try {
-                if (o instanceof Outcome.Applied<StateStore.Page> applied) {
-                  StateStore.Page p = applied.value();
-                  if (revision == null) {
-                    revision = p.revision();
-                  }
-                  into.addAll(p.entries());
-                  if (p.more() && !p.entries().isEmpty()) {
-                    String last = p.entries().get(p.entries().size() - 1).key();
-                    page(prefix, last, into, then);
-                  } else {
-                    then.run();
-                  }
-                } else {
-                  clock.after(0.3, () -> page(prefix, after, into, then));
-                }
-              } finally {
-                lock.unlock();
-              }
-            });
+  private void take(Range range, StateStore.Page page) {
+    if (revision == null) {
+      revision = page.revision();
+    }
+    range.entries().addAll(page.entries());
+    if (!page.more() || page.entries().isEmpty()) {
+      unread.remove();
+    }
   }
 
   private Loaded finish() {
     Map<JobId, Job> found = new TreeMap<>();
     SteadyTime now = clock.now();
-    for (Entry e : jobs) {
-      String name = e.key().substring(Keys.JOBS.length());
-      int slash = name.indexOf('/');
+    for (Entry entry : jobs.entries()) {
       try {
-        if (slash < 0) {
-          Job job = RecordCodec.decodeFirst(e.value(), e.revision(), now);
-          found.put(job.spec().id(), job);
-        } else {
-          // Keys come in order, so the first segment is there already.
-          Job job = found.get(new JobId(name.substring(0, slash)));
-          if (job != null) {
-            int segment = Integer.parseInt(name.substring(slash + 1));
-            RecordCodec.decodeTasks(job, segment, e.value(), e.revision(), now);
-          }
-        }
-      } catch (WireException | RuntimeException x) {
-        LOG.error("record {} is unreadable: {}", e.key(), x.toString());
+        read(entry, found, now);
+      } catch (WireException | RuntimeException e) {
+        LOG.error("record {} is unreadable: {}", entry.key(), e.toString());
       }
     }
-    return new Loaded(new ArrayList<>(found.values()), rentals, releases, revision);
+    return new Loaded(
+        new ArrayList<>(found.values()), rentals.entries(), releases.entries(), revision);
+  }
+
+  private static void read(Entry entry, Map<JobId, Job> found, SteadyTime now)
+      throws WireException {
+    String name = entry.key().substring(Keys.JOBS.length());
+    int slash = name.indexOf('/');
+    if (slash < 0) {
+      Job job = RecordCodec.decodeFirst(entry.value(), entry.revision(), now);
+      found.put(job.spec().id(), job);
+      return;
+    }
+    // Keys come in order, so the first segment was read before.
+    Job job = found.get(new JobId(name.substring(0, slash)));
+    if (job != null) {
+      int segment = Integer.parseInt(name.substring(slash + 1));
+      RecordCodec.decodeTasks(job, segment, entry.value(), entry.revision(), now);
+    }
   }
 
   /** Reads the record of a job that was just accepted. */
