--- a/src/test/java/org/ternhinge/controller/CombinedFaultsTest.java
+++ b/src/test/java/org/ternhinge/controller/CombinedFaultsTest.java
@@ -50,7 +50,7 @@
     run(60);
     users.quiet();
     run(190);
-    assertEquals(List.of(), world.broken);
+    assertEquals(List.of(), world.violations());
   }
 
   /**
@@ -119,11 +119,11 @@
       JobId stays = submit(job("wk-5", "daemon", 3, 0));
       run(60);
       for (JobId id : goes) {
-        assertTrue(world.runningTasks(id) > 0, id + " does not run");
+        assertTrue(world.tasks.runningTasks(id) > 0, id + " does not run");
       }
       int old = world.leader();
       double from = world.clock.seconds();
-      world.cutState(old, refused);
+      world.stateFaults.refuse(old, refused);
       // The node that leads next is known only then; until then the workers keep to the old one.
       pinTo(reportsTo.equals("follower") ? (old + 1) % 3 : old, refused + out);
       while (world.leader() == old || world.leader() < 0) {
@@ -139,24 +139,24 @@
       }
       world.clock.after(cancelled, () -> goes.forEach(users::cancel));
       world.clock.after(
-          Math.max(0, from + refused - world.clock.seconds()), () -> world.outage(out));
+          Math.max(0, from + refused - world.clock.seconds()), () -> world.stateFaults.outage(out));
       run(refused + out + 30);
       for (int i = 0; i < 3; i++) {
-        world.cutWorkers(i, 0);
+        world.networkFaults.cutWorkers(i, 0);
       }
       holdsAndEnds();
       for (JobId id : goes) {
         assertEquals("cancelled", users.lastTold(id));
-        assertEquals(0, world.runningTasks(id));
+        assertEquals(0, world.tasks.runningTasks(id));
       }
-      assertEquals(3, world.runningTasks(stays));
+      assertEquals(3, world.tasks.runningTasks(stays));
     }
   }
 
   /** Workers reach one node only. */
   private void pinTo(int node, double seconds) {
     for (int i = 0; i < 3; i++) {
-      world.cutWorkers(i, i == node ? 0 : seconds);
+      world.networkFaults.cutWorkers(i, i == node ? 0 : seconds);
     }
   }
 
@@ -168,13 +168,13 @@
     JobId goes = submit(job("wk-1", "batch", 6, 400));
     JobId stays = submit(job("wk-2", "daemon", 3, 0));
     run(60);
-    assertEquals(6, world.runningTasks(goes));
-    world.troubles.hangWorkersOf(goes, 8, hang);
+    assertEquals(6, world.tasks.runningTasks(goes));
+    world.machineFaults.hangWorkersOf(goes, 8, hang);
     world.clock.runFor(after);
     users.cancel(goes);
     holdsAndEnds();
-    assertEquals(0, world.runningTasks(goes));
-    assertEquals(3, world.runningTasks(stays));
+    assertEquals(0, world.tasks.runningTasks(goes));
+    assertEquals(3, world.tasks.runningTasks(stays));
   }
 
   /** Starts and stops that are held while the machine hangs, over a change of leader. */
@@ -184,10 +184,10 @@
     begin(seed, SimCluster.SMALL);
     JobId first = submit(job("wk-1", "batch", 6, 300));
     run(60);
-    world.troubles.hangWorkersOf(first, 2, hang);
+    world.machineFaults.hangWorkersOf(first, 2, hang);
     JobId next = submit(job("wk-2", "batch", 4, 20));
     world.clock.runFor(0.5);
-    world.cutState(world.leader(), 9);
+    world.stateFaults.refuse(world.leader(), 9);
     world.clock.runFor(1);
     users.cancel(next);
     holdsAndEnds();
@@ -202,14 +202,14 @@
     JobId stays = submit(job("wk-1", "daemon", 4, 0));
     run(60);
     for (var w : world.workersOf(stays)) {
-      world.troubles.holdReport(w.id(), held);
+      world.machineFaults.holdReport(w.id(), held);
     }
     world.clock.runFor(4);
-    world.cutSomeWorkerWith(stays, 35);
-    world.cutState(world.leader(), 9);
+    world.machineFaults.cutSomeWorkerWith(stays, 35);
+    world.stateFaults.refuse(world.leader(), 9);
     run(60);
     holdsAndEnds();
-    assertEquals(4, world.runningTasks(stays));
+    assertEquals(4, world.tasks.runningTasks(stays));
   }
 
   /** A team at its limit, machines that can't be asked, a new leader and a cancellation. */
@@ -221,8 +221,8 @@
     JobId longer = submit(job("wk-2", "batch", 6, 60));
     JobId waits = submit(job("wk-3", "batch", 8, 10));
     run(40);
-    assertEquals(12, world.runningTasks(goes) + world.runningTasks(longer));
-    world.cutSomeWorkerWith(goes, cut);
+    assertEquals(12, world.tasks.runningTasks(goes) + world.tasks.runningTasks(longer));
+    world.machineFaults.cutSomeWorkerWith(goes, cut);
     world.crash(world.leader(), 3);
     world.clock.runFor(after);
     users.cancel(goes);
@@ -243,8 +243,8 @@
     JobId free = submit(job("wk-2", kind, 3, 60).put("lanvelar", false).put("together", true));
     run(30);
     for (JobId id : List.of(bound, free)) {
-      world.cutSomeWorkerWith(id, 50);
-      world.troubles.hangWorkersOf(id, 1, 10);
+      world.machineFaults.cutSomeWorkerWith(id, 50);
+      world.machineFaults.hangWorkersOf(id, 1, 10);
     }
     run(20);
     world.crash(world.leader(), 1);
@@ -271,7 +271,7 @@
     JobId goes = submit(job("wk-1", "batch", 6, 400));
     JobId stays = submit(job("wk-2", "daemon", 3, 0));
     run(60);
-    world.troubles.muteWorkersOf(goes, mute);
+    world.machineFaults.muteWorkersOf(goes, mute);
     world.clock.runFor(after);
     if (crash) {
       world.crash(world.leader(), 2);
@@ -279,8 +279,8 @@
     users.cancel(goes);
     run(mute);
     holdsAndEnds();
-    assertEquals(0, world.runningTasks(goes));
-    assertEquals(3, world.runningTasks(stays));
+    assertEquals(0, world.tasks.runningTasks(goes));
+    assertEquals(3, world.tasks.runningTasks(stays));
   }
 
   /** Ten leaders in two minutes, with and without an outage among them. */
@@ -292,17 +292,17 @@
     JobId array = submit(job("wk-2", "batch", 12, 25));
     JobId goes = submit(job("wk-3", "batch", 3, 400));
     run(15);
-    world.troubles.refuseLeaders(10, 12, 8);
-    world.troubles.lateWrites(late, 120);
+    world.stateFaults.refuseLeaders(10, 12, 8);
+    world.stateFaults.lateWrites(late, 120);
     world.clock.after(50, () -> users.cancel(goes));
     if (outage > 0) {
-      world.clock.after(40, () -> world.outage(outage));
+      world.clock.after(40, () -> world.stateFaults.outage(outage));
     }
     run(120);
     holdsAndEnds();
     assertEquals("done", users.lastTold(array));
     assertEquals("cancelled", users.lastTold(goes));
-    assertEquals(3, world.runningTasks(stays));
+    assertEquals(3, world.tasks.runningTasks(stays));
   }
 
   /** A zone with its controllers is cut off for less and for more than a lease. */
@@ -313,13 +313,13 @@
     JobId stays = submit(job("wk-1", "daemon", 4, 0).put("scatter", true));
     JobId goes = submit(job("wk-2", "batch", 8, 400));
     run(60);
-    world.troubles.cutZone(zone, seconds);
+    world.networkFaults.cutZone(zone, seconds);
     world.clock.runFor(3);
     users.cancel(goes);
     run(seconds);
     holdsAndEnds();
     assertEquals("cancelled", users.lastTold(goes));
-    assertEquals(4, world.runningTasks(stays));
+    assertEquals(4, world.tasks.runningTasks(stays));
   }
 
   /** Cancels, questions and repeats at the very end of a job, with no other trouble. */
@@ -348,15 +348,15 @@
     JobId goes = submit(job("wk-1", "batch", 6, 400));
     JobId stays = submit(job("wk-2", "daemon", 3, 0));
     run(60);
-    world.troubles.slowState(120, latency);
+    world.stateFaults.slowState(120, latency);
     run(6);
-    world.cutState(world.leader(), 9);
+    world.stateFaults.refuse(world.leader(), 9);
     world.clock.after(7.5, () -> users.cancel(goes));
-    world.clock.after(9, () -> world.outage(55));
+    world.clock.after(9, () -> world.stateFaults.outage(55));
     run(120);
     holdsAndEnds();
     assertEquals("cancelled", users.lastTold(goes));
-    assertEquals(3, world.runningTasks(stays));
+    assertEquals(3, world.tasks.runningTasks(stays));
   }
 
   /** Jobs of a few tasks end far apart, since one of their machines hangs, over a new leader. */
@@ -366,7 +366,7 @@
     begin(seed, SimCluster.SMALL);
     JobId job = submit(job("wk-1", "batch", tasks, 30).put("cpus", 3.0).put("lanvelar", false));
     run(30);
-    world.troubles.hangWorkersOf(job, 1, hang);
+    world.machineFaults.hangWorkersOf(job, 1, hang);
     run(18);
     world.crash(world.leader(), 1);
     run(90);
@@ -382,7 +382,7 @@
     JobId goes = submit(job("wk-1", "batch", 6, 400));
     JobId stays = submit(job("wk-2", "daemon", 3, 0));
     run(60);
-    world.troubles.hangWorkersOf(goes, 1, 10);
+    world.machineFaults.hangWorkersOf(goes, 1, 10);
     users.cancel(goes);
     world.clock.runFor(before);
     for (int i = 0; i < 3; i++) {
@@ -391,7 +391,7 @@
     run(away + 60);
     holdsAndEnds();
     assertEquals("cancelled", users.lastTold(goes));
-    assertEquals(3, world.runningTasks(stays));
+    assertEquals(3, world.tasks.runningTasks(stays));
   }
 
   /** A leader ends while machines with long tasks can't be reached or don't hear the next one. */
@@ -413,9 +413,9 @@
     run(40);
     for (JobId id : List.of(job, goes)) {
       switch (how) {
-        case "cut" -> world.cutSomeWorkerWith(id, seconds);
-        case "mute" -> world.troubles.muteWorkersOf(id, seconds);
-        default -> world.troubles.hangWorkersOf(id, 2, seconds);
+        case "cut" -> world.machineFaults.cutSomeWorkerWith(id, seconds);
+        case "mute" -> world.machineFaults.muteWorkersOf(id, seconds);
+        default -> world.machineFaults.hangWorkersOf(id, 2, seconds);
       }
     }
     world.crash(world.leader(), away);
@@ -443,7 +443,7 @@
       lesser.add(new JobId("wk-1" + i));
     }
     run(30);
-    world.slowLinks(slow);
+    world.networkFaults.slowLinks(slow);
     for (int i = 0; i < 4; i++) {
       ObjectNode array = Specs.json("wk-2" + i, "batch", 8).put("cpus", 2.0).put("aaetlun_s", 8.0);
       users.submit(array.put("forgang", "high").put("eigandi", "blue"));
@@ -455,9 +455,9 @@
     }
     run(100);
     for (JobId id : urgent) {
-      assertTrue(world.began(id).isPresent(), id + " has not begun beside lesser work");
+      assertTrue(world.tasks.began(id).isPresent(), id + " has not begun beside lesser work");
     }
-    world.slowLinks(0);
+    world.networkFaults.slowLinks(0);
     users.cancel(new JobId("wk-31"));
     users.cancel(new JobId("wk-33"));
     holdsAndEnds();
@@ -469,7 +469,7 @@
   void lateWritesWhileJobsEndAndAreCancelled(long seed, double share) {
     begin(seed, SimCluster.SMALL);
     users.cancelAtEnd(0.3);
-    world.troubles.lateWrites(share, 90);
+    world.stateFaults.lateWrites(share, 90);
     List<JobId> jobs = new ArrayList<>();
     for (int i = 0; i < 20; i++) {
       jobs.add(submit(job("wk-1" + String.format("%02d", i), "batch", 1 + i % 4, 6)));
--- a/src/test/java/org/ternhinge/controller/EndOfDayChecksTest.java
+++ b/src/test/java/org/ternhinge/controller/EndOfDayChecksTest.java
@@ -57,20 +57,20 @@
     begin(51, new SimCluster.Size(3, 1, 1000, 30));
     submit("wk-1", "batch", 160, 1, 8);
     run(40);
-    var deaf = world.deafenSomeWorker(200);
+    var deaf = world.machineFaults.deafenSomeWorker(200);
     // Its session lapses while its reports arrive; whatever is placed there would wait for ever.
     submit("wk-2", "batch", 160, 1, 8);
     run(60);
-    int sent = world.startsSentTo(deaf.id());
+    int sent = world.tasks.startsSentTo(deaf.id());
     submit("wk-3", "batch", 160, 1, 8);
     run(60);
-    assertEquals(sent, world.startsSentTo(deaf.id()), "nothing goes there any more");
+    assertEquals(sent, world.tasks.startsSentTo(deaf.id()), "nothing goes there any more");
     run(150);
-    int before = world.startsOn(deaf.id());
+    int before = world.tasks.startsOn(deaf.id());
     untilDone(submit("wk-4", "batch", 160, 1, 8), 120);
     boolean replaced = !world.isLive(deaf.id());
-    assertTrue(replaced || world.startsOn(deaf.id()) > before, "healed and not used again");
-    assertEquals(List.of(), world.broken);
+    assertTrue(replaced || world.tasks.startsOn(deaf.id()) > before, "healed and not used again");
+    assertEquals(List.of(), world.violations());
   }
 
   @Test
@@ -78,16 +78,16 @@
     begin(55, SimCluster.SMALL);
     JobId stays = submit("wk-1", "daemon", 4, 2, 0);
     run(60);
-    assertEquals(4, world.runningTasks(stays));
+    assertEquals(4, world.tasks.runningTasks(stays));
     // A report that is held back and comes late counts as a sign of life, and rightly so: the
     // answer
     // to it may have been heard in time. Whether one comes is the seed's luck, so here none does.
-    world.cutsLose();
-    world.cutSomeWorkerWith(stays, 200);
+    world.networkFaults.cutsLose();
+    world.machineFaults.cutSomeWorkerWith(stays, 200);
     // Its grace and lease end within 45 s; what it showed last must not block its tasks for longer.
     run(36);
-    assertEquals(4, world.runningTasks(stays));
-    assertEquals(List.of(), world.broken);
+    assertEquals(4, world.tasks.runningTasks(stays));
+    assertEquals(List.of(), world.violations());
   }
 
   @Test
@@ -97,12 +97,12 @@
     run(120);
     List<MachineId> gone = world.goneMachines();
     assertTrue(!gone.isEmpty(), "idle machines are returned");
-    gone.forEach(world::repeatReport);
+    gone.forEach(world.machineFaults::repeatReport);
     // A service may not run on spot machines; the copies are of ordinary ones and of spot ones.
     JobId next = submit("wk-2", "batch", 4, 2, 5);
     double took = untilDone(next, 120);
     assertTrue(took < 30, "placed on what is gone, it would wait out a lease; it took " + took);
-    assertEquals(List.of(), world.broken);
+    assertEquals(List.of(), world.violations());
   }
 
   /** Shorter and longer than the grace, with a cancellation under way. */
@@ -113,19 +113,19 @@
     JobId stays = submit("wk-1", "daemon", 3, 2, 0);
     JobId goes = submit("wk-2", "batch", 4, 1, 300);
     run(60);
-    assertEquals(3, world.runningTasks(stays));
-    assertEquals(4, world.runningTasks(goes));
-    int starts = world.starts;
-    world.cutOff(leader ? world.leader() : (world.leader() + 1) % 3, seconds);
+    assertEquals(3, world.tasks.runningTasks(stays));
+    assertEquals(4, world.tasks.runningTasks(goes));
+    int starts = world.tasks.starts();
+    world.networkFaults.cutOff(leader ? world.leader() : (world.leader() + 1) % 3, seconds);
     users.cancel(goes);
     run(seconds + 30);
     users.quiet();
     run(90);
-    assertEquals(3, world.runningTasks(stays));
-    assertEquals(0, world.runningTasks(goes));
+    assertEquals(3, world.tasks.runningTasks(stays));
+    assertEquals(0, world.tasks.runningTasks(goes));
     assertEquals("cancelled", users.lastTold(goes));
-    assertEquals(starts, world.starts, "no running task was lost by it");
-    assertEquals(List.of(), world.broken);
+    assertEquals(starts, world.tasks.starts(), "no running task was lost by it");
+    assertEquals(List.of(), world.violations());
   }
 
   /**
@@ -139,9 +139,9 @@
     run(10);
     int node = trouble.startsWith("follower") ? (world.leader() + 1) % 3 : world.leader();
     switch (trouble) {
-      case "outage" -> world.outage(30);
-      case "refused alone" -> world.cutState(node, 30);
-      default -> world.cutOff(node, 30);
+      case "outage" -> world.stateFaults.outage(30);
+      case "refused alone" -> world.stateFaults.refuse(node, 30);
+      default -> world.networkFaults.cutOff(node, 30);
     }
     run(12);
     assertEquals(status, world.answerTo(node, "GET", "/healthz", new byte[0]).status());
@@ -156,7 +156,7 @@
     JobId job = submit("wk-1", "batch", 2, 1, 5);
     untilDone(job, 60);
     int leader = world.leader();
-    world.cutState(leader, 30);
+    world.stateFaults.refuse(leader, 30);
     world.clock.runFor(5.9);
     String path = "/submissions/" + job + "/cancel";
     var answer = world.answerTo((leader + 1) % 3, "POST", path, new byte[0]);
@@ -172,7 +172,7 @@
     JobId stays = submit("wk-1", "daemon", 3, 2, 0);
     JobId array = submit("wk-2", "batch", 30, 1, 10);
     run(20);
-    world.copyReports(0.5, 40);
+    world.machineFaults.copyReports(0.5, 40);
     for (int i = 0; i < 12; i++) {
       for (int n = 0; n < 3; n++) {
         world.crash(n, 0.05 + world.nextInt(6) / 20.0);
@@ -181,9 +181,9 @@
     }
     users.quiet();
     run(150);
-    assertEquals(3, world.runningTasks(stays));
+    assertEquals(3, world.tasks.runningTasks(stays));
     assertEquals("done", users.lastTold(array));
-    assertEquals(List.of(), world.broken);
+    assertEquals(List.of(), world.violations());
   }
 
   /** Small work without end must not starve the largest, and every kind gets its part. */
@@ -206,12 +206,12 @@
       run(3);
     }
     for (JobId id : large) {
-      double waited = world.began(id).orElse(1e9) - users.submittedAt(id);
+      double waited = world.tasks.began(id).orElse(1e9) - users.submittedAt(id);
       assertTrue(waited < 240, id + " began after " + waited);
     }
-    long served = small.stream().filter(id -> world.began(id).isPresent()).count();
+    long served = small.stream().filter(id -> world.tasks.began(id).isPresent()).count();
     assertTrue(served * 2 >= small.size(), "only " + served + " of the small ones");
-    assertEquals(List.of(), world.broken);
+    assertEquals(List.of(), world.violations());
   }
 
   /** Work is bounded by counts at the grown size: it follows what changes, not the fleet's size. */
@@ -227,21 +227,25 @@
     }
     run(120);
     for (JobId id : jobs) {
-      assertTrue(world.began(id).isPresent(), id + " has not begun");
+      assertTrue(world.tasks.began(id).isPresent(), id + " has not begun");
     }
     assertTrue(world.machinesMade() > 200, "only " + world.machinesMade() + " machines");
-    long changes = world.changes;
-    long orders = world.orders;
-    long reports = world.reports;
+    long changes = world.counts.stateChanges();
+    long orders = world.counts.commandCalls();
+    long reports = world.counts.reports();
     run(60);
-    assertTrue(world.orders - orders < 60, "quiet, yet orders " + (world.orders - orders));
-    assertTrue(world.changes - changes < 400, "quiet, yet changes " + (world.changes - changes));
-    assertTrue(world.reports - reports > 2000, "machines report");
+    assertTrue(
+        world.counts.commandCalls() - orders < 60,
+        "quiet, yet orders " + (world.counts.commandCalls() - orders));
+    assertTrue(
+        world.counts.stateChanges() - changes < 400,
+        "quiet, yet changes " + (world.counts.stateChanges() - changes));
+    assertTrue(world.counts.reports() - reports > 2000, "machines report");
     assertTrue(world.metrics.mostSteps() < 200_000, "a round of " + world.metrics.mostSteps());
-    int starts = world.starts;
+    int starts = world.tasks.starts();
     world.crash(world.leader(), 5);
     run(60);
-    assertEquals(starts, world.starts, "a change of leader costs no running task");
-    assertEquals(List.of(), world.broken);
+    assertEquals(starts, world.tasks.starts(), "a change of leader costs no running task");
+    assertEquals(List.of(), world.violations());
   }
 }
--- a/src/test/java/org/ternhinge/controller/Faults.java
+++ b/src/test/java/org/ternhinge/controller/Faults.java
@@ -20,25 +20,25 @@
       world.crash(world.nextInt(3), world.nextInt(2) == 0 ? 0.3 : 5);
     }
     if ((all || faults.equals("cuts")) && world.nextInt(10) == 0) {
-      world.cutWorkers(world.nextInt(3), 5 + world.nextInt(30));
+      world.networkFaults.cutWorkers(world.nextInt(3), 5 + world.nextInt(30));
     }
     if ((all || faults.equals("cuts")) && world.nextInt(10) == 0) {
-      world.cutState(world.nextInt(3), 5 + world.nextInt(20));
+      world.stateFaults.refuse(world.nextInt(3), 5 + world.nextInt(20));
     }
     if ((all || faults.equals("cuts")) && world.nextInt(8) == 0) {
-      world.hurtSomeWorker(world.nextInt(3) == 0 ? 0 : 5 + world.nextInt(40));
+      world.machineFaults.cutOrEndSomeWorker(world.nextInt(3) == 0 ? 0 : 5 + world.nextInt(40));
     }
     if ((all || faults.equals("deaf")) && world.nextInt(8) == 0) {
-      world.deafenSomeWorker(5 + world.nextInt(50));
+      world.machineFaults.deafenSomeWorker(5 + world.nextInt(50));
     }
     if ((all || faults.equals("copies")) && world.nextInt(10) == 0) {
-      world.copyReports(0.3, 5 + world.nextInt(20));
+      world.machineFaults.copyReports(0.3, 5 + world.nextInt(20));
     }
     if ((all || faults.equals("alone")) && world.nextInt(10) == 0) {
-      world.cutOff(world.nextInt(3), 5 + world.nextInt(50));
+      world.networkFaults.cutOff(world.nextInt(3), 5 + world.nextInt(50));
     }
     if ((all || faults.equals("outages")) && world.nextInt(25) == 0) {
-      world.outage(5 + world.nextInt(30));
+      world.stateFaults.outage(5 + world.nextInt(30));
     }
   }
 
@@ -49,40 +49,40 @@
       trouble("all");
     }
     if ((all || faults.equals("late_writes")) && world.nextInt(10) == 0) {
-      world.troubles.lateWrites(0.3, 5 + world.nextInt(30));
+      world.stateFaults.lateWrites(0.3, 5 + world.nextInt(30));
     }
     if ((all || faults.equals("mute")) && world.nextInt(6) == 0) {
-      world.troubles.muteSomeWorker(5 + world.nextInt(50));
+      world.machineFaults.muteSomeWorker(5 + world.nextInt(50));
     }
     if ((all || faults.equals("mute")) && world.nextInt(25) == 0) {
-      world.troubles.muteWorkers(0.6, 5 + world.nextInt(50));
+      world.machineFaults.muteWorkers(0.6, 5 + world.nextInt(50));
     }
     if ((all || faults.equals("hangs")) && world.nextInt(6) == 0) {
-      world.troubles.hangSomeWorker(1 + world.nextInt(40));
+      world.machineFaults.hangSomeWorker(1 + world.nextInt(40));
     }
     if (faults.equals("hangs") && !users.accepted().isEmpty() && world.nextInt(12) == 0) {
       JobId id = users.accepted().get(world.nextInt(users.accepted().size()));
-      world.troubles.hangWorkersOf(id, 8, 2 + world.nextInt(30));
+      world.machineFaults.hangWorkersOf(id, 8, 2 + world.nextInt(30));
       users.cancel(id);
     }
     if ((all || faults.equals("slow_state")) && world.nextInt(12) == 0) {
-      world.troubles.slowState(5 + world.nextInt(40), 0.3 + world.nextInt(10) / 10.0);
+      world.stateFaults.slowState(5 + world.nextInt(40), 0.3 + world.nextInt(10) / 10.0);
     }
     if ((all || faults.equals("held")) && world.nextInt(4) == 0) {
-      world.troubles.holdReport(3 + world.nextInt(50));
+      world.machineFaults.holdReport(3 + world.nextInt(50));
     }
     if ((faults.equals("held") || faults.equals("slow_state")) && world.nextInt(15) == 0) {
-      world.cutState(Math.max(0, world.leader()), 8);
+      world.stateFaults.refuse(Math.max(0, world.leader()), 8);
     }
     if ((all || faults.equals("zone_cut")) && world.nextInt(20) == 0) {
-      world.troubles.cutZone(world.nextInt(2) == 0 ? "east" : "west", 5 + world.nextInt(45));
+      world.networkFaults.cutZone(world.nextInt(2) == 0 ? "east" : "west", 5 + world.nextInt(45));
     }
     if ((all || faults.equals("leaders")) && step < 55 && world.nextInt(20) == 0) {
       // Two minutes long, and over when quiet is asked for.
-      world.troubles.refuseLeaders(10, 12, 8);
+      world.stateFaults.refuseLeaders(10, 12, 8);
     }
     if (faults.equals("leaders") && world.nextInt(30) == 0) {
-      world.outage(5 + world.nextInt(40));
+      world.stateFaults.outage(5 + world.nextInt(40));
     }
   }
 }
--- a/src/test/java/org/ternhinge/controller/KeepAliveTest.java
+++ b/src/test/java/org/ternhinge/controller/KeepAliveTest.java
@@ -42,7 +42,7 @@
     world.clock.runFor(5);
     users.submit(Specs.json("wk-1", "daemon", 2).put("forgang", "production"));
     world.clock.runFor(40);
-    machine = world.machinesOf(job).get(0);
+    machine = world.tasks.machinesOf(job).get(0);
   }
 
   private static WorkerReport with(
@@ -72,7 +72,7 @@
   @Test
   void anAnswerToAnOvertakenReportCarriesTheStops() throws WireException {
     WorkerReport last = world.lastReport(machine);
-    world.deafen(machine, 30);
+    world.machineFaults.deafen(machine, 30);
     users.cancel(job);
     world.clock.runFor(2);
     WorkerReport overtaken = with(last, last.session(), last.sequence() - 1, last.tasks());
@@ -96,7 +96,7 @@
   @CsvSource({"false, 200", "true, 503"})
   void inItsGraceALeaderKeepsAliveOnlyWhatItKnows(boolean unknown, int status) {
     int leader = world.leader();
-    world.cutOff(leader, 60);
+    world.networkFaults.cutOff(leader, 60);
     world.clock.runFor(8);
     WorkerReport last = world.lastReport(machine);
     List<TaskReport> tasks = new ArrayList<>(last.tasks());
--- a/src/test/java/org/ternhinge/controller/LargeFleetTest.java
+++ b/src/test/java/org/ternhinge/controller/LargeFleetTest.java
@@ -31,7 +31,12 @@
       double at, long orders, long changes, long rents, long returns, long lists) {
     static Counts of(SimCluster w) {
       return new Counts(
-          w.clock.seconds(), w.orders, w.changes, w.rentCalls, w.returnCalls, w.listings);
+          w.clock.seconds(),
+          w.counts.commandCalls(),
+          w.counts.stateChanges(),
+          w.counts.rentalCalls(),
+          w.counts.releaseCalls(),
+          w.counts.machineListings());
     }
   }
 
@@ -56,7 +61,7 @@
   }
 
   private int replicas() {
-    return services.stream().mapToInt(world::runningTasks).sum();
+    return services.stream().mapToInt(world.tasks::runningTasks).sum();
   }
 
   /** What a span may cost, whatever happens in it. */
@@ -67,7 +72,9 @@
     long calls = to.rents - from.rents + to.returns - from.returns + to.lists - from.lists;
     assertTrue(calls <= cloudRps * (span + 2), calls + " calls of the cloud in " + span + " s");
     int sockets = SocketShares.of(world.settings("node-0").maxSockets()).calls();
-    assertTrue(world.mostOrders <= sockets, world.mostOrders + " orders at once");
+    assertTrue(
+        world.counts.mostCommandCallsAtOnce() <= sockets,
+        world.counts.mostCommandCallsAtOnce() + " orders at once");
     long steps = world.metrics.mostSteps();
     assertTrue(steps < 600L * FLEET, "a round of " + steps + " looks");
   }
@@ -93,7 +100,7 @@
     bounded(start, 4);
 
     Counts restart = Counts.of(world);
-    world.restartMachines(0.4);
+    world.machineFaults.restartMachines(0.4);
     assertTrue(replicas() < 900, "many are lost");
     run(24);
     assertEquals(1200, replicas(), "production work is back first");
@@ -106,22 +113,22 @@
     }
     run(15);
     assertEquals(running, replicas(), "no running task is lost by it");
-    int starts = world.starts;
+    int starts = world.tasks.starts();
     others.add(submit("wk-4000", "batch", 40, 1, 10, 1));
     run(9);
-    assertTrue(world.starts > starts, "the next leader starts work");
+    assertTrue(world.tasks.starts() > starts, "the next leader starts work");
     bounded(crash, 4);
 
     Counts cut = Counts.of(world);
-    world.cutZone("west", 48);
+    world.machineFaults.cutMachinesOfZone("west", 48);
     run(66);
     assertEquals(1200, replicas(), "replicas of the lost zone run again");
     bounded(cut, 4);
     users.quiet();
     run(90);
-    assertEquals(List.of(), world.broken);
+    assertEquals(List.of(), world.violations());
     for (JobId id : others) {
-      double waited = world.began(id).orElse(1e9) - users.submittedAt(id);
+      double waited = world.tasks.began(id).orElse(1e9) - users.submittedAt(id);
       assertTrue(waited < 240, id + " began after " + waited);
       assertEquals("done", users.lastTold(id));
     }
--- a/src/test/java/org/ternhinge/controller/PipelinesTest.java
+++ b/src/test/java/org/ternhinge/controller/PipelinesTest.java
@@ -73,8 +73,8 @@
   }
 
   private void nothingBroken() {
-    assertEquals(List.of(), world.broken);
-    assertEquals(0, world.tooLarge(), "transactions beyond the limit on size");
+    assertEquals(List.of(), world.violations());
+    assertEquals(0, world.state.tooLarge(), "transactions beyond the limit on size");
   }
 
   /** What one node says of a job: its state, or the status where that is not 200. */
@@ -158,22 +158,22 @@
       }
       users.pollAll();
       if (step < 120 && world.nextInt(2) == 0) {
-        users.oddDependencies();
+        users.sendInvalidDependencies();
       }
       if (odd && step < 110) {
-        users.oddRequest();
+        users.sendInvalidRequest();
       }
       if (seed % 2 == 0 && step == 20 + seed % 40) {
-        world.troubles.lowerLimits();
+        world.stateFaults.lowerLimits();
       }
       if (step < 80) {
         troubles.trouble(faults);
         troubles.heldUp(faults, step);
         if (faults.equals("zones_apart") && world.nextInt(12) == 0) {
-          world.troubles.partZones(5 + world.nextInt(50));
+          world.networkFaults.partZones(5 + world.nextInt(50));
         }
         if (faults.equals("zones_apart") && world.nextInt(15) == 0) {
-          world.troubles.lateWrites(0.3, 15);
+          world.stateFaults.lateWrites(0.3, 15);
         }
       }
       if (step == 90) {
@@ -189,7 +189,7 @@
       world.clock.runFor(6);
     }
     nothingBroken();
-    assertTrue(world.starts > 20, "only " + world.starts + " starts");
+    assertTrue(world.tasks.starts() > 20, "only " + world.tasks.starts() + " starts");
     endedWell();
   }
 
@@ -324,7 +324,7 @@
       run(20);
       assertEquals(4, users.accepted().size());
       if (then.equals("late")) {
-        world.troubles.lateWrites(0.5, 30);
+        world.stateFaults.lateWrites(0.5, 30);
       }
       JobId goes = all.get(cancelled - 1);
       int leader = world.leader();
@@ -340,7 +340,7 @@
       assertTrue(toldAt[0] >= 0, "the cancel is answered");
       runAskingEverywhere(toldAt[0] + CANCEL_S + 1 - world.clock.seconds(), all);
       for (JobId id : all) {
-        boolean later = id.equals(goes) || world.before(id).contains(goes);
+        boolean later = id.equals(goes) || world.dependencies(id).contains(goes);
         for (int node = 0; node < 3 && later; node++) {
           String says = says(node, id);
           assertTrue(Set.of("cancelled", "503", "nothing").contains(says), node + " says " + says);
@@ -352,7 +352,7 @@
       nothingBroken();
       endedWell();
       for (JobId id : all) {
-        boolean later = id.equals(goes) || world.before(id).contains(goes);
+        boolean later = id.equals(goes) || world.dependencies(id).contains(goes);
         assertEquals(later ? "cancelled" : "done", users.lastTold(id), id + " with " + goes);
       }
     }
@@ -364,10 +364,10 @@
       world.crash(leader, 3);
     }
     if (then.endsWith("outage")) {
-      world.outage(CANCEL_S + 16);
+      world.stateFaults.outage(CANCEL_S + 16);
     }
     if (then.equals("refused")) {
-      world.cutState(leader, CANCEL_S + 16);
+      world.stateFaults.refuse(leader, CANCEL_S + 16);
     }
     if (then.equals("all crash")) {
       for (int i = 0; i < 3; i++) {
@@ -387,8 +387,8 @@
       begin(seed);
       List<JobId> all = shape(shape, 200);
       run(15);
-      world.troubles.partZones(20);
-      world.troubles.lateWrites(0.7, 12);
+      world.networkFaults.partZones(20);
+      world.stateFaults.lateWrites(0.7, 12);
       users.cancelAt(world.leader(), all.get(cancelled - 1), () -> {});
       for (int i = 0; i < 400; i++) {
         all.forEach(users::pollEverywhere);
@@ -402,7 +402,7 @@
 
   private void endedWell(JobId goes) {
     for (JobId id : users.accepted()) {
-      if (id.equals(goes) || world.before(id).contains(goes)) {
+      if (id.equals(goes) || world.dependencies(id).contains(goes)) {
         assertEquals("cancelled", users.lastTold(id), id.value());
       }
     }
@@ -485,7 +485,7 @@
     users.quiet();
     run(60);
     nothingBroken();
-    assertEquals(0, world.runningTasks(second));
+    assertEquals(0, world.tasks.runningTasks(second));
   }
 
   /** A repeat of a submission and a cancel of a derived cancellation have the same answer. */
@@ -621,7 +621,7 @@
     for (JobId id : users.accepted()) {
       assertEquals("done", users.lastTold(id), id.value());
     }
-    assertTrue(world.began(second).isPresent() && world.began(third).isPresent());
+    assertTrue(world.tasks.began(second).isPresent() && world.tasks.began(third).isPresent());
   }
 
   private static List<JobSpec> ends(int from, int count) {
@@ -658,14 +658,14 @@
     }
     world.clock.runFor(70);
     assertEquals(2001, users.accepted().size());
-    long changes = world.changes;
+    long changes = world.counts.stateChanges();
     world.clock.runFor(20);
-    assertTrue(world.changes - changes < 20, "a wait costs no writes");
+    assertTrue(world.counts.stateChanges() - changes < 20, "a wait costs no writes");
     int leader = world.leader();
     double asking = world.clock.seconds();
     double[] toldAt = {-1};
     if (then.equals("lower")) {
-      world.troubles.lowerLimits();
+      world.stateFaults.lowerLimits();
     }
     users.cancelAt(
         asked.equals("leader") ? leader : (leader + 1) % 3,
@@ -694,7 +694,7 @@
     Set<String> told = new LinkedHashSet<>();
     all.forEach(id -> told.add(users.lastTold(id)));
     assertEquals(Set.of("cancelled"), told);
-    assertEquals(0, world.runningTasks(first));
+    assertEquals(0, world.tasks.runningTasks(first));
   }
 
   /** A job that waits leaves its team's limit to others, however much it will need. */
@@ -708,8 +708,8 @@
     run(20);
     JobId fills = submit("wk-4", 10, 40);
     run(25);
-    assertEquals(2, world.runningTasks(first));
-    assertEquals(10, world.runningTasks(fills), "the team's whole limit is for those that can run");
+    assertEquals(2, world.tasks.runningTasks(first));
+    assertEquals(10, world.tasks.runningTasks(fills), "the team's whole limit is for those that can run");
     assertEquals("queued", users.lastTold(waits));
     run(120);
     users.quiet();
@@ -757,14 +757,14 @@
   @CsvSource({"411, 0", "412, 0", "413, 0.3", "414, 0.3"})
   void manyEndsAndUrgentStartsAtOnce(long seed, double late) {
     begin(seed, 0, new SimCluster.Size(3, 10, 200, 30));
-    world.troubles.lowerLimits();
+    world.stateFaults.lowerLimits();
     for (int i = 0; i < 24; i++) {
       JobId first = submit("wk-1" + String.format("%02d", i), 1, 20);
       ObjectNode body = job("wk-2" + String.format("%02d", i), 1, 5, List.of(first));
       users.submitAfterNamed(body.put("forgang", "production"));
     }
     run(18);
-    world.troubles.lateWrites(late, 60);
+    world.stateFaults.lateWrites(late, 60);
     run(120);
     users.quiet();
     run(60);
@@ -804,31 +804,31 @@
       all.add(oldJob("wk-" + (100 + n), tasks, kind, n));
     }
     if (lowered.equals("before")) {
-      world.troubles.lowerLimits();
+      world.stateFaults.lowerLimits();
     }
-    int led = world.leaderships;
+    int led = world.counts.leaderships();
     run(12);
     if (!lowered.equals("before")) {
-      world.troubles.lowerLimits();
+      world.stateFaults.lowerLimits();
     }
     JobId next = submit("wk-5", 20, 5);
     JobId after = submit("wk-6", 2, 5, next);
     run(240);
     if (kind.equals("daemon")) {
-      all.forEach(id -> assertEquals(tasks, world.runningTasks(id), "replicas of " + id));
+      all.forEach(id -> assertEquals(tasks, world.tasks.runningTasks(id), "replicas of " + id));
       all.forEach(users::cancel);
     }
     run(60);
     users.quiet();
     run(400);
     nothingBroken();
-    assertEquals(led + 1, world.leaderships, "no leadership is lost");
+    assertEquals(led + 1, world.counts.leaderships(), "no leadership is lost");
     boolean goes = kind.equals("cancelled") || kind.equals("daemon");
     all.forEach(id -> assertEquals(goes ? "cancelled" : "done", users.lastTold(id), id.value()));
     assertEquals("done", users.lastTold(next));
     assertEquals("done", users.lastTold(after));
     for (JobId id : all) {
-      assertEquals(null, world.held("j/" + id), "its record is gone");
+      assertEquals(null, world.state.value("j/" + id), "its record is gone");
     }
   }
 
@@ -869,7 +869,7 @@
       String key = from == 0 ? "j/" + id : "j/" + id + "/" + from / 127;
       records.add(new Change.Put(key, record, 0));
     }
-    world.put(records);
+    world.state.put(records);
     users.hadAccepted(spec);
     if (kind.equals("cancelled")) {
       users.cancel(spec.id());
@@ -882,8 +882,8 @@
   @CsvSource({"391, 0", "392, 12", "393, 30"})
   void workGoesOnUnderLowerLimits(long seed, double at) {
     begin(seed, 0, new SimCluster.Size(3, 10, 200, 30));
-    world.clock.after(at, world.troubles::lowerLimits);
-    int led = world.leaderships;
+    world.clock.after(at, world.stateFaults::lowerLimits);
+    int led = world.counts.leaderships();
     List<JobId> firsts = new ArrayList<>();
     for (int i = 0; i < 12; i++) {
       firsts.add(submit("wk-1" + String.format("%02d", i), 150, 6));
@@ -895,11 +895,11 @@
     users.quiet();
     run(100);
     nothingBroken();
-    assertEquals(led, world.leaderships, "no leadership is lost");
+    assertEquals(led, world.counts.leaderships(), "no leadership is lost");
     assertEquals(36, users.accepted().size());
     users.accepted().forEach(id -> assertEquals("done", users.lastTold(id), id.value()));
-    assertFalse(world.changes == 0);
-    assertNotEquals(0, world.starts);
+    assertFalse(world.counts.stateChanges() == 0);
+    assertNotEquals(0, world.tasks.starts());
   }
 
   /**
@@ -920,37 +920,37 @@
       users.submit(body.put("lanvelar", !kind.equals("daemon")));
       all.add(idOf(body));
     }
-    while (world.clock.seconds() < 90 && all.stream().anyMatch(j -> world.runningTasks(j) < 140)) {
+    while (world.clock.seconds() < 90 && all.stream().anyMatch(j -> world.tasks.runningTasks(j) < 140)) {
       run(1);
     }
     int largest =
-        all.stream().mapToInt(id -> Json.bytes(world.held("j/" + id)).length).max().orElse(0);
+        all.stream().mapToInt(id -> Json.bytes(world.state.value("j/" + id)).length).max().orElse(0);
     assertTrue(largest > 2500, "records of " + largest + " bytes");
     world.announce(SimCluster.COMING);
     for (int i = 0; i < 3; i++) {
       world.crash(i, 2);
       run(6);
     }
-    int led = world.leaderships;
-    all.forEach(id -> assertTrue(world.runningTasks(id) > 100, world.runningTasks(id) + " run"));
+    int led = world.counts.leaderships();
+    all.forEach(id -> assertTrue(world.tasks.runningTasks(id) > 100, world.tasks.runningTasks(id) + " run"));
     run(lowered);
-    world.troubles.lowerLimits();
+    world.stateFaults.lowerLimits();
     JobId next = submit("wk-2", 20, 5, kind.equals("daemon") ? new JobId[0] : listed(all));
     run(60);
     if (kind.equals("daemon")) {
-      all.forEach(id -> assertEquals(140, world.runningTasks(id), "replicas of " + id));
+      all.forEach(id -> assertEquals(140, world.tasks.runningTasks(id), "replicas of " + id));
       for (var w : world.workersOf(all.get(0)).subList(0, 30)) {
-        world.restart(w);
+        world.machineFaults.restart(w);
       }
       run(120);
-      all.forEach(id -> assertEquals(140, world.runningTasks(id), "replicas of " + id));
+      all.forEach(id -> assertEquals(140, world.tasks.runningTasks(id), "replicas of " + id));
       all.forEach(users::cancel);
     }
     run(300);
     users.quiet();
     run(200);
     nothingBroken();
-    assertEquals(led, world.leaderships, "no leadership is lost");
+    assertEquals(led, world.counts.leaderships(), "no leadership is lost");
     String end = kind.equals("daemon") ? "cancelled" : "done";
     all.forEach(id -> assertEquals(end, users.lastTold(id), id.value()));
     assertEquals("done", users.lastTold(next));
--- a/src/test/java/org/ternhinge/controller/SeededFaultTest.java
+++ b/src/test/java/org/ternhinge/controller/SeededFaultTest.java
@@ -89,7 +89,7 @@
       }
       users.pollAll();
       if (odd && step < 100) {
-        users.oddRequest();
+        users.sendInvalidRequest();
       }
       if (step < 80) {
         troubles.trouble(faults);
@@ -109,8 +109,8 @@
       users.pollAll();
       world.clock.runFor(6);
     }
-    assertEquals(List.of(), world.broken);
-    assertTrue(world.starts > 20, "only " + world.starts + " starts");
+    assertEquals(List.of(), world.violations());
+    assertTrue(world.tasks.starts() > 20, "only " + world.tasks.starts() + " starts");
     for (JobId id : users.accepted()) {
       if (!users.spec(id).isService()) {
         String told = users.lastTold(id);
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/ClusterSettings.java
@@ -0,0 +1,93 @@
+package org.ternhinge.sim;
+
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.ternhinge.config.Settings;
+import org.ternhinge.config.Team;
+import org.ternhinge.model.Endpoint;
+
+/**
+ * The settings with which simulated controllers start. They read the limits of the state service at
+ * each start, so a change that is announced holds for controllers that start after it.
+ */
+final class ClusterSettings {
+  /** How long a worker's tasks outlive its last answered report, in seconds. */
+  static final double LEASE_S = 24;
+
+  /** Interval of a worker's reports, in seconds. */
+  static final double REPORT_S = 3;
+
+  /** A cancelled job's tasks have to be gone after so many seconds. */
+  static final double CANCEL_S = 44;
+
+  /** The zones in which controllers and machines stand. */
+  static final List<String> ZONES = List.of("east", "west");
+
+  private static final int FIRST_TEAM_GUARANTEE_MILLI_CPUS = 8000;
+  private static final int FIRST_TEAM_GUARANTEE_MILLI_ACCELERATORS = 2000;
+
+  /** A team's limit of CPUs is so many times its limit of accelerators. */
+  private static final int CPUS_TO_AN_ACCELERATOR = 6;
+
+  private final SimCluster.Size size;
+  private SimCluster.Limits limits;
+
+  ClusterSettings(SimCluster.Size size, SimCluster.Limits limits) {
+    this.size = size;
+    this.limits = limits;
+  }
+
+  /** Controllers that start from now on have settings that name coming limits. */
+  void announce(SimCluster.Limits coming) {
+    limits = limits.lesser(coming);
+  }
+
+  /** The limits of the state service that the settings name. */
+  SimCluster.Limits limits() {
+    return limits;
+  }
+
+  /** The teams, with their guarantees and limits. */
+  Map<String, Team> teams() {
+    Map<String, Team> teams = new LinkedHashMap<>();
+    long most = (long) (size.teamCpus() * 1000);
+    teams.put(
+        "red",
+        new Team(
+            "red",
+            FIRST_TEAM_GUARANTEE_MILLI_CPUS,
+            most,
+            FIRST_TEAM_GUARANTEE_MILLI_ACCELERATORS,
+            most / CPUS_TO_AN_ACCELERATOR));
+    teams.put("blue", new Team("blue", FIRST_TEAM_GUARANTEE_MILLI_CPUS, most / 2, 0, 0));
+    return teams;
+  }
+
+  /** The settings of one controller. */
+  Settings of(String node) {
+    Map<String, Endpoint> peers = new LinkedHashMap<>();
+    for (int i = 0; i < size.nodes(); i++) {
+      if (!node.equals("node-" + i)) {
+        peers.put("node-" + i, new Endpoint("10.0.0." + (i + 1), 8081));
+      }
+    }
+    Endpoint unused = new Endpoint("10.0.0.9", 1);
+    return new Settings(
+        node,
+        "east",
+        unused,
+        unused,
+        peers,
+        unused,
+        unused,
+        ZONES,
+        teams(),
+        List.of(),
+        new Settings.Workers(REPORT_S, LEASE_S, 30, 5, CANCEL_S),
+        new Settings.StateLimits(80, limits.writeRps(), limits.valueKb(), limits.txnOps()),
+        new Settings.CloudLimits(4, 10),
+        1000,
+        0.025);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/DependencyCheck.java
@@ -0,0 +1,68 @@
+package org.ternhinge.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.function.Function;
+import org.ternhinge.model.JobId;
+import org.ternhinge.state.Change;
+import org.ternhinge.wire.Command;
+
+/**
+ * No task starts, and no start is recorded or sent, before all jobs that its job depends on are
+ * done.
+ */
+final class DependencyCheck implements TaskObserver {
+  private final RuleViolations violations;
+  private final JobCatalog jobs;
+  private final Function<String, JsonNode> stored;
+
+  /**
+   * Checks against what is known of the jobs.
+   *
+   * @param stored gives the value of a key in the state service, or null
+   */
+  DependencyCheck(RuleViolations violations, JobCatalog jobs, Function<String, JsonNode> stored) {
+    this.violations = violations;
+    this.jobs = jobs;
+    this.stored = stored;
+  }
+
+  @Override
+  public void started(Start start) {
+    JobId missing = jobs.unfinishedDependency(start.task().job());
+    if (missing != null) {
+      violations.add("too_early: " + start.task() + " before " + missing + " was done");
+    }
+  }
+
+  /** Commands leave a controller. */
+  void sent(List<Command> commands) {
+    for (Command command : commands) {
+      if (command.op() != Command.Op.START) {
+        continue;
+      }
+      JobId missing = jobs.unfinishedDependency(command.task().job());
+      if (missing != null) {
+        violations.add(
+            "too_early: start of " + command.task() + " sent before " + missing + " was done");
+      }
+    }
+  }
+
+  /**
+   * A change was carried out. No start may be recorded before the state service holds the ends of
+   * all that the job depends on: a later leader might see them otherwise.
+   */
+  void changed(Change change) {
+    if (!(change instanceof Change.Put put) || put.value().path("o").isEmpty()) {
+      return;
+    }
+    for (JsonNode name : put.value().path("s").path("bidur_eftir")) {
+      JsonNode end = stored.apply("f/" + name.asText());
+      if (end == null || !end.path("s").asText().equals("done")) {
+        violations.add(
+            "too_early: " + put.key() + " starts before the end of " + name + " is held");
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/JobCatalog.java
@@ -0,0 +1,71 @@
+package org.ternhinge.sim;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.wire.JobSpec;
+
+/** Every job that was ever submitted, what it depends on, and which of its tasks are completed. */
+final class JobCatalog {
+  private final Map<JobId, JobSpec> specs = new LinkedHashMap<>();
+
+  /** What each job depends on, directly or through others. */
+  private final Map<JobId, Set<JobId>> dependencies = new HashMap<>();
+
+  private final Set<TaskId> completed = new HashSet<>();
+
+  /**
+   * Adds a job.
+   *
+   * @param named the jobs that its submission names; they were added before
+   */
+  void add(JobSpec spec, List<JobId> named) {
+    specs.put(spec.id(), spec);
+    Set<JobId> all = new TreeSet<>(named);
+    named.forEach(id -> all.addAll(dependencies(id)));
+    dependencies.put(spec.id(), all);
+  }
+
+  JobSpec spec(JobId id) {
+    return specs.get(id);
+  }
+
+  /** The jobs that a job depends on, directly or through others. */
+  Set<JobId> dependencies(JobId id) {
+    return dependencies.getOrDefault(id, Set.of());
+  }
+
+  /** Some dependency of a job whose tasks are not all completed, or null. */
+  JobId unfinishedDependency(JobId id) {
+    for (JobId dependency : dependencies(id)) {
+      if (!allCompleted(dependency)) {
+        return dependency;
+      }
+    }
+    return null;
+  }
+
+  /** Notes that one task is completed, and says whether it was not before. */
+  boolean complete(TaskId task) {
+    return completed.add(task);
+  }
+
+  boolean isCompleted(TaskId task) {
+    return completed.contains(task);
+  }
+
+  boolean allCompleted(JobId id) {
+    for (int i = 0; i < specs.get(id).tasks(); i++) {
+      if (!completed.contains(new TaskId(id, i))) {
+        return false;
+      }
+    }
+    return true;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/MachineFaults.java
@@ -0,0 +1,188 @@
+package org.ternhinge.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.random.RandomGenerator;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.SteadyTime;
+
+/**
+ * Faults of machines and of the ways to and from them: cuts, lost commands, lost reports, hangs,
+ * restarts, and reports that arrive late or once more.
+ */
+public final class MachineFaults {
+  private final SimCluster cluster;
+
+  /** Apart from the cluster's own, so that a seed means the same days with and without faults. */
+  private final RandomGenerator random;
+
+  /** Machines whose next report is held back, and for how long. */
+  private final Map<MachineId, Double> toHold = new HashMap<>();
+
+  MachineFaults(SimCluster cluster, RandomGenerator random) {
+    this.cluster = cluster;
+    this.random = random;
+  }
+
+  private SteadyTime in(double seconds) {
+    return cluster.clock.now().plusSeconds(seconds);
+  }
+
+  private SimWorker someWorker(RandomGenerator source) {
+    List<SimWorker> live = cluster.liveWorkers();
+    return live.isEmpty() ? null : live.get(source.nextInt(live.size()));
+  }
+
+  // ---- cuts and ends --------------------------------------------------------------------------
+
+  /** Cuts all machines of a zone off from everything. */
+  public void cutMachinesOfZone(String zone, double seconds) {
+    for (SimWorker worker : cluster.liveWorkers()) {
+      if (worker.zone.equals(zone)) {
+        worker.cutUntil = in(seconds);
+      }
+    }
+  }
+
+  /** Cuts off a machine that runs a job's task. */
+  public void cutSomeWorkerWith(JobId id, double seconds) {
+    List<MachineId> machines = cluster.tasks.machinesOf(id);
+    if (!machines.isEmpty()) {
+      cluster.workers.get(machines.get(0)).cutUntil = in(seconds);
+    }
+  }
+
+  /** Cuts a random machine off, or ends it where the time is 0. */
+  public void cutOrEndSomeWorker(double cutS) {
+    SimWorker worker = someWorker(cluster.random);
+    if (worker == null) {
+      return;
+    }
+    if (cutS > 0) {
+      worker.cutUntil = in(cutS);
+    } else {
+      cluster.workers.remove(worker.id());
+      worker.die();
+    }
+  }
+
+  /** A machine restarts: what ran there is gone, and it is back at once. */
+  public void restart(SimWorker worker) {
+    worker.restart();
+  }
+
+  /** A share of all machines restart together. */
+  public void restartMachines(double share) {
+    for (SimWorker worker : cluster.liveWorkers()) {
+      if (cluster.random.nextDouble() < share) {
+        worker.restart();
+      }
+    }
+  }
+
+  // ---- lost commands and lost reports ---------------------------------------------------------
+
+  /** Some machine's reports arrive, while nothing reaches it. */
+  public SimWorker deafenSomeWorker(double seconds) {
+    SimWorker worker = someWorker(cluster.random);
+    if (worker != null) {
+      worker.deafUntil = in(seconds);
+    }
+    return worker;
+  }
+
+  /** A machine's reports arrive, while nothing reaches it. */
+  public void deafen(MachineId id, double seconds) {
+    cluster.workers.get(id).deafUntil = in(seconds);
+  }
+
+  /** Reports of all machines of a job reach no controller, while direct commands reach them. */
+  public void muteWorkersOf(JobId id, double seconds) {
+    for (SimWorker worker : cluster.workersOf(id)) {
+      worker.muteUntil = in(seconds);
+    }
+  }
+
+  /** Reports of a share of all machines reach no controller. */
+  public void muteWorkers(double share, double seconds) {
+    for (SimWorker worker : cluster.liveWorkers()) {
+      if (random.nextDouble() < share) {
+        worker.muteUntil = in(seconds);
+      }
+    }
+  }
+
+  /** Some machine's reports reach no controller. */
+  public void muteSomeWorker(double seconds) {
+    SimWorker worker = someWorker(random);
+    if (worker != null) {
+      worker.muteUntil = in(seconds);
+    }
+  }
+
+  // ---- hangs ----------------------------------------------------------------------------------
+
+  /** Some machine executes nothing for a while; what arrives waits for it. */
+  public void hangSomeWorker(double seconds) {
+    SimWorker worker = someWorker(random);
+    if (worker != null) {
+      worker.hang(seconds);
+    }
+  }
+
+  /** Machines that run a job's tasks, at most so many, execute nothing for a while. */
+  public List<SimWorker> hangWorkersOf(JobId id, int most, double seconds) {
+    List<SimWorker> hung = new ArrayList<>();
+    for (SimWorker worker : cluster.workersOf(id)) {
+      if (hung.size() < most) {
+        worker.hang(seconds);
+        hung.add(worker);
+      }
+    }
+    return hung;
+  }
+
+  // ---- late reports and copies ----------------------------------------------------------------
+
+  /** Some machine's next report is held back and then reaches whoever leads by then. */
+  public void holdReport(double seconds) {
+    SimWorker worker = someWorker(random);
+    if (worker != null) {
+      holdReport(worker.id(), seconds);
+    }
+  }
+
+  /** A machine's next report is held back and then reaches whoever leads by then. */
+  public void holdReport(MachineId id, double seconds) {
+    toHold.put(id, seconds);
+  }
+
+  /** Whether a report is held back; it is delivered when its time has come. */
+  boolean heldBack(MachineId id, byte[] report) {
+    Double seconds = toHold.remove(id);
+    if (seconds == null) {
+      return false;
+    }
+    cluster.clock.after(seconds, () -> deliverLate(report));
+    return true;
+  }
+
+  private void deliverLate(byte[] report) {
+    int leader = cluster.leader();
+    int to = leader >= 0 ? leader : random.nextInt(cluster.nodeCount());
+    cluster.deliver(to, ReportHistory.request(report), answer -> {});
+  }
+
+  /** For a while a share of all reports arrives once more, from a second to leases late. */
+  public void copyReports(double share, double seconds) {
+    cluster.reportHistory.copy(share, seconds);
+  }
+
+  /** A copy of a machine's last report reaches every controller. */
+  public void repeatReport(MachineId id) {
+    cluster.reportHistory.repeatLast(id);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/MachineHang.java
@@ -0,0 +1,80 @@
+package org.ternhinge.sim;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.ternhinge.model.SteadyTime;
+
+/**
+ * Whether a machine hangs. While it does, it executes nothing, and what arrives waits in order; its
+ * lease runs on.
+ */
+final class MachineHang {
+  private final SimClock clock;
+  private final List<Runnable> waiting = new ArrayList<>();
+  private SteadyTime until;
+  private SteadyTime from;
+  private double earlierHangsS;
+
+  MachineHang(SimClock clock) {
+    this.clock = clock;
+  }
+
+  boolean lasts() {
+    return until != null;
+  }
+
+  /** Stops executing for so long; a hang that is under way may become longer. */
+  void begin(double seconds) {
+    SteadyTime end = clock.now().plusSeconds(seconds);
+    if (until == null) {
+      from = clock.now();
+      until = end;
+    } else {
+      until = until.max(end);
+    }
+  }
+
+  /** Whether a hang was under way and its time is over now. */
+  boolean isOver() {
+    return until != null && !clock.now().isBefore(until);
+  }
+
+  /** Ends the hang. */
+  void end() {
+    earlierHangsS += clock.now().secondsSince(from);
+    until = null;
+  }
+
+  /** Has an action wait for the end of the hang. */
+  void defer(Runnable action) {
+    waiting.add(action);
+  }
+
+  /** Runs what has waited, in order. */
+  void runDeferred() {
+    List<Runnable> held = List.copyOf(waiting);
+    waiting.clear();
+    held.forEach(Runnable::run);
+  }
+
+  private double hungSeconds() {
+    return earlierHangsS + (lasts() ? clock.now().secondsSince(from) : 0);
+  }
+
+  /** Runs an action after so many seconds in which the machine did execute. */
+  void afterWork(double seconds, Runnable action) {
+    double before = hungSeconds();
+    clock.after(
+        seconds,
+        () -> {
+          double lost = hungSeconds() - before;
+          if (lasts()) {
+            defer(() -> afterWork(lost, action));
+          } else if (lost > 0) {
+            afterWork(lost, action);
+          } else {
+            action.run();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/MessageCounts.java
@@ -0,0 +1,88 @@
+package org.ternhinge.sim;
+
+/** Counts of messages and calls since the cluster began, by which tests bound the work done. */
+public final class MessageCounts {
+  private long reports;
+  private long commandCalls;
+  private long commandCallsUnderWay;
+  private long mostCommandCallsAtOnce;
+  private long stateChanges;
+  private long machineListings;
+  private long rentalCalls;
+  private long releaseCalls;
+  private int leaderships;
+
+  void report() {
+    reports++;
+  }
+
+  void commandCallBegan() {
+    commandCalls++;
+    commandCallsUnderWay++;
+    mostCommandCallsAtOnce = Math.max(mostCommandCallsAtOnce, commandCallsUnderWay);
+  }
+
+  void commandCallEnded() {
+    commandCallsUnderWay--;
+  }
+
+  void stateChanges(int changes) {
+    stateChanges += changes;
+  }
+
+  void machineListing() {
+    machineListings++;
+  }
+
+  void rentalCall() {
+    rentalCalls++;
+  }
+
+  void releaseCall() {
+    releaseCalls++;
+  }
+
+  void leadership() {
+    leaderships++;
+  }
+
+  /** Reports that workers sent. */
+  public long reports() {
+    return reports;
+  }
+
+  /** Direct commands that controllers sent to workers. */
+  public long commandCalls() {
+    return commandCalls;
+  }
+
+  /** The most direct commands that were under way at once. */
+  public long mostCommandCallsAtOnce() {
+    return mostCommandCallsAtOnce;
+  }
+
+  /** Puts and deletes that controllers sent to the state service. */
+  public long stateChanges() {
+    return stateChanges;
+  }
+
+  /** Pages of the machine list that controllers asked for. */
+  public long machineListings() {
+    return machineListings;
+  }
+
+  /** Rental requests. */
+  public long rentalCalls() {
+    return rentalCalls;
+  }
+
+  /** Requests to delete machines. */
+  public long releaseCalls() {
+    return releaseCalls;
+  }
+
+  /** Times that some controller began to lead. */
+  public int leaderships() {
+    return leaderships;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/NetworkFaults.java
@@ -0,0 +1,158 @@
+package org.ternhinge.sim;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import java.util.random.RandomGenerator;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.SteadyTime;
+
+/** Faults of the network between controllers, zones and the region, and slow links. */
+public final class NetworkFaults {
+  /** The place of users, the cloud and the state service, which lie in no zone. */
+  static final String REGION = null;
+
+  /** Longer than a cut itself, so that what it held arrives after it. */
+  private static final double AFTER_CUT_S = 0.01;
+
+  private static final double WAKE_AFTER_S = 0.001;
+
+  private final SimClock clock;
+  private final SimNetwork network;
+  private final SimStateService state;
+  private final RandomGenerator random;
+  private final SteadyTime[] cutFromWorkersUntil;
+  private final SteadyTime[] cutFromPeersUntil;
+  private String zoneCut;
+  private SteadyTime zoneCutUntil;
+  private SteadyTime partedUntil;
+
+  NetworkFaults(
+      SimClock clock,
+      SimNetwork network,
+      SimStateService state,
+      int controllers,
+      RandomGenerator random) {
+    this.clock = clock;
+    this.network = network;
+    this.state = state;
+    this.random = random;
+    this.cutFromWorkersUntil = new SteadyTime[controllers];
+    this.cutFromPeersUntil = new SteadyTime[controllers];
+  }
+
+  private SteadyTime in(double seconds) {
+    return clock.now().plusSeconds(seconds);
+  }
+
+  private boolean lasts(SteadyTime until) {
+    return until != null && clock.now().isBefore(until);
+  }
+
+  /** Like {@link #lasts}, its last moment included. */
+  private boolean lastsThrough(SteadyTime until) {
+    return until != null && !until.isBefore(clock.now());
+  }
+
+  // ---- controllers ----------------------------------------------------------------------------
+
+  /** Cuts a controller off from all workers. */
+  public void cutWorkers(int controller, double seconds) {
+    cutFromWorkersUntil[controller] = in(seconds);
+  }
+
+  boolean cutFromWorkers(int controller) {
+    return lastsThrough(cutFromWorkersUntil[controller]);
+  }
+
+  /** Cuts a controller off from the state service and the other ones, not from its workers. */
+  public void cutOff(int controller, double seconds) {
+    state.refuse(controller, seconds);
+    cutFromPeersUntil[controller] = in(seconds);
+  }
+
+  boolean cutFromPeers(int controller) {
+    return lastsThrough(cutFromPeersUntil[controller]);
+  }
+
+  // ---- links ----------------------------------------------------------------------------------
+
+  /** From now on each message takes up to so long, in either direction; 0 for quick links. */
+  public void slowLinks(double seconds) {
+    network.slowS = seconds;
+  }
+
+  /** From now on cuts lose what is sent instead of delivering it late. */
+  public void cutsLose() {
+    network.holdsBack = false;
+  }
+
+  // ---- zones ----------------------------------------------------------------------------------
+
+  /** The zone of a controller; those with odd numbers stand in the second zone. */
+  public static String zoneOf(int controller) {
+    return ClusterSettings.ZONES.get(controller % 2);
+  }
+
+  /**
+   * Cuts a zone with its controllers off. Inside all reach each other; what was sent across is
+   * refused, or arrives in order once the cut is over.
+   */
+  public void cutZone(String zone, double seconds) {
+    zoneCut = zone;
+    zoneCutUntil = in(seconds);
+    clock.after(seconds + WAKE_AFTER_S, state::wakeWatches);
+  }
+
+  /** The two zones can't reach each other, while each reaches the region. */
+  public void partZones(double seconds) {
+    partedUntil = in(seconds);
+  }
+
+  /** Whether two places can't reach each other. */
+  boolean apart(String one, String other) {
+    return cutOff(one, other) || parted(one, other);
+  }
+
+  private boolean cutOff(String one, String other) {
+    return lasts(zoneCutUntil) && zoneCut.equals(one) != zoneCut.equals(other);
+  }
+
+  private boolean parted(String one, String other) {
+    return lasts(partedUntil) && one != REGION && other != REGION && !one.equals(other);
+  }
+
+  private double endsIn(String one, String other) {
+    SteadyTime until = cutOff(one, other) ? zoneCutUntil : partedUntil;
+    return until.secondsSince(clock.now());
+  }
+
+  // ---- calls ----------------------------------------------------------------------------------
+
+  /** A call that fails by refusal or by silence, its request being lost. */
+  <T> CompletableFuture<Outcome<T>> lostCall(double timeoutS) {
+    return network.fail(random.nextBoolean(), timeoutS);
+  }
+
+  /**
+   * A call between two places, which a zone's cut may part.
+   *
+   * @param cut whether another cut parts them
+   * @param work what is done where the request arrives, with the way of its answer
+   */
+  <T> CompletableFuture<Outcome<T>> call(
+      String one,
+      String other,
+      Supplier<Boolean> cut,
+      double timeoutS,
+      Consumer<Consumer<Outcome<T>>> work) {
+    if (!apart(one, other)) {
+      return network.call(cut, timeoutS, work);
+    }
+    boolean refused = random.nextBoolean();
+    if (!refused) {
+      clock.after(endsIn(one, other) + AFTER_CUT_S, () -> work.accept(answer -> {}));
+    }
+    return network.fail(refused, timeoutS);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/PlacementCheck.java
@@ -0,0 +1,59 @@
+package org.ternhinge.sim;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.wire.JobSpec;
+
+/**
+ * Rule {@code wrong_place}: a task starts only on a type, in a zone and on a kind of machine that
+ * its job permits, given the job's other tasks at that moment.
+ */
+final class PlacementCheck implements TaskObserver {
+  private final RuleViolations violations;
+
+  /** Tasks of each job that run, by zone; a zone without any is absent. */
+  private final Map<JobId, Map<String, Integer>> tasksByZone = new HashMap<>();
+
+  PlacementCheck(RuleViolations violations) {
+    this.violations = violations;
+  }
+
+  @Override
+  public void started(Start start) {
+    SimWorker machine = start.machine();
+    JobSpec spec = start.spec();
+    TaskId task = start.task();
+    if (!permits(spec, machine)) {
+      violations.add("wrong_place: " + task + " on " + machine.id());
+    }
+    Map<String, Integer> zones = tasksByZone.computeIfAbsent(task.job(), unused -> new HashMap<>());
+    zones.merge(machine.zone, 1, Integer::sum);
+    if (spec.together() && zones.size() > 1) {
+      violations.add("wrong_place: " + task + " apart from its gang");
+    }
+    if (zones.get(machine.zone) > spec.zoneLimit()) {
+      violations.add("wrong_place: " + task + " too many in " + machine.zone);
+    }
+  }
+
+  private static boolean permits(JobSpec spec, SimWorker machine) {
+    boolean type = spec.allowsType(machine.flavor.name());
+    boolean zone = spec.zone() == null || spec.zone().equals(machine.zone);
+    boolean kind = !machine.spot || spec.spotAllowed();
+    return type && zone && kind;
+  }
+
+  @Override
+  public void left(SimWorker machine, TaskId task, JobSpec spec) {
+    tasksByZone
+        .get(task.job())
+        .computeIfPresent(machine.zone, (zone, count) -> count == 1 ? null : count - 1);
+  }
+
+  /** Tasks of a job that run, by zone. */
+  Map<String, Integer> tasksByZone(JobId id) {
+    return tasksByZone.getOrDefault(id, Map.of());
+  }
+}
--- a/src/test/java/org/ternhinge/sim/SimCloud.java
+++ b/src/test/java/org/ternhinge/sim/SimCloud.java
@@ -19,12 +19,12 @@
     <T> CompletableFuture<T> guard(CompletableFuture<T> from);
   }
 
-  private final SimCluster world;
+  private final SimCluster cluster;
   private final int node;
   private final Guard owner;
 
-  SimCloud(SimCluster world, int node, Guard owner) {
-    this.world = world;
+  SimCloud(SimCluster cluster, int node, Guard owner) {
+    this.cluster = cluster;
     this.node = node;
     this.owner = owner;
   }
@@ -32,8 +32,8 @@
   @Override
   public CompletableFuture<Outcome<List<Flavor>>> flavors() {
     return owner.guard(
-        world.troubles.<List<Flavor>>call(
-            FaultInjector.zoneOf(node),
+        cluster.networkFaults.<List<Flavor>>call(
+            NetworkFaults.zoneOf(node),
             null,
             () -> false,
             5,
@@ -42,29 +42,29 @@
 
   @Override
   public CompletableFuture<Outcome<List<MachineId>>> rent(RentalRequest request) {
-    world.rentCalls++;
+    cluster.counts.rentalCall();
     return owner.guard(
-        world.troubles.<List<MachineId>>call(
-            FaultInjector.zoneOf(node),
+        cluster.networkFaults.<List<MachineId>>call(
+            NetworkFaults.zoneOf(node),
             null,
             () -> false,
             5,
-            to -> to.accept(Outcome.applied(world.stock.rentNow(request)))));
+            to -> to.accept(Outcome.applied(cluster.stock.rentNow(request)))));
   }
 
   @Override
   public CompletableFuture<Outcome<Integer>> release(List<MachineId> ids) {
-    world.returnCalls++;
+    cluster.counts.releaseCall();
     return owner.guard(
-        world.troubles.<Integer>call(
-            FaultInjector.zoneOf(node),
+        cluster.networkFaults.<Integer>call(
+            NetworkFaults.zoneOf(node),
             null,
             () -> false,
             5,
             to -> {
               ids.forEach(
                   id -> {
-                    SimWorker w = world.workers.remove(id);
+                    SimWorker w = cluster.workers.remove(id);
                     if (w != null) {
                       w.die();
                     }
@@ -75,38 +75,38 @@
 
   @Override
   public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
-    world.listings++;
-    if (world.troubles.apart(FaultInjector.zoneOf(node), null)) {
-      return owner.guard(world.troubles.mute(5));
+    cluster.counts.machineListing();
+    if (cluster.networkFaults.apart(NetworkFaults.zoneOf(node), null)) {
+      return owner.guard(cluster.networkFaults.lostCall(5));
     }
     List<HostInfo> hosts = new ArrayList<>();
     boolean more = false;
     for (SimWorker w :
-        (after == null ? world.workers : world.workers.tailMap(after, false)).values()) {
+        (after == null ? cluster.workers : cluster.workers.tailMap(after, false)).values()) {
       if (hosts.size() == limit) {
         more = true;
         break;
       }
       hosts.add(
           new HostInfo(
-              w.id, w.endpoint(), w.flavor.name(), w.zone, w.spot, HostInfo.State.RUNNING, 30));
+              w.id(), w.endpoint(), w.flavor.name(), w.zone, w.spot, HostInfo.State.RUNNING, 30));
     }
     HostInfo.Page page = new HostInfo.Page(hosts, more);
     CompletableFuture<Outcome<HostInfo.Page>> out = new CompletableFuture<>();
     // The list lags.
-    world.clock.after(1, () -> out.complete(Outcome.applied(page)));
+    cluster.clock.after(1, () -> out.complete(Outcome.applied(page)));
     return owner.guard(out);
   }
 
   /** What the cloud has rented out, to whomever. */
   static final class Stock {
-    private final SimCluster world;
+    private final SimCluster cluster;
     private final Map<String, List<MachineId>> rentals = new HashMap<>();
     private final Map<String, Integer> booting = new HashMap<>();
     private int machinesMade;
 
-    Stock(SimCluster world) {
-      this.world = world;
+    Stock(SimCluster cluster) {
+      this.cluster = cluster;
     }
 
     int machinesMade() {
@@ -119,7 +119,7 @@
 
     private int rentedNow(String offer) {
       int n = booting.getOrDefault(offer, 0);
-      for (SimWorker w : world.workers.values()) {
+      for (SimWorker w : cluster.workers.values()) {
         n += offer(w.flavor.name(), w.zone, w.spot).equals(offer) ? 1 : 0;
       }
       return n;
@@ -131,16 +131,16 @@
           k -> {
             List<MachineId> out = new ArrayList<>();
             String offer = offer(q.type(), q.zone(), q.spot());
-            int left = world.machinesOfEach() - rentedNow(offer);
+            int left = cluster.machinesOfEach() - rentedNow(offer);
             for (int i = 0; i < Math.min(q.count(), left); i++) {
               MachineId id = new MachineId(String.format("n-%06d", machinesMade++));
               out.add(id);
               Flavor f = SimCluster.FLAVORS.get(q.type().equals("small") ? 0 : 1);
-              world.clock.after(
-                  f.bootS() * (0.6 + world.random.nextDouble()),
+              cluster.clock.after(
+                  f.bootS() * (0.6 + cluster.random.nextDouble()),
                   () -> {
                     booting.merge(offer, -1, Integer::sum);
-                    world.workers.put(id, new SimWorker(world, id, f, q.zone(), q.spot()));
+                    cluster.workers.put(id, new SimWorker(cluster, id, f, q.zone(), q.spot()));
                   });
             }
             booting.merge(offer, out.size(), Integer::sum);
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/SimCommandClient.java
@@ -0,0 +1,61 @@
+package org.ternhinge.sim;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.Term;
+import org.ternhinge.wire.Command;
+import org.ternhinge.worker.Workers;
+
+/** The way of one controller process's direct commands to the workers. */
+final class SimCommandClient implements Workers {
+  private static final double TIMEOUT_S = 3;
+
+  private final SimCluster cluster;
+  private final SimController owner;
+
+  SimCommandClient(SimCluster cluster, SimController owner) {
+    this.cluster = cluster;
+    this.owner = owner;
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Answer>> order(
+      Endpoint endpoint, Term term, Session session, List<Command> commands) {
+    cluster.counts.commandCallBegan();
+    MachineId id = SimWorker.idAt(endpoint);
+    SimWorker worker = cluster.workers.get(id);
+    cluster.tasks.sent(id, commands);
+    cluster.commandsLeave(id, commands);
+    CompletableFuture<Outcome<Answer>> answer =
+        cluster.networkFaults.call(
+            owner.zone(),
+            worker == null ? owner.zone() : worker.zone,
+            () -> !reaches(worker),
+            TIMEOUT_S,
+            to -> {
+              if (worker != null) {
+                worker.order(term, session, commands, to);
+              }
+            });
+    return owner.guard(
+        answer.thenApply(
+            outcome -> {
+              cluster.counts.commandCallEnded();
+              return outcome;
+            }));
+  }
+
+  private boolean reaches(SimWorker worker) {
+    return worker != null
+        && !worker.cut()
+        && !worker.deaf()
+        && !cluster.networkFaults.cutFromWorkers(owner.index());
+  }
+
+  @Override
+  public void forget(Endpoint endpoint) {}
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/SimController.java
@@ -0,0 +1,143 @@
+package org.ternhinge.sim;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import org.ternhinge.config.Settings;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.controller.ControllerNode;
+import org.ternhinge.controller.ControllerServices;
+import org.ternhinge.election.Election;
+import org.ternhinge.http.Request;
+import org.ternhinge.http.Response;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.SteadyTime;
+
+/**
+ * One process of a controller with everything around it simulated. Once it is killed, nothing
+ * reaches it and nothing comes from it any more; a restart is another process.
+ */
+final class SimController implements Clock, SimCloud.Guard {
+  /** Work that the service hands to another thread runs so much later, in seconds. */
+  private static final double HAND_OVER_S = 0.001;
+
+  private final SimCluster cluster;
+  private final int index;
+  private final ControllerNode node;
+  private boolean alive = true;
+
+  SimController(SimCluster cluster, int index) {
+    this.cluster = cluster;
+    this.index = index;
+    ReentrantLock lock = new ReentrantLock();
+    Settings settings = cluster.settings.of("node-" + index);
+    SimStateClient state = new SimStateClient(cluster, this);
+    ControllerServices services =
+        new ControllerServices(
+            settings,
+            Tuning.DEFAULT,
+            state,
+            new SimCloud(cluster, index, this),
+            new SimCommandClient(cluster, this),
+            this,
+            lock,
+            action -> after(HAND_OVER_S, action),
+            cluster.metrics);
+    Election election =
+        new Election(
+            settings.node(),
+            state,
+            this,
+            Tuning.DEFAULT,
+            Election.grace(Tuning.DEFAULT, settings.workers()),
+            lock,
+            cluster.random.split());
+    node =
+        new ControllerNode(
+            services,
+            election,
+            new PeerLinks(),
+            leading -> {
+              if (leading) {
+                cluster.counts.leadership();
+              }
+              state.leads(leading);
+            });
+  }
+
+  /** The way to the other controllers. */
+  private final class PeerLinks implements ControllerNode.Peers {
+    @Override
+    public void ask(String to, Request request, double timeoutS, Consumer<Response> answer) {
+      cluster.ask(SimController.this, to, request, timeoutS, answer);
+    }
+
+    @Override
+    public void reset(String to) {}
+  }
+
+  void start() {
+    node.start();
+  }
+
+  void kill() {
+    alive = false;
+  }
+
+  int index() {
+    return index;
+  }
+
+  String zone() {
+    return NetworkFaults.zoneOf(index);
+  }
+
+  /** A request of a user or a worker arrives. */
+  void handle(Request request, Consumer<Response> answer) {
+    node.handle(
+        request,
+        response -> {
+          if (alive) {
+            answer.accept(response);
+          }
+        });
+  }
+
+  /** A request of another controller arrives. */
+  void handlePeer(Request request, Consumer<Response> answer) {
+    node.handlePeer(request, answer);
+  }
+
+  @Override
+  public <T> CompletableFuture<T> guard(CompletableFuture<T> from) {
+    CompletableFuture<T> guarded = new CompletableFuture<>();
+    from.thenAccept(
+        value -> {
+          if (alive) {
+            guarded.complete(value);
+          }
+        });
+    return guarded;
+  }
+
+  @Override
+  public SteadyTime now() {
+    return cluster.clock.now();
+  }
+
+  @Override
+  public long wallMillis() {
+    return cluster.clock.wallMillis();
+  }
+
+  @Override
+  public void after(double seconds, Runnable action) {
+    cluster.clock.after(
+        seconds,
+        () -> {
+          if (alive) {
+            action.run();
+          }
+        });
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/SimStateClient.java
@@ -0,0 +1,174 @@
+package org.ternhinge.sim;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.limit.TokenBucket;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.Revision;
+import org.ternhinge.state.ResponseTimeouts;
+import org.ternhinge.state.ResponseTimeouts.Kind;
+import org.ternhinge.state.StateStore;
+import org.ternhinge.state.Txn;
+
+/** The state service as one controller process reaches it, with that process's share of limits. */
+final class SimStateClient implements StateStore {
+  /** Of the limit on changes, what the leader uses; the others share the rest. */
+  private static final double LEADER_SHARE = 0.7;
+
+  /** After so long without an answer a listing is given up, in seconds. */
+  private static final double LIST_TIMEOUT_S = 5;
+
+  /** A watch is given up so long after its own end. */
+  private static final double WATCH_TIMEOUT_S = 5;
+
+  private final SimCluster cluster;
+  private final SimController owner;
+  private final SimStateService service;
+  private final StateServiceFaults faults;
+  private final TokenBucket changes;
+  private final ResponseTimeouts timeouts;
+
+  SimStateClient(SimCluster cluster, SimController owner) {
+    this.cluster = cluster;
+    this.owner = owner;
+    this.service = cluster.state;
+    this.faults = cluster.stateFaults;
+    this.changes = new TokenBucket(cluster.clock, rate(false));
+    this.timeouts = ResponseTimeouts.of(cluster.clock, Tuning.DEFAULT);
+  }
+
+  /** The limit is for all controllers together; who leads uses most of it. */
+  private double rate(boolean leading) {
+    double follower = (1 - LEADER_SHARE) / Math.max(1, cluster.nodeCount() - 1);
+    return cluster.settings.limits().writeRps() * (leading ? LEADER_SHARE : follower);
+  }
+
+  void leads(boolean leading) {
+    changes.setRate(rate(leading));
+  }
+
+  private boolean refused() {
+    return service.refuses(owner.index());
+  }
+
+  /** Brings a request to the service and its outcome back, unless the service refuses it. */
+  private <T> CompletableFuture<Outcome<T>> send(double timeoutS, Supplier<Outcome<T>> work) {
+    CompletableFuture<Outcome<T>> call =
+        cluster.networkFaults.call(
+            owner.zone(),
+            NetworkFaults.REGION,
+            () -> false,
+            timeoutS,
+            answer ->
+                faults.delayed(
+                    () -> {
+                      Outcome<T> outcome =
+                          refused() ? Outcome.notApplied(Reason.REFUSED, "503") : work.get();
+                      faults.delayed(() -> answer.accept(outcome));
+                    }));
+    return owner.guard(call);
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Read>> get(String key, RequestPriority priority) {
+    return timeouts.measure(
+        Kind.READ,
+        timeoutS -> send(timeoutS, () -> Outcome.applied(service.contents().get(key))));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Page>> list(
+      String prefix, String after, int limit, RequestPriority priority) {
+    return send(
+        LIST_TIMEOUT_S, () -> Outcome.applied(service.contents().list(prefix, after, limit)));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority priority) {
+    if (!changes.tryTake(priority, txn.changes().size())) {
+      return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, ""));
+    }
+    cluster.counts.stateChanges(txn.changes().size());
+    double late = faults.lateBy();
+    if (late > 0) {
+      cluster.clock.after(late, () -> service.txn(owner.index(), txn));
+      return timeouts.measure(
+          Kind.WRITE, timeoutS -> owner.guard(cluster.network.fail(false, timeoutS)));
+    }
+    return timeouts
+        .<Revision>measure(
+            Kind.WRITE, timeoutS -> send(timeoutS, () -> service.txn(owner.index(), txn)))
+        .thenApply(this::slowDownIfTooFast);
+  }
+
+  private Outcome<Revision> slowDownIfTooFast(Outcome<Revision> outcome) {
+    if (outcome instanceof Outcome.NotApplied<Revision> refused && refused.detail().equals("429")) {
+      changes.drain();
+    }
+    return outcome;
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Long>> grant(long millis) {
+    return timeouts.measure(
+        Kind.LEASE,
+        timeoutS -> send(timeoutS, () -> Outcome.applied(service.contents().grant(millis))));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Long>> renew(long lease, double timeoutS) {
+    return timeouts.observe(send(timeoutS, () -> service.contents().renew(lease)));
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Long>> revoke(long lease) {
+    return timeouts.measure(Kind.LEASE, timeoutS -> send(timeoutS, () -> revoked(lease)));
+  }
+
+  private Outcome<Long> revoked(long lease) {
+    service.contents().revoke(lease);
+    return Outcome.applied(lease);
+  }
+
+  @Override
+  public CompletableFuture<Outcome<Changes>> follow(String prefix, Revision from, double waitS) {
+    CompletableFuture<Outcome<Changes>> call =
+        cluster.networkFaults.call(
+            owner.zone(),
+            NetworkFaults.REGION,
+            () -> false,
+            waitS + WATCH_TIMEOUT_S,
+            answer -> {
+              if (refused()) {
+                answer.accept(Outcome.notApplied(Reason.REFUSED, "503"));
+                return;
+              }
+              service
+                  .contents()
+                  .follow(
+                      prefix,
+                      from.value(),
+                      waitS,
+                      this::watchIsHeld,
+                      seen -> faults.delayed(() -> answer.accept(Outcome.applied(seen))));
+            });
+    return owner.guard(call);
+  }
+
+  private boolean watchIsHeld() {
+    return refused() || cluster.networkFaults.apart(owner.zone(), NetworkFaults.REGION);
+  }
+
+  @Override
+  public int changesNow(RequestPriority priority) {
+    return changes.available(priority);
+  }
+
+  @Override
+  public double secondsUntilTxn(int count, RequestPriority priority) {
+    return changes.secondsUntil(priority, count);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/SimStateService.java
@@ -0,0 +1,130 @@
+package org.ternhinge.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Entry;
+import org.ternhinge.state.Txn;
+
+/**
+ * The one state service of a simulated cluster: its contents, its limits, and whom it refuses at
+ * present. Controllers reach it through a {@link SimStateClient} each.
+ */
+public final class SimStateService {
+  /** Longer than the refusal itself, so that a watch that is woken is no longer refused. */
+  private static final double AFTER_S = 0.001;
+
+  private static final String LEADER_KEY = "leader";
+  private static final String NODE_PREFIX = "node-";
+
+  private final SimClock clock;
+  private final StoreCore contents;
+  private final StateLimits limits;
+  private final SteadyTime[] refusedUntil;
+  private SteadyTime outageUntil;
+  private Consumer<Change> carriedOut = change -> {};
+
+  SimStateService(SimClock clock, int controllers, SimCluster.Limits limits) {
+    this.clock = clock;
+    this.contents = new StoreCore(clock);
+    this.limits = new StateLimits(clock, limits);
+    this.refusedUntil = new SteadyTime[controllers];
+  }
+
+  /** Has every change of a transaction that is carried out shown to a check. */
+  void onChange(Consumer<Change> check) {
+    carriedOut = check;
+  }
+
+  StoreCore contents() {
+    return contents;
+  }
+
+  // ---- refusals -------------------------------------------------------------------------------
+
+  /** Refuses everybody for so long; leases have their full time again when it is over. */
+  void outage(double seconds) {
+    outageUntil = clock.now().plusSeconds(seconds);
+    contents.hold(seconds);
+    clock.after(seconds, contents::renewAll);
+    clock.after(seconds + AFTER_S, this::wakeWatches);
+  }
+
+  /** Refuses one controller alone, whose leases may run out meanwhile. */
+  void refuse(int controller, double seconds) {
+    refusedUntil[controller] = clock.now().plusSeconds(seconds);
+    clock.after(seconds + AFTER_S, this::wakeWatches);
+  }
+
+  /** Whether a controller is refused now, alone or with all others. */
+  boolean refuses(int controller) {
+    return lasts(outageUntil) || lasts(refusedUntil[controller]);
+  }
+
+  private boolean lasts(SteadyTime until) {
+    return until != null && !until.isBefore(clock.now());
+  }
+
+  /** Watches that a fault has held answer with what they have missed. */
+  void wakeWatches() {
+    contents.wake();
+  }
+
+  // ---- limits ---------------------------------------------------------------------------------
+
+  /** From now on it takes other amounts, without notice. */
+  void setLimits(SimCluster.Limits to) {
+    limits.set(to);
+  }
+
+  /** Transactions that were refused since they were too large. */
+  public int tooLarge() {
+    return limits.tooLarge;
+  }
+
+  /** Transactions that were refused since they came too fast. */
+  public int tooFast() {
+    return limits.tooFast;
+  }
+
+  // ---- contents -------------------------------------------------------------------------------
+
+  /** A transaction of a controller arrives. */
+  Outcome<Revision> txn(int controller, Txn txn) {
+    return refuses(controller)
+        ? Outcome.notApplied(Reason.REFUSED, "503")
+        : limits.take(txn, this::carryOut);
+  }
+
+  private Outcome<Revision> carryOut(Txn txn) {
+    Outcome<Revision> outcome = contents.txn(txn);
+    if (outcome instanceof Outcome.Applied) {
+      txn.changes().forEach(carriedOut);
+    }
+    return outcome;
+  }
+
+  /** Writes whatever the limits are, as it was written under earlier ones. */
+  public void put(List<Change> changes) {
+    contents.txn(new Txn(Map.of(), changes));
+  }
+
+  /** The value of a key, or null. */
+  public JsonNode value(String key) {
+    return contents.get(key).entry().map(Entry::value).orElse(null);
+  }
+
+  /** The controller that it holds for the leader, or -1. */
+  int leader() {
+    JsonNode leader = value(LEADER_KEY);
+    return leader == null
+        ? -1
+        : Integer.parseInt(leader.path("node").asText().substring(NODE_PREFIX.length()));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/SimTask.java
@@ -0,0 +1,56 @@
+package org.ternhinge.sim;
+
+import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.EndReason;
+import org.ternhinge.wire.TaskReport;
+import org.ternhinge.wire.TaskState;
+
+/** One attempt of a task on a simulated machine, until it is cleared. */
+final class SimTask {
+  private final TaskId id;
+  private final AttemptNumber attempt;
+  private TaskState state = TaskState.FETCHING;
+  private EndReason why;
+
+  SimTask(Command start) {
+    this.id = start.task();
+    this.attempt = start.attempt();
+  }
+
+  TaskId id() {
+    return id;
+  }
+
+  boolean isFetching() {
+    return state == TaskState.FETCHING;
+  }
+
+  boolean isRunning() {
+    return state == TaskState.RUNNING;
+  }
+
+  boolean hasEnded() {
+    return state == TaskState.ENDED;
+  }
+
+  void run() {
+    state = TaskState.RUNNING;
+  }
+
+  /** Ends it together with everything else on its machine, which reports it no more. */
+  void kill() {
+    state = TaskState.ENDED;
+  }
+
+  /** Ends it for a reason that the machine reports. */
+  void end(EndReason reason) {
+    state = TaskState.ENDED;
+    why = reason;
+  }
+
+  TaskReport report() {
+    return new TaskReport(id, attempt, state, why, false);
+  }
+}
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -1,19 +1,16 @@
 package org.ternhinge.sim;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
-import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
-import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Session;
 import org.ternhinge.model.SteadyTime;
-import org.ternhinge.model.TaskId;
 import org.ternhinge.model.Term;
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.EndReason;
@@ -21,49 +18,42 @@
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Json;
 import org.ternhinge.wire.TaskReport;
-import org.ternhinge.wire.TaskState;
 import org.ternhinge.wire.WireException;
 import org.ternhinge.wire.WorkerReport;
 import org.ternhinge.worker.Workers;
 
-/** A worker as the protocol page gives it: sessions, tokens, leases, tasks. */
+/** A machine with its worker as the protocol has it: sessions, tokens, leases and tasks. */
 public final class SimWorker {
+  /** Time of an image fetch. */
   private static final double FETCH_S = 1;
 
-  private final class Task {
-    private final TaskId id;
-    private final AttemptNumber attempt;
-    private TaskState state = TaskState.FETCHING;
-    private EndReason why;
+  /** Reports go out at most once in so long upon changes. */
+  private static final double REPORT_GAP_S = 0.5;
 
-    Task(TaskId id, AttemptNumber attempt) {
-      this.id = id;
-      this.attempt = attempt;
-    }
+  private static final double REPORT_TIMEOUT_S = 4;
+  private static final double NEXT_NODE_S = 1;
+  private static final double REDIRECT_S = 0.2;
+  private static final double LEASE_CHECK_S = 0.5;
+  private static final String NODE_PREFIX = "node-";
+  private static final String HOST = "10.9.0.1";
+  private static final int FIRST_PORT = 1000;
 
-    void end(EndReason reason) {
-      if (state == TaskState.RUNNING) {
-        world.left(SimWorker.this, id);
-      }
-      state = TaskState.ENDED;
-      why = reason;
-      changed();
-    }
-  }
-
-  final SimCluster world;
-  final MachineId id;
+  private final SimCluster cluster;
+  private final MachineId id;
   final Flavor flavor;
   final String zone;
   final boolean spot;
-  private final Map<String, Task> tasks = new LinkedHashMap<>();
+  private final Map<String, SimTask> tasks = new LinkedHashMap<>();
+  private final MachineHang hang;
   private int session = 1;
   private long sequence;
   private Term token = Term.NONE;
   private SteadyTime leaseFrom;
   private int target;
   private int reports;
-  boolean dead;
+  private boolean dead;
+
+  /** Until then nothing passes in either direction. */
   SteadyTime cutUntil;
 
   /** Until then its reports arrive, but no answer and no command reaches it. */
@@ -72,23 +62,15 @@
   /** Until then its reports reach nobody, while commands reach it. */
   SteadyTime muteUntil;
 
-  /** Until then it executes nothing; its lease runs on. */
-  private SteadyTime hangUntil;
-
-  private SteadyTime hungFrom;
-  private double hungBefore;
-
-  /** What has arrived while it hung, in order. */
-  private final List<Runnable> waiting = new ArrayList<>();
-
-  SimWorker(SimCluster world, MachineId id, Flavor flavor, String zone, boolean spot) {
-    this.world = world;
+  SimWorker(SimCluster cluster, MachineId id, Flavor flavor, String zone, boolean spot) {
+    this.cluster = cluster;
     this.id = id;
     this.flavor = flavor;
     this.zone = zone;
     this.spot = spot;
-    this.target = world.random.nextInt(world.nodeCount());
-    this.leaseFrom = world.clock.now();
+    this.hang = new MachineHang(cluster.clock);
+    this.target = cluster.random.nextInt(cluster.nodeCount());
+    this.leaseFrom = cluster.clock.now();
     watchLease();
     report();
   }
@@ -97,71 +79,71 @@
     return id;
   }
 
+  String endpoint() {
+    return HOST + ":" + (FIRST_PORT + Integer.parseInt(id.value().substring(2)));
+  }
+
+  /** The machine at an address. */
+  static MachineId idAt(Endpoint endpoint) {
+    return new MachineId(String.format("n-%06d", endpoint.port() - FIRST_PORT));
+  }
+
+  // ---- faults ---------------------------------------------------------------------------------
+
   boolean cut() {
-    return cutUntil != null && world.clock.now().isBefore(cutUntil);
+    return lasts(cutUntil);
   }
 
   boolean deaf() {
-    return deafUntil != null && world.clock.now().isBefore(deafUntil);
+    return lasts(deafUntil);
   }
 
   boolean mute() {
-    return muteUntil != null && world.clock.now().isBefore(muteUntil);
+    return lasts(muteUntil);
   }
 
   boolean hung() {
-    return hangUntil != null;
+    return hang.lasts();
+  }
+
+  private boolean lasts(SteadyTime until) {
+    return until != null && cluster.clock.now().isBefore(until);
   }
 
   /** Stops executing; a hang that is under way may become longer. */
   void hang(double seconds) {
-    SteadyTime end = world.clock.now().plusSeconds(seconds);
-    if (hangUntil == null) {
-      hungFrom = world.clock.now();
-      hangUntil = end;
-    } else {
-      hangUntil = hangUntil.max(end);
-    }
-    world.clock.after(seconds, this::resume);
+    hang.begin(seconds);
+    cluster.clock.after(seconds, this::resume);
   }
 
   private void resume() {
-    if (dead || hangUntil == null || world.clock.now().isBefore(hangUntil)) {
+    if (dead || !hang.isOver()) {
       return;
     }
-    hungBefore += world.clock.now().secondsSince(hungFrom);
-    hangUntil = null;
+    hang.end();
     checkLease();
-    List<Runnable> held = List.copyOf(waiting);
-    waiting.clear();
-    held.forEach(Runnable::run);
+    hang.runDeferred();
     report();
   }
 
-  private double hungSeconds() {
-    return hungBefore + (hung() ? world.clock.now().secondsSince(hungFrom) : 0);
+  /** The machine is gone for good. */
+  void die() {
+    dead = true;
+    tasks.values().forEach(this::kill);
+    tasks.clear();
   }
 
-  /** Runs an action after so many seconds in which the machine did execute. */
-  private void afterWork(double seconds, Runnable action) {
-    double before = hungSeconds();
-    world.clock.after(
-        seconds,
-        () -> {
-          double lost = hungSeconds() - before;
-          if (hung()) {
-            waiting.add(() -> afterWork(lost, action));
-          } else if (lost > 0) {
-            afterWork(lost, action);
-          } else {
-            action.run();
-          }
-        });
+  /** Its tasks are gone and its next session begins. */
+  void restart() {
+    beginSession();
+    changed();
   }
 
+  // ---- lease ----------------------------------------------------------------------------------
+
   private void watchLease() {
-    world.clock.after(
-        0.5,
+    cluster.clock.after(
+        LEASE_CHECK_S,
         () -> {
           if (dead) {
             return;
@@ -177,44 +159,33 @@
   }
 
   private boolean leaseOver() {
-    return world.clock.now().secondsSince(leaseFrom) > SimCluster.LEASE_S;
+    return cluster.clock.now().secondsSince(leaseFrom) > ClusterSettings.LEASE_S;
   }
 
   private void checkLease() {
     if (leaseOver()) {
-      tasks.values().forEach(this::kill);
-      tasks.clear();
-      session++;
-      leaseFrom = world.clock.now();
+      beginSession();
     }
   }
 
-  private void kill(Task t) {
-    if (t.state == TaskState.RUNNING) {
-      world.left(this, t.id);
-    }
-    t.state = TaskState.ENDED;
-  }
-
-  void die() {
-    dead = true;
+  private void beginSession() {
     tasks.values().forEach(this::kill);
     tasks.clear();
+    session++;
+    leaseFrom = cluster.clock.now();
   }
 
-  /** Its tasks are gone and its next session begins. */
-  void restart() {
-    tasks.values().forEach(this::kill);
-    tasks.clear();
-    session++;
-    leaseFrom = world.clock.now();
-    changed();
+  private void kill(SimTask task) {
+    leave(task);
+    task.kill();
   }
 
+  // ---- reports --------------------------------------------------------------------------------
+
   private void changed() {
     int before = reports;
-    world.clock.after(
-        0.5,
+    cluster.clock.after(
+        REPORT_GAP_S,
         () -> {
           if (!dead && !hung() && reports == before) {
             report();
@@ -222,15 +193,8 @@
         });
   }
 
-  String endpoint() {
-    return "10.9.0.1:" + (1000 + Integer.parseInt(id.value().substring(2)));
-  }
-
   private WorkerReport reportNow() {
-    List<TaskReport> list = new ArrayList<>();
-    for (Task t : tasks.values()) {
-      list.add(new TaskReport(t.id, t.attempt, t.state, t.why, false));
-    }
+    List<TaskReport> shown = tasks.values().stream().map(SimTask::report).toList();
     return new WorkerReport(
         id,
         endpoint(),
@@ -241,88 +205,102 @@
         ++sequence,
         token,
         null,
-        list);
+        shown);
   }
 
   private void report() {
     if (dead || hung()) {
       return;
     }
-    int mine = ++reports;
-    int asked = target;
+    int number = ++reports;
     int inSession = session;
-    SteadyTime sent = world.clock.now();
+    SteadyTime sent = cluster.clock.now();
     byte[] body = Json.bytes(reportNow().write());
-    world.maybeCopy(id, body);
-    boolean deaf = deaf();
-    boolean held = world.troubles.heldBack(id, body);
-    if (held || mute()) {
-      CompletableFuture<Outcome<Response>> lost =
-          held ? world.net.fail(false, 4) : world.troubles.mute(4);
-      lost.thenAccept(o -> answered(o, inSession, sent, mine));
-      return;
+    cluster.reportHistory.sent(id, body);
+    send(body).thenAccept(outcome -> answered(outcome, inSession, sent, number));
+  }
+
+  private CompletableFuture<Outcome<Response>> send(byte[] body) {
+    int controller = target;
+    boolean answerIsLost = deaf();
+    if (cluster.machineFaults.heldBack(id, body)) {
+      return cluster.network.fail(false, REPORT_TIMEOUT_S);
+    }
+    if (mute()) {
+      return cluster.networkFaults.lostCall(REPORT_TIMEOUT_S);
     }
-    world
-        .troubles
-        .<Response>call(
-            zone,
-            FaultInjector.zoneOf(asked),
-            () -> cut() || world.nodeCutFromWorkers(asked),
-            4,
-            to ->
-                world.deliver(
-                    asked,
-                    new Request("POST", "/agent/beat", body),
-                    r -> {
-                      if (r.status() == 200) {
-                        world.commanded(id, commands(r.body()));
-                      }
-                      if (!deaf) {
-                        to.accept(Outcome.applied(r));
-                      } else if (r.status() == 200) {
-                        world.sent(id, commands(r.body()));
-                      }
-                    }))
-        .thenAccept(o -> answered(o, inSession, sent, mine));
-  }
-
-  private void answered(Outcome<Response> outcome, int inSession, SteadyTime sent, int mine) {
+    return cluster.networkFaults.call(
+        zone,
+        NetworkFaults.zoneOf(controller),
+        () -> cut() || cluster.networkFaults.cutFromWorkers(controller),
+        REPORT_TIMEOUT_S,
+        to ->
+            cluster.deliver(
+                controller,
+                ReportHistory.request(body),
+                response -> {
+                  if (response.status() == 200) {
+                    cluster.commandsLeave(id, commands(response.body()));
+                  }
+                  if (!answerIsLost) {
+                    to.accept(Outcome.applied(response));
+                  } else if (response.status() == 200) {
+                    cluster.tasks.sent(id, commands(response.body()));
+                  }
+                }));
+  }
+
+  private void answered(Outcome<Response> outcome, int inSession, SteadyTime sent, int number) {
     if (dead) {
       return;
     }
     if (hung()) {
-      waiting.add(() -> answered(outcome, inSession, sent, mine));
+      hang.defer(() -> answered(outcome, inSession, sent, number));
       return;
     }
-    boolean late = world.clock.now().secondsSince(sent) > 4;
-    Outcome<Response> o = late ? Outcome.unknown("late") : outcome;
-    double next = SimCluster.REPORT_S * (0.75 + world.random.nextDouble() / 2);
-    if (o instanceof Outcome.Applied<Response> a && a.value().status() == 200) {
+    boolean late = cluster.clock.now().secondsSince(sent) > REPORT_TIMEOUT_S;
+    double next = ClusterSettings.REPORT_S * (0.75 + cluster.random.nextDouble() / 2);
+    Response response =
+        !late && outcome instanceof Outcome.Applied<Response> applied ? applied.value() : null;
+    if (response != null && response.status() == 200) {
       if (inSession == session) {
-        obey(a.value().body(), sent);
-      }
-    } else if (o instanceof Outcome.Applied<Response> a && a.value().status() == 421) {
-      try {
-        String name = Json.textOrNull(Json.parse(a.value().body()), "tilkynna_til");
-        int to = name == null ? target : Integer.parseInt(name.substring(5));
-        next = to == target ? 1 : 0.2;
-        target = to == target ? (target + 1) % world.nodeCount() : to;
-      } catch (WireException e) {
-        throw new IllegalStateException(e);
+        obey(response.body(), sent);
       }
+    } else if (response != null && response.status() == 421) {
+      next = follow(response.body());
     } else {
-      target = (target + 1) % world.nodeCount();
-      next = 1;
+      target = (target + 1) % cluster.nodeCount();
+      next = NEXT_NODE_S;
     }
-    world.clock.after(
+    cluster.clock.after(
         next,
         () -> {
-          if (reports == mine) {
+          if (reports == number) {
             report();
           }
         });
   }
 
+  /** Turns to the controller that a redirect names, and gives the seconds to the next report. */
+  private double follow(byte[] redirect) {
+    String name = textOrNull(redirect, "tilkynna_til");
+    int named = name == null ? target : Integer.parseInt(name.substring(NODE_PREFIX.length()));
+    if (named == target) {
+      target = (target + 1) % cluster.nodeCount();
+      return NEXT_NODE_S;
+    }
+    target = named;
+    return REDIRECT_S;
+  }
+
+  private static String textOrNull(byte[] body, String field) {
+    try {
+      return Json.textOrNull(Json.parse(body), field);
+    } catch (WireException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
   private static List<Command> commands(byte[] answer) {
     try {
       return Command.read(Json.parse(answer));
@@ -331,95 +309,121 @@
     }
   }
 
+  // ---- commands -------------------------------------------------------------------------------
+
+  /** Takes in an answer to a report: its token, its renewal of the lease and its commands. */
   private void obey(byte[] body, SteadyTime sent) {
+    Term answered = token(body);
+    if (answered.compareTo(token) < 0) {
+      return;
+    }
+    if (answered.compareTo(token) > 0) {
+      token = answered;
+      changed();
+    }
+    leaseFrom = sent;
+    commands(body).forEach(this::run);
+  }
+
+  private static Term token(byte[] answer) {
     try {
-      var json = Json.parse(body);
-      Term t = new Term(Json.count(json, "valdmerki"));
-      if (t.compareTo(token) < 0) {
-        return;
-      }
-      if (t.compareTo(token) > 0) {
-        token = t;
-        changed();
-      }
-      leaseFrom = sent;
-      Command.read(json).forEach(this::run);
+      return new Term(Json.count(Json.parse(answer), "valdmerki"));
     } catch (WireException e) {
       throw new IllegalStateException(e);
     }
   }
 
-  /** A direct order arrives, perhaps long after it was sent. */
-  void order(Term t, Session s, List<Command> commands, Consumer<Outcome<Workers.Answer>> to) {
+  /** A direct command arrives, perhaps long after it was sent. */
+  void order(
+      Term term, Session to, List<Command> commands, Consumer<Outcome<Workers.Answer>> answer) {
     if (dead) {
       return;
     }
     if (hung()) {
-      waiting.add(() -> order(t, s, commands, to));
+      hang.defer(() -> order(term, to, commands, answer));
       return;
     }
-    if (t.compareTo(token) < 0 || s.value() != session) {
-      to.accept(Outcome.applied(new Workers.Answer.Refused(reportNow())));
+    if (term.compareTo(token) < 0 || to.value() != session) {
+      answer.accept(Outcome.applied(new Workers.Answer.Refused(reportNow())));
       return;
     }
-    token = t;
+    token = term;
     commands.forEach(this::run);
-    to.accept(Outcome.applied(new Workers.Answer.Executed(reportNow())));
+    answer.accept(Outcome.applied(new Workers.Answer.Executed(reportNow())));
   }
 
-  private void run(Command c) {
-    String key = c.task() + "#" + c.attempt();
-    Task t = tasks.get(key);
-    switch (c.op()) {
+  private void run(Command command) {
+    String key = command.task() + "#" + command.attempt();
+    SimTask task = tasks.get(key);
+    switch (command.op()) {
       case START -> {
-        if (t == null) {
-          start(key, c);
+        if (task == null) {
+          start(key, command);
         }
       }
       case STOP -> {
-        if (t != null && t.state != TaskState.ENDED) {
-          t.end(EndReason.STOPPED);
+        if (task != null && !task.hasEnded()) {
+          end(task, EndReason.STOPPED);
+          changed();
         }
       }
       default -> {
-        if (t != null && t.state == TaskState.ENDED) {
+        if (task != null && task.hasEnded()) {
           tasks.remove(key);
         }
       }
     }
   }
 
-  private void start(String key, Command c) {
-    Task t = new Task(c.task(), c.attempt());
-    boolean busy = false;
-    for (Task other : tasks.values()) {
-      busy |= other.id.equals(t.id) && other.state != TaskState.ENDED;
-    }
-    tasks.put(key, t);
+  // ---- tasks ----------------------------------------------------------------------------------
+
+  private void start(String key, Command command) {
+    SimTask task = new SimTask(command);
+    boolean busy = tasks.values().stream().anyMatch(t -> t.id().equals(task.id()) && !t.hasEnded());
+    tasks.put(key, task);
     if (busy) {
-      t.end(EndReason.BUSY);
+      end(task, EndReason.BUSY);
+      changed();
       return;
     }
     changed();
-    JobSpec spec = world.spec(c.task().job());
-    afterWork(
-        FETCH_S,
-        () -> {
-          if (!dead && tasks.get(key) == t && t.state == TaskState.FETCHING) {
-            t.state = TaskState.RUNNING;
-            world.started(this, t.id, spec);
-            changed();
-            if (!spec.isService()) {
-              afterWork(
-                  spec.estimateS(),
-                  () -> {
-                    if (!dead && tasks.get(key) == t && t.state == TaskState.RUNNING) {
-                      world.completed(t.id);
-                      t.end(EndReason.DONE);
-                    }
-                  });
-            }
-          }
-        });
+    JobSpec spec = cluster.jobs.spec(task.id().job());
+    hang.afterWork(FETCH_S, () -> fetched(key, task, spec));
+  }
+
+  /** Whether an attempt is still the one that the machine holds under its key. */
+  private boolean holds(String key, SimTask task) {
+    return !dead && tasks.get(key) == task;
+  }
+
+  private void fetched(String key, SimTask task, JobSpec spec) {
+    if (!holds(key, task) || !task.isFetching()) {
+      return;
+    }
+    task.run();
+    cluster.started(this, task.id(), spec);
+    changed();
+    if (!spec.isService()) {
+      hang.afterWork(spec.estimateS(), () -> complete(key, task));
+    }
+  }
+
+  private void complete(String key, SimTask task) {
+    if (holds(key, task) && task.isRunning()) {
+      cluster.completed(task.id());
+      end(task, EndReason.DONE);
+      changed();
+    }
+  }
+
+  private void end(SimTask task, EndReason reason) {
+    leave(task);
+    task.end(reason);
+  }
+
+  private void leave(SimTask task) {
+    if (task.isRunning()) {
+      cluster.left(this, task.id());
+    }
   }
 }
--- a/src/test/java/org/ternhinge/sim/StarvationCheck.java
+++ b/src/test/java/org/ternhinge/sim/StarvationCheck.java
@@ -11,32 +11,32 @@
 final class StarvationCheck {
   private static final double MOST_S = 90;
 
-  private final SimCluster world;
+  private final SimCluster cluster;
 
   /** Since when a job has been waiting beside room, and the starts that it had then. */
   private final Map<JobId, Double> since = new HashMap<>();
 
   private final Map<JobId, Integer> startsThen = new HashMap<>();
 
-  StarvationCheck(SimCluster world) {
-    this.world = world;
+  StarvationCheck(SimCluster cluster) {
+    this.cluster = cluster;
   }
 
   /** To be asked every few seconds for every accepted job that nobody cancelled. */
   void check(JobSpec spec) {
     JobId id = spec.id();
-    int starts = world.startsOf(id);
+    int starts = cluster.tasks.startsOf(id);
     // Whoever waits for other jobs is not left waiting.
-    boolean waitsForOthers = world.notDoneBefore(id) != null;
+    boolean waitsForOthers = cluster.jobs.unfinishedDependency(id) != null;
     if (waitsForOthers
         || !waitsBesideRoom(spec)
         || !Integer.valueOf(starts).equals(startsThen.put(id, starts))) {
       since.remove(id);
       return;
     }
-    double from = since.computeIfAbsent(id, k -> world.clock.seconds());
-    if (world.clock.seconds() - from > MOST_S) {
-      world.broken.add("left waiting: " + id + " since " + from);
+    double from = since.computeIfAbsent(id, k -> cluster.clock.seconds());
+    if (cluster.clock.seconds() - from > MOST_S) {
+      cluster.violations.add("left waiting: " + id + " since " + from);
       since.remove(id);
     }
   }
@@ -45,19 +45,19 @@
     int missing = 0;
     for (int i = 0; i < spec.tasks(); i++) {
       TaskId task = new TaskId(spec.id(), i);
-      missing += world.isCompleted(task) || world.isRunning(task) ? 0 : 1;
+      missing += cluster.jobs.isCompleted(task) || cluster.tasks.isRunning(task) ? 0 : 1;
     }
     if (missing == 0 || (spec.isGang() && missing < spec.tasks())) {
       return false;
     }
     int wanted = spec.isGang() ? missing : 1;
-    if (!world.underLimit(spec, wanted)) {
+    if (!cluster.quota.hasRoomFor(spec, wanted)) {
       return false;
     }
     if (!spec.together()) {
       return placesIn(null, spec, wanted) >= wanted;
     }
-    for (String zone : SimCluster.ZONES) {
+    for (String zone : ClusterSettings.ZONES) {
       if (placesIn(zone, spec, wanted) >= wanted) {
         return true;
       }
@@ -67,9 +67,9 @@
 
   /** Places for a job's tasks, at most as many as are wanted. */
   private int placesIn(String zone, JobSpec spec, int wanted) {
-    Map<String, Integer> byZone = new HashMap<>(world.tasksByZone(spec.id()));
+    Map<String, Integer> byZone = new HashMap<>(cluster.placement.tasksByZone(spec.id()));
     int places = 0;
-    for (SimWorker w : world.liveWorkers()) {
+    for (SimWorker w : cluster.liveWorkers()) {
       boolean reached = !w.cut() && !w.deaf() && !w.mute() && !w.hung();
       boolean allowed =
           spec.allowsType(w.flavor.name())
@@ -79,7 +79,7 @@
       if (!reached || !allowed || (spec.together() && elsewhere(byZone, w.zone))) {
         continue;
       }
-      Resources left = world.free(w);
+      Resources left = cluster.tasks.free(w);
       while (places < wanted
           && spec.need().fitsIn(left)
           && byZone.getOrDefault(w.zone, 0) < spec.zoneLimit()) {
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/TaskObservations.java
@@ -0,0 +1,136 @@
+package org.ternhinge.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalDouble;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.function.BiConsumer;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.JobSpec;
+
+/** Which tasks run where and which have run, as the simulated machines know it. */
+public final class TaskObservations {
+  private final SimClock clock;
+  private final JobCatalog jobs;
+  private final Map<TaskId, Set<MachineId>> running = new HashMap<>();
+  private final Map<TaskId, Double> firstStart = new HashMap<>();
+  private final Map<MachineId, Integer> startsOn = new HashMap<>();
+  private final Map<JobId, Integer> startsOf = new HashMap<>();
+  private final Map<MachineId, Integer> startsSentTo = new HashMap<>();
+  private int starts;
+
+  TaskObservations(SimClock clock, JobCatalog jobs) {
+    this.clock = clock;
+    this.jobs = jobs;
+  }
+
+  /** Notes a start and gives the machines on which the task was already. */
+  Set<MachineId> started(SimWorker machine, TaskId task) {
+    starts++;
+    firstStart.putIfAbsent(task, clock.seconds());
+    startsOn.merge(machine.id(), 1, Integer::sum);
+    startsOf.merge(task.job(), 1, Integer::sum);
+    Set<MachineId> where = running.computeIfAbsent(task, unused -> new HashSet<>());
+    Set<MachineId> before = Set.copyOf(where);
+    where.add(machine.id());
+    return before;
+  }
+
+  void left(SimWorker machine, TaskId task) {
+    running.get(task).remove(machine.id());
+  }
+
+  /** Notes commands that were sent to a machine, whether or not they reach it. */
+  void sent(MachineId machine, List<Command> commands) {
+    long count = commands.stream().filter(c -> c.op() == Command.Op.START).count();
+    startsSentTo.merge(machine, (int) count, Integer::sum);
+  }
+
+  /** Starts of tasks on all machines so far. */
+  public int starts() {
+    return starts;
+  }
+
+  /** Starts of tasks on one machine so far. */
+  public int startsOn(MachineId machine) {
+    return startsOn.getOrDefault(machine, 0);
+  }
+
+  /** Starts of a job's tasks so far. */
+  int startsOf(JobId id) {
+    return startsOf.getOrDefault(id, 0);
+  }
+
+  /** Start commands that were sent to a machine, whether or not they reached it. */
+  public int startsSentTo(MachineId machine) {
+    return startsSentTo.getOrDefault(machine, 0);
+  }
+
+  /** Seconds at which a job's first task started, or nothing. */
+  public OptionalDouble began(JobId id) {
+    return firstStart.entrySet().stream()
+        .filter(e -> e.getKey().job().equals(id))
+        .mapToDouble(Map.Entry::getValue)
+        .min();
+  }
+
+  /** How many tasks of a job run now. */
+  public int runningTasks(JobId id) {
+    int count = 0;
+    for (var e : running.entrySet()) {
+      count += e.getKey().job().equals(id) ? e.getValue().size() : 0;
+    }
+    return count;
+  }
+
+  /** The machines that run a job's tasks, one entry a task. */
+  public List<MachineId> machinesOf(JobId id) {
+    List<MachineId> out = new ArrayList<>();
+    running.forEach(
+        (task, where) -> {
+          if (task.job().equals(id)) {
+            out.addAll(where);
+          }
+        });
+    return out;
+  }
+
+  /** The machines that run a job's tasks, each once and in order. */
+  Set<MachineId> distinctMachinesOf(JobId id) {
+    return new TreeSet<>(machinesOf(id));
+  }
+
+  boolean isRunning(TaskId task) {
+    return !running.getOrDefault(task, Set.of()).isEmpty();
+  }
+
+  /** Shows each task that runs, with its machines. */
+  void forEachRunning(BiConsumer<TaskId, Set<MachineId>> action) {
+    running.forEach(
+        (task, where) -> {
+          if (!where.isEmpty()) {
+            action.accept(task, where);
+          }
+        });
+  }
+
+  /** What a machine has left beside the tasks that run on it. */
+  Resources free(SimWorker machine) {
+    Resources left = machine.flavor.capacity();
+    for (var e : running.entrySet()) {
+      if (e.getValue().contains(machine.id())) {
+        JobSpec spec = jobs.spec(e.getKey().job());
+        left = left.minus(spec.need());
+      }
+    }
+    return left;
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/UserCancellations.java
@@ -0,0 +1,87 @@
+package org.ternhinge.sim;
+
+import java.util.random.RandomGenerator;
+import org.ternhinge.http.Response;
+import org.ternhinge.model.JobId;
+
+/** Users' cancellations, which are repeated until they are answered. */
+final class UserCancellations {
+  private static final int REPEATS = 300;
+  private static final double REPEATED_AFTER_S = 1;
+
+  private final SimCluster cluster;
+  private final UserJobs jobs;
+  private final UserPolls polls;
+  private final RandomGenerator random;
+
+  UserCancellations(SimCluster cluster, UserJobs jobs, UserPolls polls, RandomGenerator random) {
+    this.cluster = cluster;
+    this.jobs = jobs;
+    this.polls = polls;
+    this.random = random;
+  }
+
+  /** Asks to cancel a job, unless that was asked before. */
+  void cancel(JobId id) {
+    if (jobs.askToCancel(id)) {
+      send(id, REPEATS);
+    }
+  }
+
+  private void send(JobId id, int repeats) {
+    cluster.user(
+        UserRequests.cancellation(id),
+        answer -> {
+          if (!take(id, answer) && repeats > 0) {
+            cluster.clock.after(REPEATED_AFTER_S, () -> send(id, repeats - 1));
+          }
+        });
+  }
+
+  /** Asks one controller to cancel a job; what follows runs as soon as the user has the answer. */
+  void cancelAt(int controller, JobId id, Runnable then) {
+    jobs.askToCancel(id);
+    cluster.user(
+        controller,
+        UserRequests.cancellation(id),
+        answer -> {
+          if (!take(id, answer)) {
+            cluster.clock.after(REPEATED_AFTER_S, () -> cancelAt(controller, id, then));
+          } else if (answer.status() == 200) {
+            then.run();
+          }
+        });
+  }
+
+  /** Takes in an answer, and says whether it decides the request. */
+  private boolean take(JobId id, Response answer) {
+    if (answer != null && answer.status() == 200) {
+      jobs.told(id, UserRequests.state(answer), jobs.lastTold(id));
+      return true;
+    }
+    if (answer != null && answer.status() == 404) {
+      jobs.violation("forgotten: cancel of " + id + " answered 404");
+      return true;
+    }
+    return false;
+  }
+
+  /**
+   * For a share of jobs a cancellation, a poll and a repeated submission arrive at the very end of
+   * the last task.
+   */
+  void cancelAtEnd(double share) {
+    cluster.onLastTaskEnd(
+        id -> {
+          if (!jobs.isAccepted(id) || random.nextDouble() >= share) {
+            return;
+          }
+          double[] delays = {0, random.nextDouble() * 0.05, 0.2 + random.nextDouble()};
+          cancel(id);
+          for (double delay : delays) {
+            cluster.clock.after(delay, () -> polls.poll(id));
+            cluster.clock.after(delay, () -> polls.repeatSubmission(id, jobs.body(id)));
+          }
+        });
+  }
+}
