Tests: kinds of seeded faults as an enum

The rows of SeededFaultTest and PipelinesTest named them by strings, and Faults compared those. FaultKind says what each kind is; SeededFaults draws the faults of a step in the same order as before.

--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/FaultKind.java
@@ -0,0 +1,51 @@
+package org.ternhinge.controller;
+
+/** The kinds of seeded faults that a test's day may have. */
+enum FaultKind {
+  /** No fault but the losses of the network. */
+  NONE,
+  /** Controller processes end and come back. */
+  CONTROLLER_CRASHES,
+  /** Controllers lose workers or the state service, machines are cut off or end. */
+  CONNECTION_CUTS,
+  /** The state service refuses everybody for a while. */
+  STATE_OUTAGES,
+  /** Machines' reports arrive, while nothing reaches them. */
+  LOST_COMMANDS,
+  /** Reports arrive once more, late. */
+  REPORT_COPIES,
+  /** Controllers reach their workers only, neither the state service nor each other. */
+  ISOLATED_CONTROLLERS,
+  /** All kinds before this one. */
+  BASIC,
+  /** Transactions without an answer are carried out seconds later. */
+  LATE_WRITES,
+  /** Machines' reports are lost, while commands reach them. */
+  LOST_REPORTS,
+  /** Machines execute nothing for a while. */
+  MACHINE_HANGS,
+  /** The state service answers slowly. */
+  SLOW_STATE_SERVICE,
+  /** Reports are held back and reach whoever leads by then. */
+  HELD_REPORTS,
+  /** A zone with its controllers is cut off. */
+  ZONE_CUTS,
+  /** The state service refuses one leader after another. */
+  REFUSED_LEADERS,
+  /** Users send invalid requests, and cancel jobs at the very end of their last task. */
+  INVALID_REQUESTS,
+  /** All kinds before this one, several at a time. */
+  COMBINED,
+  /** The zones can't reach each other, while both reach the region. */
+  ZONES_PARTED;
+
+  /** Whether a day of this kind has basic faults of another kind. */
+  boolean includesBasic(FaultKind other) {
+    return this == other || this == BASIC;
+  }
+
+  /** Whether a day of this kind has faults of another kind, other than basic ones. */
+  boolean includes(FaultKind other) {
+    return this == other || this == COMBINED;
+  }
+}
--- a/src/test/java/org/ternhinge/controller/PipelinesTest.java
+++ b/src/test/java/org/ternhinge/controller/PipelinesTest.java
@@ -95,55 +95,55 @@
   /** Limits are lowered in mid-run for even seeds. */
   @ParameterizedTest(name = "seed {0}, loss {1}, {2}")
   @CsvSource({
-    "1001, 0.00, none",
-    "1002, 0.02, none",
-    "1003, 0.01, crashes",
-    "1004, 0.02, crashes",
-    "1005, 0.01, cuts",
-    "1006, 0.02, cuts",
-    "1007, 0.01, outages",
-    "1008, 0.02, outages",
-    "1009, 0.01, deaf",
-    "1010, 0.02, deaf",
-    "1011, 0.01, copies",
-    "1012, 0.02, copies",
-    "1013, 0.01, alone",
-    "1014, 0.02, alone",
-    "1015, 0.01, late_writes",
-    "1016, 0.02, late_writes",
-    "1017, 0.01, mute",
-    "1018, 0.02, mute",
-    "1019, 0.01, hangs",
-    "1020, 0.02, hangs",
-    "1021, 0.01, slow_state",
-    "1022, 0.02, slow_state",
-    "1023, 0.01, held",
-    "1024, 0.02, held",
-    "1025, 0.01, zone_cut",
-    "1026, 0.02, zone_cut",
-    "1027, 0.01, leaders",
-    "1028, 0.02, leaders",
-    "1029, 0.01, odd",
-    "1030, 0.02, odd",
-    "1031, 0.01, all",
-    "1032, 0.02, all",
-    "1033, 0.03, all",
-    "1034, 0.03, all",
-    "1035, 0.01, meet",
-    "1036, 0.02, meet",
-    "1037, 0.03, meet",
-    "1038, 0.03, meet",
-    "1039, 0.02, meet",
-    "1040, 0.02, meet",
-    "1041, 0.01, zones_apart",
-    "1042, 0.02, zones_apart",
-    "1043, 0.02, zones_apart"
+    "1001, 0.00, NONE",
+    "1002, 0.02, NONE",
+    "1003, 0.01, CONTROLLER_CRASHES",
+    "1004, 0.02, CONTROLLER_CRASHES",
+    "1005, 0.01, CONNECTION_CUTS",
+    "1006, 0.02, CONNECTION_CUTS",
+    "1007, 0.01, STATE_OUTAGES",
+    "1008, 0.02, STATE_OUTAGES",
+    "1009, 0.01, LOST_COMMANDS",
+    "1010, 0.02, LOST_COMMANDS",
+    "1011, 0.01, REPORT_COPIES",
+    "1012, 0.02, REPORT_COPIES",
+    "1013, 0.01, ISOLATED_CONTROLLERS",
+    "1014, 0.02, ISOLATED_CONTROLLERS",
+    "1015, 0.01, LATE_WRITES",
+    "1016, 0.02, LATE_WRITES",
+    "1017, 0.01, LOST_REPORTS",
+    "1018, 0.02, LOST_REPORTS",
+    "1019, 0.01, MACHINE_HANGS",
+    "1020, 0.02, MACHINE_HANGS",
+    "1021, 0.01, SLOW_STATE_SERVICE",
+    "1022, 0.02, SLOW_STATE_SERVICE",
+    "1023, 0.01, HELD_REPORTS",
+    "1024, 0.02, HELD_REPORTS",
+    "1025, 0.01, ZONE_CUTS",
+    "1026, 0.02, ZONE_CUTS",
+    "1027, 0.01, REFUSED_LEADERS",
+    "1028, 0.02, REFUSED_LEADERS",
+    "1029, 0.01, INVALID_REQUESTS",
+    "1030, 0.02, INVALID_REQUESTS",
+    "1031, 0.01, BASIC",
+    "1032, 0.02, BASIC",
+    "1033, 0.03, BASIC",
+    "1034, 0.03, BASIC",
+    "1035, 0.01, COMBINED",
+    "1036, 0.02, COMBINED",
+    "1037, 0.03, COMBINED",
+    "1038, 0.03, COMBINED",
+    "1039, 0.02, COMBINED",
+    "1040, 0.02, COMBINED",
+    "1041, 0.01, ZONES_PARTED",
+    "1042, 0.02, ZONES_PARTED",
+    "1043, 0.02, ZONES_PARTED"
   })
-  void rulesHold(long seed, double loss, String faults) {
+  void rulesHold(long seed, double loss, FaultKind kind) {
     begin(seed, loss, new SimCluster.Size(3, 3, 36, 30));
-    Faults troubles = new Faults(world, users);
-    boolean odd = faults.equals("odd") || faults.equals("meet");
-    if (odd) {
+    SeededFaults faults = new SeededFaults(world, users, kind);
+    boolean invalidRequests = kind.includes(FaultKind.INVALID_REQUESTS);
+    if (invalidRequests) {
       users.cancelAtEnd(0.2);
     }
     for (int step = 0; step < 150; step++) {
@@ -160,21 +160,14 @@
       if (step < 120 && world.nextInt(2) == 0) {
         users.sendInvalidDependencies();
       }
-      if (odd && step < 110) {
+      if (invalidRequests && step < 110) {
         users.sendInvalidRequest();
       }
       if (seed % 2 == 0 && step == 20 + seed % 40) {
         world.stateFaults.lowerLimits();
       }
       if (step < 80) {
-        troubles.trouble(faults);
-        troubles.heldUp(faults, step);
-        if (faults.equals("zones_apart") && world.nextInt(12) == 0) {
-          world.networkFaults.partZones(5 + world.nextInt(50));
-        }
-        if (faults.equals("zones_apart") && world.nextInt(15) == 0) {
-          world.stateFaults.lateWrites(0.3, 15);
-        }
+        faults.step(step);
       }
       if (step == 90) {
         users.accepted().stream().filter(id -> users.spec(id).isService()).forEach(users::cancel);
@@ -709,7 +702,8 @@
     JobId fills = submit("wk-4", 10, 40);
     run(25);
     assertEquals(2, world.tasks.runningTasks(first));
-    assertEquals(10, world.tasks.runningTasks(fills), "the team's whole limit is for those that can run");
+    assertEquals(
+        10, world.tasks.runningTasks(fills), "the team's whole limit is for those that can run");
     assertEquals("queued", users.lastTold(waits));
     run(120);
     users.quiet();
@@ -920,11 +914,15 @@
       users.submit(body.put("lanvelar", !kind.equals("daemon")));
       all.add(idOf(body));
     }
-    while (world.clock.seconds() < 90 && all.stream().anyMatch(j -> world.tasks.runningTasks(j) < 140)) {
+    while (world.clock.seconds() < 90
+        && all.stream().anyMatch(j -> world.tasks.runningTasks(j) < 140)) {
       run(1);
     }
     int largest =
-        all.stream().mapToInt(id -> Json.bytes(world.state.value("j/" + id)).length).max().orElse(0);
+        all.stream()
+            .mapToInt(id -> Json.bytes(world.state.value("j/" + id)).length)
+            .max()
+            .orElse(0);
     assertTrue(largest > 2500, "records of " + largest + " bytes");
     world.announce(SimCluster.COMING);
     for (int i = 0; i < 3; i++) {
@@ -932,7 +930,9 @@
       run(6);
     }
     int led = world.counts.leaderships();
-    all.forEach(id -> assertTrue(world.tasks.runningTasks(id) > 100, world.tasks.runningTasks(id) + " run"));
+    all.forEach(
+        id ->
+            assertTrue(world.tasks.runningTasks(id) > 100, world.tasks.runningTasks(id) + " run"));
     run(lowered);
     world.stateFaults.lowerLimits();
     JobId next = submit("wk-2", 20, 5, kind.equals("daemon") ? new JobId[0] : listed(all));
--- a/src/test/java/org/ternhinge/controller/SeededFaultTest.java
+++ b/src/test/java/org/ternhinge/controller/SeededFaultTest.java
@@ -19,64 +19,63 @@
 class SeededFaultTest {
   private SimCluster world;
   private SimUsers users;
-  private Faults troubles;
   private int jobs;
 
   @ParameterizedTest(name = "seed {0}, loss {1}, {2}")
   @CsvSource({
-    "1, 0.00, none",
-    "2, 0.02, none",
-    "3, 0.01, crashes",
-    "4, 0.01, crashes",
-    "5, 0.01, cuts",
-    "6, 0.01, outages",
-    "7, 0.02, all",
-    "8, 0.02, all",
-    "9, 0.03, all",
-    "10, 0.05, all",
-    "11, 0.03, all",
-    "12, 0.02, all",
-    "122, 0.02, crashes",
-    "333, 0.03, cuts",
-    "375, 0.03, outages",
-    "488, 0.02, all",
-    "680, 0.02, all",
-    "776, 0.02, all",
-    "835, 0.01, outages",
-    "844, 0.04, all",
-    "21, 0.01, deaf",
-    "22, 0.02, deaf",
-    "23, 0.01, copies",
-    "24, 0.02, copies",
-    "25, 0.01, alone",
-    "26, 0.02, alone",
-    "31, 0.01, late_writes",
-    "32, 0.02, late_writes",
-    "33, 0.01, mute",
-    "34, 0.02, mute",
-    "35, 0.01, hangs",
-    "36, 0.02, hangs",
-    "37, 0.01, slow_state",
-    "38, 0.02, slow_state",
-    "39, 0.01, held",
-    "40, 0.02, held",
-    "41, 0.01, zone_cut",
-    "42, 0.02, zone_cut",
-    "43, 0.01, leaders",
-    "44, 0.02, leaders",
-    "45, 0.01, odd",
-    "46, 0.02, odd",
-    "47, 0.01, meet",
-    "48, 0.02, meet",
-    "49, 0.03, meet",
-    "50, 0.02, meet"
+    "1, 0.00, NONE",
+    "2, 0.02, NONE",
+    "3, 0.01, CONTROLLER_CRASHES",
+    "4, 0.01, CONTROLLER_CRASHES",
+    "5, 0.01, CONNECTION_CUTS",
+    "6, 0.01, STATE_OUTAGES",
+    "7, 0.02, BASIC",
+    "8, 0.02, BASIC",
+    "9, 0.03, BASIC",
+    "10, 0.05, BASIC",
+    "11, 0.03, BASIC",
+    "12, 0.02, BASIC",
+    "122, 0.02, CONTROLLER_CRASHES",
+    "333, 0.03, CONNECTION_CUTS",
+    "375, 0.03, STATE_OUTAGES",
+    "488, 0.02, BASIC",
+    "680, 0.02, BASIC",
+    "776, 0.02, BASIC",
+    "835, 0.01, STATE_OUTAGES",
+    "844, 0.04, BASIC",
+    "21, 0.01, LOST_COMMANDS",
+    "22, 0.02, LOST_COMMANDS",
+    "23, 0.01, REPORT_COPIES",
+    "24, 0.02, REPORT_COPIES",
+    "25, 0.01, ISOLATED_CONTROLLERS",
+    "26, 0.02, ISOLATED_CONTROLLERS",
+    "31, 0.01, LATE_WRITES",
+    "32, 0.02, LATE_WRITES",
+    "33, 0.01, LOST_REPORTS",
+    "34, 0.02, LOST_REPORTS",
+    "35, 0.01, MACHINE_HANGS",
+    "36, 0.02, MACHINE_HANGS",
+    "37, 0.01, SLOW_STATE_SERVICE",
+    "38, 0.02, SLOW_STATE_SERVICE",
+    "39, 0.01, HELD_REPORTS",
+    "40, 0.02, HELD_REPORTS",
+    "41, 0.01, ZONE_CUTS",
+    "42, 0.02, ZONE_CUTS",
+    "43, 0.01, REFUSED_LEADERS",
+    "44, 0.02, REFUSED_LEADERS",
+    "45, 0.01, INVALID_REQUESTS",
+    "46, 0.02, INVALID_REQUESTS",
+    "47, 0.01, COMBINED",
+    "48, 0.02, COMBINED",
+    "49, 0.03, COMBINED",
+    "50, 0.02, COMBINED"
   })
-  void rulesHold(long seed, double loss, String faults) {
+  void rulesHold(long seed, double loss, FaultKind kind) {
     world = new SimCluster(seed, loss);
     users = new SimUsers(world);
-    troubles = new Faults(world, users);
-    boolean odd = faults.equals("odd") || faults.equals("meet");
-    if (odd) {
+    SeededFaults faults = new SeededFaults(world, users, kind);
+    boolean invalidRequests = kind.includes(FaultKind.INVALID_REQUESTS);
+    if (invalidRequests) {
       users.cancelAtEnd(0.3);
     }
     world.clock.runFor(5);
@@ -88,12 +87,11 @@
         users.cancel(users.accepted().get(world.nextInt(users.accepted().size())));
       }
       users.pollAll();
-      if (odd && step < 100) {
+      if (invalidRequests && step < 100) {
         users.sendInvalidRequest();
       }
       if (step < 80) {
-        troubles.trouble(faults);
-        troubles.heldUp(faults, step);
+        faults.step(step);
       }
       if (step == 90) {
         // Services hold their team's limit for ever; the rest is to finish.
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/SeededFaults.java
@@ -0,0 +1,154 @@
+package org.ternhinge.controller;
+
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimUsers;
+
+/** Draws faults of some kind, step by step, for the tests that run whole days of them. */
+final class SeededFaults {
+  /** Refusals of leaders last two minutes; after this step they would outlast the faulty time. */
+  private static final int LAST_STEP_OF_REFUSED_LEADERS = 55;
+
+  private final SimCluster cluster;
+  private final SimUsers users;
+  private final FaultKind kind;
+
+  SeededFaults(SimCluster cluster, SimUsers users, FaultKind kind) {
+    this.cluster = cluster;
+    this.users = users;
+    this.kind = kind;
+  }
+
+  /** Draws the faults of one step. */
+  void step(int step) {
+    basic(kind);
+    if (kind == FaultKind.COMBINED && oneIn(3)) {
+      basic(FaultKind.BASIC);
+    }
+    lateWrites();
+    lostReports();
+    hangs();
+    slowStateService();
+    heldReports();
+    zoneCuts();
+    refusedLeaders(step);
+    partedZones();
+  }
+
+  private boolean oneIn(int steps) {
+    return cluster.nextInt(steps) == 0;
+  }
+
+  private int someController() {
+    return cluster.nextInt(cluster.nodeCount());
+  }
+
+  /** So many seconds and up to so many more. */
+  private int seconds(int least, int more) {
+    return least + cluster.nextInt(more);
+  }
+
+  // ---- basic faults ---------------------------------------------------------------------------
+
+  private void basic(FaultKind which) {
+    if (which.includesBasic(FaultKind.CONTROLLER_CRASHES) && oneIn(8)) {
+      cluster.crash(someController(), oneIn(2) ? 0.3 : 5);
+    }
+    if (which.includesBasic(FaultKind.CONNECTION_CUTS)) {
+      connectionCuts();
+    }
+    if (which.includesBasic(FaultKind.LOST_COMMANDS) && oneIn(8)) {
+      cluster.machineFaults.deafenSomeWorker(seconds(5, 50));
+    }
+    if (which.includesBasic(FaultKind.REPORT_COPIES) && oneIn(10)) {
+      cluster.machineFaults.copyReports(0.3, seconds(5, 20));
+    }
+    if (which.includesBasic(FaultKind.ISOLATED_CONTROLLERS) && oneIn(10)) {
+      cluster.networkFaults.cutOff(someController(), seconds(5, 50));
+    }
+    if (which.includesBasic(FaultKind.STATE_OUTAGES) && oneIn(25)) {
+      cluster.stateFaults.outage(seconds(5, 30));
+    }
+  }
+
+  private void connectionCuts() {
+    if (oneIn(10)) {
+      cluster.networkFaults.cutWorkers(someController(), seconds(5, 30));
+    }
+    if (oneIn(10)) {
+      cluster.stateFaults.refuse(someController(), seconds(5, 20));
+    }
+    if (oneIn(8)) {
+      cluster.machineFaults.cutOrEndSomeWorker(oneIn(3) ? 0 : seconds(5, 40));
+    }
+  }
+
+  // ---- faults that hold messages up or back ---------------------------------------------------
+
+  private void lateWrites() {
+    if (kind.includes(FaultKind.LATE_WRITES) && oneIn(10)) {
+      cluster.stateFaults.lateWrites(0.3, seconds(5, 30));
+    }
+  }
+
+  private void lostReports() {
+    if (kind.includes(FaultKind.LOST_REPORTS) && oneIn(6)) {
+      cluster.machineFaults.muteSomeWorker(seconds(5, 50));
+    }
+    if (kind.includes(FaultKind.LOST_REPORTS) && oneIn(25)) {
+      cluster.machineFaults.muteWorkers(0.6, seconds(5, 50));
+    }
+  }
+
+  private void hangs() {
+    if (kind.includes(FaultKind.MACHINE_HANGS) && oneIn(6)) {
+      cluster.machineFaults.hangSomeWorker(seconds(1, 40));
+    }
+    if (kind == FaultKind.MACHINE_HANGS && !users.accepted().isEmpty() && oneIn(12)) {
+      JobId id = users.accepted().get(cluster.nextInt(users.accepted().size()));
+      cluster.machineFaults.hangWorkersOf(id, 8, seconds(2, 30));
+      users.cancel(id);
+    }
+  }
+
+  private void slowStateService() {
+    if (kind.includes(FaultKind.SLOW_STATE_SERVICE) && oneIn(12)) {
+      cluster.stateFaults.slowState(seconds(5, 40), 0.3 + cluster.nextInt(10) / 10.0);
+    }
+  }
+
+  private void heldReports() {
+    if (kind.includes(FaultKind.HELD_REPORTS) && oneIn(4)) {
+      cluster.machineFaults.holdReport(seconds(3, 50));
+    }
+    boolean refusesLeader = kind == FaultKind.HELD_REPORTS || kind == FaultKind.SLOW_STATE_SERVICE;
+    if (refusesLeader && oneIn(15)) {
+      cluster.stateFaults.refuse(Math.max(0, cluster.leader()), 8);
+    }
+  }
+
+  private void zoneCuts() {
+    if (kind.includes(FaultKind.ZONE_CUTS) && oneIn(20)) {
+      cluster.networkFaults.cutZone(oneIn(2) ? "east" : "west", seconds(5, 45));
+    }
+  }
+
+  private void refusedLeaders(int step) {
+    boolean early = step < LAST_STEP_OF_REFUSED_LEADERS;
+    if (kind.includes(FaultKind.REFUSED_LEADERS) && early && oneIn(20)) {
+      cluster.stateFaults.refuseLeaders(10, 12, 8);
+    }
+    if (kind == FaultKind.REFUSED_LEADERS && oneIn(30)) {
+      cluster.stateFaults.outage(seconds(5, 40));
+    }
+  }
+
+  private void partedZones() {
+    if (kind == FaultKind.ZONES_PARTED && oneIn(12)) {
+      cluster.networkFaults.partZones(seconds(5, 50));
+    }
+    if (kind == FaultKind.ZONES_PARTED && oneIn(15)) {
+      cluster.stateFaults.lateWrites(0.3, 15);
+    }
+  }
+}
