--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/CancellationAndOutageTest.java
@@ -0,0 +1,194 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+
+/** Cancellations just before the state service or all controllers are out, on virtual time. */
+class CancellationAndOutageTest extends CombinedFaultsFixture {
+  /** Another controller has taken over after at most so long a refusal of the leader alone. */
+  private static final double LONGEST_ELECTION_S = 7;
+
+  /**
+   * The state service refuses the leader alone; another takes over and confirms cancellations; then
+   * the service is out for everybody for longer than a cancelled task may last, and workers hold to
+   * one node.
+   */
+  @ParameterizedTest(name = "{0} s refused, cancelled {1} s on, {2} s out, reports to {3}")
+  @CsvSource({
+    "2, 0.05, 50, old",
+    "2, 1, 50, follower",
+    "2, 3, 70, new",
+    "5, 0.05, 50, old",
+    "5, 1, 70, old",
+    "5, 0.05, 50, follower",
+    "6, 0.05, 50, old",
+    "6, 0.05, 70, old",
+    "6.2, 0.05, 50, old",
+    "6.2, 0.05, 70, follower",
+    "6.5, 0.05, 40, old",
+    "6.5, 0.05, 50, old",
+    "6.5, 0.05, 70, old",
+    "6.5, 0.3, 50, old",
+    "6.5, 1, 50, old",
+    "6.5, 0.05, 50, follower",
+    "6.5, 0.05, 50, new",
+    "7, 0.05, 40, old",
+    "7, 0.05, 50, old",
+    "7, 0.3, 70, old",
+    "7, 1, 70, old",
+    "7, 3, 50, old",
+    "7, 0.05, 70, follower",
+    "7, 0.05, 70, new",
+    "8, 0.05, 40, old",
+    "8, 0.05, 50, old",
+    "8, 1, 50, old",
+    "8, 1, 70, old",
+    "8, 3, 50, old",
+    "8, 10, 50, old",
+    "8, 1, 50, follower",
+    "8, 1, 70, new",
+    "12, 0.05, 40, old",
+    "12, 0.05, 50, old",
+    "12, 1, 70, old",
+    "12, 3, 50, old",
+    "12, 3, 70, follower",
+    "12, 10, 50, old",
+    "12, 3, 70, new",
+    "20, 0.05, 50, old",
+    "20, 1, 70, old",
+    "20, 3, 50, follower",
+    "20, 10, 50, old",
+    "20, 10, 70, old",
+    "20, 10, 70, follower",
+    "20, 10, 70, new"
+  })
+  void theLeaderIsRefusedAloneAndThenEverybody(
+      double refusedS, double cancelledS, double outageS, String reportsTo) {
+    for (long seed = 101; seed < 104; seed++) {
+      begin(seed, MEDIUM);
+      List<JobId> cancelled = submitJobsToCancel();
+      JobId stays = submit(job("wk-5", "daemon", 3, 0));
+      run(60);
+      for (JobId id : cancelled) {
+        assertTrue(cluster.tasks.runningTasks(id) > 0, id + " does not run");
+      }
+      double from = cluster.clock.seconds();
+      refuseTheLeader(refusedS, outageS, reportsTo);
+      cluster.clock.after(cancelledS, () -> cancelled.forEach(users::cancel));
+      double refusedFor = cluster.clock.seconds() - from;
+      cluster.clock.after(
+          Math.max(0, refusedS - refusedFor), () -> cluster.stateFaults.outage(outageS));
+      run(refusedS + outageS + 30);
+      for (int i = 0; i < cluster.nodeCount(); i++) {
+        cluster.networkFaults.cutWorkers(i, 0);
+      }
+      assertRulesHoldToTheEnd();
+      for (JobId id : cancelled) {
+        assertCancelled(id);
+        assertRunning(0, id);
+      }
+      assertRunning(3, stays);
+    }
+  }
+
+  private List<JobId> submitJobsToCancel() {
+    return List.of(
+        submit(job("wk-1", "batch", 8, 400)),
+        submit(job("wk-2", "daemon", 3, 0)),
+        submit(job("wk-3", "group", 2, 300)),
+        submit(job("wk-4", "batch", 2, 400)));
+  }
+
+  /** Has the leader refused and the workers reach one controller, until another one leads. */
+  private void refuseTheLeader(double refusedS, double outageS, String reportsTo) {
+    int old = cluster.leader();
+    double from = cluster.clock.seconds();
+    cluster.stateFaults.refuse(old, refusedS);
+    // The node that leads next is known only then; until then the workers keep to the old one.
+    int follower = (old + 1) % cluster.nodeCount();
+    letWorkersReachOnly(reportsTo.equals("follower") ? follower : old, refusedS + outageS);
+    while (!anotherLeads(old) && cluster.clock.seconds() - from < refusedS) {
+      cluster.clock.runFor(0.05);
+    }
+    assertTrue(refusedS < LONGEST_ELECTION_S || anotherLeads(old), "nobody else took over");
+    if (reportsTo.equals("new") && anotherLeads(old)) {
+      letWorkersReachOnly(cluster.leader(), refusedS + outageS);
+    }
+  }
+
+  private boolean anotherLeads(int old) {
+    return cluster.leader() >= 0 && cluster.leader() != old;
+  }
+
+  private void letWorkersReachOnly(int node, double seconds) {
+    for (int i = 0; i < cluster.nodeCount(); i++) {
+      cluster.networkFaults.cutWorkers(i, i == node ? 0 : seconds);
+    }
+  }
+
+  /** The state service answers slowly, then refuses the leader, then everybody. */
+  @ParameterizedTest(name = "seed {0}, latency {1} s")
+  @CsvSource({"201, 0.4", "202, 0.8", "203, 1.2"})
+  void slowThenRefusedThenOut(long seed, double latencyS) {
+    begin(seed, SimCluster.SMALL);
+    JobId cancelled = submit(job("wk-1", "batch", 6, 400));
+    JobId stays = submit(job("wk-2", "daemon", 3, 0));
+    run(60);
+    cluster.stateFaults.slowState(120, latencyS);
+    run(6);
+    cluster.stateFaults.refuse(cluster.leader(), 9);
+    cluster.clock.after(7.5, () -> users.cancel(cancelled));
+    cluster.clock.after(9, () -> cluster.stateFaults.outage(55));
+    run(120);
+    assertRulesHoldToTheEnd();
+    assertCancelled(cancelled);
+    assertRunning(3, stays);
+  }
+
+  /** No controller is there for longer than a lease. */
+  @ParameterizedTest(name = "away for {0} s, cancelled {1} s before")
+  @CsvSource({"20, 0.5", "30, 0.02", "30, 0.5", "40, 0.1", "60, 3"})
+  void allControllersAway(double awayS, double beforeS) {
+    begin(221, SimCluster.SMALL);
+    JobId cancelled = submit(job("wk-1", "batch", 6, 400));
+    JobId stays = submit(job("wk-2", "daemon", 3, 0));
+    run(60);
+    cluster.machineFaults.hangWorkersOf(cancelled, 1, 10);
+    users.cancel(cancelled);
+    cluster.clock.runFor(beforeS);
+    for (int i = 0; i < 3; i++) {
+      cluster.crash(i, awayS + i * 0.3);
+    }
+    run(awayS + 60);
+    assertRulesHoldToTheEnd();
+    assertCancelled(cancelled);
+    assertRunning(3, stays);
+  }
+
+  /** Ten leaders in two minutes, with and without an outage among them. */
+  @ParameterizedTest(name = "seed {0}, outage {1} s, late writes {2}")
+  @CsvSource({"171, 0, 0", "172, 30, 0", "173, 50, 0.2", "174, 0, 0.4"})
+  void tenLeadersInTwoMinutes(long seed, double outageS, double lateShare) {
+    begin(seed, SimCluster.SMALL);
+    JobId stays = submit(job("wk-1", "daemon", 3, 0));
+    JobId array = submit(job("wk-2", "batch", 12, 25));
+    JobId cancelled = submit(job("wk-3", "batch", 3, 400));
+    run(15);
+    cluster.stateFaults.refuseLeaders(10, 12, 8);
+    cluster.stateFaults.lateWrites(lateShare, 120);
+    cluster.clock.after(50, () -> users.cancel(cancelled));
+    if (outageS > 0) {
+      cluster.clock.after(40, () -> cluster.stateFaults.outage(outageS));
+    }
+    run(120);
+    assertRulesHoldToTheEnd();
+    assertDone(array);
+    assertCancelled(cancelled);
+    assertRunning(3, stays);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/LimitsAndZonesUnderFaultsTest.java
@@ -0,0 +1,74 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+
+/** Limits of teams and zones of jobs while machines, zones or leaders are lost, on virtual time. */
+class LimitsAndZonesUnderFaultsTest extends CombinedFaultsFixture {
+  /** A team at its limit, machines that can't be asked, a new leader and a cancellation. */
+  @ParameterizedTest(name = "seed {0}, cut {1} s, cancelled after {2} s")
+  @CsvSource({"141, 20, 1", "142, 40, 3", "143, 40, 8", "144, 60, 8", "145, 30, 12"})
+  void aTeamAtItsLimitOverAChangeOfLeader(long seed, double cutS, double afterS) {
+    begin(seed, SimCluster.SMALL);
+    JobId cancelled = submit(job("wk-1", "batch", 6, 400));
+    JobId longer = submit(job("wk-2", "batch", 6, 60));
+    JobId waits = submit(job("wk-3", "batch", 8, 10));
+    run(40);
+    assertEquals(12, cluster.tasks.runningTasks(cancelled) + cluster.tasks.runningTasks(longer));
+    cluster.machineFaults.cutSomeWorkerWith(cancelled, cutS);
+    cluster.crash(cluster.leader(), 3);
+    cluster.clock.runFor(afterS);
+    users.cancel(cancelled);
+    run(150);
+    assertRulesHoldToTheEnd();
+    assertDone(longer);
+    assertDone(waits);
+  }
+
+  /** Work bound to one zone, arrays too, loses machines there. */
+  @ParameterizedTest(name = "{0}, seed {1}")
+  @CsvSource({"batch, 151", "batch, 152", "group, 153", "group, 154", "daemon, 155"})
+  void workBoundToAZoneLosesMachines(String kind, long seed) {
+    begin(seed, MEDIUM);
+    ObjectNode body = job("wk-1", kind, 3, 60).put("lanvelar", false).put("together", true);
+    body.put("svaedi", "west");
+    JobId bound = submit(body);
+    JobId free = submit(job("wk-2", kind, 3, 60).put("lanvelar", false).put("together", true));
+    run(30);
+    for (JobId id : List.of(bound, free)) {
+      cluster.machineFaults.cutSomeWorkerWith(id, 50);
+      cluster.machineFaults.hangWorkersOf(id, 1, 10);
+    }
+    run(20);
+    cluster.crash(cluster.leader(), 1);
+    run(150);
+    assertRulesHoldToTheEnd();
+    if (!kind.equals("daemon")) {
+      assertDone(bound);
+      assertDone(free);
+    }
+  }
+
+  /** A zone with its controllers is cut off for less and for more than a lease. */
+  @ParameterizedTest(name = "{0} for {1} s")
+  @CsvSource({"east, 15", "west, 15", "east, 40", "west, 40", "east, 80", "west, 80"})
+  void aZoneWithItsControllers(String zone, double seconds) {
+    begin(181, MEDIUM);
+    JobId stays = submit(job("wk-1", "daemon", 4, 0).put("scatter", true));
+    JobId cancelled = submit(job("wk-2", "batch", 8, 400));
+    run(60);
+    cluster.networkFaults.cutZone(zone, seconds);
+    cluster.clock.runFor(3);
+    users.cancel(cancelled);
+    run(seconds);
+    assertRulesHoldToTheEnd();
+    assertCancelled(cancelled);
+    assertRunning(4, stays);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/UnreachableMachinesTest.java
@@ -0,0 +1,88 @@
+package org.ternhinge.controller;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimWorker;
+
+/** Machines that cannot be reached or are not heard, over changes of leader, on virtual time. */
+class UnreachableMachinesTest extends CombinedFaultsFixture {
+  /** A report of an earlier session reaches a leader that has never heard of the machine. */
+  @ParameterizedTest(name = "held for {0} s")
+  @CsvSource({"9", "15", "25", "40"})
+  void aLateReportOfAnEarlierSessionAtANewLeader(double heldS) {
+    begin(131, SimCluster.SMALL);
+    JobId stays = submit(job("wk-1", "daemon", 4, 0));
+    run(60);
+    for (SimWorker worker : cluster.workersOf(stays)) {
+      cluster.machineFaults.holdReport(worker.id(), heldS);
+    }
+    cluster.clock.runFor(4);
+    cluster.machineFaults.cutSomeWorkerWith(stays, 35);
+    cluster.stateFaults.refuse(cluster.leader(), 9);
+    run(60);
+    assertRulesHoldToTheEnd();
+    assertRunning(4, stays);
+  }
+
+  /** Reports get nowhere, commands get in; a cancelled task must not live on. */
+  @ParameterizedTest(name = "mute {0} s, cancelled after {1} s, leader crashes: {2}")
+  @CsvSource({
+    "20, 1, false",
+    "40, 1, false",
+    "60, 20, false",
+    "90, 23, false",
+    "40, 10, true",
+    "90, 20, true"
+  })
+  void muteMachinesAndACancellation(double muteS, double afterS, boolean crash) {
+    begin(161, SimCluster.SMALL);
+    JobId cancelled = submit(job("wk-1", "batch", 6, 400));
+    JobId stays = submit(job("wk-2", "daemon", 3, 0));
+    run(60);
+    cluster.machineFaults.muteWorkersOf(cancelled, muteS);
+    cluster.clock.runFor(afterS);
+    if (crash) {
+      cluster.crash(cluster.leader(), 2);
+    }
+    users.cancel(cancelled);
+    run(muteS);
+    assertRulesHoldToTheEnd();
+    assertRunning(0, cancelled);
+    assertRunning(3, stays);
+  }
+
+  /** A leader ends while machines with long tasks can't be reached or don't hear the next one. */
+  @ParameterizedTest(name = "{0} for {1} s, leader away for {2} s")
+  @CsvSource({
+    "cut, 10, 3",
+    "cut, 40, 3",
+    "cut, 40, 30",
+    "mute, 15, 3",
+    "mute, 40, 3",
+    "hung, 15, 3",
+    "hung, 22, 3",
+    "hung, 40, 30"
+  })
+  void aLeaderEndsWhileMachinesAreOutOfReach(String fault, double seconds, double awayS) {
+    begin(231, SimCluster.SMALL);
+    JobId job = submit(job("wk-1", "batch", 6, 120));
+    JobId cancelled = submit(job("wk-2", "batch", 4, 400));
+    run(40);
+    for (JobId id : List.of(job, cancelled)) {
+      switch (fault) {
+        case "cut" -> cluster.machineFaults.cutSomeWorkerWith(id, seconds);
+        case "mute" -> cluster.machineFaults.muteWorkersOf(id, seconds);
+        default -> cluster.machineFaults.hangWorkersOf(id, 2, seconds);
+      }
+    }
+    cluster.crash(cluster.leader(), awayS);
+    cluster.clock.after(9, () -> users.cancel(cancelled));
+    run(240);
+    assertRulesHoldToTheEnd();
+    assertDone(job);
+    assertCancelled(cancelled);
+  }
+}
