Preemption: machines with nothing to yield are passed over before their tasks are read

A job that looks for others to stop read every task of every machine, also where all were at least as important as itself. The least important priority of a machine is now noted where its capacity is set up. Team limits are compared without building intermediate amounts; a place's score is only worked out once there is room.

--- a/src/main/java/org/ternhinge/schedule/MachineCapacity.java
+++ b/src/main/java/org/ternhinge/schedule/MachineCapacity.java
@@ -13,6 +13,7 @@
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Priority;
 
 /**
  * A machine, there or coming, with the room that is left as a plan grows. Amounts are kept as plain
@@ -46,6 +47,10 @@
   private Set<String> fetched = Set.of();
   private List<JobSpec> taken = List.of();
   private Set<JobId> stoppedFor = Set.of();
+
+  /** The least important priority of what is open here; null where nothing is. */
+  private Priority lowestPriority;
+
   private boolean used;
 
   MachineCapacity(MachineView view) {
@@ -56,11 +61,14 @@
     this.spot = view.spot();
     this.reservations = view.reservations();
     setRoom(view.free());
-    if (flavor.capacity().gpus() > 0) {
-      for (AttemptView a : view.attempts()) {
-        if (a.spec().kind() == JobKind.ARRAY) {
-          pass(a.spec().need());
-        }
+    boolean accelerated = flavor.capacity().gpus() > 0;
+    for (AttemptView attempt : view.attempts()) {
+      JobSpec spec = attempt.spec();
+      if (lowestPriority == null || spec.priority().compareTo(lowestPriority) > 0) {
+        lowestPriority = spec.priority();
+      }
+      if (accelerated && spec.kind() == JobKind.ARRAY) {
+        pass(spec.need());
       }
     }
   }
@@ -112,6 +120,10 @@
     return new Resources(cpus + passingCpus, gpus + passingGpus, memory + passingMemory);
   }
 
+  Priority lowestPriority() {
+    return lowestPriority;
+  }
+
   boolean hasPassing() {
     return passingCpus > 0;
   }
@@ -205,7 +217,7 @@
   }
 
   boolean stoppedFor(JobId job) {
-    return stoppedFor.contains(job);
+    return !stoppedFor.isEmpty() && stoppedFor.contains(job);
   }
 
   boolean stops(AttemptView a) {
--- a/src/main/java/org/ternhinge/schedule/Preemption.java
+++ b/src/main/java/org/ternhinge/schedule/Preemption.java
@@ -8,7 +8,6 @@
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.schedule.Snapshot.AttemptView;
 import org.ternhinge.schedule.Snapshot.JobView;
-import org.ternhinge.schedule.Snapshot.MachineView;
 import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Priority;
@@ -23,17 +22,24 @@
 
   Preemption(PlanBuilder draft) {
     this.draft = draft;
-    for (MachineView m : draft.snapshot.machines()) {
-      for (AttemptView a : m.attempts()) {
-        if (lowest == null || a.spec().priority().compareTo(lowest) > 0) {
-          lowest = a.spec().priority();
-        }
+    for (MachineCapacity bin : draft.bins) {
+      Priority there = bin.lowestPriority();
+      if (there != null && (lowest == null || there.compareTo(lowest) > 0)) {
+        lowest = there;
       }
     }
   }
 
-  /** Whether anything that runs could have to give way to this job. */
+  /** Whether nothing that runs anywhere would have to give way to this job. */
   private boolean hopeless(JobView job) {
+    return hopeless(job, lowest);
+  }
+
+  /**
+   * Whether nothing would have to give way to this job where the least important that runs is of
+   * this priority, or null where nothing runs.
+   */
+  private static boolean hopeless(JobView job, Priority lowest) {
     return lowest == null || (!job.guaranteed() && lowest.compareTo(job.spec().priority()) <= 0);
   }
 
@@ -56,9 +62,12 @@
     if (team == null) {
       return false;
     }
-    Resources use = draft.use(teamName).minus(victim.need());
-    boolean gpu = victim.need().gpus() > 0 && team.gpus() > 0;
-    return use.cpus() >= team.cpus() && (!gpu || use.gpus() >= team.gpus());
+    // Plain numbers: this is asked for each task of each machine that a job looks at.
+    Resources use = draft.use(teamName);
+    Resources freed = victim.need();
+    boolean gpu = freed.gpus() > 0 && team.gpus() > 0;
+    return use.cpus() - freed.cpus() >= team.cpus()
+        && (!gpu || use.gpus() - freed.gpus() >= team.gpus());
   }
 
   private static double loss(AttemptView a, SteadyTime now) {
@@ -144,12 +153,16 @@
   void places(JobView job, MachineCapacity bin, boolean stops, List<GangReservations.Spot> into) {
     JobSpec spec = job.spec();
     Resources room = bin.roomAfterStops(spec.id());
+    boolean mayYield = stops && !hopeless(job, bin.lowestPriority());
+    if (!mayYield && !spec.need().fitsIn(room)) {
+      return;
+    }
     double cost = draft.score(spec, bin);
     while (spec.need().fitsIn(room)) {
       into.add(new GangReservations.Spot(bin, List.of(), cost));
       room = room.minus(spec.need());
     }
-    if (!stops || hopeless(job) || bin.view.attempts().isEmpty()) {
+    if (!mayYield) {
       return;
     }
     SteadyTime now = draft.snapshot.now();
@@ -171,7 +184,7 @@
     JobSpec spec = job.spec();
     draft.step();
     if (!bin.ready()
-        || bin.view.attempts().isEmpty()
+        || hopeless(job, bin.lowestPriority())
         || bin.stoppedFor(spec.id())
         || !bin.allows(spec)
         || !PlanBuilder.zoneFits(spec, zones, bin.zone)
@@ -185,7 +198,7 @@
     }
     Resources room = bin.roomAfterStops(spec.id());
     List<AttemptView> victims = new ArrayList<>();
-    double cost = draft.score(spec, bin);
+    double cost = 0;
     long freed = 0;
     for (AttemptView a : candidates) {
       if (spec.need().fitsIn(room) && (!reach.ownTeam() || spec.need().cpus() <= freed)) {
@@ -198,7 +211,7 @@
     }
     boolean enough = !reach.ownTeam() || spec.need().cpus() <= freed;
     return !victims.isEmpty() && enough && spec.need().fitsIn(room)
-        ? new Option(bin, victims, cost)
+        ? new Option(bin, victims, draft.score(spec, bin) + cost)
         : null;
   }
 }
