--- a/src/main/java/org/ternhinge/controller/CommandReachability.java
+++ b/src/main/java/org/ternhinge/controller/CommandReachability.java
@@ -1,5 +1,6 @@
 package org.ternhinge.controller;
 
+import java.util.function.BooleanSupplier;
 import org.ternhinge.model.SteadyTime;
 
 /**
@@ -22,18 +23,19 @@
   /**
    * A later report shows no trace of the last answer.
    *
-   * @param othersHear whether it may be the machine's own trouble
+   * @param othersHear whether it may be the machine's own trouble; asked only where it decides,
+   *     since the answer takes a look at every machine
    */
-  void missed(SteadyTime now, boolean othersHear) {
+  void missed(SteadyTime now, BooleanSupplier othersHear) {
     unheard++;
-    if (unheard >= DEAF_AFTER && !deaf && othersHear) {
+    if (unheard >= DEAF_AFTER && !deaf && othersHear.getAsBoolean()) {
       deaf = true;
       since = now;
     }
   }
 
   /** Its session ended although it was being answered. */
-  void lapsed(SteadyTime now, boolean othersHear) {
+  void lapsed(SteadyTime now, BooleanSupplier othersHear) {
     unheard = DEAF_AFTER - 1;
     missed(now, othersHear);
   }
--- a/src/main/java/org/ternhinge/controller/ReportProcessor.java
+++ b/src/main/java/org/ternhinge/controller/ReportProcessor.java
@@ -156,7 +156,7 @@
       m.session = r.session();
       if (m.answered != null && m.leaseEnds.secondsSince(now) > LAPSE_S) {
         // It was answered lately, and its lease has ended for want of an answer.
-        m.hearing.lapsed(now, othersHear());
+        m.hearing.lapsed(now, this::othersHear);
       }
       // A session may have begun just now, and lasts a whole lease without any answer.
       m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
@@ -212,7 +212,7 @@
   }
 
   private void missed(Machine m, SteadyTime now) {
-    m.hearing.missed(now, othersHear());
+    m.hearing.missed(now, this::othersHear);
     if (m.hearing.deaf()) {
       rounds.requestRound();
     }
--- a/src/main/java/org/ternhinge/wire/Command.java
+++ b/src/main/java/org/ternhinge/wire/Command.java
@@ -1,8 +1,6 @@
 package org.ternhinge.wire;
 
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.node.ArrayNode;
-import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
 import org.ternhinge.model.AttemptNumber;
@@ -28,25 +26,38 @@
 
   /** The answer to a report. */
   public static byte[] answer(Term term, List<Command> commands) {
-    return Json.bytes(list(Json.object().put("valdmerki", term.value()), commands));
+    JsonStreamWriter out = new JsonStreamWriter();
+    out.beginObject();
+    out.field("valdmerki", term.value());
+    writeList(out, commands);
+    out.endObject();
+    return out.bytes();
   }
 
   /** The body of a direct order. */
   public static byte[] order(Term term, Session session, List<Command> commands) {
-    ObjectNode out = Json.object().put("valdmerki", term.value()).put("vakt", session.value());
-    return Json.bytes(list(out, commands));
+    JsonStreamWriter out = new JsonStreamWriter();
+    out.beginObject();
+    out.field("valdmerki", term.value());
+    out.field("vakt", session.value());
+    writeList(out, commands);
+    out.endObject();
+    return out.bytes();
   }
 
-  private static ObjectNode list(ObjectNode out, List<Command> commands) {
-    ArrayNode items = out.putArray("skipanir");
-    for (Command c : commands) {
-      ObjectNode item = items.addObject().put("skipun", c.op.word);
-      item.put("verkbiti", c.task.toString()).put("tilraun", c.attempt.value());
-      if (c.op == Op.STOP) {
-        item.put("frestur_s", c.graceS);
+  private static void writeList(JsonStreamWriter out, List<Command> commands) {
+    out.beginList("skipanir");
+    for (Command command : commands) {
+      out.beginObject();
+      out.field("skipun", command.op.word);
+      out.field("verkbiti", command.task.toString());
+      out.field("tilraun", command.attempt.value());
+      if (command.op == Op.STOP) {
+        out.field("frestur_s", command.graceS);
       }
+      out.endObject();
     }
-    return out;
+    out.endList();
   }
 
   /** Reads the commands of an answer or order; the worker's side of the wire. */
--- a/src/main/java/org/ternhinge/wire/Json.java
+++ b/src/main/java/org/ternhinge/wire/Json.java
@@ -1,6 +1,7 @@
 package org.ternhinge.wire;
 
 import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.core.StreamReadConstraints;
@@ -10,6 +11,7 @@
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.IOException;
+import java.io.OutputStream;
 
 /**
  * Reading and writing of JSON trees. Trees instead of bound classes keep the start of the process
@@ -33,6 +35,10 @@
     return MAPPER.getFactory().createParser(body);
   }
 
+  static JsonGenerator generator(OutputStream to) throws IOException {
+    return MAPPER.getFactory().createGenerator(to);
+  }
+
   public static JsonNode parse(byte[] body) throws WireException {
     try {
       JsonNode node = MAPPER.readTree(body);
--- /dev/null
+++ b/src/main/java/org/ternhinge/wire/JsonStreamWriter.java
@@ -0,0 +1,73 @@
+package org.ternhinge.wire;
+
+import com.fasterxml.jackson.core.JsonGenerator;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+
+/**
+ * Writes a message field by field, the counterpart of {@link JsonStreamReader}. Answers to reports
+ * are written by the hundred a second; a tree of each would only be built to be thrown away.
+ */
+final class JsonStreamWriter {
+  /** Bytes of an answer without commands, so that most need no larger buffer. */
+  private static final int INITIAL_BYTES = 64;
+
+  /** A step that writes to the generator. */
+  private interface Step {
+    void run() throws IOException;
+  }
+
+  private final ByteArrayOutputStream buffer = new ByteArrayOutputStream(INITIAL_BYTES);
+  private final JsonGenerator generator;
+
+  JsonStreamWriter() {
+    try {
+      generator = Json.generator(buffer);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+
+  void beginObject() {
+    write(generator::writeStartObject);
+  }
+
+  void endObject() {
+    write(generator::writeEndObject);
+  }
+
+  void beginList(String field) {
+    write(() -> generator.writeArrayFieldStart(field));
+  }
+
+  void endList() {
+    write(generator::writeEndArray);
+  }
+
+  void field(String name, String value) {
+    write(() -> generator.writeStringField(name, value));
+  }
+
+  void field(String name, long value) {
+    write(() -> generator.writeNumberField(name, value));
+  }
+
+  void field(String name, double value) {
+    write(() -> generator.writeNumberField(name, value));
+  }
+
+  /** The whole message; nothing can be added after it. */
+  byte[] bytes() {
+    write(generator::close);
+    return buffer.toByteArray();
+  }
+
+  private static void write(Step step) {
+    try {
+      step.run();
+    } catch (IOException e) {
+      throw new UncheckedIOException("a message in memory can always be written", e);
+    }
+  }
+}
--- a/src/test/java/org/ternhinge/wire/WorkerReportTest.java
+++ b/src/test/java/org/ternhinge/wire/WorkerReportTest.java
@@ -47,6 +47,36 @@
     return in;
   }
 
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = '|',
+      nullValues = "none",
+      value = {
+        "none | {'valdmerki':41,'skipanir':[]}",
+        "START | {'valdmerki':41,'skipanir':["
+            + "{'skipun':'start','verkbiti':'wk-000412/3','tilraun':2}]}",
+        "STOP | {'valdmerki':41,'skipanir':["
+            + "{'skipun':'halt','verkbiti':'wk-000412/3','tilraun':2,'frestur_s':4.5}]}",
+        "FORGET | {'valdmerki':41,'skipanir':["
+            + "{'skipun':'clear','verkbiti':'wk-000412/3','tilraun':2}]}"
+      },
+      quoteCharacter = '"')
+  void answersSayTermAndCommands(Command.Op op, String expected) throws WireException {
+    TaskId task = TaskId.parse("wk-000412/3");
+    List<Command> commands =
+        op == null ? List.of() : List.of(new Command(op, task, new AttemptNumber(2), 4.5));
+    String json = expected.replace('\'', '"');
+    assertEquals(Json.parse(bytes(json)), Json.parse(Command.answer(new Term(41), commands)));
+    String order = json.replace("41,", "41,\"vakt\":7,");
+    assertEquals(
+        Json.parse(bytes(order)),
+        Json.parse(Command.order(new Term(41), new Session(7), commands)));
+  }
+
   @Test
   void readsWhatItWrites() throws WireException {
     assertEquals(FULL, WorkerReport.read(Json.bytes(FULL.write())));
