--- a/src/main/java/org/ternhinge/http/HttpServer.java
+++ b/src/main/java/org/ternhinge/http/HttpServer.java
@@ -12,11 +12,14 @@
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.DefaultHttpHeadersFactory;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpHeadersFactory;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
@@ -39,6 +42,10 @@
   private static final int MAX_BODY = 64 * 1024;
   private static final int STALL_S = 20;
 
+  /** Names and values of the answers' headers are constants and numbers, which need no check. */
+  private static final HttpHeadersFactory OWN_HEADERS =
+      DefaultHttpHeadersFactory.headersFactory().withValidation(false);
+
   /** Answers requests; may answer later and from any thread. */
   public interface Handler {
     void handle(Request request, Consumer<Response> answer);
@@ -174,7 +181,9 @@
           new DefaultFullHttpResponse(
               HttpVersion.HTTP_1_1,
               HttpResponseStatus.valueOf(response.status()),
-              Unpooled.wrappedBuffer(response.body()));
+              Unpooled.wrappedBuffer(response.body()),
+              OWN_HEADERS.newHeaders(),
+              EmptyHttpHeaders.INSTANCE);
       r.headers().set(HttpHeaderNames.CONTENT_LENGTH, response.body().length);
       r.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
       if (response.retryAfterS() > 0) {
--- a/src/main/java/org/ternhinge/wire/TaskState.java
+++ b/src/main/java/org/ternhinge/wire/TaskState.java
@@ -8,6 +8,9 @@
   SAVING("flushing"),
   ENDED("ended");
 
+  /** Kept, for {@link #values()} makes a new array each time and reports ask for each task. */
+  private static final TaskState[] ALL = values();
+
   private final String word;
 
   TaskState(String word) {
@@ -19,7 +22,7 @@
   }
 
   static TaskState of(String word) throws WireException {
-    for (TaskState state : values()) {
+    for (TaskState state : ALL) {
       if (state.word.equals(word)) {
         return state;
       }
