--- a/src/main/java/org/ternhinge/schedule/Preemption.java
+++ b/src/main/java/org/ternhinge/schedule/Preemption.java
@@ -17,11 +17,17 @@
   private record Option(MachineCapacity bin, List<AttemptView> victims, double cost) {}
 
   private final PlanBuilder draft;
+
+  /** Made once a round: it is asked for on each machine that a job looks at. */
+  private final Comparator<AttemptView> leastLossFirst;
+
   private final UnplaceableRequests exhausted = new UnplaceableRequests();
   private Priority lowest;
 
   Preemption(PlanBuilder draft) {
     this.draft = draft;
+    SteadyTime now = draft.snapshot.now();
+    this.leastLossFirst = Comparator.comparingDouble(attempt -> loss(attempt, now));
     for (MachineCapacity bin : draft.bins) {
       Priority there = bin.lowestPriority();
       if (there != null && (lowest == null || there.compareTo(lowest) > 0)) {
@@ -138,8 +144,7 @@
       }
     }
     if (out.size() > 1) {
-      SteadyTime now = draft.snapshot.now();
-      out.sort(Comparator.comparingDouble(a -> loss(a, now)));
+      out.sort(leastLossFirst);
     }
     return out;
   }
--- a/src/main/java/org/ternhinge/schedule/RentalPlanner.java
+++ b/src/main/java/org/ternhinge/schedule/RentalPlanner.java
@@ -186,15 +186,27 @@
     return out;
   }
 
-  /** The room that a production job could get on a machine, others stopped. */
+  /**
+   * The room that a production job could get on a machine, others stopped. Added up in plain
+   * numbers: it is asked for each task of each machine that keeps room.
+   */
   private static Resources stoppable(MachineCapacity bin, JobSpec spec) {
-    Resources room = bin.free();
-    for (AttemptView a : bin.view.attempts()) {
-      if (a.spec().priority().compareTo(spec.priority()) > 0 && a.spec().kind() != JobKind.GANG) {
-        room = room.plus(a.spec().need());
+    Resources free = bin.free();
+    if (bin.lowestPriority() == null || bin.lowestPriority().compareTo(spec.priority()) <= 0) {
+      return free;
+    }
+    long cpus = free.cpus();
+    long gpus = free.gpus();
+    long memory = free.memory();
+    for (AttemptView attempt : bin.view.attempts()) {
+      JobSpec running = attempt.spec();
+      if (running.priority().compareTo(spec.priority()) > 0 && running.kind() != JobKind.GANG) {
+        cpus += running.need().cpus();
+        gpus += running.need().gpus();
+        memory += running.need().memory();
       }
     }
-    return room;
+    return new Resources(cpus, gpus, memory);
   }
 
   /** Writes down what is to be rented and returned. */
