--- a/src/main/java/org/ternhinge/controller/CommandDispatcher.java
+++ b/src/main/java/org/ternhinge/controller/CommandDispatcher.java
@@ -25,9 +25,12 @@
 
 /**
  * Tells workers what to do: by direct orders, one at a time to a machine, and by the answers to
- * their reports. A direct start whose answer is lost stays a stray until nothing of it can arrive.
+ * their reports. A direct start whose answer is lost stays a stray until nothing of it can arrive,
+ * and a worker is told to forget an attempt only when no start of it can come after. Guarded by the
+ * controller's lock.
  */
 final class CommandDispatcher {
+  /** Commands that one message carries at most. */
   private static final int MAX_COMMANDS = 400;
 
   /** A machine that owes so many reports is not told anything directly. */
@@ -43,7 +46,7 @@
   private final Ledger ledger;
 
   /** Orders that may be under way at once; each takes a socket. */
-  private final int most;
+  private final int maxUnderWay;
 
   private int underWay;
 
@@ -53,18 +56,18 @@
   CommandDispatcher(
       LeadershipExecutor executor,
       ReportSink reports,
-      ControllerServices around,
+      ControllerServices services,
       Authority authority,
       Ledger ledger) {
     this.executor = executor;
     this.reports = reports;
-    this.settings = around.settings();
-    this.workers = around.workers();
-    this.clock = around.clock();
-    this.metrics = around.metrics();
+    this.settings = services.settings();
+    this.workers = services.workers();
+    this.clock = services.clock();
+    this.metrics = services.metrics();
     this.authority = authority;
     this.ledger = ledger;
-    this.most = SocketShares.of(settings.maxSockets()).calls();
+    this.maxUnderWay = SocketShares.of(settings.maxSockets()).calls();
   }
 
   /** Whether another order may go out now. */
@@ -72,48 +75,86 @@
     return spare() > 0;
   }
 
+  /** How many more orders may go out now. */
+  int spare() {
+    return Math.max(0, maxUnderWay - underWay);
+  }
+
+  // ---- direct orders --------------------------------------------------------------------------
+
   /** Sends what waits for a machine, one order at a time so that orders keep their sequence. */
-  void order(Machine m) {
+  void order(Machine machine) {
     SteadyTime now = clock.now();
-    if (m.orderInFlight || m.outbox.isEmpty()) {
-      return;
-    }
-    if (!authority.valid() || m.endpoint == null || m.gone) {
-      m.outbox.clear();
+    if (machine.orderInFlight || machine.outbox.isEmpty()) {
       return;
     }
-    boolean silent =
-        m.lastReport == null
-            || now.secondsSince(m.lastReport) > SILENT_REPORTS * settings.workers().reportS();
-    if (silent || (m.directAfter != null && now.isBefore(m.directAfter))) {
-      // The machine did not answer lately; its next report's answer carries the commands. Orders to
-      // a whole zone that is cut off would keep all others waiting for their time-outs.
-      m.outbox.clear();
+    if (!mayOrder(machine, now)) {
+      machine.outbox.clear();
       return;
     }
     if (!free()) {
-      queue.add(m);
+      queue.add(machine);
       return;
     }
+    List<Command> commands = takeOutbox(machine);
+    if (!commands.isEmpty()) {
+      sendOrder(machine, commands, now);
+    }
+  }
+
+  /**
+   * Whether a machine may be told something directly. One that does not answer lately may not: its
+   * next report's answer carries the commands, and orders to a whole zone that is cut off would
+   * keep all others waiting for their time-outs.
+   */
+  private boolean mayOrder(Machine machine, SteadyTime now) {
+    if (!authority.valid() || machine.endpoint == null || machine.gone) {
+      return false;
+    }
+    double silentS = SILENT_REPORTS * settings.workers().reportS();
+    if (machine.lastReport == null || now.secondsSince(machine.lastReport) > silentS) {
+      return false;
+    }
+    return machine.directAfter == null || !now.isBefore(machine.directAfter);
+  }
+
+  /** Takes what is still wanted from a machine's outbox; its starts are strays from here on. */
+  private List<Command> takeOutbox(Machine machine) {
     List<Command> commands = new ArrayList<>();
-    while (!m.outbox.isEmpty() && commands.size() < MAX_COMMANDS) {
-      Command c = m.outbox.poll();
-      if (c.op() == Command.Op.START) {
-        Attempt a = openAttempt(c);
-        if (a == null || a.stopping() || !a.durable() || !a.session().equals(m.session)) {
+    while (!machine.outbox.isEmpty() && commands.size() < MAX_COMMANDS) {
+      Command command = machine.outbox.poll();
+      if (command.op() == Command.Op.START) {
+        Attempt attempt = openAttempt(command);
+        if (attempt == null || !mayStart(attempt, machine)) {
           continue;
         }
-        m.strayStarts.addTo(Machine.key(c), 1);
+        machine.strayStarts.addTo(Machine.key(command), 1);
       }
-      commands.add(c);
+      commands.add(command);
     }
-    if (commands.isEmpty()) {
-      return;
-    }
-    m.orderInFlight = true;
-    Session session = m.session;
-    SteadyTime sent = now;
-    send(m.endpoint, session, commands, o -> ordered(m, session, commands, o, sent));
+    return commands;
+  }
+
+  private static boolean mayStart(Attempt attempt, Machine machine) {
+    return !attempt.stopping()
+        && attempt.durable()
+        && attempt.session().equals(machine.session);
+  }
+
+  private Attempt openAttempt(Command command) {
+    Job job = ledger.job(command.task().job());
+    Attempt attempt = job == null ? null : job.open(command.task().index());
+    return attempt != null && attempt.number().equals(command.attempt()) ? attempt : null;
+  }
+
+  private void sendOrder(Machine machine, List<Command> commands, SteadyTime now) {
+    machine.orderInFlight = true;
+    Session session = machine.session;
+    send(
+        machine.endpoint,
+        session,
+        commands,
+        outcome -> ordered(machine, session, commands, outcome, now));
   }
 
   /** The one way out to a worker, so that what is under way is counted. */
@@ -122,18 +163,17 @@
     underWay++;
     workers
         .order(to, authority.term(), session, commands)
-        .whenComplete(
-            (o, e) ->
-                executor.locked(
-                    () -> {
-                      underWay--;
-                      then.accept(o);
-                      while (free() && !queue.isEmpty()) {
-                        Machine next = queue.iterator().next();
-                        queue.remove(next);
-                        order(next);
-                      }
-                    }));
+        .whenComplete((outcome, error) -> executor.locked(() -> cameBack(outcome, then)));
+  }
+
+  private void cameBack(Outcome<Answer> outcome, Consumer<Outcome<Answer>> then) {
+    underWay--;
+    then.accept(outcome);
+    while (free() && !queue.isEmpty()) {
+      Machine next = queue.iterator().next();
+      queue.remove(next);
+      order(next);
+    }
   }
 
   /** Tells a worker of this term, whatever is known of it; the answer may say that it refuses. */
@@ -141,133 +181,132 @@
     send(to, session, List.of(), then);
   }
 
-  /** How many more orders may go out now. */
-  int spare() {
-    return Math.max(0, most - underWay);
-  }
-
-  private Attempt openAttempt(Command c) {
-    Job job = ledger.job(c.task().job());
-    Attempt a = job == null ? null : job.open(c.task().index());
-    return a != null && a.number().equals(c.attempt()) ? a : null;
+  /** Asks a machine that seems deaf for a sign; an order of nothing is answered with a report. */
+  void call(Machine machine, SteadyTime now) {
+    sendOrder(machine, List.of(), now);
   }
 
   private void ordered(
-      Machine m,
+      Machine machine,
       Session session,
       List<Command> commands,
       Outcome<Answer> outcome,
       SteadyTime sent) {
-    m.orderInFlight = false;
+    machine.orderInFlight = false;
     SteadyTime now = clock.now();
     if (outcome instanceof Outcome.Applied<Answer> applied) {
-      WorkerReport r = applied.value().report();
-      if (r.token().compareTo(authority.term()) > 0) {
-        authority.lost("a worker has seen term " + r.token());
+      WorkerReport report = applied.value().report();
+      if (report.token().compareTo(authority.term()) > 0) {
+        authority.lost("a worker has seen term " + report.token());
         return;
       }
-      settleStrays(m, session, commands);
-      m.hearing.heard();
+      settleStrays(machine, session, commands);
+      machine.hearing.heard();
       metrics.ordered(now.secondsSince(sent));
-      reports.take(m, r, false, now);
-    } else if (outcome instanceof Outcome.NotApplied<Answer> not
-        && not.reason() == Reason.NO_CONNECTION) {
-      settleStrays(m, session, commands);
-      m.directAfter = now.plusSeconds(settings.workers().reportS());
+      reports.take(machine, report, false, now);
     } else {
-      // The order may yet arrive: its starts stay strays until the session ends.
-      m.directAfter = now.plusSeconds(settings.workers().reportS());
+      if (outcome instanceof Outcome.NotApplied<Answer> not
+          && not.reason() != Reason.NO_CONNECTION) {
+        settleStrays(machine, session, commands);
+      }
+      // Otherwise the order may yet arrive: its starts stay strays until the session ends.
+      machine.directAfter = now.plusSeconds(settings.workers().reportS());
     }
-    order(m);
+    order(machine);
   }
 
-  private void settleStrays(Machine m, Session session, List<Command> commands) {
-    if (!session.equals(m.session)) {
+  private static void settleStrays(Machine machine, Session session, List<Command> commands) {
+    if (!session.equals(machine.session)) {
       return;
     }
-    for (Command c : commands) {
-      if (c.op() == Command.Op.START) {
-        String key = Machine.key(c);
-        if (m.strayStarts.addTo(key, -1) <= 1) {
-          m.strayStarts.removeInt(key);
+    for (Command command : commands) {
+      if (command.op() == Command.Op.START) {
+        String key = Machine.key(command);
+        if (machine.strayStarts.addTo(key, -1) <= 1) {
+          machine.strayStarts.removeInt(key);
         }
       }
     }
   }
 
+  // ---- answers to reports ---------------------------------------------------------------------
+
   /**
    * What a worker is to do, by its newest report. Stops come first: they are what must not be cut
    * off where there is more to tell than one answer carries.
    */
-  List<Command> commands(Machine m, WorkerReport r, SteadyTime now) {
-    List<Command> out = new ArrayList<>();
+  List<Command> commands(Machine machine, WorkerReport report) {
+    List<Command> stops = new ArrayList<>();
     List<Command> forgets = new ArrayList<>();
-    for (TaskReport t : r.tasks()) {
-      if (ledger.holds(t, m.id)) {
+    addUnheld(machine, report, stops, forgets);
+    List<Command> starts = new ArrayList<>();
+    for (Attempt attempt : ledger.attemptsOn(machine.id)) {
+      if (!attempt.session().equals(report.session())) {
         continue;
       }
-      Job job = ledger.job(t.task().job());
-      if (!t.ended()) {
-        // Not in the ledger, so nobody may have it run.
-        out.add(new Command(Command.Op.STOP, t.task(), t.attempt(), 0));
-      } else if ((job == null || job.recorded(t.task().index()))
-          && m.strayStarts.getInt(Machine.key(t)) == 0) {
-        // Only now: after this the worker forgets the attempt, and a repeated start would run it.
-        forgets.add(new Command(Command.Op.FORGET, t.task(), t.attempt(), 0));
+      if (attempt.stopping()) {
+        addStop(attempt, stops);
+      } else if (awaitsStart(attempt)
+          && stops.size() + forgets.size() + starts.size() < MAX_COMMANDS) {
+        attempt.startAnswered(report.sequence());
+        starts.add(new Command(Command.Op.START, attempt.task(), attempt.number(), 0));
       }
     }
-    List<Command> starts = new ArrayList<>();
-    for (Attempt a : ledger.attemptsOn(m.id)) {
-      if (!a.session().equals(r.session())) {
+    stops.addAll(forgets);
+    stops.addAll(starts);
+    return stops.size() > MAX_COMMANDS ? stops.subList(0, MAX_COMMANDS) : stops;
+  }
+
+  private static boolean awaitsStart(Attempt attempt) {
+    return attempt.seen() == Attempt.Seen.UNSEEN && attempt.durable() && !attempt.recovered();
+  }
+
+  /**
+   * What the worker shows and the ledger does not hold there: nobody may have such a task run, and
+   * the worker may forget the end of one that is recorded. Only then: afterwards a repeated start
+   * would run it.
+   */
+  private void addUnheld(
+      Machine machine, WorkerReport report, List<Command> stops, List<Command> forgets) {
+    for (TaskReport task : report.tasks()) {
+      if (ledger.holds(task, machine.id)) {
         continue;
       }
-      if (a.stopping()) {
-        Command stop = stop(a, now);
-        if (stop != null) {
-          out.add(stop);
-        }
-      } else if (a.seen() == Attempt.Seen.UNSEEN
-          && a.durable()
-          && !a.recovered()
-          && out.size() + forgets.size() + starts.size() < MAX_COMMANDS) {
-        a.startAnswered(r.sequence());
-        starts.add(new Command(Command.Op.START, a.task(), a.number(), 0));
+      if (!task.ended()) {
+        stops.add(new Command(Command.Op.STOP, task.task(), task.attempt(), 0));
+      } else if (isRecorded(task) && machine.strayStarts.getInt(Machine.key(task)) == 0) {
+        forgets.add(new Command(Command.Op.FORGET, task.task(), task.attempt(), 0));
       }
     }
-    out.addAll(forgets);
-    out.addAll(starts);
-    return out.size() > MAX_COMMANDS ? out.subList(0, MAX_COMMANDS) : out;
+  }
+
+  private boolean isRecorded(TaskReport task) {
+    Job job = ledger.job(task.task().job());
+    return job == null || job.recorded(task.task().index());
   }
 
   /** The stops that are due on a machine, whatever its report at hand shows. */
-  List<Command> stops(Machine m) {
-    List<Command> out = new ArrayList<>();
-    for (Attempt a : ledger.attemptsOn(m.id)) {
-      Command stop = a.stopping() && a.session().equals(m.session) ? stop(a, clock.now()) : null;
-      if (stop != null && out.size() < MAX_COMMANDS) {
-        out.add(stop);
+  List<Command> stops(Machine machine) {
+    List<Command> stops = new ArrayList<>();
+    for (Attempt attempt : ledger.attemptsOn(machine.id)) {
+      if (attempt.stopping()
+          && attempt.session().equals(machine.session)
+          && stops.size() < MAX_COMMANDS) {
+        addStop(attempt, stops);
       }
     }
-    return out;
+    return stops;
   }
 
-  private static Command stop(Attempt a, SteadyTime now) {
-    if (a.seen() == Attempt.Seen.UNSEEN) {
-      return null;
-    }
-    double left = Math.max(0, a.stopGraceS() - now.secondsSince(a.stopAt()));
-    if (a.seen() != Attempt.Seen.SAVING) {
-      return new Command(Command.Op.STOP, a.task(), a.number(), a.stopGraceS());
+  /**
+   * Adds the stop of an attempt, unless its start was never seen to arrive, or it is saving within
+   * the grace that it was given.
+   */
+  private static void addStop(Attempt attempt, List<Command> stops) {
+    Attempt.Seen seen = attempt.seen();
+    double graceS = attempt.stopGraceS();
+    if (seen != Attempt.Seen.UNSEEN && (seen != Attempt.Seen.SAVING || graceS == 0)) {
+      stops.add(new Command(Command.Op.STOP, attempt.task(), attempt.number(), graceS));
     }
-    return left == 0 && a.stopGraceS() == 0
-        ? new Command(Command.Op.STOP, a.task(), a.number(), 0)
-        : null;
-  }
-
-  /** Asks a machine that seems deaf for a sign; an order of nothing is answered with a report. */
-  void call(Machine m, SteadyTime now) {
-    m.orderInFlight = true;
-    Session session = m.session;
-    send(m.endpoint, session, List.of(), o -> ordered(m, session, List.of(), o, now));
   }
 }
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -1,5 +1,6 @@
 package org.ternhinge.controller;
 
+import it.unimi.dsi.fastutil.objects.Object2IntMap;
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -8,47 +9,79 @@
 import java.util.List;
 import java.util.Set;
 import org.ternhinge.ledger.Attempt;
+import org.ternhinge.model.AttemptNumber;
 import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Resources;
 import org.ternhinge.model.Session;
 import org.ternhinge.model.SteadyTime;
+import org.ternhinge.model.TaskId;
 import org.ternhinge.model.Term;
 import org.ternhinge.schedule.Snapshot;
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.TaskReport;
 
-/** What the leader knows of one machine. Guarded by the controller's lock. */
+/**
+ * What the leader knows of one machine: from its reports, from the cloud's lists, and of what it
+ * was told. Attempts are not among it, they are the ledger's. Guarded by the controller's lock.
+ *
+ * <p>Whoever changes anything that the planner is shown sets {@link #view} to null.
+ */
 final class Machine {
 
   /** Room kept for a job after others were stopped for it. */
   record Kept(JobId job, Resources room, SteadyTime until) {}
 
   final MachineId id;
+
+  // ---- what it is -----------------------------------------------------------------------------
+
+  /** Name of its machine type, or null while that is not known. */
   String type;
+
+  /** Index of its zone among the settings' zones; negative while unknown. */
   int zone = -1;
+
   String zoneName;
   boolean spot;
+
+  /** Where it takes direct orders, or null before its first report. */
   Endpoint endpoint;
+
+  /** The endpoint as reported, to be compared without reading it again. */
   String endpointText;
 
+  // ---- its worker, by its messages ----------------------------------------------------------
+
   Session session = Session.NONE;
 
   /** Sessions up to this one have ended for certain. */
   Session deadSession = Session.NONE;
 
+  /** Number of its newest message in this session. */
   long sequence = -1;
+
+  /** The highest term that the worker has shown. */
   Term token = Term.NONE;
+
+  /** Whether any message of it has come in this leadership. */
   boolean reported;
+
   SteadyTime lastReport;
 
   /** Past this time the worker has killed what it ran, unless it was answered since. */
   SteadyTime leaseEnds;
 
+  /** When the cloud takes it, by its own notice, or null. */
   SteadyTime noticeAt;
+
+  /** Whether its return has been asked for. */
   boolean releasing;
+
+  /** Whether it is certainly gone: its name never comes back. */
   boolean gone;
+
   SteadyTime rentedAt;
 
   /** When a list last showed it, or null. */
@@ -60,8 +93,10 @@
   /** Whether it was told of this term without having reported. */
   boolean greeted;
 
+  /** Since when no attempt has been open on it. */
   SteadyTime idleSince;
 
+  /** Whether what it is told reaches it. */
   final CommandReachability hearing = new CommandReachability();
 
   /** The term that a report of it was last answered in, or null. */
@@ -79,7 +114,9 @@
   /** What the planner is shown of it, or null when something has changed since. */
   Snapshot.MachineView view;
 
+  /** Images that it holds or fetches, with their sizes in GB, the one unused longest first. */
   final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
+
   final List<Kept> kept = new ArrayList<>();
 
   /** Direct starts whose answers were lost: such a start may still arrive. */
@@ -88,15 +125,28 @@
   /** Strays of an older term; none can arrive once the worker has shown the fencing term. */
   final Object2IntOpenHashMap<String> fencedStrays = new Object2IntOpenHashMap<>();
 
+  /** A worker that has shown this term refuses the fenced strays. */
   Term fence = Term.NONE;
 
+  // ---- what it is told ----------------------------------------------------------------------
+
+  /** Commands that wait for a direct order. */
   final ArrayDeque<Command> outbox = new ArrayDeque<>();
+
   boolean orderInFlight;
+
+  /** Until then it is told nothing directly, since an order failed; null where none has. */
   SteadyTime directAfter;
 
+  // ---- failures -----------------------------------------------------------------------------
+
   int errorsInARow;
   final Set<JobId> errorJobs = new HashSet<>();
+
+  /** Until then it is set aside because tasks fail on it; null where they don't. */
   SteadyTime sickUntil;
+
+  /** Until then nothing is placed on it, since it had no room for a task; null where it had. */
   SteadyTime noRoomUntil;
 
   Machine(MachineId id, SteadyTime now, SteadyTime leaseEnds) {
@@ -106,45 +156,53 @@
     this.rentedAt = now;
   }
 
-  static String key(TaskReport t) {
-    return t.task() + "#" + t.attempt();
+  /** Key of an attempt among the strays. */
+  static String key(TaskReport report) {
+    return key(report.task(), report.attempt());
   }
 
-  static String key(Attempt a) {
-    return a.task() + "#" + a.number();
+  /** Key of an attempt among the strays. */
+  static String key(Attempt attempt) {
+    return key(attempt.task(), attempt.number());
   }
 
-  static String key(Command c) {
-    return c.task() + "#" + c.attempt();
+  /** Key of a command's attempt among the strays. */
+  static String key(Command command) {
+    return key(command.task(), command.attempt());
+  }
+
+  private static String key(TaskId task, AttemptNumber attempt) {
+    return task + "#" + attempt;
   }
 
   /** The term was raised: the strays so far are of an older one. */
-  void fenceStrays(Term by) {
+  void fenceStrays(Term raised) {
     fencedStrays.clear();
     fencedStrays.putAll(strayStarts);
-    fence = by;
+    fence = raised;
   }
 
-  /** The worker has shown a token. */
+  /** The worker has shown a token: strays that it refuses from now on are none any more. */
   void sawToken(Term shown) {
-    if (!fencedStrays.isEmpty() && shown.compareTo(fence) >= 0) {
-      fencedStrays
-          .object2IntEntrySet()
-          .forEach(
-              e -> {
-                if (strayStarts.addTo(e.getKey(), -e.getIntValue()) <= e.getIntValue()) {
-                  strayStarts.removeInt(e.getKey());
-                }
-              });
-      fencedStrays.clear();
+    if (fencedStrays.isEmpty() || shown.compareTo(fence) < 0) {
+      return;
     }
+    for (Object2IntMap.Entry<String> fenced : fencedStrays.object2IntEntrySet()) {
+      int count = fenced.getIntValue();
+      if (strayStarts.addTo(fenced.getKey(), -count) <= count) {
+        strayStarts.removeInt(fenced.getKey());
+      }
+    }
+    fencedStrays.clear();
   }
 
+  /** Nothing sent to an earlier session can have an effect any more. */
   void forgetStrays() {
     strayStarts.clear();
     fencedStrays.clear();
   }
 
+  /** Whether it is set aside because tasks fail on it. */
   boolean sick(SteadyTime now) {
     return sickUntil != null && now.isBefore(sickUntil);
   }
@@ -155,18 +213,18 @@
       return;
     }
     view = null;
-    double sum = 0;
-    for (double size : images.values()) {
-      sum += size;
+    double usedGb = 0;
+    for (double sizeGb : images.values()) {
+      usedGb += sizeGb;
     }
-    var it = images.entrySet().iterator();
-    while (sum > cacheGb && it.hasNext()) {
-      var eldest = it.next();
+    var entries = images.entrySet().iterator();
+    while (usedGb > cacheGb && entries.hasNext()) {
+      var eldest = entries.next();
       if (eldest.getKey().equals(image)) {
         break;
       }
-      sum -= eldest.getValue();
-      it.remove();
+      usedGb -= eldest.getValue();
+      entries.remove();
     }
   }
 }
--- a/src/main/java/org/ternhinge/controller/ReportProcessor.java
+++ b/src/main/java/org/ternhinge/controller/ReportProcessor.java
@@ -1,6 +1,7 @@
 package org.ternhinge.controller;
 
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -16,6 +17,7 @@
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.JobId;
+import org.ternhinge.model.Session;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.model.TaskId;
 import org.ternhinge.wire.Command;
@@ -23,20 +25,53 @@
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.TaskReport;
+import org.ternhinge.wire.TaskState;
 import org.ternhinge.wire.WorkerReport;
 
 /**
- * Takes in what workers say of themselves, in the order in which they said it, and settles attempts
- * by it. A report that shows nothing new costs a comparison.
+ * Takes in what workers report, in the order in which they sent it, and settles attempts by it:
+ * what a report shows as ended, or proves to be gone, is closed in the ledger. A report that is
+ * older than what is known changes nothing, and one that shows the same tasks as the last costs one
+ * comparison. Guarded by the controller's lock.
  */
 final class ReportProcessor implements ReportSink, ReportedTasks {
   private static final Logger LOG = LoggerFactory.getLogger(ReportProcessor.class);
 
-  /** A session that ends so long before its lease can have ended was answered in vain. */
+  /**
+   * A session that ends at least so long before its lease was to end did not hear the answers that
+   * renewed the lease.
+   */
   private static final double LAPSE_S = 2;
 
-  /** So many machines may seem deaf before that is taken for this node's own trouble. */
-  private static final int MOST_DEAF = 3;
+  /**
+   * So many machines may seem not to hear before that is taken for this node's own trouble; a tenth
+   * of the fleet where that is more.
+   */
+  private static final int MAX_DEAF = 3;
+
+  private static final int MAX_DEAF_FLEET_PART = 10;
+
+  /** How long nothing is placed on a machine that refused a task for want of room. */
+  private static final double NO_ROOM_S = 5;
+
+  /** How long a job rests after an end whose reason the worker does not know. */
+  private static final double UNKNOWN_END_S = 3;
+
+  /** A job that fails on so many machines is at fault itself. */
+  private static final int JOB_AT_FAULT_MACHINES = 3;
+
+  /** A failing job rests for so long at first, twice as long after each further machine. */
+  private static final double FAILING_JOB_FIRST_S = 2;
+
+  private static final double FAILING_JOB_MAX_S = 60;
+
+  /** Tasks that have to fail in a row on a machine before the machine is taken for sick. */
+  private static final int SICK_AFTER_ERRORS = 2;
+
+  private static final double SICK_S = 600;
+
+  /** Beyond the time for saving, what a task that is told of its machine's end may take. */
+  private static final double SAVE_SLACK_S = 1;
 
   private final AttemptLifecycle attempts;
   private final MachineRegistry machines;
@@ -48,40 +83,37 @@
   private final Authority authority;
   private final Ledger ledger;
   private final Map<String, Flavor> flavors;
-  private final Map<JobId, JobFailures> troubles;
+  private final Map<JobId, JobFailures> failures;
   private final Rentals rentals;
-  private final CommandDispatcher orders;
+  private final CommandDispatcher commands;
 
   /** How many machines show each task that has not ended. */
   private final Object2IntOpenHashMap<TaskId> shown = new Object2IntOpenHashMap<>();
 
-  /** Whether the message at hand lacks a start that an answer has carried before. */
-  private boolean missedStart;
-
   ReportProcessor(
       AttemptLifecycle attempts,
       MachineRegistry machines,
       RoundTrigger rounds,
-      ControllerServices around,
+      ControllerServices services,
       Authority authority,
       Ledger ledger,
       Map<String, Flavor> flavors,
-      Map<JobId, JobFailures> troubles,
+      Map<JobId, JobFailures> failures,
       Rentals rentals,
-      CommandDispatcher orders) {
+      CommandDispatcher commands) {
     this.attempts = attempts;
     this.machines = machines;
     this.rounds = rounds;
-    this.settings = around.settings();
-    this.tuning = around.tuning();
-    this.clock = around.clock();
-    this.metrics = around.metrics();
+    this.settings = services.settings();
+    this.tuning = services.tuning();
+    this.clock = services.clock();
+    this.metrics = services.metrics();
     this.authority = authority;
     this.ledger = ledger;
     this.flavors = flavors;
-    this.troubles = troubles;
+    this.failures = failures;
     this.rentals = rentals;
-    this.orders = orders;
+    this.commands = commands;
   }
 
   @Override
@@ -95,40 +127,45 @@
    * gone: such a report is a late copy, which nobody waits for, or shows that the evidence was
    * wrong, and then the lease's end is what stops the tasks.
    */
-  Optional<List<Command>> report(WorkerReport r, boolean mayCommand) {
+  Optional<List<Command>> report(WorkerReport report, boolean mayCommand) {
     SteadyTime now = clock.now();
-    if (r.token().compareTo(authority.term()) > 0) {
-      authority.lost("a worker has seen term " + r.token());
+    if (report.token().compareTo(authority.term()) > 0) {
+      authority.lost("a worker has seen term " + report.token());
       return Optional.empty();
     }
-    if (machines.wasRemoved(r.machine())) {
+    if (machines.wasRemoved(report.machine())) {
       // A late copy: what is certainly gone must not come back to life by it.
       return Optional.empty();
     }
-    Machine m = machines.findOrAdd(r.machine(), now);
-    if (m.gone) {
+    Machine machine = machines.findOrAdd(report.machine(), now);
+    if (machine.gone) {
       return Optional.empty();
     }
-    if (r.session().compareTo(m.session) < 0 || r.session().compareTo(m.deadSession) <= 0) {
+    if (report.session().compareTo(machine.session) < 0 || isOver(report.session(), machine)) {
       // Held back by a cut, as a rule: the machine may be about to return, so it is kept for
       // longer.
-      m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
+      machine.leaseEnds = leaseFrom(now).max(machine.leaseEnds);
       return Optional.empty();
     }
-    boolean fresh = take(m, r, true, now);
+    boolean fresh = take(machine, report, true, now);
     if (!fresh) {
       // It was overtaken by an answer to an order, or is a copy: it was sent before that answer was
       // taken in. What it shows is old, but a worker that hears this must not miss a stop by it.
-      m.leaseEnds = leaseFrom(m.lastReport).max(m.leaseEnds);
-      return Optional.of(mayCommand ? orders.stops(m) : List.of());
+      machine.leaseEnds = leaseFrom(machine.lastReport).max(machine.leaseEnds);
+      return Optional.of(mayCommand ? commands.stops(machine) : List.of());
     }
-    if (r.token().compareTo(authority.term()) < 0 && authority.term().equals(m.answered)) {
-      missed(m, now);
+    if (report.token().compareTo(authority.term()) < 0
+        && authority.term().equals(machine.answered)) {
+      missedAnswer(machine, now);
     }
-    m.answered = authority.term();
+    machine.answered = authority.term();
     // The report was sent before now, so a lease counted from now ends no sooner than the worker's.
-    m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
-    return Optional.of(mayCommand ? orders.commands(m, r, now) : List.of());
+    machine.leaseEnds = leaseFrom(now).max(machine.leaseEnds);
+    return Optional.of(mayCommand ? commands.commands(machine, report) : List.of());
+  }
+
+  private static boolean isOver(Session session, Machine machine) {
+    return session.compareTo(machine.deadSession) <= 0;
   }
 
   private SteadyTime leaseFrom(SteadyTime answered) {
@@ -137,83 +174,101 @@
   }
 
   @Override
-  public boolean take(Machine m, WorkerReport r, boolean isReport, SteadyTime now) {
-    int newer = r.session().compareTo(m.session);
-    if (newer < 0
-        || (newer == 0 && r.sequence() <= m.sequence)
-        || r.session().compareTo(m.deadSession) <= 0) {
+  public boolean take(Machine machine, WorkerReport report, boolean isReport, SteadyTime now) {
+    int newer = report.session().compareTo(machine.session);
+    boolean old = newer < 0 || (newer == 0 && report.sequence() <= machine.sequence);
+    if (old || isOver(report.session(), machine)) {
       return false;
     }
     if (newer > 0) {
-      // The worker's lease ran out: everything of its earlier sessions is gone.
-      for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
-        if (a.session().compareTo(r.session()) < 0) {
-          attempts.close(a, false, "session over");
-        }
-      }
-      m.forgetStrays();
-      m.outbox.clear();
-      m.session = r.session();
-      if (m.answered != null && m.leaseEnds.secondsSince(now) > LAPSE_S) {
-        // It was answered lately, and its lease has ended for want of an answer.
-        m.hearing.lapsed(now, this::othersHear);
-      }
-      // A session may have begun just now, and lasts a whole lease without any answer.
-      m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
-    }
-    m.sequence = r.sequence();
-    if (r.token().compareTo(m.token) > 0) {
-      m.token = r.token();
-    }
-    m.sawToken(r.token());
-    if (!r.type().equals(m.type) || !r.zone().equals(m.zoneName) || m.spot != r.spot()) {
-      m.type = r.type();
-      m.zoneName = r.zone();
-      m.zone = settings.zones().indexOf(r.zone());
-      m.spot = r.spot();
-      m.view = null;
-    }
-    m.lastReport = now;
-    if (!m.reported) {
-      m.reported = true;
-      m.view = null;
-      if (m.rentedAt != null && ledger.attemptsOn(m.id).isEmpty()) {
-        m.idleSince = now;
-      }
-      rentals.seen(m.id);
-      rounds.requestRound();
+      beginSession(machine, report.session(), now);
     }
-    if (m.endpoint == null || !m.endpointText.equals(r.endpoint())) {
-      try {
-        m.endpoint = Endpoint.parse(r.endpoint());
-        m.endpointText = r.endpoint();
-      } catch (IllegalArgumentException e) {
-        LOG.warn("machine {} reports no usable endpoint", m.id);
-      }
+    machine.sequence = report.sequence();
+    takeToken(machine, report);
+    takeAttributes(machine, report);
+    machine.lastReport = now;
+    if (!machine.reported) {
+      firstReport(machine, now);
+    }
+    takeEndpoint(machine, report);
+    if (report.noticeS() != null && machine.noticeAt == null) {
+      machine.noticeAt = now.plusSeconds(report.noticeS());
+      stopBeforeLoss(machine, report.noticeS());
     }
-    if (r.noticeS() != null && m.noticeAt == null) {
-      m.noticeAt = now.plusSeconds(r.noticeS());
-      noticed(m, r.noticeS());
+    if (!machine.tasks.equals(report.tasks())) {
+      show(machine, report.tasks());
+      observeAll(machine, report, now);
     }
-    if (!m.tasks.equals(r.tasks())) {
-      show(m, r.tasks());
-      observeAll(m, r, now);
+    if (settleUnshown(machine, report, isReport)) {
+      missedAnswer(machine, now);
     }
-    missedStart = false;
-    for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
-      if (a.shownIn() != m.shownIn && a.session().equals(r.session())) {
-        absent(m, a, r, isReport);
+    return true;
+  }
+
+  /** The worker's lease ran out: everything of its earlier sessions is gone. */
+  private void beginSession(Machine machine, Session session, SteadyTime now) {
+    for (Attempt attempt : List.copyOf(ledger.attemptsOn(machine.id))) {
+      if (attempt.session().compareTo(session) < 0) {
+        attempts.close(attempt, false, "session over");
       }
     }
-    if (missedStart) {
-      missed(m, now);
+    machine.forgetStrays();
+    machine.outbox.clear();
+    machine.session = session;
+    if (machine.answered != null && machine.leaseEnds.secondsSince(now) > LAPSE_S) {
+      // It was answered lately, and its lease has ended for want of an answer.
+      machine.hearing.lapsed(now, this::othersHear);
     }
-    return true;
+    // A session may have begun just now, and lasts a whole lease without any answer.
+    machine.leaseEnds = leaseFrom(now).max(machine.leaseEnds);
+  }
+
+  private static void takeToken(Machine machine, WorkerReport report) {
+    if (report.token().compareTo(machine.token) > 0) {
+      machine.token = report.token();
+    }
+    machine.sawToken(report.token());
   }
 
-  private void missed(Machine m, SteadyTime now) {
-    m.hearing.missed(now, this::othersHear);
-    if (m.hearing.deaf()) {
+  private void takeAttributes(Machine machine, WorkerReport report) {
+    if (report.type().equals(machine.type)
+        && report.zone().equals(machine.zoneName)
+        && machine.spot == report.spot()) {
+      return;
+    }
+    machine.type = report.type();
+    machine.zoneName = report.zone();
+    machine.zone = settings.zones().indexOf(report.zone());
+    machine.spot = report.spot();
+    machine.view = null;
+  }
+
+  private void firstReport(Machine machine, SteadyTime now) {
+    machine.reported = true;
+    machine.view = null;
+    if (machine.rentedAt != null && ledger.attemptsOn(machine.id).isEmpty()) {
+      machine.idleSince = now;
+    }
+    rentals.seen(machine.id);
+    rounds.requestRound();
+  }
+
+  private static void takeEndpoint(Machine machine, WorkerReport report) {
+    if (machine.endpoint != null && machine.endpointText.equals(report.endpoint())) {
+      return;
+    }
+    try {
+      machine.endpoint = Endpoint.parse(report.endpoint());
+      machine.endpointText = report.endpoint();
+    } catch (IllegalArgumentException e) {
+      LOG.warn("machine {} reports no usable endpoint", machine.id);
+    }
+  }
+
+  /** A report shows no trace of what an answer before it has told. */
+  private void missedAnswer(Machine machine, SteadyTime now) {
+    machine.hearing.missed(now, this::othersHear);
+    if (machine.hearing.deaf()) {
       rounds.requestRound();
     }
   }
@@ -221,160 +276,192 @@
   /** Where many machines seem deaf at once it is the way from this node, not they. */
   private boolean othersHear() {
     int deaf = 0;
-    for (Machine m : machines.all()) {
-      deaf += m.hearing.deaf() ? 1 : 0;
+    for (Machine machine : machines.all()) {
+      deaf += machine.hearing.deaf() ? 1 : 0;
     }
-    return deaf < Math.max(MOST_DEAF, machines.all().size() / 10);
+    return deaf < Math.max(MAX_DEAF, machines.all().size() / MAX_DEAF_FLEET_PART);
   }
 
   /** Keeps count of what the machines show, by the difference to a machine's last message. */
   @Override
-  public void show(Machine m, List<TaskReport> tasks) {
-    for (TaskReport t : m.tasks) {
-      if (!t.ended() && shown.addTo(t.task(), -1) <= 1) {
-        shown.removeInt(t.task());
+  public void show(Machine machine, List<TaskReport> tasks) {
+    for (TaskReport task : machine.tasks) {
+      if (!task.ended() && shown.addTo(task.task(), -1) <= 1) {
+        shown.removeInt(task.task());
       }
     }
-    for (TaskReport t : tasks) {
-      if (!t.ended()) {
-        shown.addTo(t.task(), 1);
+    for (TaskReport task : tasks) {
+      if (!task.ended()) {
+        shown.addTo(task.task(), 1);
       }
     }
-    m.tasks = tasks;
-    m.shownIn = ++m.messages;
-    m.view = null;
+    machine.tasks = tasks;
+    machine.shownIn = ++machine.messages;
+    machine.view = null;
   }
 
-  private void observeAll(Machine m, WorkerReport r, SteadyTime now) {
-    for (TaskReport t : r.tasks()) {
-      Job job = ledger.job(t.task().job());
-      Attempt a = job == null ? null : job.open(t.task().index());
-      if (a != null
-          && a.number().equals(t.attempt())
-          && a.machine().equals(m.id)
-          && a.session().equals(r.session())) {
-        a.shownIn(m.shownIn);
-        observe(m, a, t, now);
+  private void observeAll(Machine machine, WorkerReport report, SteadyTime now) {
+    for (TaskReport task : report.tasks()) {
+      Job job = ledger.job(task.task().job());
+      Attempt attempt = job == null ? null : job.open(task.task().index());
+      if (attempt != null
+          && attempt.number().equals(task.attempt())
+          && attempt.machine().equals(machine.id)
+          && attempt.session().equals(report.session())) {
+        attempt.shownIn(machine.shownIn);
+        observe(machine, attempt, task, now);
       }
     }
   }
 
-  private void observe(Machine m, Attempt a, TaskReport t, SteadyTime now) {
-    if (t.ended()) {
-      ended(m, a, t, now);
+  private void observe(Machine machine, Attempt attempt, TaskReport task, SteadyTime now) {
+    if (task.ended()) {
+      ended(machine, attempt, task.why(), now);
       return;
     }
-    Attempt.Seen before = a.seen();
-    Attempt.Seen seen =
-        switch (t.state()) {
-          case FETCHING -> Attempt.Seen.FETCHING;
-          case WAITING -> Attempt.Seen.WAITING;
-          case SAVING -> Attempt.Seen.SAVING;
-          default -> Attempt.Seen.RUNNING;
-        };
-    a.see(seen, now);
-    JobSpec spec = a.job().spec();
-    if (seen != Attempt.Seen.FETCHING || m.images.containsKey(spec.image())) {
-      Flavor f = flavors.get(m.type);
-      m.hasImage(spec.image(), spec.imageGb(), f == null ? Double.MAX_VALUE : f.cacheGb());
-    }
-    if (before == Attempt.Seen.UNSEEN && !a.recovered()) {
-      m.hearing.obeyed();
+    Attempt.Seen before = attempt.seen();
+    Attempt.Seen seen = seen(task.state());
+    attempt.see(seen, now);
+    JobSpec spec = attempt.job().spec();
+    if (seen != Attempt.Seen.FETCHING || machine.images.containsKey(spec.image())) {
+      hasImage(machine, spec);
+    }
+    if (attempt.recovered()) {
+      return;
+    }
+    if (before == Attempt.Seen.UNSEEN) {
+      machine.hearing.obeyed();
     }
     if (before != seen && seen == Attempt.Seen.RUNNING) {
-      if (!a.recovered()) {
-        metrics.started(now.secondsSince(a.openedAt()));
+      metrics.started(now.secondsSince(attempt.openedAt()));
+    }
+  }
+
+  private static Attempt.Seen seen(TaskState state) {
+    return switch (state) {
+      case FETCHING -> Attempt.Seen.FETCHING;
+      case WAITING -> Attempt.Seen.WAITING;
+      case SAVING -> Attempt.Seen.SAVING;
+      default -> Attempt.Seen.RUNNING;
+    };
+  }
+
+  private void hasImage(Machine machine, JobSpec spec) {
+    Flavor flavor = flavors.get(machine.type);
+    double cacheGb = flavor == null ? Double.MAX_VALUE : flavor.cacheGb();
+    machine.hasImage(spec.image(), spec.imageGb(), cacheGb);
+  }
+
+  /**
+   * Looks at the open attempts that the machine does not show.
+   *
+   * @return whether it lacks a start that an answer has carried before
+   */
+  private boolean settleUnshown(Machine machine, WorkerReport report, boolean isReport) {
+    List<Attempt> unshown = null;
+    for (Attempt attempt : ledger.attemptsOn(machine.id)) {
+      if (attempt.shownIn() != machine.shownIn && attempt.session().equals(report.session())) {
+        unshown = unshown == null ? new ArrayList<>() : unshown;
+        unshown.add(attempt);
       }
     }
+    if (unshown == null) {
+      return false;
+    }
+    boolean missedStart = false;
+    for (Attempt attempt : unshown) {
+      missedStart |= absent(machine, attempt, report, isReport);
+    }
+    return missedStart;
   }
 
   /**
    * The worker does not show an open attempt. That proves it gone only if no start of it can still
    * arrive: an earlier leader's can't once the worker has seen this term; an own one can't once the
    * worker has shown it, or if it went out in an answer alone and a later report has come.
+   *
+   * @return whether the worker has missed the answer that carried the start
    */
-  private void absent(Machine m, Attempt a, WorkerReport r, boolean isReport) {
-    if (!a.durable()) {
-      return;
+  private boolean absent(Machine machine, Attempt attempt, WorkerReport report, boolean isReport) {
+    if (!attempt.durable()) {
+      return false;
     }
-    if (a.recovered()) {
-      if (r.token().compareTo(authority.term()) >= 0) {
-        attempts.close(a, false, "never arrived or is gone");
+    if (attempt.recovered()) {
+      if (report.token().compareTo(authority.term()) >= 0) {
+        attempts.close(attempt, false, "never arrived or is gone");
       }
-      return;
+      return false;
     }
-    if (a.seen() != Attempt.Seen.UNSEEN) {
-      attempts.close(a, false, "vanished");
-      return;
+    if (attempt.seen() != Attempt.Seen.UNSEEN) {
+      attempts.close(attempt, false, "vanished");
+      return false;
     }
-    boolean answerSettled = a.startAnswered() < 0 || (isReport && r.sequence() > a.startAnswered());
-    if (!a.stopping() && isReport && a.startAnswered() >= 0 && answerSettled) {
-      missedStart = true;
+    boolean inAnswer = attempt.startAnswered() >= 0;
+    boolean answerSettled = !inAnswer || (isReport && report.sequence() > attempt.startAnswered());
+    if (!attempt.stopping()) {
+      return isReport && inAnswer && answerSettled;
     }
-    if (a.stopping() && answerSettled && m.strayStarts.getInt(Machine.key(a)) == 0) {
-      attempts.close(a, false, "stopped before it started");
+    if (answerSettled && machine.strayStarts.getInt(Machine.key(attempt)) == 0) {
+      attempts.close(attempt, false, "stopped before it started");
     }
+    return false;
   }
 
-  private void ended(Machine m, Attempt a, TaskReport t, SteadyTime now) {
-    Job job = a.job();
-    EndReason why = t.why();
+  private void ended(Machine machine, Attempt attempt, EndReason why, SteadyTime now) {
+    Job job = attempt.job();
     if (LOG.isDebugEnabled()) {
-      LOG.debug("{} attempt {} on {} ended: {}", a.task(), a.number(), m.id, why);
+      LOG.debug("{} attempt {} on {} ended: {}", attempt.task(), attempt.number(), machine.id, why);
     }
     switch (why) {
       case DONE -> {
-        m.errorsInARow = 0;
-        m.errorJobs.clear();
-        troubles.remove(job.spec().id());
+        machine.errorsInARow = 0;
+        machine.errorJobs.clear();
+        failures.remove(job.spec().id());
       }
-      case ERROR -> failed(m, job, now);
-      case NO_ROOM -> m.noRoomUntil = now.plusSeconds(5);
-      case UNKNOWN -> trouble(job).until = now.plusSeconds(3);
+      case ERROR -> failed(machine, job, now);
+      case NO_ROOM -> machine.noRoomUntil = now.plusSeconds(NO_ROOM_S);
+      case UNKNOWN -> failuresOf(job).until = now.plusSeconds(UNKNOWN_END_S);
       default -> {}
     }
-    if (a.seen() == Attempt.Seen.RUNNING && why != EndReason.ERROR) {
-      m.hasImage(job.spec().image(), job.spec().imageGb(), cacheOf(m));
+    if (attempt.seen() == Attempt.Seen.RUNNING && why != EndReason.ERROR) {
+      hasImage(machine, job.spec());
     }
-    attempts.close(a, why == EndReason.DONE, why.word());
-  }
-
-  private double cacheOf(Machine m) {
-    Flavor f = flavors.get(m.type);
-    return f == null ? Double.MAX_VALUE : f.cacheGb();
+    attempts.close(attempt, why == EndReason.DONE, why.word());
   }
 
-  private JobFailures trouble(Job job) {
-    return troubles.computeIfAbsent(job.spec().id(), k -> new JobFailures());
+  private JobFailures failuresOf(Job job) {
+    return failures.computeIfAbsent(job.spec().id(), id -> new JobFailures());
   }
 
   /**
    * A task failed by itself. A machine is taken for sick when tasks fail on it in a row, not when
    * one job fails everywhere: such a job is put off for longer and longer and counts once.
    */
-  private void failed(Machine m, Job job, SteadyTime now) {
-    JobFailures t = trouble(job);
-    t.failedOn(m.id, now);
-    if (t.machines() >= 3) {
-      t.until = now.plusSeconds(Math.min(60, 2 * Math.pow(2, t.machines() - 3)));
+  private void failed(Machine machine, Job job, SteadyTime now) {
+    JobFailures failed = failuresOf(job);
+    failed.failedOn(machine.id, now);
+    if (failed.machines() >= JOB_AT_FAULT_MACHINES) {
+      double rest = FAILING_JOB_FIRST_S * Math.pow(2, failed.machines() - JOB_AT_FAULT_MACHINES);
+      failed.until = now.plusSeconds(Math.min(FAILING_JOB_MAX_S, rest));
       return;
     }
-    m.errorsInARow++;
-    m.errorJobs.add(job.spec().id());
-    if (m.errorsInARow >= 2 && !m.sick(now)) {
-      m.sickUntil = now.plusSeconds(600);
-      LOG.info("machine {} fails its tasks and is set aside", m.id);
+    machine.errorsInARow++;
+    machine.errorJobs.add(job.spec().id());
+    if (machine.errorsInARow >= SICK_AFTER_ERRORS && !machine.sick(now)) {
+      machine.sickUntil = now.plusSeconds(SICK_S);
+      LOG.info("machine {} fails its tasks and is set aside", machine.id);
     }
   }
 
-  private void noticed(Machine m, double seconds) {
-    LOG.info("machine {} will be taken in {} s", m.id, seconds);
-    for (Attempt a : List.copyOf(ledger.attemptsOn(m.id))) {
-      JobSpec spec = a.job().spec();
+  /** The cloud takes the machine soon: replicas start elsewhere, other tasks save what they can. */
+  private void stopBeforeLoss(Machine machine, double seconds) {
+    LOG.info("machine {} will be taken in {} s", machine.id, seconds);
+    for (Attempt attempt : List.copyOf(ledger.attemptsOn(machine.id))) {
+      JobSpec spec = attempt.job().spec();
       if (spec.isService()) {
-        attempts.stop(a, 0);
+        attempts.stop(attempt, 0);
       } else if (spec.checkpointS() > 0 && spec.saveS() > 0) {
-        attempts.stopWithGang(a, spec.saveS() + 1);
+        attempts.stopWithGang(attempt, spec.saveS() + SAVE_SLACK_S);
       }
     }
   }
