--- a/src/main/java/org/ternhinge/controller/CommandDispatcher.java
+++ b/src/main/java/org/ternhinge/controller/CommandDispatcher.java
@@ -136,9 +136,7 @@
   }
 
   private static boolean mayStart(Attempt attempt, Machine machine) {
-    return !attempt.stopping()
-        && attempt.durable()
-        && attempt.session().equals(machine.session);
+    return !attempt.stopping() && attempt.durable() && attempt.session().equals(machine.session);
   }
 
   private Attempt openAttempt(Command command) {
