--- a/src/main/java/org/ternhinge/ledger/Attempt.java
+++ b/src/main/java/org/ternhinge/ledger/Attempt.java
@@ -16,9 +16,12 @@
   public enum Seen {
     /** Nothing yet: the start may be on its way. */
     UNSEEN,
+    /** The image is being fetched. */
     FETCHING,
+    /** A gang's task waits for the others. */
     WAITING,
     RUNNING,
+    /** A checkpoint is being written before the task stops. */
     SAVING
   }
 
@@ -60,22 +63,27 @@
     this.openedAt = openedAt;
   }
 
+  /** The job that it is of. */
   public Job job() {
     return job;
   }
 
+  /** The task that was to start. */
   public TaskId task() {
     return task;
   }
 
+  /** Number within the job; those of later attempts are higher. */
   public AttemptNumber number() {
     return number;
   }
 
+  /** The machine that it was opened on. */
   public MachineId machine() {
     return machine;
   }
 
+  /** The run of the machine's worker that it was opened for; none later may start it. */
   public Session session() {
     return session;
   }
@@ -90,6 +98,7 @@
     return recovered;
   }
 
+  /** When this leader opened it, or loaded it if an earlier one did. */
   public SteadyTime openedAt() {
     return openedAt;
   }
@@ -99,18 +108,22 @@
     return durable;
   }
 
+  /** The state service holds it. */
   void markDurable() {
     durable = true;
   }
 
+  /** What the worker was last seen to say of it. */
   public Seen seen() {
     return seen;
   }
 
+  /** Since when it was seen running, or null. */
   public SteadyTime runningSince() {
     return runningSince;
   }
 
+  /** Notes what the worker says of it. */
   public void see(Seen now, SteadyTime at) {
     if (now == Seen.RUNNING && seen != Seen.RUNNING) {
       runningSince = at;
@@ -118,14 +131,17 @@
     seen = now;
   }
 
+  /** Whether it was asked to stop. */
   public boolean stopping() {
     return stopping;
   }
 
+  /** Seconds that it has to save its work once it is told to stop. */
   public double stopGraceS() {
     return stopGraceS;
   }
 
+  /** When it was asked to stop, or null. */
   public SteadyTime stopAt() {
     return stopAt;
   }
@@ -144,6 +160,7 @@
     return shownIn;
   }
 
+  /** Notes the message of its machine that shows it. */
   public void shownIn(long message) {
     shownIn = message;
   }
@@ -153,6 +170,7 @@
     return startAnswered;
   }
 
+  /** Notes the report whose answer carried the start. */
   public void startAnswered(long sequence) {
     startAnswered = sequence;
   }
--- a/src/main/java/org/ternhinge/ledger/Authority.java
+++ b/src/main/java/org/ternhinge/ledger/Authority.java
@@ -5,6 +5,7 @@
 
 /** The leadership that writes are made under. */
 public interface Authority {
+  /** Number of the leadership, raised with each one. */
   Term term();
 
   /** Version of the term's key; every write of a leader is conditional on it. */
