Ledger: admission, use of resources and the queue of writes apart, typed refusals

Ledger checked admission in one method of eighty lines that answered with strings, and counted use and urgency beside. Admission checks in named steps and answers with a Refusal, ResourceUsage counts, WriteQueue knows what is urgent. Whether tasks fit a record is a question now that changes nothing; asking for a service's record to be repartitioned is a command of its own, given where a plan's tasks don't fit. The cases of the tests stay and compare refusals whole instead of by their first words.

--- a/src/main/java/org/ternhinge/controller/PlanExecutor.java
+++ b/src/main/java/org/ternhinge/controller/PlanExecutor.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.ternhinge.ledger.Attempt;
@@ -9,6 +10,7 @@
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.ledger.LedgerWriter;
 import org.ternhinge.ledger.MachineAttributes;
+import org.ternhinge.ledger.Refusal;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
@@ -90,16 +92,13 @@
     if (job == null) {
       return;
     }
-    List<Ledger.Placement> placements = placements(place, job, now);
-    if (!job.spec().isGang()) {
-      placements = ledger.whatFits(job, placements);
-    }
-    String refusal =
+    List<Ledger.Placement> placements = withRoomInRecord(job, placements(place, job, now));
+    Optional<Refusal> refusal =
         placements.isEmpty()
-            ? "no machine"
+            ? Optional.of(Refusal.NOTHING_TO_PLACE)
             : ledger.open(job, placements, reportedTasks::ghost, now);
-    if (refusal != null) {
-      LOG.debug("{} not placed: {}", place.job(), refusal);
+    if (refusal.isPresent()) {
+      LOG.debug("{} not placed: {}", place.job(), refusal.get());
       return;
     }
     LOG.debug("{} {} goes to {}", place.job(), job.spec().jobClass(), place.machines());
@@ -108,6 +107,18 @@
     }
   }
 
+  /** The placements that the job's record has room for; a gang's are admitted whole or not. */
+  private List<Ledger.Placement> withRoomInRecord(Job job, List<Ledger.Placement> placements) {
+    if (job.spec().isGang()) {
+      return placements;
+    }
+    List<Ledger.Placement> fitting = ledger.fitting(job, placements);
+    if (fitting.size() < placements.size()) {
+      ledger.requestRoom(job);
+    }
+    return fitting;
+  }
+
   /** The placements whose machine still takes tasks. */
   private List<Ledger.Placement> placements(Plan.Place place, Job job, SteadyTime now) {
     List<Ledger.Placement> placements = new ArrayList<>();
--- /dev/null
+++ b/src/main/java/org/ternhinge/ledger/Admission.java
@@ -0,0 +1,167 @@
+package org.ternhinge.ledger;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.Predicate;
+import org.ternhinge.config.Team;
+import org.ternhinge.ledger.Ledger.Placement;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.wire.JobSpec;
+
+/**
+ * The one check that every start has to pass, whatever a policy asks for: state of the job, double
+ * starts, gangs as a whole, types, zones and kinds of machines, room on the machine, the team's
+ * limit and room in the job's record. It only asks and changes nothing.
+ */
+final class Admission {
+  private final Map<String, Team> teams;
+  private final int valueBytes;
+  private final ResourceUsage usage;
+
+  /**
+   * @param valueBytes the most that the state service takes as one value
+   */
+  Admission(Map<String, Team> teams, int valueBytes, ResourceUsage usage) {
+    this.teams = teams;
+    this.valueBytes = valueBytes;
+    this.usage = usage;
+  }
+
+  /**
+   * Checks placements of one job, which are admitted together or not at all.
+   *
+   * @param stillShown whether a machine still shows a task that has no open attempt
+   * @return the first reason against them, or nothing where they are admitted
+   */
+  Optional<Refusal> check(Job job, List<Placement> placements, Predicate<TaskId> stillShown) {
+    Optional<Refusal> refusal = checkJob(job, placements);
+    PlacementChecks checks = new PlacementChecks(job, stillShown);
+    for (Placement placement : placements) {
+      if (refusal.isPresent()) {
+        return refusal;
+      }
+      refusal = checks.next(placement);
+    }
+    return refusal
+        .or(() -> checkTeamLimit(job.spec(), placements.size()))
+        .or(() -> checkRecord(job, placements));
+  }
+
+  private Optional<Refusal> checkJob(Job job, List<Placement> placements) {
+    JobSpec spec = job.spec();
+    if (placements.isEmpty()) {
+      return Optional.of(Refusal.NOTHING_TO_PLACE);
+    }
+    if (job.cancelled() || job.over()) {
+      return Optional.of(Refusal.JOB_OVER);
+    }
+    if (job.waits()) {
+      return Optional.of(Refusal.WAITS_FOR_JOBS);
+    }
+    if (spec.isGang() && (placements.size() != spec.tasks() || !job.openMap().isEmpty())) {
+      return Optional.of(Refusal.GANG_INCOMPLETE);
+    }
+    return refuseIf(!teams.containsKey(spec.team()), Refusal.UNKNOWN_TEAM);
+  }
+
+  private Optional<Refusal> checkTeamLimit(JobSpec spec, int tasks) {
+    Resources used = usage.ofTeam(spec.team()).plus(spec.need().times(tasks));
+    return refuseIf(!Ledger.within(teams.get(spec.team()), used), Refusal.TEAM_LIMIT);
+  }
+
+  private Optional<Refusal> checkRecord(Job job, List<Placement> placements) {
+    return refuseIf(fitting(job, placements).size() < placements.size(), Refusal.RECORD_FULL);
+  }
+
+  /** Of tasks that are to start, those whose attempts the job's record has room for. */
+  List<Placement> fitting(Job job, List<Placement> placements) {
+    if (SegmentCapacity.isUnlimited(job, valueBytes)) {
+      return placements;
+    }
+    SegmentCapacity capacity = new SegmentCapacity(job, valueBytes);
+    return placements.stream()
+        .filter(
+            placement ->
+                capacity.take(
+                    placement.index(),
+                    job.highest().next(),
+                    placement.site().machine(),
+                    placement.site().session()))
+        .toList();
+  }
+
+  private static Optional<Refusal> refuseIf(boolean condition, Refusal refusal) {
+    return condition ? Optional.of(refusal) : Optional.empty();
+  }
+
+  /** Checks one placement after the other, each on top of those before it. */
+  private final class PlacementChecks {
+    private final Job job;
+    private final JobSpec spec;
+    private final Predicate<TaskId> stillShown;
+    private final Set<Integer> placed = new HashSet<>();
+    private final Map<Integer, Integer> tasksByZone = new HashMap<>();
+    private final Map<MachineId, Resources> roomByMachine = new HashMap<>();
+
+    PlacementChecks(Job job, Predicate<TaskId> stillShown) {
+      this.job = job;
+      this.spec = job.spec();
+      this.stillShown = stillShown;
+      for (Attempt attempt : job.openAttempts()) {
+        tasksByZone.merge(attempt.zone(), 1, Integer::sum);
+      }
+    }
+
+    Optional<Refusal> next(Placement placement) {
+      MachineAttributes machine = placement.site();
+      return checkTask(placement.index())
+          .or(() -> refuseIf(!permits(machine), Refusal.MACHINE_NOT_PERMITTED))
+          .or(() -> checkZone(machine.zone()))
+          .or(() -> checkRoom(machine));
+    }
+
+    private Optional<Refusal> checkTask(int index) {
+      if (index < 0 || index >= spec.tasks() || !placed.add(index)) {
+        return Optional.of(Refusal.NO_SUCH_TASK);
+      }
+      if (job.isDone(index)) {
+        return Optional.of(Refusal.TASK_DONE);
+      }
+      if (job.open(index) != null) {
+        return Optional.of(Refusal.TASK_OPEN);
+      }
+      return refuseIf(stillShown.test(new TaskId(spec.id(), index)), Refusal.TASK_STILL_SHOWN);
+    }
+
+    private boolean permits(MachineAttributes machine) {
+      return spec.allowsType(machine.type())
+          && (spec.zone() == null || spec.zone().equals(machine.zoneName()))
+          && (!machine.spot() || spec.spotAllowed());
+    }
+
+    private Optional<Refusal> checkZone(int zone) {
+      int tasks = tasksByZone.merge(zone, 1, Integer::sum);
+      if (tasks > spec.zoneLimit()) {
+        return Optional.of(Refusal.ZONE_LIMIT);
+      }
+      return refuseIf(spec.together() && tasksByZone.size() > 1, Refusal.SEVERAL_ZONES);
+    }
+
+    private Optional<Refusal> checkRoom(MachineAttributes machine) {
+      Resources room =
+          roomByMachine
+              .computeIfAbsent(
+                  machine.machine(), id -> machine.capacity().minus(usage.ofMachine(id)))
+              .minus(spec.need());
+      roomByMachine.put(machine.machine(), room);
+      boolean full = room.cpus() < 0 || room.gpus() < 0 || room.memory() < 0;
+      return refuseIf(full, Refusal.MACHINE_FULL);
+    }
+  }
+}
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -1,15 +1,12 @@
 package org.ternhinge.ledger;
 
 import it.unimi.dsi.fastutil.objects.Object2ObjectLinkedOpenHashMap;
-import java.util.ArrayList;
 import java.util.BitSet;
 import java.util.Collection;
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
 import org.ternhinge.config.Team;
@@ -20,56 +17,61 @@
 import org.ternhinge.model.Resources;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.model.TaskId;
-import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
 import org.ternhinge.wire.TaskReport;
 
 /**
- * Jobs and their attempts: the only door through which an attempt opens or closes. Whatever a
- * policy asks, {@link #admit} decides; it counts every attempt that may still be anywhere.
+ * Jobs and their attempts: the only place where an attempt opens or closes. Whatever a policy asks,
+ * {@link Admission} decides; it counts every attempt that may still be anywhere.
  *
  * <p>Not safe for use by several threads; the controller's lock guards it.
  */
 public final class Ledger {
+  /** Final states kept in memory, for users who ask for a job shortly after its end. */
   private static final int FINALS_KEPT = 4096;
 
-  /** One task and where it is to go. */
+  /**
+   * One task and where it is to go.
+   *
+   * @param index the task's number in its job
+   */
   public record Placement(int index, MachineAttributes site) {}
 
-  private final Map<String, Team> teams;
   private final int valueBytes;
-  private final Clock clock;
   private final Map<JobId, Job> jobs = new LinkedHashMap<>();
-  private final Map<String, Resources> teamUse = new HashMap<>();
-  private final Map<MachineId, Resources> machineUse = new HashMap<>();
-  private final Map<MachineId, Set<Attempt>> byMachine = new HashMap<>();
+  private final ResourceUsage usage = new ResourceUsage();
   private final Object2ObjectLinkedOpenHashMap<JobId, JobState> finals =
       new Object2ObjectLinkedOpenHashMap<>();
-  private final LinkedHashSet<Job> dirtyJobs = new LinkedHashSet<>();
+  private final Admission admission;
+  private final WriteQueue writeQueue;
   private final Dependencies dependencies;
 
   /**
    * @param valueBytes the most that the state service takes as one value
    */
   public Ledger(Map<String, Team> teams, int valueBytes, Clock clock) {
-    this.clock = clock;
-    this.teams = teams;
     this.valueBytes = valueBytes;
+    this.admission = new Admission(teams, valueBytes, usage);
+    this.writeQueue = new WriteQueue(clock);
     this.dependencies = new Dependencies(this, clock);
   }
 
+  /** The most that the state service takes as one value. */
   int valueBytes() {
     return valueBytes;
   }
 
+  /** Which jobs wait for which. */
   public Dependencies dependencies() {
     return dependencies;
   }
 
+  /** An unfinished job, or null. */
   public Job job(JobId id) {
     return jobs.get(id);
   }
 
+  /** All unfinished jobs, in the order in which they came. */
   public Collection<Job> jobs() {
     return jobs.values();
   }
@@ -79,6 +81,7 @@
     return finals.get(id);
   }
 
+  /** Keeps a final state for a while, for {@link #ended(JobId)}. */
   public void rememberEnd(JobState state) {
     finals.putAndMoveToLast(state.id(), state);
     if (finals.size() > FINALS_KEPT) {
@@ -86,28 +89,33 @@
     }
   }
 
+  /** What a team's open attempts take up of its limits. */
   public Resources teamUse(String team) {
-    return teamUse.getOrDefault(team, Resources.ZERO);
+    return usage.ofTeam(team);
   }
 
+  /** What open attempts take up of a machine. */
   public Resources machineUse(MachineId machine) {
-    return machineUse.getOrDefault(machine, Resources.ZERO);
+    return usage.ofMachine(machine);
   }
 
+  /** Attempts open on a machine; to be copied before some of them are opened or closed. */
   public Collection<Attempt> attemptsOn(MachineId machine) {
-    return byMachine.getOrDefault(machine, Set.of());
+    return usage.attemptsOn(machine);
   }
 
   /** Whether a task that a machine shows is an attempt open there. */
   public boolean holds(TaskReport shown, MachineId machine) {
     Job job = jobs.get(shown.task().job());
-    Attempt a = job == null ? null : job.open(shown.task().index());
-    return a != null && a.number().equals(shown.attempt()) && a.machine().equals(machine);
+    Attempt attempt = job == null ? null : job.open(shown.task().index());
+    return attempt != null
+        && attempt.number().equals(shown.attempt())
+        && attempt.machine().equals(machine);
   }
 
   /** Machines that attempts are open on, whether or not anything else is known of them. */
   public Set<MachineId> machinesInUse() {
-    return new HashSet<>(byMachine.keySet());
+    return usage.machines();
   }
 
   /** Takes in a job that the state service holds. */
@@ -115,32 +123,28 @@
     if (jobs.putIfAbsent(job.spec().id(), job) != null) {
       return;
     }
-    job.openAttempts().forEach(this::count);
+    job.openAttempts().forEach(usage::add);
     settle(job);
     dependencies.adopted(job);
   }
 
   /** Of tasks that are to start, those whose attempts the job's record has room for. */
-  public List<Placement> whatFits(Job job, List<Placement> placements) {
-    if (SegmentCapacity.always(job, valueBytes)) {
-      return placements;
-    }
-    SegmentCapacity room = new SegmentCapacity(job, valueBytes);
-    AttemptNumber number = job.highest().next();
-    List<Placement> fits =
-        placements.stream()
-            .filter(p -> room.take(p.index(), number, p.site().machine(), p.site().session()))
-            .toList();
-    if (fits.size() < placements.size() && job.spec().isService() && mayRepartition(job)) {
-      // Nothing of a service ends by itself, so waiting for room in a large segment could be for
-      // ever.
-      // An array's tasks end: to write its first segment for this each round would only cost
-      // changes.
+  public List<Placement> fitting(Job job, List<Placement> placements) {
+    return admission.fitting(job, placements);
+  }
+
+  /**
+   * Tasks of a job don't {@linkplain #fitting fit} its record. That of a service is repartitioned
+   * then, where this may help: nothing of it ends by itself, so waiting for room in a large segment
+   * could be for ever. An array's tasks end, and to write its first segment for this in every round
+   * would only cost changes.
+   */
+  public void requestRoom(Job job) {
+    if (job.spec().isService() && mayRepartition(job)) {
       job.repartitionWanted(true);
       job.dirty().set(0);
-      dirty(job);
+      writeQueue.add(job);
     }
-    return fits;
   }
 
   /** Whether a record has larger segments than it would have now, and may be repartitioned. */
@@ -156,12 +160,12 @@
    * A gang laid down under a larger limit may not fit its segments any more. While it waits nothing
    * stands in them but in the first, so that the next write of that one repartitions it.
    */
-  private void repartition(Job job) {
+  private void repartitionWaitingGang(Job job) {
     if (job.spec().isGang()
         && mayRepartition(job)
         && job.openMap().isEmpty()
         && job.liveSegments().isEmpty()
-        && !SegmentCapacity.always(job, valueBytes)) {
+        && !SegmentCapacity.isUnlimited(job, valueBytes)) {
       job.repartition(RecordSize.segmentSize(job, valueBytes));
       job.dirty().clear();
       job.dirty().set(0);
@@ -169,105 +173,42 @@
   }
 
   /**
-   * Opens attempts for tasks of a job, all with one number, or says why not. Nothing may be started
+   * Opens attempts for tasks of a job, all with one number, or none of them. Nothing may be started
    * until the attempts are durable.
    *
-   * @param ghosts whether a machine still shows a task that has no open attempt
-   * @return null when the attempts are open, otherwise the reason against it
+   * @param stillShown whether a machine still shows a task that has no open attempt
+   * @return nothing when the attempts are open, otherwise the reason against it
    */
-  public String open(
-      Job job, List<Placement> placements, Predicate<TaskId> ghosts, SteadyTime now) {
-    repartition(job);
-    String against = admit(job, placements, ghosts);
-    if (against != null) {
-      return against;
+  public Optional<Refusal> open(
+      Job job, List<Placement> placements, Predicate<TaskId> stillShown, SteadyTime now) {
+    repartitionWaitingGang(job);
+    Optional<Refusal> refusal = admit(job, placements, stillShown);
+    if (refusal.isEmpty()) {
+      openAll(job, placements, now);
     }
+    return refusal;
+  }
+
+  /** Whether attempts may open, by {@link Admission}. */
+  Optional<Refusal> admit(Job job, List<Placement> placements, Predicate<TaskId> stillShown) {
+    return admission.check(job, placements, stillShown);
+  }
+
+  private void openAll(Job job, List<Placement> placements, SteadyTime now) {
     AttemptNumber number = job.highest().next();
     job.highest(number);
     job.opening(true);
     job.dirty().set(0);
-    for (Placement p : placements) {
-      MachineAttributes s = p.site();
-      Attempt a =
-          new Attempt(job, p.index(), number, s.machine(), s.session(), s.zone(), false, now);
-      job.openMap().put(p.index(), a);
-      job.dirty().set(job.segmentOf(p.index()));
-      count(a);
-    }
-    dirty(job);
-    return null;
-  }
-
-  /**
-   * The one admission check: job state, double starts, gangs whole, type, zone, kind of machine,
-   * the team's limit and the machine's room.
-   */
-  String admit(Job job, List<Placement> placements, Predicate<TaskId> ghosts) {
-    JobSpec spec = job.spec();
-    if (placements.isEmpty()) {
-      return "nothing to place";
-    }
-    if (job.cancelled() || job.over()) {
-      return "job is over";
-    }
-    if (job.waits()) {
-      return "waits for other jobs";
-    }
-    if (spec.isGang() && (placements.size() != spec.tasks() || !job.openMap().isEmpty())) {
-      return "a gang starts whole, after every task of its last attempt is gone";
-    }
-    Team team = teams.get(spec.team());
-    if (team == null) {
-      return "unknown team";
-    }
-    Map<Integer, Integer> perZone = new HashMap<>();
-    for (Attempt a : job.openAttempts()) {
-      perZone.merge(a.zone(), 1, Integer::sum);
-    }
-    Map<MachineId, Resources> room = new HashMap<>();
-    Set<Integer> indexes = new HashSet<>();
-    for (Placement p : placements) {
-      MachineAttributes s = p.site();
-      if (p.index() < 0 || p.index() >= spec.tasks() || !indexes.add(p.index())) {
-        return "no such task";
-      }
-      if (job.isDone(p.index())) {
-        return "task is done";
-      }
-      if (job.open(p.index()) != null) {
-        return "task has an open attempt";
-      }
-      if (ghosts.test(new TaskId(spec.id(), p.index()))) {
-        return "task still shows on a machine";
-      }
-      if (!spec.allowsType(s.type())
-          || (spec.zone() != null && !spec.zone().equals(s.zoneName()))
-          || (s.spot() && !spec.spotAllowed())) {
-        return "job does not permit this machine";
-      }
-      perZone.merge(s.zone(), 1, Integer::sum);
-      if (perZone.get(s.zone()) > spec.zoneLimit()) {
-        return "too many tasks in one zone";
-      }
-      if (spec.together() && perZone.size() > 1) {
-        return "tasks in several zones";
-      }
-      Resources left =
-          room.computeIfAbsent(s.machine(), m -> s.capacity().minus(machineUse(m)))
-              .minus(spec.need());
-      if (left.cpus() < 0 || left.gpus() < 0 || left.memory() < 0) {
-        return "no room on the machine";
-      }
-      room.put(s.machine(), left);
-    }
-    Resources use = teamUse(spec.team()).plus(spec.need().times(placements.size()));
-    if (!within(team, use)) {
-      return "team limit";
-    }
-    if (whatFits(job, placements).size() < placements.size()) {
-      return "no room in the record";
+    for (Placement placement : placements) {
+      int index = placement.index();
+      MachineAttributes site = placement.site();
+      Attempt attempt =
+          new Attempt(job, index, number, site.machine(), site.session(), site.zone(), false, now);
+      job.openMap().put(index, attempt);
+      job.dirty().set(job.segmentOf(index));
+      usage.add(attempt);
     }
-    return null;
+    writeQueue.add(job);
   }
 
   /** Whether so much use keeps to a team's limit; a limit of 0 limits nothing. */
@@ -276,25 +217,26 @@
         && (team.gpusMax() == 0 || use.gpus() <= team.gpusMax());
   }
 
-  /** There is proof that the attempt is gone. One finished task finishes its whole gang. */
-  public void close(Attempt a, boolean done) {
-    Job job = a.job();
-    if (!job.openMap().remove(a.task().index(), a)) {
+  /**
+   * There is proof that an attempt is gone. One finished task finishes its whole gang.
+   *
+   * @param done whether the task is done, so that it won't be started again
+   */
+  public void close(Attempt attempt, boolean done) {
+    Job job = attempt.job();
+    int index = attempt.task().index();
+    if (!job.openMap().remove(index, attempt)) {
       return;
     }
-    discount(a);
-    job.dirty().set(job.segmentOf(a.task().index()));
-    if (done) {
-      if (job.spec().isGang()) {
-        job.done().set(0, job.spec().tasks());
-        for (int p = 0; p < job.segments(); p++) {
-          job.dirty().set(p);
-        }
-      } else {
-        job.done().set(a.task().index());
-      }
+    usage.remove(attempt);
+    job.dirty().set(job.segmentOf(index));
+    if (done && job.spec().isGang()) {
+      job.done().set(0, job.spec().tasks());
+      job.dirty().set(0, job.segments());
+    } else if (done) {
+      job.done().set(index);
     }
-    dirty(job);
+    writeQueue.add(job);
     settle(job);
   }
 
@@ -306,7 +248,7 @@
     if (!job.cancelled() && !job.over()) {
       job.markCancelled(false);
       job.dirty().set(0);
-      dirty(job);
+      writeQueue.add(job);
       settle(job);
     }
   }
@@ -315,7 +257,7 @@
   void cancelByDependency(Job job) {
     job.markCancelledByDependency();
     job.dirty().set(0);
-    dirty(job);
+    writeQueue.add(job);
     settle(job);
   }
 
@@ -333,19 +275,20 @@
     return job.over() || job.cancelled() || !dependencies.sure(job) ? null : stateOf(job);
   }
 
+  /** Merges segments that are over into the first, and marks the job if all of it is over. */
   private void settle(Job job) {
-    for (int p = 1; p < job.segments(); p++) {
-      if (!job.merged().get(p) && job.segmentOver(p) && mayMerge(job, p)) {
-        job.merged().set(p);
+    for (int segment = 1; segment < job.segments(); segment++) {
+      if (!job.merged().get(segment) && job.segmentOver(segment) && mayMerge(job, segment)) {
+        job.merged().set(segment);
         job.dirty().set(0);
-        job.dirty().set(p);
-        dirty(job);
+        job.dirty().set(segment);
+        writeQueue.add(job);
       }
     }
     boolean complete = job.doneCount() == job.spec().tasks();
     if (job.openMap().isEmpty() && (complete || job.cancelled())) {
       job.markOver();
-      dirty(job);
+      writeQueue.add(job);
     }
   }
 
@@ -353,111 +296,37 @@
   private boolean mayMerge(Job job, int segment) {
     BitSet merged = job.merged();
     boolean joins = merged.get(segment + 1) || merged.get(segment - 1);
-    int most = RecordSize.mergedRanges(valueBytes);
-    if (joins || merged.cardinality() < most) {
-      return true;
-    }
-    int ranges = 0;
-    for (int i = merged.nextSetBit(0); i >= 0; i = merged.nextSetBit(merged.nextClearBit(i))) {
-      ranges++;
-    }
-    return ranges < most;
-  }
-
-  private void count(Attempt a) {
-    Resources need = a.job().spec().need();
-    teamUse.merge(a.job().spec().team(), need, Resources::plus);
-    machineUse.merge(a.machine(), need, Resources::plus);
-    byMachine.computeIfAbsent(a.machine(), m -> new LinkedHashSet<>()).add(a);
-  }
-
-  private void discount(Attempt a) {
-    Resources need = a.job().spec().need();
-    teamUse.computeIfPresent(a.job().spec().team(), (t, r) -> r.minus(need));
-    Set<Attempt> there = byMachine.get(a.machine());
-    there.remove(a);
-    if (there.isEmpty()) {
-      byMachine.remove(a.machine());
-      machineUse.remove(a.machine());
-    } else {
-      machineUse.computeIfPresent(a.machine(), (m, r) -> r.minus(need));
-    }
-  }
-
-  /** What a job has to write, the most urgent first. */
-  enum Urgency {
-    CANCELS,
-    PRODUCTION_OPENS,
-    ENDS,
-    HIGH_OPENS,
-    OPENS,
-    ENDINGS
+    return joins || ranges(merged) < RecordSize.mergedRanges(valueBytes);
   }
 
-  /**
-   * Jobs with something to write, by urgency, those that have waited longest first.
-   *
-   * @param gathered endings that came later than this go on being gathered
-   * @param late endings that came before this wait behind nobody's opens any more
-   */
-  List<List<Job>> takeDirty(SteadyTime gathered, SteadyTime late) {
-    List<List<Job>> out = new ArrayList<>();
-    for (int i = 0; i < Urgency.values().length; i++) {
-      out.add(new ArrayList<>());
-    }
-    for (Job job : dirtyJobs) {
-      Urgency urgency = urgency(job);
-      if (urgency == Urgency.ENDINGS
-          && !job.cancelledByDependency()
-          && job.dirtySince().isBefore(late)) {
-        urgency = Urgency.OPENS;
-      }
-      if (urgency != Urgency.ENDINGS || !gathered.isBefore(job.dirtySince())) {
-        out.get(urgency.ordinal()).add(job);
-      }
-    }
-    return out;
-  }
-
-  private static Urgency urgency(Job job) {
-    if (job.cancelledByDependency()) {
-      // Users are told already, and there may be thousands of them.
-      return Urgency.ENDINGS;
-    }
-    if (job.cancelled()) {
-      return Urgency.CANCELS;
-    }
-    if (job.over()) {
-      return Urgency.ENDS;
-    }
-    if (!job.opening()) {
-      return Urgency.ENDINGS;
+  private static int ranges(BitSet set) {
+    int ranges = 0;
+    for (int i = set.nextSetBit(0); i >= 0; i = set.nextSetBit(set.nextClearBit(i))) {
+      ranges++;
     }
-    return switch (job.planned().priority()) {
-      case PRODUCTION -> Urgency.PRODUCTION_OPENS;
-      case HIGH -> Urgency.HIGH_OPENS;
-      default -> Urgency.OPENS;
-    };
+    return ranges;
   }
 
-  private void dirty(Job job) {
-    if (dirtyJobs.add(job)) {
-      job.dirtySince(clock.now());
-    }
+  /** The jobs that may be written, as in {@link WriteQueue#ready}. */
+  Map<WriteQueue.Urgency, List<Job>> readyToWrite(SteadyTime gathered, SteadyTime late) {
+    return writeQueue.ready(gathered, late);
   }
 
+  /** Whether a job has something to write. */
   boolean hasDirty() {
-    return !dirtyJobs.isEmpty();
+    return !writeQueue.isEmpty();
   }
 
+  /** All that a job has to write is in a transaction. */
   void clean(Job job) {
-    dirtyJobs.remove(job);
+    writeQueue.remove(job);
     job.opening(false);
   }
 
+  /** The state service holds a job's end. */
   void ended(Job job) {
     jobs.remove(job.spec().id());
-    dirtyJobs.remove(job);
+    writeQueue.remove(job);
     JobState.Phase phase = job.cancelled() ? JobState.Phase.CANCELLED : JobState.Phase.DONE;
     JobState state = new JobState(job.spec().id(), phase, job.doneCount(), 0);
     rememberEnd(state);
--- a/src/main/java/org/ternhinge/ledger/SegmentCapacity.java
+++ b/src/main/java/org/ternhinge/ledger/SegmentCapacity.java
@@ -10,57 +10,59 @@
 /**
  * Room for more open attempts in the segments of one job's record. What is admitted here fits the
  * limit on values whatever happens to it later: tasks only end, and their numbers are counted as if
- * each stood alone. A segment that an earlier version laid down under a larger limit takes nothing
- * more until enough of it has ended.
+ * each stood alone. A segment that an earlier version wrote under a larger limit takes nothing more
+ * until enough of it has ended.
  */
 final class SegmentCapacity {
-  private record Head(int segment, AttemptNumber number, MachineId machine, Session session) {}
+  /** What tasks of a segment share in the record where they have one attempt on one machine. */
+  private record Head(int segment, AttemptNumber number, MachineId machine, Session session) {
+    int bytes() {
+      return RecordSize.headBytes(number, machine, session);
+    }
+  }
 
   private final Job job;
   private final int valueBytes;
-  private final Int2IntOpenHashMap used = new Int2IntOpenHashMap();
+  private final Int2IntOpenHashMap headBytesBySegment = new Int2IntOpenHashMap();
   private final Set<Head> heads = new HashSet<>();
 
+  /** The room that a job's open attempts leave. */
   SegmentCapacity(Job job, int valueBytes) {
     this.job = job;
     this.valueBytes = valueBytes;
-    for (Attempt a : job.openAttempts()) {
-      Head head = head(a.task().index(), a.number(), a.machine(), a.session());
-      if (heads.add(head)) {
-        used.addTo(head.segment, bytes(head));
-      }
+    for (Attempt attempt : job.openAttempts()) {
+      add(head(attempt.task().index(), attempt.number(), attempt.machine(), attempt.session()));
     }
   }
 
-  /**
-   * Whether a segment could hold each of its tasks on a machine of its own, so none need be asked.
-   */
-  static boolean always(Job job, int valueBytes) {
+  /** Whether segments hold each of their tasks on a machine of its own, so none need be asked. */
+  static boolean isUnlimited(Job job, int valueBytes) {
     int tasks = Math.min(job.spec().tasks(), job.segmentSize());
     return RecordSize.baseBytes(job, 0, valueBytes) + tasks * RecordSize.BYTES_ALONE <= valueBytes;
   }
 
-  private Head head(int index, AttemptNumber number, MachineId machine, Session session) {
-    return new Head(job.segmentOf(index), number, machine, session);
-  }
-
-  private static int bytes(Head h) {
-    return RecordSize.headBytes(h.number, h.machine, h.session);
-  }
-
   /** Takes room for an attempt that is to open; false where its segment has none. */
   boolean take(int index, AttemptNumber number, MachineId machine, Session session) {
     Head head = head(index, number, machine, session);
     if (heads.contains(head)) {
       return true;
     }
-    int base = RecordSize.baseBytes(job, head.segment, valueBytes);
-    int more = bytes(head);
-    if (base + used.get(head.segment) + more > valueBytes) {
+    int used =
+        RecordSize.baseBytes(job, head.segment, valueBytes) + headBytesBySegment.get(head.segment);
+    if (used + head.bytes() > valueBytes) {
       return false;
     }
-    heads.add(head);
-    used.addTo(head.segment, more);
+    add(head);
     return true;
   }
+
+  private void add(Head head) {
+    if (heads.add(head)) {
+      headBytesBySegment.addTo(head.segment, head.bytes());
+    }
+  }
+
+  private Head head(int index, AttemptNumber number, MachineId machine, Session session) {
+    return new Head(job.segmentOf(index), number, machine, session);
+  }
 }
--- a/src/main/java/org/ternhinge/ledger/TransactionAssembler.java
+++ b/src/main/java/org/ternhinge/ledger/TransactionAssembler.java
@@ -1,7 +1,9 @@
 package org.ternhinge.ledger;
 
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
+import org.ternhinge.ledger.WriteQueue.Urgency;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.SteadyTime;
 
@@ -60,13 +62,14 @@
 
   private void addByUrgency(TransactionDraft draft) {
     SteadyTime now = clock.now();
-    List<List<Job>> queues = ledger.takeDirty(now.plusSeconds(-GATHER_S), now.plusSeconds(-LATE_S));
-    for (Ledger.Urgency urgency : Ledger.Urgency.values()) {
+    Map<Urgency, List<Job>> ready =
+        ledger.readyToWrite(now.plusSeconds(-GATHER_S), now.plusSeconds(-LATE_S));
+    for (Urgency urgency : Urgency.values()) {
       // The rentals and releases among the auxiliary writes go before starts of lower priority.
-      if (urgency == Ledger.Urgency.HIGH_OPENS && !auxiliaryWrites.addTo(draft)) {
+      if (urgency == Urgency.HIGH_OPENS && !auxiliaryWrites.addTo(draft)) {
         return;
       }
-      if (!addAll(draft, queues.get(urgency.ordinal()))) {
+      if (!addAll(draft, ready.get(urgency))) {
         return;
       }
     }
--- a/src/test/java/org/ternhinge/ledger/DependenciesTest.java
+++ b/src/test/java/org/ternhinge/ledger/DependenciesTest.java
@@ -61,9 +61,9 @@
     }
   }
 
-  private String admitted(Job job) {
+  private Refusal refusal(Job job) {
     List<Placement> one = List.of(new Placement(0, TestMachines.on("n-1", 1)));
-    return ledger.admit(job, one, t -> false);
+    return ledger.admit(job, one, t -> false).orElse(null);
   }
 
   private String states() {
@@ -139,13 +139,13 @@
   void aStartWaitsForTheDurableEndOfAllBefore() {
     acceptAll("1 2 3<1.2");
     Job last = jobs.get("3");
-    assertEquals("waits for other jobs", admitted(last));
+    assertEquals(Refusal.WAITS_FOR_JOBS, refusal(last));
     end("1", Phase.DONE);
-    assertEquals("waits for other jobs", admitted(last));
+    assertEquals(Refusal.WAITS_FOR_JOBS, refusal(last));
     assertFalse(ledger.dependencies().takeReady());
     end("2", Phase.DONE);
     assertTrue(ledger.dependencies().takeReady());
-    assertNull(admitted(last));
+    assertNull(refusal(last));
   }
 
   /** What ended long ago is asked for once however many wait for it, and asked again if unknown. */
@@ -154,13 +154,13 @@
     acceptAll("2<1 3<1 4<1");
     assertEquals(id("1"), ledger.dependencies().nextUnresolved());
     assertNull(ledger.dependencies().nextUnresolved());
-    assertEquals("waits for other jobs", admitted(jobs.get("3")));
+    assertEquals(Refusal.WAITS_FOR_JOBS, refusal(jobs.get("3")));
     ledger.dependencies().unknown(id("1"));
     assertEquals(id("1"), ledger.dependencies().nextUnresolved());
     ledger.dependencies().resolved(new JobState(id("1"), Phase.DONE, 2, 0));
-    assertNull(admitted(jobs.get("3")));
+    assertNull(refusal(jobs.get("3")));
     accept("5", "normal", "1");
-    assertNull(admitted(jobs.get("5")), "remembered");
+    assertNull(refusal(jobs.get("5")), "remembered");
   }
 
   /** A watch may bring a job after one that waits for it, and a load brings them by name. */
@@ -172,7 +172,7 @@
     assertEquals("high", jobs.get("1").planned().priority().word());
     assertEquals("low", jobs.get("1").spec().priority().word(), "its record stays");
     end("1", Phase.DONE);
-    assertNull(admitted(jobs.get("2")));
+    assertNull(refusal(jobs.get("2")));
   }
 
   @Test
@@ -199,7 +199,7 @@
     assertEquals(List.of(), RecordCodec.waitsFor(record));
     ledger.adopt(job);
     assertNull(ledger.dependencies().nextUnresolved());
-    assertNull(admitted(job));
+    assertNull(refusal(job));
   }
 
   @Test
--- a/src/test/java/org/ternhinge/ledger/LedgerTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerTest.java
@@ -1,13 +1,13 @@
 package org.ternhinge.ledger;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -54,20 +54,20 @@
       delimiter = '|',
       value = {
         "fine | batch | {} | 0A 1A |",
-        "twice in one go | batch | {} | 0A 0B | no such task",
-        "not of the job | batch | {} | 9A | no such task",
-        "wrong type | batch | {\"velagerdir\":[\"big\"]} | 0A | job does not permit this machine",
-        "wrong zone | batch | {\"svaedi\":\"west\"} | 0A | job does not permit this machine",
-        "spot refused | batch | {\"lanvelar\":false} | 0S | job does not permit this machine",
-        "too many in a zone | daemon | {\"scatter\":true} | 0A 1A 2A | too many tasks in one zone",
+        "twice in one go | batch | {} | 0A 0B | NO_SUCH_TASK",
+        "not of the job | batch | {} | 9A | NO_SUCH_TASK",
+        "wrong type | batch | {\"velagerdir\":[\"big\"]} | 0A | MACHINE_NOT_PERMITTED",
+        "wrong zone | batch | {\"svaedi\":\"west\"} | 0A | MACHINE_NOT_PERMITTED",
+        "spot refused | batch | {\"lanvelar\":false} | 0S | MACHINE_NOT_PERMITTED",
+        "too many in a zone | daemon | {\"scatter\":true} | 0A 1A 2A | ZONE_LIMIT",
         "half in a zone | daemon | {\"scatter\":true} | 0A 1A 2B |",
-        "gang in part | group | {} | 0A 1A | a gang starts whole",
+        "gang in part | group | {} | 0A 1A | GANG_INCOMPLETE",
         "gang whole | group | {} | 0A 1A 2A 3B |",
-        "gang apart | group | {\"together\":true} | 0A 1A 2A 3B | tasks in several zones",
-        "machine full | batch | {\"cpus\":3.0} | 0A 1A 2A | no room on the machine",
-        "limit of the team | batch | {\"cpus\":3.0} | 0A 1A 2B 3B | team limit"
+        "gang apart | group | {\"together\":true} | 0A 1A 2A 3B | SEVERAL_ZONES",
+        "machine full | batch | {\"cpus\":3.0} | 0A 1A 2A | MACHINE_FULL",
+        "limit of the team | batch | {\"cpus\":3.0} | 0A 1A 2B 3B | TEAM_LIMIT"
       })
-  void admission(String name, String kind, String change, String places, String against)
+  void admission(String name, String kind, String change, String places, Refusal expected)
       throws Exception {
     ObjectNode json = Specs.json("wk-1", kind, 4);
     json.setAll((ObjectNode) Json.parse(change.getBytes()));
@@ -78,32 +78,40 @@
           p.endsWith("A") ? A : p.endsWith("B") ? B : site("n-3", 0, "small", true);
       list.add(new Placement(p.charAt(0) - '0', s));
     }
-    String said = ledger.open(job, list, t -> false, NOW);
-    if (against == null) {
-      assertNull(said);
-      assertEquals(list.size(), job.openAttempts().size());
-    } else {
-      assertTrue(said != null && said.startsWith(against), said);
-      assertEquals(0, job.openAttempts().size(), "nothing opens in part");
-    }
+    assertEquals(Optional.ofNullable(expected), ledger.open(job, list, t -> false, NOW));
+    int opened = expected == null ? list.size() : 0;
+    assertEquals(opened, job.openAttempts().size(), "all open or none");
+  }
+
+  @Test
+  void nothingOpensWithoutPlacementsOrForATeamThatIsNotConfigured() {
+    Job job = job(Specs.json("wk-1", "batch", 2));
+    assertEquals(
+        Optional.of(Refusal.NOTHING_TO_PLACE), ledger.open(job, List.of(), t -> false, NOW));
+    Job foreign = job(Specs.json("wk-2", "batch", 2).put("eigandi", "blue"));
+    assertEquals(
+        Optional.of(Refusal.UNKNOWN_TEAM),
+        ledger.open(foreign, List.of(new Placement(0, A)), t -> false, NOW));
   }
 
   @Test
   void anOpenAttemptBlocksTheTaskUntilItIsGoneAndNumbersNeverRepeat() {
     Job job = job(Specs.json("wk-1", "batch", 2));
-    assertNull(ledger.open(job, List.of(new Placement(0, A)), t -> false, NOW));
+    assertEquals(Optional.empty(), ledger.open(job, List.of(new Placement(0, A)), t -> false, NOW));
     Attempt first = job.open(0);
     assertEquals(
-        "task has an open attempt",
+        Optional.of(Refusal.TASK_OPEN),
         ledger.open(job, List.of(new Placement(0, B)), t -> false, NOW));
     ledger.close(first, false);
     assertEquals(
-        "task still shows on a machine",
+        Optional.of(Refusal.TASK_STILL_SHOWN),
         ledger.open(job, List.of(new Placement(0, B)), t -> t.toString().equals("wk-1/0"), NOW));
-    assertNull(ledger.open(job, List.of(new Placement(0, B)), t -> false, NOW));
+    assertEquals(Optional.empty(), ledger.open(job, List.of(new Placement(0, B)), t -> false, NOW));
     assertTrue(job.open(0).number().compareTo(first.number()) > 0);
     ledger.close(job.open(0), true);
-    assertEquals("task is done", ledger.open(job, List.of(new Placement(0, A)), t -> false, NOW));
+    assertEquals(
+        Optional.of(Refusal.TASK_DONE),
+        ledger.open(job, List.of(new Placement(0, A)), t -> false, NOW));
     assertEquals(Resources.ZERO, ledger.teamUse("red"));
   }
 
@@ -111,7 +119,9 @@
   void aCancelledJobOpensNothingAndAJobThatIsOverIsNotCancelled() {
     Job job = job(Specs.json("wk-1", "batch", 2));
     ledger.cancel(job);
-    assertEquals("job is over", ledger.open(job, List.of(new Placement(0, A)), t -> false, NOW));
+    assertEquals(
+        Optional.of(Refusal.JOB_OVER),
+        ledger.open(job, List.of(new Placement(0, A)), t -> false, NOW));
     Job done = job(Specs.json("wk-2", "batch", 1));
     ledger.open(done, List.of(new Placement(0, A)), t -> false, NOW);
     ledger.close(done.open(0), true);
@@ -123,7 +133,7 @@
   void oneFinishedTaskFinishesItsGang() {
     Job gang = job(Specs.json("wk-1", "group", 3));
     List<Placement> all = List.of(new Placement(0, A), new Placement(1, A), new Placement(2, B));
-    assertNull(ledger.open(gang, all, t -> false, NOW));
+    assertEquals(Optional.empty(), ledger.open(gang, all, t -> false, NOW));
     ledger.close(gang.open(1), true);
     assertEquals(3, gang.doneCount());
     assertTrue(!gang.over(), "the others may still be on their machines");
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -7,6 +7,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.ReentrantLock;
 import org.junit.jupiter.api.Test;
@@ -161,7 +162,7 @@
     for (int i = from; i < to; i++) {
       places.add(new Placement(i, site));
     }
-    assertEquals(null, ledger.open(job, places, t -> false, clock.now()));
+    assertEquals(Optional.empty(), ledger.open(job, places, t -> false, clock.now()));
   }
 
   /** What a leader that came in now would load: no task may look as if it had never run. */
--- a/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import java.util.StringJoiner;
 import java.util.TreeSet;
@@ -399,7 +400,7 @@
               Resources.offer(64, 0, 256));
       places.add(new Placement(i, site));
     }
-    assertEquals(null, ledger.open(job, places, t -> false, clock.now()));
+    assertEquals(Optional.empty(), ledger.open(job, places, t -> false, clock.now()));
   }
 
   private void close(Job job, int... indexes) {
--- a/src/test/java/org/ternhinge/ledger/RepartitionedRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/RepartitionedRecordsTest.java
@@ -1,7 +1,6 @@
 package org.ternhinge.ledger;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
-import static org.junit.jupiter.api.Assertions.assertNull;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
@@ -10,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.TreeSet;
 import java.util.concurrent.locks.ReentrantLock;
 import org.junit.jupiter.api.Test;
@@ -62,7 +62,8 @@
       open.add(String.format("3:n-%06d:%d:%d:%d", 100 + i, 1 + i % 3, i % 2, i));
     }
     Job job = adopt(large);
-    assertEquals(0, ledger.whatFits(job, placements(15)).size(), "tasks that have room");
+    assertEquals(0, ledger.fitting(job, placements(15)).size(), "tasks that have room");
+    ledger.requestRoom(job);
     write();
     assertEquals(
         List.of(
@@ -84,7 +85,7 @@
   @Test
   void aGangIsRepartitionedTheSame() throws WireException {
     Job job = adopt(stored("group"));
-    assertNull(ledger.open(job, placements(0), task -> false, clock.now()));
+    assertEquals(Optional.empty(), ledger.open(job, placements(0), task -> false, clock.now()));
     write();
     assertEquals(
         List.of(
--- a/src/test/java/org/ternhinge/ledger/SegmentCapacityTest.java
+++ b/src/test/java/org/ternhinge/ledger/SegmentCapacityTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -69,10 +70,10 @@
           wanted.add(new Placement(i, site(machine++ / share)));
         }
       }
-      List<Placement> fits = ledger.whatFits(job, wanted);
+      List<Placement> fits = ledger.fitting(job, wanted);
       assertTrue(!spec.isGang() || fits.size() == wanted.size(), "a gang starts whole");
       if (!fits.isEmpty()) {
-        assertEquals(null, ledger.open(job, fits, t -> false, NOW));
+        assertEquals(Optional.empty(), ledger.open(job, fits, t -> false, NOW));
       }
       allFit(job, value);
       for (Attempt a : List.copyOf(job.openAttempts())) {
@@ -102,8 +103,8 @@
     for (int i = 0; i < tasks; i++) {
       all.add(new Placement(i, site(i)));
     }
-    List<Placement> fits = kind.equals("group") ? all : ledger.whatFits(job, all);
-    assertEquals(null, ledger.open(job, fits, t -> false, NOW));
+    List<Placement> fits = kind.equals("group") ? all : ledger.fitting(job, all);
+    assertEquals(Optional.empty(), ledger.open(job, fits, t -> false, NOW));
     assertTrue(fits.size() >= 50, "only " + fits.size());
     allFit(job, 2048);
   }
@@ -122,12 +123,15 @@
     for (int i = 0; i < 120; i++) {
       all.add(new Placement(i, site(i)));
     }
-    assertTrue(ledger.whatFits(job, all).size() < all.size());
+    assertTrue(ledger.fitting(job, all).size() < all.size());
+    assertEquals(Optional.of(Refusal.RECORD_FULL), ledger.admit(job, all, t -> false));
+    assertFalse(ledger.hasDirty() || job.repartitionWanted(), "a question changes nothing");
+    ledger.requestRoom(job);
     assertEquals(asks, ledger.hasDirty());
     assertEquals(asks, job.repartitionWanted());
     job.markRepartitionTooLarge();
     job.repartitionWanted(false);
-    ledger.whatFits(job, all);
+    ledger.requestRoom(job);
     assertFalse(job.repartitionWanted(), "nor where it can't be");
   }
 
--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/WriteQueueTest.java
@@ -0,0 +1,79 @@
+package org.ternhinge.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.ledger.WriteQueue.Urgency;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.Specs;
+
+class WriteQueueTest {
+  private static final double GATHER_S = 1;
+  private static final double LATE_S = 5;
+
+  private final SimClock clock = new SimClock();
+  private final WriteQueue queue = new WriteQueue(clock);
+
+  private static Job job(String id, String priority) {
+    ObjectNode json = Specs.json(id, "batch", 2).put("forgang", priority);
+    return new Job(Specs.of(json), 1, 2);
+  }
+
+  private Map<Urgency, List<Job>> ready() {
+    SteadyTime now = clock.now();
+    return queue.ready(now.plusSeconds(-GATHER_S), now.plusSeconds(-LATE_S));
+  }
+
+  /** Ends of tasks are gathered, but wait behind others' starts for a while only. */
+  @ParameterizedTest(name = "{0}, {1}, waiting {2} s: {3}")
+  @CsvSource({
+    "cancelled, low, 0, CANCELS",
+    "opening, production, 0, PRODUCTION_OPENS",
+    "over, production, 0, ENDS",
+    "opening, high, 0, HIGH_OPENS",
+    "opening, normal, 0, OPENS",
+    "opening, low, 9, OPENS",
+    "task ended, production, 0.5, ",
+    "task ended, production, 1.5, ENDINGS",
+    "task ended, production, 5.5, OPENS",
+    "cancelled by dependency, production, 0.5, ",
+    "cancelled by dependency, production, 5.5, ENDINGS"
+  })
+  void urgencyFollowsFromTheJob(String state, String priority, double waiting, Urgency expected) {
+    Job job = job("wk-1", priority);
+    switch (state) {
+      case "cancelled" -> job.markCancelled(false);
+      case "cancelled by dependency" -> job.markCancelledByDependency();
+      case "over" -> job.markOver();
+      case "opening" -> job.opening(true);
+      default -> {}
+    }
+    queue.add(job);
+    clock.runFor(waiting);
+    ready()
+        .forEach(
+            (urgency, jobs) -> assertEquals(urgency == expected ? List.of(job) : List.of(), jobs));
+  }
+
+  @Test
+  void aJobKeepsItsPlaceUntilItIsRemoved() {
+    Job first = job("wk-1", "normal");
+    Job second = job("wk-2", "normal");
+    first.opening(true);
+    second.opening(true);
+    queue.add(first);
+    queue.add(second);
+    queue.add(first);
+    assertEquals(List.of(first, second), ready().get(Urgency.OPENS));
+    queue.remove(first);
+    queue.remove(second);
+    assertTrue(queue.isEmpty());
+  }
+}
