Submissions: offer what this node can't write to the other controllers

A follower has tokens for one change at a time; several submissions that come together, or a node that the state service refuses, got 503 at once although other nodes could write. Dependent jobs go by a path of their own, which versions that would drop the dependencies answer with 404. A node whose state service is silent asks the others first.

--- a/src/main/java/org/ternhinge/controller/ControllerNode.java
+++ b/src/main/java/org/ternhinge/controller/ControllerNode.java
@@ -8,7 +8,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.atomic.AtomicReference;
 import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -55,12 +54,6 @@
   private static final double CANCEL_S = 4;
   private static final int ACCEPT_TRIES = 3;
 
-  /** A user drops the answer to a submission or a cancellation after 5 s. */
-  private static final double ANSWER_S = 4.5;
-
-  /** A user drops the answer to a poll after 2 s. */
-  private static final double POLL_ANSWER_S = 1.8;
-
   /** Shorter than the time after which a worker drops the answer. */
   private static final double RELAY_S = 2.5;
 
@@ -86,6 +79,7 @@
   private final JobLookup lookup;
   private final ReportRelay detours = new ReportRelay();
   private final NodeConnectivity contact;
+  private final SubmissionRelay submissionRelay;
   private Leadership lead;
 
   public ControllerNode(ControllerServices around, Election election, Peers peers, Share share) {
@@ -98,6 +92,8 @@
     this.lookup = new JobLookup(store);
     List<String> others = List.copyOf(around.settings().peers().keySet());
     this.contact = new NodeConnectivity(store, peers, others, around.clock(), lock);
+    this.submissionRelay =
+        new SubmissionRelay(peers, others, around.clock(), lock, contact::peerAnswered);
   }
 
   public void start() {
@@ -216,8 +212,9 @@
     if (path.equals(WORKERS_PATH)) {
       only("POST", request, answer, () -> report(request, fromPeer, answer));
     } else if (path.equals("/submissions")) {
-      only(
-          "POST", request, answer, () -> submit(request, fromPeer, answerWithin(ANSWER_S, answer)));
+      only("POST", request, answer, () -> submit(request, fromPeer, answer));
+    } else if (path.equals(SubmissionRelay.DEPENDENT_PATH) && fromPeer) {
+      only("POST", request, answer, () -> submit(request, true, answer));
     } else if (path.startsWith("/submissions/")) {
       String rest = path.substring("/submissions/".length());
       boolean cancels = rest.endsWith("/cancel");
@@ -225,17 +222,9 @@
       if (!JobId.isValid(name)) {
         answer.accept(Response.of(404));
       } else if (cancels) {
-        only(
-            "POST",
-            request,
-            answer,
-            () -> cancel(new JobId(name), request, fromPeer, answerWithin(ANSWER_S, answer)));
+        only("POST", request, answer, () -> cancel(new JobId(name), request, fromPeer, answer));
       } else {
-        only(
-            "GET",
-            request,
-            answer,
-            () -> query(new JobId(name), request, fromPeer, answerWithin(POLL_ANSWER_S, answer)));
+        only("GET", request, answer, () -> query(new JobId(name), request, fromPeer, answer));
       }
     } else if (path.equals("/healthz")) {
       only("GET", request, answer, () -> answer.accept(health()));
@@ -244,16 +233,6 @@
     }
   }
 
-  /**
-   * An answer that is 503 where none has come in time: a slow state service is waited for longer
-   * than users wait.
-   */
-  private Consumer<Response> answerWithin(double seconds, Consumer<Response> answer) {
-    Once once = new Once(answer);
-    later(seconds, () -> once.accept(Response.busy(RETRY_AFTER_S)));
-    return once;
-  }
-
   private static void only(
       String method, Request request, Consumer<Response> answer, Runnable then) {
     if (request.method().equals(method)) {
@@ -313,39 +292,72 @@
       unlessKnown(id, error(422, against), answer);
       return;
     }
-    String leader = otherLeader();
-    if (spec.dependencies().isEmpty()
-        || fromPeer
-        || leader == null
-        || !election.leaderKnowsDependencies()) {
-      accept(spec, request, fromPeer, answer);
+    if (fromPeer) {
+      accept(spec, Fallback.none(), answer);
       return;
     }
-    // The leader knows from memory what this node would have to read. If its answer is lost and it
-    // has accepted the job, the record is found to stand already.
-    askLeader(
-        leader,
-        request,
-        ASK_S,
-        r -> {
-          if (r.status() == 503) {
-            locked(() -> accept(spec, request, false, answer));
-          } else {
-            answer.accept(r);
-          }
-        });
+    String leader = otherLeader();
+    boolean dependent = !spec.dependencies().isEmpty();
+    boolean leaderTakesIt = leader != null && (!dependent || election.leaderKnowsDependencies());
+    String first = leaderTakesIt ? leader : null;
+    if (contact.stateSilent()) {
+      // An own write would only wait for its time-out; others may still reach the state service.
+      submissionRelay.offer(
+          first,
+          null,
+          request,
+          dependent,
+          unlessBusy(answer, () -> accept(spec, Fallback.none(), answer)));
+    } else if (dependent && leaderTakesIt && !submissionRelay.isSilent(leader)) {
+      // The leader knows from memory what this node would have to read. If its answer is lost and
+      // it has accepted the job, the record is found to stand already.
+      submissionRelay.askLeader(
+          leader,
+          request,
+          unlessBusy(
+              answer,
+              () ->
+                  accept(
+                      spec,
+                      then -> submissionRelay.offer(null, leader, request, true, then),
+                      answer)));
+    } else {
+      accept(spec, then -> submissionRelay.offer(first, null, request, dependent, then), answer);
+    }
   }
 
-  private void accept(JobSpec spec, Request request, boolean fromPeer, Consumer<Response> answer) {
+  /** Who else may take a submission that this node can't. */
+  private interface Fallback {
+    void offer(Consumer<Response> answer);
+
+    /** Another node has asked: it goes on by itself. */
+    static Fallback none() {
+      return answer -> answer.accept(Response.busy(RETRY_AFTER_S));
+    }
+  }
+
+  /** Passes an answer on, and does something else instead where it says that nothing was taken. */
+  private static Consumer<Response> unlessBusy(Consumer<Response> answer, Runnable otherwise) {
+    return response -> {
+      if (response.status() == 503) {
+        otherwise.run();
+      } else {
+        answer.accept(response);
+      }
+    };
+  }
+
+  private void accept(JobSpec spec, Fallback fallback, Consumer<Response> answer) {
     afterDependencies(
         spec,
         new ArrayDeque<>(spec.dependencies()),
         JobState.Phase.QUEUED,
+        fallback,
         answer,
         phase -> {
           int valueBytes = around.settings().stateLimits().valueBytes();
           ObjectNode record = RecordCodec.fresh(spec, around.clock().wallMillis(), valueBytes);
-          accept(spec, record, phase, request, fromPeer, ACCEPT_TRIES, answer);
+          accept(spec, record, phase, fallback, ACCEPT_TRIES, answer);
         });
   }
 
@@ -358,6 +370,7 @@
       JobSpec spec,
       Deque<JobId> todo,
       JobState.Phase phase,
+      Fallback fallback,
       Consumer<Response> answer,
       Consumer<JobState.Phase> then) {
     JobId next = todo.poll();
@@ -371,7 +384,7 @@
             locked(
                 () -> {
                   if (found == null) {
-                    unlessKnown(spec.id(), Response.busy(RETRY_AFTER_S), answer);
+                    fallback.offer(answer);
                   } else if (found.isEmpty()) {
                     unlessKnown(spec.id(), error(422, next + " was never accepted"), answer);
                   } else if (found.get().service()) {
@@ -382,7 +395,7 @@
                             || phase == JobState.Phase.CANCELLED;
                     JobState.Phase now =
                         cancelled ? JobState.Phase.CANCELLED : JobState.Phase.QUEUED;
-                    afterDependencies(spec, todo, now, answer, then);
+                    afterDependencies(spec, todo, now, fallback, answer, then);
                   }
                 }));
   }
@@ -414,8 +427,7 @@
       JobSpec spec,
       ObjectNode record,
       JobState.Phase phase,
-      Request request,
-      boolean fromPeer,
+      Fallback fallback,
       int tries,
       Consumer<Response> answer) {
     JobId id = spec.id();
@@ -436,13 +448,11 @@
                       } else if (o != null && o.isBecause(Reason.CONFLICT)) {
                         unlessKnown(id, Response.busy(RETRY_AFTER_S), answer);
                       } else if (o instanceof Outcome.NotApplied) {
-                        // One with dependencies has been to the leader before.
-                        boolean mayPass = spec.dependencies().isEmpty() && !fromPeer;
-                        passOn(request, !mayPass, answer);
+                        fallback.offer(answer);
                       } else if (tries > 1) {
                         // Lost answer: the same again; if the first was carried out, its record is
                         // found to stand already.
-                        accept(spec, record, phase, request, fromPeer, tries - 1, answer);
+                        accept(spec, record, phase, fallback, tries - 1, answer);
                       } else {
                         answer.accept(Response.busy(RETRY_AFTER_S));
                       }
@@ -460,16 +470,6 @@
     }
   }
 
-  /** This node can't reach the state service; the leader may. */
-  private void passOn(Request request, boolean fromPeer, Consumer<Response> answer) {
-    String leader = otherLeader();
-    if (fromPeer || leader == null) {
-      answer.accept(Response.busy(RETRY_AFTER_S));
-      return;
-    }
-    askLeader(leader, request, ASK_S, answer);
-  }
-
   private static Response error(int status, String message) {
     return Response.of(status, Json.bytes(Json.object().put("error", message)));
   }
@@ -589,17 +589,17 @@
 
   /** Lets only the first answer through. */
   private static final class Once implements Consumer<Response> {
-    private final AtomicReference<Consumer<Response>> answer;
+    private Consumer<Response> answer;
 
     Once(Consumer<Response> answer) {
-      this.answer = new AtomicReference<>(answer);
+      this.answer = answer;
     }
 
     @Override
     public void accept(Response response) {
-      Consumer<Response> first = answer.getAndSet(null);
-      if (first != null) {
-        first.accept(response);
+      if (answer != null) {
+        answer.accept(response);
+        answer = null;
       }
     }
   }
--- a/src/main/java/org/ternhinge/controller/NodeConnectivity.java
+++ b/src/main/java/org/ternhinge/controller/NodeConnectivity.java
@@ -26,6 +26,9 @@
   /** As long without any answer before this node takes itself for cut off. */
   private static final double ALONE_S = 5;
 
+  /** Longer than the time between two answers of a state service that is asked once it is quiet. */
+  private static final double STATE_SILENT_S = QUIET_S + TICK_S + 0.5;
+
   private static final double ASK_S = 0.8;
 
   private final StateStore store;
@@ -57,6 +60,11 @@
     peer = clock.now();
   }
 
+  /** Whether the state service owes this node an answer for longer than it ever takes. */
+  boolean stateSilent() {
+    return clock.now().secondsSince(state) > STATE_SILENT_S;
+  }
+
   boolean alone() {
     SteadyTime now = clock.now();
     return !names.isEmpty()
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/SubmissionRelayTest.java
@@ -0,0 +1,120 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.http.Request;
+import org.ternhinge.http.Response;
+import org.ternhinge.sim.SimClock;
+
+/** Which nodes are asked to take a submission, and which answer is passed on. */
+class SubmissionRelayTest {
+  private static final Request SUBMISSION = new Request("POST", "/submissions", new byte[] {'{'});
+  private static final List<String> OTHERS = List.of("b", "c", "d", "e");
+
+  private final SimClock clock = new SimClock();
+  private final Map<String, Integer> statuses = new HashMap<>();
+  private final List<String> asked = new ArrayList<>();
+  private final List<String> paths = new ArrayList<>();
+  private final List<String> reset = new ArrayList<>();
+  private int peerAnswers;
+  private Response answer;
+
+  private final ControllerNode.Peers peers =
+      new ControllerNode.Peers() {
+        @Override
+        public void ask(String node, Request request, double timeoutS, Consumer<Response> to) {
+          asked.add(node);
+          paths.add(request.path());
+          Integer status = statuses.get(node);
+          to.accept(status == null ? null : Response.of(status));
+        }
+
+        @Override
+        public void reset(String node) {
+          reset.add(node);
+        }
+      };
+
+  private final SubmissionRelay relay =
+      new SubmissionRelay(peers, OTHERS, clock, new ReentrantLock(), () -> peerAnswers++);
+
+  private void offer(String first, String except, boolean dependent) {
+    answer = null;
+    asked.clear();
+    relay.offer(first, except, SUBMISSION, dependent, r -> answer = r);
+  }
+
+  /** Nodes that are not named give no answer. */
+  private void answers(String list) {
+    for (String each : list == null ? new String[0] : list.split(" ")) {
+      statuses.put(each.split("=")[0], Integer.valueOf(each.split("=")[1]));
+    }
+  }
+
+  @ParameterizedTest(name = "first {0}, except {1}, answers {2}")
+  @CsvSource({
+    // first, except, answers, nodes asked, status
+    "d,  , d=201,                  d,     201",
+    "d,  , d=200,                  d,     200",
+    "d,  , d=422,                  d,     422",
+    "d,  , d=503 b=201,            d b,   201",
+    "d,  , b=201,                  d b,   201",
+    " ,  , b=404 c=201,            b c,   201",
+    " , b, b=201 c=201,            c,     201",
+    "d,  , b=503 c=503 d=503 e=201, d b c e, 201",
+    " ,  , ,                       b c d e, 503",
+  })
+  void theFirstFinalAnswerCounts(
+      String first, String except, String answers, String expected, int status) {
+    answers(answers);
+    offer(first, except, false);
+    assertEquals(status, answer.status());
+    assertEquals(List.of(expected.split(" ")), asked);
+  }
+
+  @Test
+  void aSilentNodeIsLeftOutForAWhileAndItsLinkIsDropped() {
+    answers("b=503 c=201 e=503");
+    offer("d", null, false);
+    assertEquals(List.of("d", "b", "c"), asked);
+    assertEquals(List.of("d"), reset);
+    assertEquals(2, peerAnswers);
+    assertTrue(relay.isSilent("d"));
+    offer("d", null, false);
+    assertEquals(List.of("c"), asked);
+    clock.runFor(2.1);
+    answers("d=201");
+    offer("d", null, false);
+    assertEquals(List.of("d"), asked);
+  }
+
+  @Test
+  void submissionsAreSpreadOverTheNodes() {
+    answers("b=201 c=201 d=201 e=201");
+    List<String> all = new ArrayList<>();
+    for (int i = 0; i < OTHERS.size(); i++) {
+      offer(null, null, false);
+      all.addAll(asked);
+    }
+    assertEquals(OTHERS, all);
+  }
+
+  /** A version that does not know dependencies would accept the job without them. */
+  @Test
+  void aDependentJobGoesByAPathThatOlderVersionsDoNotKnow() {
+    answers("b=404 c=201");
+    offer(null, null, true);
+    assertEquals(201, answer.status());
+    assertEquals(List.of("/peer/submissions", "/peer/submissions"), paths);
+  }
+}
