Submissions: a leader short of tokens says what it found of the dependencies

Dependent jobs all went to the leader first. When it had no token left for a change it answered 503, and the asking node read all dependencies itself, for which its share of requests was too small. The 503 between controllers now says whether a dependency is cancelled, and the asking node, or the next one it offers the job to, writes the record without reading.

--- a/src/main/java/org/ternhinge/controller/ControllerNode.java
+++ b/src/main/java/org/ternhinge/controller/ControllerNode.java
@@ -30,6 +30,7 @@
 import org.ternhinge.state.StateStore;
 import org.ternhinge.state.Txn;
 import org.ternhinge.wire.Command;
+import org.ternhinge.wire.DependencyVerdict;
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
@@ -213,7 +214,7 @@
       only("POST", request, answer, () -> report(request, fromPeer, answer));
     } else if (path.equals("/submissions")) {
       only("POST", request, answer, () -> submit(request, fromPeer, answer));
-    } else if (path.equals(SubmissionRelay.DEPENDENT_PATH) && fromPeer) {
+    } else if (SubmissionRelay.isDependentPath(path) && fromPeer) {
       only("POST", request, answer, () -> submit(request, true, answer));
     } else if (path.startsWith("/submissions/")) {
       String rest = path.substring("/submissions/".length());
@@ -293,72 +294,93 @@
       return;
     }
     if (fromPeer) {
-      accept(spec, Fallback.none(), answer);
+      accept(spec, SubmissionRelay.verdictIn(request.path()), Fallback.none(), answer);
       return;
     }
     String leader = otherLeader();
     boolean dependent = !spec.dependencies().isEmpty();
     boolean leaderTakesIt = leader != null && (!dependent || election.leaderKnowsDependencies());
     String first = leaderTakesIt ? leader : null;
+    Fallback others =
+        (verdict, then) -> submissionRelay.offer(first, null, request, dependent, verdict, then);
     if (contact.stateSilent()) {
       // An own write would only wait for its time-out; others may still reach the state service.
-      submissionRelay.offer(
-          first,
-          null,
-          request,
-          dependent,
-          unlessBusy(answer, () -> accept(spec, Fallback.none(), answer)));
+      others.offer(
+          Optional.empty(),
+          unlessBusy(answer, busy -> accept(spec, Optional.empty(), Fallback.none(), answer)));
     } else if (dependent && leaderTakesIt && !submissionRelay.isSilent(leader)) {
       // The leader knows from memory what this node would have to read. If its answer is lost and
       // it has accepted the job, the record is found to stand already.
+      Fallback allButLeader =
+          (verdict, then) -> submissionRelay.offer(null, leader, request, true, verdict, then);
       submissionRelay.askLeader(
           leader,
           request,
           unlessBusy(
               answer,
-              () ->
-                  accept(
-                      spec,
-                      then -> submissionRelay.offer(null, leader, request, true, then),
-                      answer)));
+              busy -> accept(spec, DependencyVerdict.read(busy.body()), allButLeader, answer)));
     } else {
-      accept(spec, then -> submissionRelay.offer(first, null, request, dependent, then), answer);
+      accept(spec, Optional.empty(), others, answer);
     }
   }
 
   /** Who else may take a submission that this node can't. */
   private interface Fallback {
-    void offer(Consumer<Response> answer);
-
-    /** Another node has asked: it goes on by itself. */
+    /**
+     * Offers the submission to others.
+     *
+     * @param verdict what is known of the jobs that it depends on
+     */
+    void offer(Optional<DependencyVerdict> verdict, Consumer<Response> answer);
+
+    /** Another node has asked: it goes on by itself, and need not look at the same jobs again. */
     static Fallback none() {
-      return answer -> answer.accept(Response.busy(RETRY_AFTER_S));
+      return (verdict, answer) ->
+          answer.accept(
+              verdict
+                  .map(known -> new Response(503, known.write(), RETRY_AFTER_S))
+                  .orElse(Response.busy(RETRY_AFTER_S)));
     }
   }
 
   /** Passes an answer on, and does something else instead where it says that nothing was taken. */
-  private static Consumer<Response> unlessBusy(Consumer<Response> answer, Runnable otherwise) {
+  private static Consumer<Response> unlessBusy(
+      Consumer<Response> answer, Consumer<Response> otherwise) {
     return response -> {
       if (response.status() == 503) {
-        otherwise.run();
+        otherwise.accept(response);
       } else {
         answer.accept(response);
       }
     };
   }
 
-  private void accept(JobSpec spec, Fallback fallback, Consumer<Response> answer) {
-    afterDependencies(
-        spec,
-        new ArrayDeque<>(spec.dependencies()),
-        JobState.Phase.QUEUED,
-        fallback,
-        answer,
-        phase -> {
-          int valueBytes = around.settings().stateLimits().valueBytes();
-          ObjectNode record = RecordCodec.fresh(spec, around.clock().wallMillis(), valueBytes);
-          accept(spec, record, phase, fallback, ACCEPT_TRIES, answer);
-        });
+  private void accept(
+      JobSpec spec,
+      Optional<DependencyVerdict> verdict,
+      Fallback fallback,
+      Consumer<Response> answer) {
+    if (spec.dependencies().isEmpty() || verdict.isPresent()) {
+      write(spec, verdict, fallback, answer);
+    } else {
+      afterDependencies(
+          spec,
+          new ArrayDeque<>(spec.dependencies()),
+          false,
+          fallback,
+          answer,
+          found -> write(spec, Optional.of(found), fallback, answer));
+    }
+  }
+
+  private void write(
+      JobSpec spec,
+      Optional<DependencyVerdict> verdict,
+      Fallback fallback,
+      Consumer<Response> answer) {
+    int valueBytes = around.settings().stateLimits().valueBytes();
+    ObjectNode record = RecordCodec.fresh(spec, around.clock().wallMillis(), valueBytes);
+    write(spec, record, verdict, fallback, ACCEPT_TRIES, answer);
   }
 
   /**
@@ -369,13 +391,13 @@
   private void afterDependencies(
       JobSpec spec,
       Deque<JobId> todo,
-      JobState.Phase phase,
+      boolean cancelledBefore,
       Fallback fallback,
       Consumer<Response> answer,
-      Consumer<JobState.Phase> then) {
+      Consumer<DependencyVerdict> then) {
     JobId next = todo.poll();
     if (next == null) {
-      then.accept(phase);
+      then.accept(new DependencyVerdict(cancelledBefore));
       return;
     }
     findDependency(
@@ -384,18 +406,15 @@
             locked(
                 () -> {
                   if (found == null) {
-                    fallback.offer(answer);
+                    fallback.offer(Optional.empty(), answer);
                   } else if (found.isEmpty()) {
                     unlessKnown(spec.id(), error(422, next + " was never accepted"), answer);
                   } else if (found.get().service()) {
                     unlessKnown(spec.id(), error(422, next + " is a service"), answer);
                   } else {
                     boolean cancelled =
-                        found.get().state().phase() == JobState.Phase.CANCELLED
-                            || phase == JobState.Phase.CANCELLED;
-                    JobState.Phase now =
-                        cancelled ? JobState.Phase.CANCELLED : JobState.Phase.QUEUED;
-                    afterDependencies(spec, todo, now, fallback, answer, then);
+                        cancelledBefore || found.get().state().phase() == JobState.Phase.CANCELLED;
+                    afterDependencies(spec, todo, cancelled, fallback, answer, then);
                   }
                 }));
   }
@@ -412,21 +431,23 @@
 
   /** A known job is answered with its state, whatever this repeat of its submission looks like. */
   private void unlessKnown(JobId id, Response otherwise, Consumer<Response> answer) {
-    lookup(
+    lookup.find(
         id,
+        RequestPriority.ACCEPT,
         found -> {
           if (found == null) {
             answer.accept(Response.busy(RETRY_AFTER_S));
           } else {
-            answer.accept(found.map(state -> Response.of(200, state.brief())).orElse(otherwise));
+            answer.accept(
+                found.map(known -> Response.of(200, known.state().brief())).orElse(otherwise));
           }
         });
   }
 
-  private void accept(
+  private void write(
       JobSpec spec,
       ObjectNode record,
-      JobState.Phase phase,
+      Optional<DependencyVerdict> verdict,
       Fallback fallback,
       int tries,
       Consumer<Response> answer) {
@@ -443,16 +464,18 @@
                     () -> {
                       if (o instanceof Outcome.Applied<Revision> applied) {
                         adopt(record, applied.value());
+                        JobState.Phase phase =
+                            verdict.map(DependencyVerdict::phase).orElse(JobState.Phase.QUEUED);
                         JobState state = new JobState(id, phase, 0, 0);
                         answer.accept(Response.of(201, state.brief()));
                       } else if (o != null && o.isBecause(Reason.CONFLICT)) {
                         unlessKnown(id, Response.busy(RETRY_AFTER_S), answer);
                       } else if (o instanceof Outcome.NotApplied) {
-                        fallback.offer(answer);
+                        fallback.offer(verdict, answer);
                       } else if (tries > 1) {
                         // Lost answer: the same again; if the first was carried out, its record is
                         // found to stand already.
-                        accept(spec, record, phase, fallback, tries - 1, answer);
+                        write(spec, record, verdict, fallback, tries - 1, answer);
                       } else {
                         answer.accept(Response.busy(RETRY_AFTER_S));
                       }
--- a/src/main/java/org/ternhinge/controller/SubmissionRelay.java
+++ b/src/main/java/org/ternhinge/controller/SubmissionRelay.java
@@ -6,12 +6,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.SteadyTime;
+import org.ternhinge.wire.DependencyVerdict;
 
 /**
  * Offers a submission that this node can't write itself to other controllers, one after the other,
@@ -28,7 +30,12 @@
    * Where nodes take dependent jobs from each other. A version that would drop the dependencies
    * does not know the path and answers 404, so it never accepts such a job by this way.
    */
-  static final String DEPENDENT_PATH = "/peer/submissions";
+  private static final String DEPENDENT_PATH = "/peer/submissions";
+
+  /** Where the asking node has looked at the dependencies; what it found is in the path. */
+  private static final String NONE_CANCELLED_PATH = DEPENDENT_PATH + "/after-live";
+
+  private static final String CANCELLED_PATH = DEPENDENT_PATH + "/after-cancelled";
 
   /** Two such waits and an own write still end within a second of the user's request. */
   private static final double ASK_S = 0.4;
@@ -77,6 +84,32 @@
     return until != null && clock.now().isBefore(until);
   }
 
+  /** Whether another node offers a dependent job by this path. */
+  static boolean isDependentPath(String path) {
+    return path.equals(DEPENDENT_PATH) || verdictIn(path).isPresent();
+  }
+
+  /** What the asking node found when it looked at the dependencies, by the path of its request. */
+  static Optional<DependencyVerdict> verdictIn(String path) {
+    return switch (path) {
+      case NONE_CANCELLED_PATH -> Optional.of(new DependencyVerdict(false));
+      case CANCELLED_PATH -> Optional.of(new DependencyVerdict(true));
+      default -> Optional.empty();
+    };
+  }
+
+  private static Request forPeer(
+      Request request, boolean dependent, Optional<DependencyVerdict> verdict) {
+    if (!dependent) {
+      return request;
+    }
+    String path =
+        verdict
+            .map(known -> known.cancelled() ? CANCELLED_PATH : NONE_CANCELLED_PATH)
+            .orElse(DEPENDENT_PATH);
+    return new Request(request.method(), path, request.body());
+  }
+
   /** Asks the leader only, by the user's own request; 503 where it gives no answer. */
   void askLeader(String leader, Request request, Consumer<Response> answer) {
     ask(leader, request, answer);
@@ -85,18 +118,27 @@
   /**
    * Asks nodes in turn until one gives a final answer; 503 if none does.
    *
-   * @param first the node to begin with, or null
+   * @param first the leader, to begin with and by the user's own request, or null
    * @param except a node not to be asked, or null
+   * @param dependent whether the job depends on others
+   * @param verdict what is known of those
    */
   void offer(
-      String first, String except, Request request, boolean dependent, Consumer<Response> answer) {
-    Request offered =
-        dependent ? new Request(request.method(), DEPENDENT_PATH, request.body()) : request;
-    SteadyTime giveUp = clock.now().plusSeconds(GIVE_UP_S);
-    offerNext(candidates(first, except), giveUp, offered, answer);
+      String first,
+      String except,
+      Request request,
+      boolean dependent,
+      Optional<DependencyVerdict> verdict,
+      Consumer<Response> answer) {
+    Request offered = forPeer(request, dependent, verdict);
+    Deque<Offer> offers = new ArrayDeque<>();
+    for (String node : candidates(first, except)) {
+      offers.add(new Offer(node, node.equals(first) ? request : offered));
+    }
+    offerNext(offers, clock.now().plusSeconds(GIVE_UP_S), answer);
   }
 
-  private Deque<String> candidates(String first, String except) {
+  private List<String> candidates(String first, String except) {
     List<String> order = new ArrayList<>();
     if (first != null) {
       order.add(first);
@@ -105,7 +147,7 @@
       order.add(others.get((next + i) % others.size()));
     }
     next++;
-    Deque<String> out = new ArrayDeque<>();
+    List<String> out = new ArrayList<>();
     for (String node : order) {
       if (out.size() < MOST_ASKED
           && !node.equals(except)
@@ -117,20 +159,21 @@
     return out;
   }
 
-  private void offerNext(
-      Deque<String> candidates, SteadyTime giveUp, Request request, Consumer<Response> answer) {
-    String node = candidates.poll();
-    if (node == null || !clock.now().isBefore(giveUp)) {
+  private record Offer(String node, Request request) {}
+
+  private void offerNext(Deque<Offer> offers, SteadyTime giveUp, Consumer<Response> answer) {
+    Offer offer = offers.poll();
+    if (offer == null || !clock.now().isBefore(giveUp)) {
       answer.accept(Response.busy(RETRY_AFTER_S));
       return;
     }
     ask(
-        node,
-        request,
+        offer.node(),
+        offer.request(),
         response -> {
           // 404: an older version, which does not know the path.
           if (response.status() == 503 || response.status() == 404) {
-            offerNext(candidates, giveUp, request, answer);
+            offerNext(offers, giveUp, answer);
           } else {
             answer.accept(response);
           }
--- a/src/test/java/org/ternhinge/controller/LeaderlessSubmissionTest.java
+++ b/src/test/java/org/ternhinge/controller/LeaderlessSubmissionTest.java
@@ -73,6 +73,18 @@
     assertEquals(submitted, answers.stream().filter(s -> s == 201).count(), answers.toString());
   }
 
+  /** Pipelines send several jobs at the same moment; the leader may have tokens for a part. */
+  @ParameterizedTest(name = "dependent {0}")
+  @CsvSource({"false", "true"})
+  void moreThanTheLeaderHasTokensForGoToAllNodes(boolean dependent) {
+    int follower = (world.leader() + 1) % 5;
+    for (int i = 0; i < 16; i++) {
+      submit(follower, dependent);
+    }
+    world.clock.runFor(2);
+    assertEquals(submitted, answers.stream().filter(s -> s == 201).count(), answers.toString());
+  }
+
   /** Others are served, so what this node can't write they can. */
   @ParameterizedTest(name = "leader {0}, {1} s before, dependent {2}")
   @CsvSource({
--- a/src/test/java/org/ternhinge/controller/SubmissionRelayTest.java
+++ b/src/test/java/org/ternhinge/controller/SubmissionRelayTest.java
@@ -3,10 +3,12 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.Test;
@@ -15,6 +17,7 @@
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
 import org.ternhinge.sim.SimClock;
+import org.ternhinge.wire.DependencyVerdict;
 
 /** Which nodes are asked to take a submission, and which answer is passed on. */
 class SubmissionRelayTest {
@@ -28,6 +31,7 @@
   private final List<String> reset = new ArrayList<>();
   private int peerAnswers;
   private Response answer;
+  private Optional<DependencyVerdict> verdict = Optional.empty();
 
   private final ControllerNode.Peers peers =
       new ControllerNode.Peers() {
@@ -51,7 +55,7 @@
   private void offer(String first, String except, boolean dependent) {
     answer = null;
     asked.clear();
-    relay.offer(first, except, SUBMISSION, dependent, r -> answer = r);
+    relay.offer(first, except, SUBMISSION, dependent, verdict, r -> answer = r);
   }
 
   /** Nodes that are not named give no answer. */
@@ -117,4 +121,36 @@
     assertEquals(201, answer.status());
     assertEquals(List.of("/peer/submissions", "/peer/submissions"), paths);
   }
+
+  /** The leader is known to know dependencies, and may be of a version without that path. */
+  @Test
+  void theLeaderIsAskedByTheUsersOwnRequest() {
+    answers("d=503 b=201");
+    offer("d", null, true);
+    assertEquals(List.of("/submissions", "/peer/submissions"), paths);
+  }
+
+  @ParameterizedTest(name = "cancelled {0}")
+  @CsvSource({"false", "true"})
+  void whatWasFoundOfTheDependenciesGoesWithTheOffer(boolean cancelled) {
+    verdict = Optional.of(new DependencyVerdict(cancelled));
+    answers("b=201");
+    offer(null, null, true);
+    assertTrue(SubmissionRelay.isDependentPath(paths.get(0)));
+    assertEquals(verdict, SubmissionRelay.verdictIn(paths.get(0)));
+    assertEquals(verdict, DependencyVerdict.read(verdict.get().write()));
+  }
+
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "{}",
+    "{\"dependencies_cancelled\":null}",
+    "{\"dependencies_cancelled\":\"no\"}",
+    "[]",
+    "oops"
+  })
+  void anAnswerWithoutVerdictHasNone(String body) {
+    assertEquals(
+        Optional.empty(), DependencyVerdict.read(body.getBytes(StandardCharsets.US_ASCII)));
+  }
 }
