Split ControllerNode into parts with one job each

Submissions, dependency checks, the conditional write, queries, cancellations, worker reports, machine types and calls of other controllers were methods of one class with nested callbacks. Each is a class of its own now with named steps; ControllerNode starts them and routes requests. A lookup's result is Found, Absent or Unavailable instead of a nullable Optional, a job that can never run gets a Rejection instead of a string. Behaviour unchanged.

--- a/src/main/java/org/ternhinge/api/Submissions.java
+++ b/src/main/java/org/ternhinge/api/Submissions.java
@@ -2,55 +2,70 @@
 
 import java.util.Collection;
 import java.util.Map;
+import java.util.Optional;
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Team;
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.ledger.RecordSize;
-import org.ternhinge.model.Resources;
 import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 
-/** Tells jobs that can never run from those that may. */
+/** Tells jobs that can never run from those that may, by the job's description alone. */
 public final class Submissions {
   private Submissions() {}
 
-  /** Why the job can never run, or null if it can. */
-  public static String against(JobSpec spec, Settings settings, Map<String, Flavor> flavors) {
+  /**
+   * Looks for a reason why a job can never run.
+   *
+   * @param flavors all machine types by their name
+   * @return the first reason found, or nothing if the job may run
+   */
+  public static Optional<Rejection> reject(
+      JobSpec spec, Settings settings, Map<String, Flavor> flavors) {
     Team team = settings.teams().get(spec.team());
     if (team == null) {
-      return "unknown team";
+      return Optional.of(Rejection.UNKNOWN_TEAM);
     }
-    if (!fitsSome(spec, flavors.values())) {
-      return "a task fits no machine type that the job allows";
+    if (!fitsAnyType(spec, flavors.values())) {
+      return Optional.of(Rejection.NO_MACHINE_TYPE);
     }
-    int atOnce = spec.kind() == org.ternhinge.wire.JobKind.ARRAY ? 1 : spec.tasks();
-    Resources need = spec.need().times(atOnce);
-    if (!Ledger.within(team, need)) {
-      return "needs more than the team's limit";
+    int tasksAtOnce = tasksAtOnce(spec);
+    if (!Ledger.within(team, spec.need().times(tasksAtOnce))) {
+      return Optional.of(Rejection.ABOVE_TEAM_LIMIT);
     }
     if (spec.dependencies().contains(spec.id())) {
-      return "the job waits for itself";
+      return Optional.of(Rejection.DEPENDS_ON_ITSELF);
     }
     if (!RecordSize.fits(spec, settings.stateLimits().valueBytes())) {
-      return "the job's description is too long";
+      return Optional.of(Rejection.DESCRIPTION_TOO_LONG);
     }
-    if (spec.zone() != null && spec.scatter() && atOnce > spec.zoneLimit()) {
-      return "scattered tasks don't fit in one zone";
+    return rejectZones(spec, tasksAtOnce);
+  }
+
+  /** The fewest tasks that have to run at the same time for the job to run at all. */
+  private static int tasksAtOnce(JobSpec spec) {
+    return spec.kind() == JobKind.ARRAY ? 1 : spec.tasks();
+  }
+
+  private static Optional<Rejection> rejectZones(JobSpec spec, int tasksAtOnce) {
+    boolean tooManyForOneZone = spec.scatter() && tasksAtOnce > spec.zoneLimit();
+    if (tooManyForOneZone && spec.zone() != null) {
+      return Optional.of(Rejection.SCATTERED_IN_ONE_ZONE);
     }
-    if (spec.together() && spec.scatter() && atOnce > spec.zoneLimit()) {
-      return "tasks can't be both together and scattered";
+    if (tooManyForOneZone && spec.together()) {
+      return Optional.of(Rejection.TOGETHER_AND_SCATTERED);
     }
-    return null;
+    return Optional.empty();
   }
 
-  private static boolean fitsSome(JobSpec spec, Collection<Flavor> flavors) {
-    for (Flavor f : flavors) {
-      if (spec.allowsType(f.name())
-          && (spec.zone() == null || f.zones().contains(spec.zone()))
-          && spec.need().fitsIn(f.capacity())) {
-        return true;
-      }
-    }
-    return false;
+  private static boolean fitsAnyType(JobSpec spec, Collection<Flavor> flavors) {
+    return flavors.stream().anyMatch(flavor -> fitsType(spec, flavor));
+  }
+
+  private static boolean fitsType(JobSpec spec, Flavor flavor) {
+    return spec.allowsType(flavor.name())
+        && (spec.zone() == null || flavor.zones().contains(spec.zone()))
+        && spec.need().fitsIn(flavor.capacity());
   }
 }
--- a/src/main/java/org/ternhinge/controller/JobLookup.java
+++ b/src/main/java/org/ternhinge/controller/JobLookup.java
@@ -4,7 +4,6 @@
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
-import java.util.Optional;
 import java.util.Set;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
@@ -27,16 +26,30 @@
   private static final Logger LOG = LoggerFactory.getLogger(JobLookup.class);
 
   /** Jobs before one that are read for one answer; the leader knows longer chains from memory. */
-  private static final int MOST_READS = 64;
+  private static final int MAX_DEPENDENCY_READS = 64;
+
+  /** What a lookup comes to. */
+  sealed interface Result permits Found, Absent, Unavailable {}
 
   /**
-   * A job as the state service holds it.
+   * The job exists.
    *
+   * @param state what users are told of it
    * @param service whether it is known to be a service; the end of a job does not tell
    */
-  record Found(JobState state, boolean service) {}
+  record Found(JobState state, boolean service) implements Result {}
+
+  /** No such job was ever accepted. */
+  record Absent() implements Result {}
+
+  /** The state service can't be asked now, or the chain of dependencies is too long to read. */
+  record Unavailable() implements Result {}
 
-  private record Raw(Found found, List<JobId> waitsFor) {}
+  static final Result ABSENT = new Absent();
+  static final Result UNAVAILABLE = new Unavailable();
+
+  /** What the record or the end of one job says, without a look at the jobs before it. */
+  private record StoredJob(Found found, List<JobId> waitsFor) {}
 
   private final StateStore store;
 
@@ -44,113 +57,109 @@
     this.store = store;
   }
 
-  /**
-   * Finds a job.
-   *
-   * @param then gets null when its state can't be told, and empty when the job does not exist
-   */
-  void find(JobId id, RequestPriority lane, Consumer<Optional<Found>> then) {
-    read(
-        id,
-        lane,
-        raw -> {
-          if (raw == null || raw.isEmpty() || raw.get().waitsFor.isEmpty()) {
-            then.accept(raw == null ? null : raw.map(Raw::found));
-          } else {
-            new Derivation(id, raw.get(), lane, then).next();
-          }
-        });
+  /** Finds a job; the result may come on any thread, without the controller's lock. */
+  void find(JobId id, RequestPriority priority, Consumer<Result> then) {
+    new Search(id, priority, then).start();
   }
 
-  /** One after the other: whether any job before a waiting one is cancelled. */
-  private final class Derivation {
+  /** One lookup: the job itself, then one after the other those that it waits for. */
+  private final class Search {
     private final JobId id;
-    private final Raw raw;
-    private final RequestPriority lane;
-    private final Consumer<Optional<Found>> then;
-    private final Deque<JobId> todo = new ArrayDeque<>();
+    private final RequestPriority priority;
+    private final Consumer<Result> then;
+    private final Deque<JobId> unread = new ArrayDeque<>();
     private final Set<JobId> seen = new HashSet<>();
+    private Found found;
 
-    Derivation(JobId id, Raw raw, RequestPriority lane, Consumer<Optional<Found>> then) {
+    Search(JobId id, RequestPriority priority, Consumer<Result> then) {
       this.id = id;
-      this.raw = raw;
-      this.lane = lane;
+      this.priority = priority;
       this.then = then;
-      add(raw.waitsFor);
     }
 
-    private void add(List<JobId> ids) {
-      for (JobId before : ids) {
-        if (seen.add(before)) {
-          todo.add(before);
+    void start() {
+      read(id, this::jobRead, () -> then.accept(ABSENT));
+    }
+
+    private void jobRead(StoredJob job) {
+      found = job.found();
+      addUnread(job.waitsFor());
+      readNextDependency();
+    }
+
+    private void addUnread(List<JobId> ids) {
+      for (JobId dependency : ids) {
+        if (seen.add(dependency)) {
+          unread.add(dependency);
         }
       }
     }
 
-    void next() {
-      if (todo.isEmpty()) {
-        then.accept(Optional.of(raw.found));
-        return;
+    private void readNextDependency() {
+      if (unread.isEmpty()) {
+        then.accept(found);
+      } else if (seen.size() > MAX_DEPENDENCY_READS) {
+        then.accept(UNAVAILABLE);
+      } else {
+        // A dependency was accepted before the job, so that it is absent can't be the truth.
+        read(unread.poll(), this::dependencyRead, () -> then.accept(UNAVAILABLE));
       }
-      if (seen.size() > MOST_READS) {
-        then.accept(null);
+    }
+
+    private void dependencyRead(StoredJob dependency) {
+      if (dependency.found().state().phase() == JobState.Phase.CANCELLED) {
+        JobState cancelled = new JobState(id, JobState.Phase.CANCELLED, 0, 0);
+        then.accept(new Found(cancelled, found.service()));
         return;
       }
-      read(
-          todo.poll(),
-          lane,
-          before -> {
-            if (before == null || before.isEmpty()) {
-              then.accept(null);
-            } else if (before.get().found.state().phase() == JobState.Phase.CANCELLED) {
-              JobState cancelled = new JobState(id, JobState.Phase.CANCELLED, 0, 0);
-              then.accept(Optional.of(new Found(cancelled, raw.found.service())));
-            } else {
-              add(before.get().waitsFor);
-              next();
-            }
-          });
+      addUnread(dependency.waitsFor());
+      readNextDependency();
+    }
+
+    /**
+     * Reads the record of a job, then its end. A job moves from the one to the other in one
+     * transaction, so reading in this order can't miss it.
+     */
+    private void read(JobId job, Consumer<StoredJob> present, Runnable absent) {
+      store
+          .get(Keys.job(job), priority)
+          .whenComplete((outcome, error) -> recordRead(job, outcome, present, absent));
+    }
+
+    private void recordRead(
+        JobId job, Outcome<StateStore.Read> outcome, Consumer<StoredJob> present, Runnable absent) {
+      if (!(outcome instanceof Outcome.Applied<StateStore.Read> read)) {
+        LOG.debug("{} can't be looked up: {}", job, outcome);
+        then.accept(UNAVAILABLE);
+      } else if (read.value().entry().isPresent()) {
+        present.accept(fromRecord(job, read.value().entry().get()));
+      } else {
+        store
+            .get(Keys.end(job), priority)
+            .whenComplete((ended, error) -> endRead(job, ended, present, absent));
+      }
+    }
+
+    private void endRead(
+        JobId job, Outcome<StateStore.Read> outcome, Consumer<StoredJob> present, Runnable absent) {
+      if (!(outcome instanceof Outcome.Applied<StateStore.Read> read)) {
+        LOG.debug("{} can't be looked up: {}", job, outcome);
+        then.accept(UNAVAILABLE);
+      } else if (read.value().entry().isPresent()) {
+        present.accept(fromEnd(job, read.value().entry().get()));
+      } else {
+        absent.run();
+      }
     }
   }
 
-  /**
-   * A job moves from its record to its end in one transaction, so reading in this order can't miss
-   * it.
-   */
-  private void read(JobId id, RequestPriority lane, Consumer<Optional<Raw>> then) {
-    store
-        .get(Keys.job(id), lane)
-        .whenComplete(
-            (o, e) -> {
-              if (!(o instanceof Outcome.Applied<StateStore.Read> read)) {
-                LOG.debug("{} can't be looked up: {}", id, o);
-                then.accept(null);
-              } else if (read.value().entry().isPresent()) {
-                Entry entry = read.value().entry().get();
-                JobState state = RecordCodec.decodeState(id, entry.value());
-                boolean service = RecordCodec.isService(entry.value());
-                List<JobId> waitsFor = RecordCodec.waitsFor(entry.value());
-                then.accept(Optional.of(new Raw(new Found(state, service), waitsFor)));
-              } else {
-                readEnd(id, lane, then);
-              }
-            });
+  private static StoredJob fromRecord(JobId id, Entry entry) {
+    JobState state = RecordCodec.decodeState(id, entry.value());
+    boolean service = RecordCodec.isService(entry.value());
+    return new StoredJob(new Found(state, service), RecordCodec.waitsFor(entry.value()));
   }
 
-  private void readEnd(JobId id, RequestPriority lane, Consumer<Optional<Raw>> then) {
-    store
-        .get(Keys.end(id), lane)
-        .whenComplete(
-            (o, e) -> {
-              if (o instanceof Outcome.Applied<StateStore.Read> read) {
-                then.accept(
-                    read.value()
-                        .entry()
-                        .map(x -> RecordCodec.decodeEnd(id, x.value()))
-                        .map(state -> new Raw(new Found(state, false), List.of())));
-              } else {
-                then.accept(null);
-              }
-            });
+  private static StoredJob fromEnd(JobId id, Entry entry) {
+    return new StoredJob(new Found(RecordCodec.decodeEnd(id, entry.value()), false), List.of());
   }
 }
--- a/src/main/java/org/ternhinge/controller/SubmissionRelay.java
+++ b/src/main/java/org/ternhinge/controller/SubmissionRelay.java
@@ -1,13 +1,11 @@
 package org.ternhinge.controller;
 
 import java.util.ArrayDeque;
-import java.util.ArrayList;
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
@@ -44,38 +42,26 @@
   private static final double SILENT_S = 2;
 
   /** Nodes asked for one submission; more would only spread the load of a general shortage. */
-  private static final int MOST_ASKED = 4;
+  private static final int MAX_ASKED = 4;
 
   /** From then on no further node is asked: the user expects an answer within a second. */
   private static final double GIVE_UP_S = 0.7;
 
-  private static final int RETRY_AFTER_S = 1;
-
-  private final ControllerNode.Peers peers;
+  private final PeerClient peers;
   private final List<String> others;
   private final Clock clock;
-  private final Lock lock;
-  private final Runnable peerAnswered;
   private final Map<String, SteadyTime> silentUntil = new HashMap<>();
-  private int next;
+  private int firstOfNext;
 
   /**
    * Creates a relay.
    *
    * @param others names of all other controllers
-   * @param peerAnswered hears of every answer of another controller
    */
-  SubmissionRelay(
-      ControllerNode.Peers peers,
-      List<String> others,
-      Clock clock,
-      Lock lock,
-      Runnable peerAnswered) {
+  SubmissionRelay(PeerClient peers, List<String> others, Clock clock) {
     this.peers = peers;
     this.others = others;
     this.clock = clock;
-    this.lock = lock;
-    this.peerAnswered = peerAnswered;
   }
 
   /** Whether a node has just left a submission without an answer. */
@@ -98,65 +84,59 @@
     };
   }
 
-  private static Request forPeer(
-      Request request, boolean dependent, Optional<DependencyVerdict> verdict) {
-    if (!dependent) {
-      return request;
-    }
-    String path =
-        verdict
-            .map(known -> known.cancelled() ? CANCELLED_PATH : NONE_CANCELLED_PATH)
-            .orElse(DEPENDENT_PATH);
-    return new Request(request.method(), path, request.body());
-  }
-
   /** Asks the leader only, by the user's own request; 503 where it gives no answer. */
   void askLeader(String leader, Request request, Consumer<Response> answer) {
-    ask(leader, request, answer);
+    ask(new Offer(leader, request), answer);
   }
 
   /**
    * Asks nodes in turn until one gives a final answer; 503 if none does.
    *
-   * @param first the leader, to begin with and by the user's own request, or null
-   * @param except a node not to be asked, or null
+   * @param leader the node to begin with, which gets the user's own request
    * @param dependent whether the job depends on others
    * @param verdict what is known of those
    */
   void offer(
-      String first,
-      String except,
+      Optional<String> leader,
       Request request,
       boolean dependent,
       Optional<DependencyVerdict> verdict,
       Consumer<Response> answer) {
-    Request offered = forPeer(request, dependent, verdict);
+    Request toFollowers = dependent ? dependentRequest(request, verdict) : request;
     Deque<Offer> offers = new ArrayDeque<>();
-    for (String node : candidates(first, except)) {
-      offers.add(new Offer(node, node.equals(first) ? request : offered));
-    }
+    leader.filter(node -> !isSilent(node)).ifPresent(node -> offers.add(new Offer(node, request)));
+    addFollowers(offers, leader, toFollowers);
     offerNext(offers, clock.now().plusSeconds(GIVE_UP_S), answer);
   }
 
-  private List<String> candidates(String first, String except) {
-    List<String> order = new ArrayList<>();
-    if (first != null) {
-      order.add(first);
-    }
-    for (int i = 0; i < others.size(); i++) {
-      order.add(others.get((next + i) % others.size()));
-    }
-    next++;
-    List<String> out = new ArrayList<>();
-    for (String node : order) {
-      if (out.size() < MOST_ASKED
-          && !node.equals(except)
-          && !isSilent(node)
-          && !out.contains(node)) {
-        out.add(node);
+  /** As {@link #offer} for a dependent job that the leader has just been asked to take. */
+  void offerToFollowers(
+      String leader,
+      Request request,
+      Optional<DependencyVerdict> verdict,
+      Consumer<Response> answer) {
+    Deque<Offer> offers = new ArrayDeque<>();
+    addFollowers(offers, Optional.of(leader), dependentRequest(request, verdict));
+    offerNext(offers, clock.now().plusSeconds(GIVE_UP_S), answer);
+  }
+
+  private static Request dependentRequest(Request request, Optional<DependencyVerdict> verdict) {
+    String path =
+        verdict
+            .map(known -> known.cancelled() ? CANCELLED_PATH : NONE_CANCELLED_PATH)
+            .orElse(DEPENDENT_PATH);
+    return new Request(request.method(), path, request.body());
+  }
+
+  /** Adds nodes other than the leader; each submission begins with the next of them. */
+  private void addFollowers(Deque<Offer> offers, Optional<String> leader, Request request) {
+    int first = firstOfNext++;
+    for (int i = 0; i < others.size() && offers.size() < MAX_ASKED; i++) {
+      String node = others.get(Math.floorMod(first + i, others.size()));
+      if (!isSilent(node) && !leader.equals(Optional.of(node))) {
+        offers.add(new Offer(node, request));
       }
     }
-    return out;
   }
 
   private record Offer(String node, Request request) {}
@@ -164,39 +144,35 @@
   private void offerNext(Deque<Offer> offers, SteadyTime giveUp, Consumer<Response> answer) {
     Offer offer = offers.poll();
     if (offer == null || !clock.now().isBefore(giveUp)) {
-      answer.accept(Response.busy(RETRY_AFTER_S));
+      answer.accept(Responses.busy());
       return;
     }
     ask(
-        offer.node(),
-        offer.request(),
+        offer,
         response -> {
-          // 404: an older version, which does not know the path.
-          if (response.status() == 503 || response.status() == 404) {
-            offerNext(offers, giveUp, answer);
-          } else {
+          if (isTaken(response)) {
             answer.accept(response);
+          } else {
+            offerNext(offers, giveUp, answer);
           }
         });
   }
 
-  private void ask(String node, Request request, Consumer<Response> answer) {
-    peers.ask(node, request, ASK_S, response -> answered(node, response, answer));
+  /** An older version does not know the path of dependent jobs and answers 404. */
+  private static boolean isTaken(Response response) {
+    return !Responses.isBusy(response) && response.status() != Responses.NOT_FOUND;
   }
 
-  private void answered(String node, Response response, Consumer<Response> answer) {
-    lock.lock();
-    try {
-      if (response == null) {
-        silentUntil.put(node, clock.now().plusSeconds(SILENT_S));
-        peers.reset(node);
-        answer.accept(Response.busy(RETRY_AFTER_S));
-      } else {
-        peerAnswered.run();
-        answer.accept(response);
-      }
-    } finally {
-      lock.unlock();
-    }
+  private void ask(Offer offer, Consumer<Response> answer) {
+    peers.ask(
+        offer.node(),
+        offer.request(),
+        ASK_S,
+        response -> {
+          if (response.isEmpty()) {
+            silentUntil.put(offer.node(), clock.now().plusSeconds(SILENT_S));
+          }
+          answer.accept(response.orElse(Responses.busy()));
+        });
   }
 }
--- a/src/main/java/org/ternhinge/wire/JobSpec.java
+++ b/src/main/java/org/ternhinge/wire/JobSpec.java
@@ -46,8 +46,8 @@
   private static final int MAX_NAME = 128;
   private static final int MAX_TYPES = 16;
 
-  /** Reads a submission; every field that may not be null has to be there. */
-  public static JobSpec read(JsonNode body) throws WireException {
+  /** Reads only the id of a submission, which may be known although the rest is malformed. */
+  public static JobId readId(JsonNode body) throws WireException {
     if (!body.isObject()) {
       throw new WireException("not an object");
     }
@@ -55,6 +55,12 @@
     if (!JobId.isValid(id)) {
       throw new WireException("ref: not a job id");
     }
+    return new JobId(id);
+  }
+
+  /** Reads a submission; every field that may not be null has to be there. */
+  public static JobSpec read(JsonNode body) throws WireException {
+    JobId id = readId(body);
     long tasks = Json.count(body, "verkbitar");
     if (tasks < 1 || tasks > MAX_TASKS) {
       throw new WireException("verkbitar: out of range");
@@ -66,7 +72,7 @@
       throw new WireException("cpus: out of range");
     }
     return new JobSpec(
-        new JobId(id),
+        id,
         name(body, "runflokkur"),
         name(body, "eigandi"),
         JobKind.of(Json.text(body, "gerd")),
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/InitialMachineTypesTest.java
@@ -0,0 +1,102 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.ReentrantLock;
+import org.junit.jupiter.api.Test;
+import org.ternhinge.cloud.Cloud;
+import org.ternhinge.ledger.Keys;
+import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.sim.DirectStore;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.StoreCore;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.HostInfo;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.RentalRequest;
+
+/** Where the machine types come from. */
+class InitialMachineTypesTest {
+  private final SimClock clock = new SimClock();
+  private final StoreCore core = new StoreCore(clock);
+  private final DirectStore store = new DirectStore(core);
+  private final FlavorCloud cloud = new FlavorCloud();
+  private final List<List<Flavor>> learned = new ArrayList<>();
+  private final InitialMachineTypes types =
+      new InitialMachineTypes(store, cloud, clock, new ReentrantLock(), learned::add);
+
+  /** A cloud that only tells its machine types, or is down. */
+  private static final class FlavorCloud implements Cloud {
+    private boolean down;
+    private int calls;
+
+    @Override
+    public CompletableFuture<Outcome<List<Flavor>>> flavors() {
+      calls++;
+      return CompletableFuture.completedFuture(
+          down ? Outcome.notApplied(Reason.REFUSED, "503") : Outcome.applied(SimCluster.FLAVORS));
+    }
+
+    @Override
+    public CompletableFuture<Outcome<List<MachineId>>> rent(RentalRequest request) {
+      throw new AssertionError("nothing is rented here");
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Integer>> release(List<MachineId> machines) {
+      throw new AssertionError("nothing is returned here");
+    }
+
+    @Override
+    public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
+      throw new AssertionError("nothing is listed here");
+    }
+  }
+
+  private void assertKnown() {
+    assertEquals(List.of(SimCluster.FLAVORS), learned);
+    assertEquals(SimCluster.FLAVORS, List.copyOf(types.all()));
+  }
+
+  @Test
+  void theCloudIsAskedOnceAndACopyKept() {
+    types.load();
+    assertKnown();
+    cloud.down = true;
+    learned.clear();
+    new InitialMachineTypes(store, cloud, clock, new ReentrantLock(), learned::add).load();
+    assertEquals(List.of(SimCluster.FLAVORS), learned);
+    assertEquals(1, cloud.calls, "the second node reads the copy");
+  }
+
+  @Test
+  void aCloudThatIsDownIsAskedAgain() {
+    cloud.down = true;
+    types.load();
+    clock.runFor(5);
+    assertTrue(types.isEmpty());
+    assertTrue(cloud.calls > 1);
+    cloud.down = false;
+    clock.runFor(2);
+    assertKnown();
+  }
+
+  @Test
+  void anUnreadableCopyIsNoReasonToFail() {
+    Change copy = new Change.Put(Keys.FLAVORS, Json.object().put("other", 1), 0);
+    store.txn(new Txn(Map.of(), List.of(copy)), RequestPriority.BOOKKEEPING);
+    types.load();
+    assertKnown();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/JobLookupTest.java
@@ -0,0 +1,145 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.locks.ReentrantLock;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.election.Election;
+import org.ternhinge.ledger.Keys;
+import org.ternhinge.ledger.RecordCodec;
+import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.DirectStore;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.StoreCore;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Json;
+
+/** What a node that does not lead finds of jobs in the state service. */
+class JobLookupTest {
+  private static final int VALUE_BYTES = 8 * 1024;
+
+  private final SimClock clock = new SimClock();
+  private final DirectStore store = new DirectStore(new StoreCore(clock));
+  private final JobLookup lookup = new JobLookup(store);
+  private JobLookup.Result result;
+  private DependencyCheck.Result checked;
+
+  private void put(String key, ObjectNode value) {
+    Txn txn = new Txn(Map.of(), List.of(new Change.Put(key, value, 0)));
+    store.txn(txn, RequestPriority.ACCEPT);
+  }
+
+  /** Stores jobs such as {@code 1:batch 2:done 3:cancelled 4:batch<1.3}. */
+  private void storeJobs(String jobs) {
+    for (String job : jobs.split(" ")) {
+      String[] parts = job.split("[:<]");
+      JobId id = new JobId("wk-" + parts[0]);
+      if (parts[1].equals("done") || parts[1].equals("cancelled")) {
+        put(Keys.end(id), Json.object().put("s", parts[1]).put("n", 1));
+      } else {
+        put(Keys.job(id), record(id, parts));
+      }
+    }
+  }
+
+  private static ObjectNode record(JobId id, String[] parts) {
+    ObjectNode body = Specs.json(id.value(), parts[1], 1);
+    if (parts.length > 2) {
+      ArrayNode names = body.putArray("bidur_eftir");
+      for (String name : parts[2].split("\\.")) {
+        names.add("wk-" + name);
+      }
+    }
+    return RecordCodec.fresh(Specs.of(body), 1, VALUE_BYTES);
+  }
+
+  private String found() {
+    if (result instanceof JobLookup.Found found) {
+      return found.state().phase().word() + (found.service() ? " service" : "");
+    }
+    return result instanceof JobLookup.Absent ? "absent" : "unavailable";
+  }
+
+  @ParameterizedTest(name = "{0}: {1} is {2}")
+  @CsvSource({
+    // stored jobs, job, what is found
+    "1:batch,                               1, queued",
+    "1:daemon,                              1, queued service",
+    "1:done,                                1, done",
+    "1:cancelled,                           1, cancelled",
+    "1:batch,                               2, absent",
+    "1:batch 2:batch<1,                     2, queued",
+    "1:done 2:batch<1,                      2, queued",
+    "1:cancelled 2:batch<1,                 2, cancelled",
+    "1:cancelled 2:batch<1 3:batch<2,       3, cancelled",
+    "1:batch 2:cancelled 3:batch<1.2,       3, cancelled",
+    "2:batch<1,                             2, unavailable",
+    "1:batch 2:batch<1 3:batch<1 4:batch<2.3, 4, queued",
+  })
+  void aJobIsReadWithThoseThatItWaitsFor(String jobs, int job, String expected) {
+    storeJobs(jobs);
+    lookup.find(new JobId("wk-" + job), RequestPriority.QUERY, found -> result = found);
+    assertEquals(expected, found());
+  }
+
+  /** The leader knows longer chains from memory; here nothing is told rather than a guess. */
+  @ParameterizedTest(name = "{0} jobs")
+  @CsvSource({"64, queued", "66, unavailable"})
+  void aChainIsReadUpToABound(int jobs, String expected) {
+    storeJobs("1:batch");
+    for (int i = 2; i <= jobs; i++) {
+      storeJobs(i + ":batch<" + (i - 1));
+    }
+    lookup.find(new JobId("wk-" + jobs), RequestPriority.QUERY, found -> result = found);
+    assertEquals(expected, found());
+  }
+
+  @ParameterizedTest(name = "{0}: after {1} {2}")
+  @CsvSource({
+    // stored jobs, dependencies, outcome of the check
+    "1:batch 2:done,      1 2, passed",
+    "1:batch 2:cancelled, 2 1, cancelled",
+    "1:batch 2:cancelled, 1 2, cancelled",
+    "1:batch,             1 2, wk-2 was never accepted",
+    "1:batch 2:daemon,    1 2, wk-2 is a service",
+    "2:batch<1,           2,   unavailable",
+  })
+  void dependenciesAreCheckedByTheStore(String jobs, String dependencies, String expected) {
+    storeJobs(jobs);
+    Election election =
+        new Election(
+            "node-0",
+            store,
+            clock,
+            Tuning.DEFAULT,
+            1,
+            new ReentrantLock(),
+            new java.util.SplittableRandom(1));
+    LeadershipRole role = new LeadershipRole("node-0", election);
+    List<JobId> ids = new ArrayList<>();
+    for (String name : dependencies.split(" ")) {
+      ids.add(new JobId("wk-" + name));
+    }
+    new DependencyCheck(role, lookup, new ReentrantLock()).check(ids, found -> checked = found);
+    assertNotNull(checked);
+    assertEquals(expected, outcome());
+  }
+
+  private String outcome() {
+    if (checked instanceof DependencyCheck.Passed passed) {
+      return passed.verdict().cancelled() ? "cancelled" : "passed";
+    }
+    return checked instanceof DependencyCheck.Refused refused ? refused.reason() : "unavailable";
+  }
+}
--- a/src/test/java/org/ternhinge/controller/SubmissionRelayTest.java
+++ b/src/test/java/org/ternhinge/controller/SubmissionRelayTest.java
@@ -16,7 +16,9 @@
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
+import org.ternhinge.sim.DirectStore;
 import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.StoreCore;
 import org.ternhinge.wire.DependencyVerdict;
 
 /** Which nodes are asked to take a submission, and which answer is passed on. */
@@ -29,7 +31,6 @@
   private final List<String> asked = new ArrayList<>();
   private final List<String> paths = new ArrayList<>();
   private final List<String> reset = new ArrayList<>();
-  private int peerAnswers;
   private Response answer;
   private Optional<DependencyVerdict> verdict = Optional.empty();
 
@@ -49,13 +50,18 @@
         }
       };
 
-  private final SubmissionRelay relay =
-      new SubmissionRelay(peers, OTHERS, clock, new ReentrantLock(), () -> peerAnswers++);
+  private final PeerClient client =
+      new PeerClient(
+          peers,
+          new ReentrantLock(),
+          new NodeConnectivity(
+              new DirectStore(new StoreCore(clock)), peers, OTHERS, clock, new ReentrantLock()));
+  private final SubmissionRelay relay = new SubmissionRelay(client, OTHERS, clock);
 
-  private void offer(String first, String except, boolean dependent) {
+  private void offer(String leader, boolean dependent) {
     answer = null;
     asked.clear();
-    relay.offer(first, except, SUBMISSION, dependent, verdict, r -> answer = r);
+    relay.offer(Optional.ofNullable(leader), SUBMISSION, dependent, verdict, r -> answer = r);
   }
 
   /** Nodes that are not named give no answer. */
@@ -65,40 +71,45 @@
     }
   }
 
-  @ParameterizedTest(name = "first {0}, except {1}, answers {2}")
+  @ParameterizedTest(name = "leader {0}, answers {1}")
   @CsvSource({
-    // first, except, answers, nodes asked, status
-    "d,  , d=201,                  d,     201",
-    "d,  , d=200,                  d,     200",
-    "d,  , d=422,                  d,     422",
-    "d,  , d=503 b=201,            d b,   201",
-    "d,  , b=201,                  d b,   201",
-    " ,  , b=404 c=201,            b c,   201",
-    " , b, b=201 c=201,            c,     201",
-    "d,  , b=503 c=503 d=503 e=201, d b c e, 201",
-    " ,  , ,                       b c d e, 503",
+    // leader, answers, nodes asked, status
+    "d, d=201,                   d,       201",
+    "d, d=200,                   d,       200",
+    "d, d=422,                   d,       422",
+    "d, d=503 b=201,             d b,     201",
+    "d, b=201,                   d b,     201",
+    " , b=404 c=201,             b c,     201",
+    "d, b=503 c=503 d=503 e=201, d b c e, 201",
+    " , ,                        b c d e, 503",
   })
-  void theFirstFinalAnswerCounts(
-      String first, String except, String answers, String expected, int status) {
+  void theFirstFinalAnswerCounts(String leader, String answers, String expected, int status) {
     answers(answers);
-    offer(first, except, false);
+    offer(leader, false);
     assertEquals(status, answer.status());
     assertEquals(List.of(expected.split(" ")), asked);
   }
 
+  @Test
+  void aLeaderThatWasAskedBeforeIsLeftOut() {
+    answers("b=201 c=201");
+    relay.offerToFollowers("b", SUBMISSION, verdict, r -> answer = r);
+    assertEquals(201, answer.status());
+    assertEquals(List.of("c"), asked);
+  }
+
   @Test
   void aSilentNodeIsLeftOutForAWhileAndItsLinkIsDropped() {
     answers("b=503 c=201 e=503");
-    offer("d", null, false);
+    offer("d", false);
     assertEquals(List.of("d", "b", "c"), asked);
     assertEquals(List.of("d"), reset);
-    assertEquals(2, peerAnswers);
     assertTrue(relay.isSilent("d"));
-    offer("d", null, false);
+    offer("d", false);
     assertEquals(List.of("c"), asked);
     clock.runFor(2.1);
     answers("d=201");
-    offer("d", null, false);
+    offer("d", false);
     assertEquals(List.of("d"), asked);
   }
 
@@ -107,7 +118,7 @@
     answers("b=201 c=201 d=201 e=201");
     List<String> all = new ArrayList<>();
     for (int i = 0; i < OTHERS.size(); i++) {
-      offer(null, null, false);
+      offer(null, false);
       all.addAll(asked);
     }
     assertEquals(OTHERS, all);
@@ -117,7 +128,7 @@
   @Test
   void aDependentJobGoesByAPathThatOlderVersionsDoNotKnow() {
     answers("b=404 c=201");
-    offer(null, null, true);
+    offer(null, true);
     assertEquals(201, answer.status());
     assertEquals(List.of("/peer/submissions", "/peer/submissions"), paths);
   }
@@ -126,7 +137,7 @@
   @Test
   void theLeaderIsAskedByTheUsersOwnRequest() {
     answers("d=503 b=201");
-    offer("d", null, true);
+    offer("d", true);
     assertEquals(List.of("/submissions", "/peer/submissions"), paths);
   }
 
@@ -135,7 +146,7 @@
   void whatWasFoundOfTheDependenciesGoesWithTheOffer(boolean cancelled) {
     verdict = Optional.of(new DependencyVerdict(cancelled));
     answers("b=201");
-    offer(null, null, true);
+    offer(null, true);
     assertTrue(SubmissionRelay.isDependentPath(paths.get(0)));
     assertEquals(verdict, SubmissionRelay.verdictIn(paths.get(0)));
     assertEquals(verdict, DependencyVerdict.read(verdict.get().write()));
