--- a/src/main/java/org/ternhinge/controller/NodeConnectivity.java
+++ b/src/main/java/org/ternhinge/controller/NodeConnectivity.java
@@ -3,6 +3,7 @@
 import java.util.List;
 import java.util.concurrent.locks.Lock;
 import org.ternhinge.http.Request;
+import org.ternhinge.http.Response;
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Clock;
@@ -18,7 +19,7 @@
  * no reason: it meets all nodes, and while all are unhealthy nobody is served.
  */
 final class NodeConnectivity {
-  private static final double TICK_S = 1;
+  private static final double CHECK_INTERVAL_S = 1;
 
   /** As long without an answer before one is asked for. */
   private static final double QUIET_S = 2;
@@ -27,92 +28,101 @@
   private static final double ALONE_S = 5;
 
   /** Longer than the time between two answers of a state service that is asked once it is quiet. */
-  private static final double STATE_SILENT_S = QUIET_S + TICK_S + 0.5;
+  private static final double STATE_SILENT_S = QUIET_S + CHECK_INTERVAL_S + 0.5;
 
-  private static final double ASK_S = 0.8;
+  private static final double PEER_TIMEOUT_S = 0.8;
+  private static final Request PROBE = new Request("GET", "/healthz", new byte[0]);
 
   private final StateStore store;
   private final ControllerNode.Peers peers;
-  private final List<String> names;
+  private final List<String> otherNodes;
   private final Clock clock;
   private final Lock lock;
-  private SteadyTime state;
-  private SteadyTime peer;
-  private int next;
+  private SteadyTime stateAnsweredAt;
+  private SteadyTime peerAnsweredAt;
+  private int nextProbed;
 
   NodeConnectivity(
-      StateStore store, ControllerNode.Peers peers, List<String> names, Clock clock, Lock lock) {
+      StateStore store,
+      ControllerNode.Peers peers,
+      List<String> otherNodes,
+      Clock clock,
+      Lock lock) {
     this.store = store;
     this.peers = peers;
-    this.names = names;
+    this.otherNodes = otherNodes;
     this.clock = clock;
     this.lock = lock;
-    this.state = clock.now();
-    this.peer = clock.now();
+    this.stateAnsweredAt = clock.now();
+    this.peerAnsweredAt = clock.now();
   }
 
   void start() {
-    clock.after(TICK_S, this::tick);
+    clock.after(CHECK_INTERVAL_S, this::check);
   }
 
   /** The other controllers have answered something. */
   void peerAnswered() {
-    peer = clock.now();
+    peerAnsweredAt = clock.now();
   }
 
   /** Whether the state service owes this node an answer for longer than it ever takes. */
   boolean stateSilent() {
-    return clock.now().secondsSince(state) > STATE_SILENT_S;
+    return silentFor(stateAnsweredAt) > STATE_SILENT_S;
   }
 
+  /** Whether neither the state service nor any other controller has answered for long. */
   boolean alone() {
-    SteadyTime now = clock.now();
-    return !names.isEmpty()
-        && now.secondsSince(state) > ALONE_S
-        && now.secondsSince(peer) > ALONE_S;
+    return !otherNodes.isEmpty()
+        && silentFor(stateAnsweredAt) > ALONE_S
+        && silentFor(peerAnsweredAt) > ALONE_S;
   }
 
-  private void locked(Runnable action) {
-    lock.lock();
-    try {
-      action.run();
-    } finally {
-      lock.unlock();
-    }
+  private double silentFor(SteadyTime answeredAt) {
+    return clock.now().secondsSince(answeredAt);
+  }
+
+  private void check() {
+    locked(this::probeWhatIsQuiet);
+    clock.after(CHECK_INTERVAL_S, this::check);
   }
 
-  private void tick() {
-    locked(
-        () -> {
-          SteadyTime now = clock.now();
-          if (now.secondsSince(state) > QUIET_S) {
-            store
-                .get(Keys.LEADER, RequestPriority.BOOKKEEPING)
-                .whenComplete((o, e) -> locked(() -> stateSaid(o)));
-            if (now.secondsSince(peer) > QUIET_S && !names.isEmpty()) {
-              String name = names.get(next++ % names.size());
-              peers.ask(
-                  name,
-                  new Request("GET", "/healthz", new byte[0]),
-                  ASK_S,
-                  r -> {
-                    if (r == null) {
-                      peers.reset(name);
-                    } else {
-                      locked(this::peerAnswered);
-                    }
-                  });
-            }
-          }
-        });
-    clock.after(TICK_S, this::tick);
+  /** Other controllers matter only while the state service is quiet. */
+  private void probeWhatIsQuiet() {
+    if (silentFor(stateAnsweredAt) <= QUIET_S) {
+      return;
+    }
+    store
+        .get(Keys.LEADER, RequestPriority.BOOKKEEPING)
+        .whenComplete((outcome, error) -> locked(() -> stateAnswered(outcome)));
+    if (silentFor(peerAnsweredAt) > QUIET_S && !otherNodes.isEmpty()) {
+      String node = otherNodes.get(nextProbed++ % otherNodes.size());
+      peers.ask(node, PROBE, PEER_TIMEOUT_S, response -> probed(node, response));
+    }
   }
 
-  private void stateSaid(Outcome<StateStore.Read> outcome) {
+  private void stateAnswered(Outcome<StateStore.Read> outcome) {
     // Held back by our own bucket: others of our calls are being answered.
     if (outcome instanceof Outcome.Applied
         || (outcome != null && outcome.isBecause(Reason.HELD_BACK))) {
-      state = clock.now();
+      stateAnsweredAt = clock.now();
+    }
+  }
+
+  private void probed(String node, Response response) {
+    if (response == null) {
+      peers.reset(node);
+    } else {
+      locked(this::peerAnswered);
+    }
+  }
+
+  private void locked(Runnable action) {
+    lock.lock();
+    try {
+      action.run();
+    } finally {
+      lock.unlock();
     }
   }
 }
--- a/src/main/java/org/ternhinge/controller/SubmissionFallback.java
+++ b/src/main/java/org/ternhinge/controller/SubmissionFallback.java
@@ -15,6 +15,11 @@
    */
   void offer(Optional<DependencyVerdict> verdict, Consumer<Response> answer);
 
+  /** The fallback of a submission that all others have been offered before. */
+  static SubmissionFallback nobody() {
+    return (verdict, answer) -> answer.accept(Responses.busy());
+  }
+
   /**
    * The fallback of a submission that another node has offered: that node goes on by itself, and
    * need not look at the same dependencies again.
--- a/src/main/java/org/ternhinge/controller/SubmissionHandler.java
+++ b/src/main/java/org/ternhinge/controller/SubmissionHandler.java
@@ -116,7 +116,7 @@
         Optional.empty(),
         response -> {
           if (Responses.isBusy(response)) {
-            writer.accept(spec, Optional.empty(), SubmissionFallback.backToPeer(), answer);
+            writer.accept(spec, Optional.empty(), SubmissionFallback.nobody(), answer);
           } else {
             answer.accept(response);
           }
--- /dev/null
+++ b/src/main/java/org/ternhinge/limit/StateServiceBudget.java
@@ -0,0 +1,53 @@
+package org.ternhinge.limit;
+
+import org.ternhinge.model.Clock;
+
+/**
+ * This controller's part of what the state service takes, for requests and for changes. The leader
+ * uses a fixed share and the other controllers divide the rest evenly, so that all controllers
+ * together never exceed the limits, in rate or in bursts, whoever leads. Shares are fixed rather
+ * than negotiated: a controller that can't reach the others still knows its own.
+ */
+public final class StateServiceBudget {
+  /** The leader's share; it writes all attempts and ends, the others only acceptances. */
+  private static final double LEADER_SHARE = 0.7;
+
+  private final TokenBucket requests;
+  private final TokenBucket changes;
+  private final double requestsPerS;
+  private final double changesPerS;
+  private final double followerShare;
+
+  /**
+   * Creates the budget of a controller that does not lead.
+   *
+   * @param requestsPerS requests a second that the state service takes from all controllers
+   * @param changesPerS puts and deletes a second that it takes from all controllers
+   * @param otherControllers how many other controllers there are
+   */
+  public StateServiceBudget(
+      Clock clock, double requestsPerS, double changesPerS, int otherControllers) {
+    this.requestsPerS = requestsPerS;
+    this.changesPerS = changesPerS;
+    this.followerShare = (1 - LEADER_SHARE) / Math.max(1, otherControllers);
+    this.requests = new TokenBucket(clock, requestsPerS * followerShare);
+    this.changes = new TokenBucket(clock, changesPerS * followerShare);
+  }
+
+  /** Tokens for requests of any kind. */
+  public TokenBucket requests() {
+    return requests;
+  }
+
+  /** Tokens for single puts and deletes. */
+  public TokenBucket changes() {
+    return changes;
+  }
+
+  /** This controller leads from now on, or does so no longer. */
+  public void setLeading(boolean leading) {
+    double share = leading ? LEADER_SHARE : followerShare;
+    requests.setRate(requestsPerS * share);
+    changes.setRate(changesPerS * share);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/limit/StateServiceBudgetTest.java
@@ -0,0 +1,62 @@
+package org.ternhinge.limit;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.sim.SimClock;
+
+/** All controllers together keep to the state service's limits, whoever leads. */
+class StateServiceBudgetTest {
+  private static final double REQUESTS_PER_S = 80;
+  private static final double CHANGES_PER_S = 30;
+  private static final double STEP_S = 0.05;
+
+  private final SimClock clock = new SimClock();
+
+  /** What the state service takes: its rate, and bursts of one second's worth. */
+  private final TokenBucket requestLimit = new TokenBucket(clock, REQUESTS_PER_S);
+
+  private final TokenBucket changeLimit = new TokenBucket(clock, CHANGES_PER_S);
+  private int sent;
+  private int refused;
+
+  private void sendAll(TokenBucket own, TokenBucket limit) {
+    while (own.tryTake(RequestPriority.RENEWAL, 1)) {
+      sent++;
+      refused += limit.tryTake(RequestPriority.RENEWAL, 1) ? 0 : 1;
+    }
+  }
+
+  /** Every controller sends all it may; the leadership moves on every so many seconds. */
+  @ParameterizedTest(name = "{0} controllers, another leads every {1} s, {2} s without any")
+  @CsvSource({"1, 60, 0", "3, 60, 0", "5, 60, 0", "3, 7, 0.2", "5, 7, 0.2", "5, 7, 6"})
+  void togetherTheyKeepToTheLimits(int controllers, double termS, double gapS) {
+    List<StateServiceBudget> budgets = new ArrayList<>();
+    for (int i = 0; i < controllers; i++) {
+      budgets.add(new StateServiceBudget(clock, REQUESTS_PER_S, CHANGES_PER_S, controllers - 1));
+    }
+    int leader = 0;
+    budgets.get(0).setLeading(true);
+    double changesAt = termS;
+    boolean led = true;
+    for (double now = 0; now < 60; now += STEP_S) {
+      if (now >= changesAt) {
+        budgets.get(leader).setLeading(!led);
+        led = !led;
+        leader = led ? leader : (leader + 1) % controllers;
+        changesAt = now + (led ? termS : gapS);
+      }
+      for (StateServiceBudget budget : budgets) {
+        sendAll(budget.requests(), requestLimit);
+        sendAll(budget.changes(), changeLimit);
+      }
+      clock.runFor(STEP_S);
+    }
+    assertEquals(0, refused);
+    assertTrue(sent > 60 * 0.3 * CHANGES_PER_S, "the shares are used: " + sent);
+  }
+}
