Users' answers within a deadline, in the split controller node; tests follow the split stand-ins

The stand-in of the version before dependent jobs answers 404 to paths between controllers, as that version does.

--- a/src/main/java/org/ternhinge/controller/ControllerNode.java
+++ b/src/main/java/org/ternhinge/controller/ControllerNode.java
@@ -161,7 +161,11 @@
     if (path.equals(WORKERS_PATH)) {
       only("POST", request, answer, () -> reports.take(request, fromPeer, answer));
     } else if (path.equals(SUBMISSIONS_PATH)) {
-      only("POST", request, answer, () -> submit(request, fromPeer, answer));
+      only(
+          "POST",
+          request,
+          answer,
+          () -> submit(request, fromPeer, within(AnswerDeadline.WRITE_S, answer)));
     } else if (SubmissionRelay.isDependentPath(path) && fromPeer) {
       only("POST", request, answer, () -> submissions.takeFromPeer(request, answer));
     } else if (path.startsWith(JOB_PREFIX)) {
@@ -173,6 +177,10 @@
     }
   }
 
+  private Consumer<Response> within(double seconds, Consumer<Response> answer) {
+    return AnswerDeadline.within(seconds, services.clock(), answer);
+  }
+
   private void submit(Request request, boolean fromPeer, Consumer<Response> answer) {
     if (fromPeer) {
       submissions.takeFromPeer(request, answer);
@@ -190,9 +198,17 @@
     }
     JobId id = new JobId(name);
     if (cancels) {
-      only("POST", request, answer, () -> cancel(id, request, fromPeer, answer));
+      only(
+          "POST",
+          request,
+          answer,
+          () -> cancel(id, request, fromPeer, within(AnswerDeadline.WRITE_S, answer)));
     } else {
-      only("GET", request, answer, () -> query(id, request, fromPeer, answer));
+      only(
+          "GET",
+          request,
+          answer,
+          () -> query(id, request, fromPeer, within(AnswerDeadline.POLL_S, answer)));
     }
   }
 
--- a/src/test/java/org/ternhinge/controller/LeaderlessSubmissionTest.java
+++ b/src/test/java/org/ternhinge/controller/LeaderlessSubmissionTest.java
@@ -98,7 +98,7 @@
   void aNodeThatTheStateServiceRefusesHandsItsSubmissionsOn(
       boolean leading, double before, boolean dependent) {
     int node = leading ? world.leader() : (world.leader() + 1) % 5;
-    world.cutState(node, 30);
+    world.stateFaults.refuse(node, 30);
     world.clock.runFor(before);
     submit(node, dependent);
     world.clock.runFor(2);
@@ -109,7 +109,7 @@
   @ParameterizedTest(name = "dependent {0}")
   @CsvSource({"false", "true"})
   void anOutageIsToldAtOnce(boolean dependent) {
-    world.outage(10);
+    world.stateFaults.outage(10);
     world.clock.runFor(0.5);
     submit((world.leader() + 1) % 5, dependent);
     world.clock.runFor(2);
--- a/src/test/java/org/ternhinge/sim/SimController.java
+++ b/src/test/java/org/ternhinge/sim/SimController.java
@@ -22,6 +22,8 @@
   /** Work that the service hands to another thread runs so much later, in seconds. */
   private static final double HAND_OVER_S = 0.001;
 
+  private static final String PEER_PATHS = "/peer/";
+
   private final SimCluster cluster;
   private final int index;
   private final boolean oldVersion;
@@ -110,8 +112,12 @@
         });
   }
 
-  /** A request of another controller arrives. */
+  /** A request of another controller arrives; the old version knows no paths for them alone. */
   void handlePeer(Request request, Consumer<Response> answer) {
+    if (oldVersion && request.path().startsWith(PEER_PATHS)) {
+      answer.accept(Response.of(404));
+      return;
+    }
     node.handlePeer(understood(request), answer);
   }
 
