--- a/src/test/java/org/ternhinge/controller/LeadershipParts.java
+++ b/src/test/java/org/ternhinge/controller/LeadershipParts.java
@@ -266,8 +266,8 @@
     }
 
     @Override
-    public CompletableFuture<Outcome<Long>> renew(long lease) {
-      return store.renew(lease);
+    public CompletableFuture<Outcome<Long>> renew(long lease, double timeoutS) {
+      return store.renew(lease, timeoutS);
     }
 
     @Override
