State service: only calls that leadership hangs on back off after lost answers

Lost answers raised the time-out of every call from 1.5 to 4.3 s. Reads and writes of the election still back off, and what is learnt from their answers holds for all.

--- a/src/main/java/org/ternhinge/state/HttpStateStore.java
+++ b/src/main/java/org/ternhinge/state/HttpStateStore.java
@@ -114,7 +114,7 @@
   public CompletableFuture<Outcome<Read>> get(String key, RequestPriority lane) {
     Reader<Read> reader = body -> new Read(Optional.of(entry(body)));
     return timeouts
-        .measure(Kind.READ, timeoutS -> send("GET", "/keys/" + key, null, timeoutS, lane, reader))
+        .measure(Kind.ofRead(lane), timeoutS -> send("GET", "/keys/" + key, null, timeoutS, lane, reader))
         .thenApply(HttpStateStore::emptyIfNotFound);
   }
 
@@ -155,7 +155,7 @@
     byte[] body = txn.write();
     Reader<Revision> reader = answer -> new Revision(Json.count(answer, "breytingatal"));
     return timeouts
-        .measure(Kind.WRITE, timeoutS -> send("POST", "/txn", body, timeoutS, lane, reader))
+        .measure(Kind.ofWrite(lane), timeoutS -> send("POST", "/txn", body, timeoutS, lane, reader))
         .thenApply(this::pauseWritesIfTooMany);
   }
 
--- a/src/main/java/org/ternhinge/state/ResponseTimeouts.java
+++ b/src/main/java/org/ternhinge/state/ResponseTimeouts.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.DoubleFunction;
 import org.ternhinge.config.Tuning;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
@@ -21,14 +22,33 @@
 
   /** Kinds of calls, by the shortest time-out of each, in seconds. */
   public enum Kind {
-    READ(1.5),
-    WRITE(1.5),
-    LEASE(1.0);
+    READ(1.5, true),
+    WRITE(1.5, true),
+    LEASE(1.0, true),
+
+    /**
+     * A read or a write that no leadership hangs on. It doesn't back off: where answers are lost,
+     * jobs and users wait for the next try. That the service is slow is learnt from the answers to
+     * the calls that do.
+     */
+    ORDINARY(1.5, false);
 
     private final double floorS;
+    private final boolean backsOff;
 
-    Kind(double floorS) {
+    Kind(double floorS, boolean backsOff) {
       this.floorS = floorS;
+      this.backsOff = backsOff;
+    }
+
+    /** The kind of a read of this priority. */
+    public static Kind ofRead(RequestPriority priority) {
+      return priority == RequestPriority.RENEWAL ? READ : ORDINARY;
+    }
+
+    /** The kind of a write of this priority. */
+    public static Kind ofWrite(RequestPriority priority) {
+      return priority == RequestPriority.RENEWAL ? WRITE : ORDINARY;
     }
   }
 
@@ -86,7 +106,8 @@
   /** The time-out of a call that is sent now, in seconds. */
   public synchronized double timeoutS(Kind kind) {
     double expected = meanS + Math.max(DEVIATIONS * deviationS, MIN_SLACK * meanS);
-    return Math.min(capS, Math.max(kind.floorS, Math.max(expected, backedOffS)));
+    double least = kind.backsOff ? Math.max(kind.floorS, backedOffS) : kind.floorS;
+    return Math.min(capS, Math.max(least, expected));
   }
 
   /**
--- a/src/test/java/org/ternhinge/sim/DelayedStore.java
+++ b/src/test/java/org/ternhinge/sim/DelayedStore.java
@@ -64,7 +64,7 @@
 
   @Override
   public CompletableFuture<Outcome<Read>> get(String key, RequestPriority priority) {
-    return measured(Kind.READ, () -> Outcome.applied(core.get(key)));
+    return measured(Kind.ofRead(priority), () -> Outcome.applied(core.get(key)));
   }
 
   @Override
@@ -75,7 +75,7 @@
 
   @Override
   public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority priority) {
-    return measured(Kind.WRITE, () -> core.txn(txn));
+    return measured(Kind.ofWrite(priority), () -> core.txn(txn));
   }
 
   @Override
--- a/src/test/java/org/ternhinge/sim/SimStateClient.java
+++ b/src/test/java/org/ternhinge/sim/SimStateClient.java
@@ -75,7 +75,7 @@
   @Override
   public CompletableFuture<Outcome<Read>> get(String key, RequestPriority priority) {
     return timeouts.measure(
-        Kind.READ, timeoutS -> send(timeoutS, () -> Outcome.applied(service.contents().get(key))));
+        Kind.ofRead(priority), timeoutS -> send(timeoutS, () -> Outcome.applied(service.contents().get(key))));
   }
 
   @Override
@@ -95,11 +95,11 @@
     if (late > 0) {
       cluster.clock.after(late, () -> service.txn(owner.index(), txn));
       return timeouts.measure(
-          Kind.WRITE, timeoutS -> owner.guard(cluster.network.fail(false, timeoutS)));
+          Kind.ofWrite(priority), timeoutS -> owner.guard(cluster.network.fail(false, timeoutS)));
     }
     return timeouts
         .<Revision>measure(
-            Kind.WRITE, timeoutS -> send(timeoutS, () -> service.txn(owner.index(), txn)))
+            Kind.ofWrite(priority), timeoutS -> send(timeoutS, () -> service.txn(owner.index(), txn)))
         .thenApply(this::slowDownIfTooFast);
   }
 
