--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/JobRequestsTest.java
@@ -0,0 +1,162 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.election.Election;
+import org.ternhinge.http.Request;
+import org.ternhinge.http.Response;
+import org.ternhinge.ledger.Authority;
+import org.ternhinge.ledger.Keys;
+import org.ternhinge.ledger.RecordCodec;
+import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.DirectStore;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.StoreCore;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Json;
+
+/** How a node that does not lead answers questions and cancellations. */
+class JobRequestsTest {
+  private static final JobId JOB = new JobId("wk-1");
+
+  private final SimClock clock = new SimClock();
+  private final ReentrantLock lock = new ReentrantLock();
+  private final DirectStore store = new DirectStore(new StoreCore(clock));
+  private final Election election =
+      new Election("node-0", store, clock, Tuning.DEFAULT, 1, lock, new SplittableRandom(1));
+  private final LeadershipRole role = new LeadershipRole("node-0", election);
+  private final List<String> asked = new ArrayList<>();
+  private Integer leaderStatus;
+  private Response answer;
+
+  private final ControllerNode.Peers peers =
+      new ControllerNode.Peers() {
+        @Override
+        public void ask(String node, Request request, double timeoutS, Consumer<Response> to) {
+          asked.add(node);
+          to.accept(leaderStatus == null ? null : Response.of(leaderStatus));
+        }
+
+        @Override
+        public void reset(String node) {}
+      };
+
+  private final PeerClient client =
+      new PeerClient(
+          peers, lock, new NodeConnectivity(store, peers, List.of("node-1"), clock, lock));
+  private final JobLookup lookup = new JobLookup(store);
+
+  private void put(Change change) {
+    store.txn(new Txn(Map.of(), List.of(change)), RequestPriority.ACCEPT);
+  }
+
+  /** Another node leads, or the state service can't say who does. */
+  private void follow(boolean leaderKnown) {
+    if (!leaderKnown) {
+      return;
+    }
+    put(new Change.Put(Keys.LEADER, Json.object().put("node", "node-1").put("inc", "a"), 0));
+    election.start(
+        new Election.Listener() {
+          @Override
+          public void elected(Authority authority) {
+            throw new AssertionError("another node leads");
+          }
+
+          @Override
+          public void deposed(String why) {
+            throw new AssertionError("this node has never led");
+          }
+        });
+  }
+
+  private void storeJob(String stored) {
+    if (stored.equals("queued")) {
+      put(
+          new Change.Put(
+              Keys.job(JOB),
+              RecordCodec.fresh(Specs.of(Specs.json(JOB.value(), "batch", 1)), 1, 8192),
+              0));
+    } else if (!stored.equals("absent")) {
+      put(new Change.Put(Keys.end(JOB), Json.object().put("s", stored).put("n", 1), 0));
+    }
+  }
+
+  @ParameterizedTest(name = "leader known {0}, answers {1}, stored {2}, from a peer {3}")
+  @CsvSource({
+    // leader known, its status, stored job, from a peer, nodes asked, status
+    "true,  200, queued,    false, 1, 200",
+    "true,  404, queued,    false, 1, 404",
+    "true,  503, queued,    false, 1, 200",
+    "true,     , queued,    false, 1, 200",
+    "true,     , absent,    false, 1, 404",
+    "false,    , queued,    false, 0, 200",
+    "false,    , done,      false, 0, 200",
+    "false,    , absent,    false, 0, 404",
+    "true,  200, queued,    true,  0, 503",
+  })
+  void questions(
+      boolean leaderKnown,
+      Integer status,
+      String stored,
+      boolean fromPeer,
+      int nodesAsked,
+      int expected) {
+    follow(leaderKnown);
+    storeJob(stored);
+    leaderStatus = status;
+    JobQueries queries = new JobQueries(role, client, lookup);
+    if (fromPeer) {
+      queries.answerPeer(JOB, r -> answer = r);
+    } else {
+      queries.answerUser(JOB, new Request("GET", "/", new byte[0]), r -> answer = r);
+    }
+    assertEquals(expected, answer.status());
+    assertEquals(nodesAsked, asked.size());
+  }
+
+  @ParameterizedTest(name = "leader known {0}, answers {1}, stored {2}, from a peer {3}")
+  @CsvSource({
+    // leader known, its status, stored job, from a peer, nodes asked, status
+    "true,  200, queued,    false, 1, 200",
+    "true,  503, queued,    false, 1, 503",
+    "true,     , queued,    false, 1, 503",
+    "true,     , cancelled, false, 1, 200",
+    "true,  503, done,      false, 1, 200",
+    "false,    , queued,    false, 0, 503",
+    "false,    , done,      false, 0, 200",
+    "false,    , absent,    false, 0, 404",
+    "true,  200, done,      true,  0, 503",
+  })
+  void cancellations(
+      boolean leaderKnown,
+      Integer status,
+      String stored,
+      boolean fromPeer,
+      int nodesAsked,
+      int expected) {
+    follow(leaderKnown);
+    storeJob(stored);
+    leaderStatus = status;
+    JobCancellations cancellations = new JobCancellations(role, client, lookup, clock, lock);
+    if (fromPeer) {
+      cancellations.cancelForPeer(JOB, r -> answer = r);
+    } else {
+      cancellations.cancelForUser(JOB, new Request("POST", "/", new byte[0]), r -> answer = r);
+    }
+    assertEquals(expected, answer.status());
+    assertEquals(nodesAsked, asked.size());
+  }
+}
