Ledger: starts follow in the order of the job's open attempts again

A stream goes through this map in another order than its iterator; starts are sent in the order in which a transaction lists its opens, and LargeFleetTest saw one of 1,200 replicas late by it.

--- a/src/main/java/org/ternhinge/ledger/RecordWrite.java
+++ b/src/main/java/org/ternhinge/ledger/RecordWrite.java
@@ -1,5 +1,6 @@
 package org.ternhinge.ledger;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /** What a transaction changes in one job's record, and what follows once that is durable. */
@@ -18,11 +19,14 @@
 
     /** The write of a segment as the job stands now. */
     static Segment of(Job job, int index) {
-      List<Attempt> opens =
-          job.openAttempts().stream()
-              .filter(attempt -> !attempt.durable())
-              .filter(attempt -> job.segmentOf(attempt.task().index()) == index)
-              .toList();
+      // By the iterator and not by a stream, which goes through this map in another order: starts
+      // are sent in the order of the opens.
+      List<Attempt> opens = new ArrayList<>();
+      for (Attempt attempt : job.openAttempts()) {
+        if (!attempt.durable() && job.segmentOf(attempt.task().index()) == index) {
+          opens.add(attempt);
+        }
+      }
       return new Segment(job, index, index == 0 && job.cancelled(), opens);
     }
   }
