--- /dev/null
+++ b/src/main/java/org/ternhinge/api/package-info.java
@@ -0,0 +1,2 @@
+/** Checks of what users submit. */
+package org.ternhinge.api;
--- /dev/null
+++ b/src/main/java/org/ternhinge/cli/package-info.java
@@ -0,0 +1,2 @@
+/** Command line, logging and the assembly of a running controller. */
+package org.ternhinge.cli;
--- /dev/null
+++ b/src/main/java/org/ternhinge/config/package-info.java
@@ -0,0 +1,2 @@
+/** The platform's settings file and the operators' own tuning. */
+package org.ternhinge.config;
--- /dev/null
+++ b/src/main/java/org/ternhinge/http/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP server and client on the event loop. */
+package org.ternhinge.http;
--- /dev/null
+++ b/src/main/java/org/ternhinge/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Counts and times for the log. */
+package org.ternhinge.metrics;
--- /dev/null
+++ b/src/main/java/org/ternhinge/model/package-info.java
@@ -0,0 +1,2 @@
+/** Small value types, outcomes of calls and time. */
+package org.ternhinge.model;
--- /dev/null
+++ b/src/main/java/org/ternhinge/peer/package-info.java
@@ -0,0 +1,2 @@
+/** Framed messages between the controllers. */
+package org.ternhinge.peer;
--- /dev/null
+++ b/src/main/java/org/ternhinge/schedule/package-info.java
@@ -0,0 +1,5 @@
+/**
+ * Planning without side effects: from a snapshot of jobs and machines to placements, stops, rentals
+ * and returns.
+ */
+package org.ternhinge.schedule;
--- /dev/null
+++ b/src/main/java/org/ternhinge/worker/package-info.java
@@ -0,0 +1,2 @@
+/** Client of the workers: direct commands and status. */
+package org.ternhinge.worker;
