--- a/src/main/java/org/ternhinge/state/HttpStateStore.java
+++ b/src/main/java/org/ternhinge/state/HttpStateStore.java
@@ -114,7 +114,9 @@
   public CompletableFuture<Outcome<Read>> get(String key, RequestPriority lane) {
     Reader<Read> reader = body -> new Read(Optional.of(entry(body)));
     return timeouts
-        .measure(Kind.ofRead(lane), timeoutS -> send("GET", "/keys/" + key, null, timeoutS, lane, reader))
+        .measure(
+            Kind.ofRead(lane),
+            timeoutS -> send("GET", "/keys/" + key, null, timeoutS, lane, reader))
         .thenApply(HttpStateStore::emptyIfNotFound);
   }
 
--- a/src/test/java/org/ternhinge/sim/SimStateClient.java
+++ b/src/test/java/org/ternhinge/sim/SimStateClient.java
@@ -75,7 +75,8 @@
   @Override
   public CompletableFuture<Outcome<Read>> get(String key, RequestPriority priority) {
     return timeouts.measure(
-        Kind.ofRead(priority), timeoutS -> send(timeoutS, () -> Outcome.applied(service.contents().get(key))));
+        Kind.ofRead(priority),
+        timeoutS -> send(timeoutS, () -> Outcome.applied(service.contents().get(key))));
   }
 
   @Override
@@ -99,7 +100,8 @@
     }
     return timeouts
         .<Revision>measure(
-            Kind.ofWrite(priority), timeoutS -> send(timeoutS, () -> service.txn(owner.index(), txn)))
+            Kind.ofWrite(priority),
+            timeoutS -> send(timeoutS, () -> service.txn(owner.index(), txn)))
         .thenApply(this::slowDownIfTooFast);
   }
 
