Planner: job ranking as a pure class of its own, no other change

The sort keys of waiting jobs stood among the views that SnapshotCache keeps, without a test of their own.

--- a/src/main/java/org/ternhinge/controller/SnapshotCache.java
+++ b/src/main/java/org/ternhinge/controller/SnapshotCache.java
@@ -20,7 +20,6 @@
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.schedule.Snapshot;
 import org.ternhinge.wire.Flavor;
-import org.ternhinge.wire.JobKind;
 import org.ternhinge.wire.JobSpec;
 
 /**
@@ -34,16 +33,6 @@
   /** A machine without a report for so long is not counted on. */
   private static final double SILENT_S = 15;
 
-  /**
-   * A job that has waited so long without a start is served like one within a guarantee. Half of
-   * the four minutes in which users see the largest begin: renting, booting and fetching come after
-   * it.
-   */
-  private static final double LATE_S = 120;
-
-  /** Keeps new arrays comparable before they have waited. */
-  private static final double RANK_AGE_S = 30;
-
   private final Settings settings;
   private final Tuning tuning;
   private final Authority authority;
@@ -203,7 +192,8 @@
         continue;
       }
       Resources sum = asked.merge(spec.team(), spec.need().times(spec.tasks()), Resources::plus);
-      int waiting = job.waitingCount();
+      JobRanking.Progress progress = progress(job);
+      int waiting = progress.waiting();
       if (waiting == 0) {
         continue;
       }
@@ -227,10 +217,10 @@
       out.add(
           new Snapshot.JobView(
               spec,
-              rank(job),
-              ageS(job),
+              JobRanking.key(spec, progress),
+              progress.waitedS(),
               guaranteed,
-              late(job),
+              progress.late(),
               pending,
               waiting,
               zones,
@@ -241,31 +231,9 @@
     return out;
   }
 
-  private boolean late(Job job) {
-    return job.openAttempts().isEmpty() && job.doneCount() == 0 && ageS(job) > LATE_S;
-  }
-
-  private double ageS(Job job) {
-    return Math.max(0, clock.wallMillis() - job.readyMillis()) / 1000.0;
-  }
-
-  /**
-   * Place in the queue among jobs alike in priority and guarantee: gangs and then services by the
-   * room they ask for, arrays by the work they have left, each against the time they have waited.
-   * In a full cluster arrival order makes every job late; this lets most be in time and starves
-   * none.
-   */
-  private double rank(Job job) {
-    JobSpec spec = job.spec();
-    double age = ageS(job) + RANK_AGE_S;
-    double first = spec.isGang() ? -1e7 : spec.isService() ? -1e6 : 0;
-    if (late(job)) {
-      // However large: whatever favours short work would pass it over for ever.
-      return first - 1e5 - age;
-    }
-    if (spec.kind() != JobKind.ARRAY) {
-      return first + job.waitingCount() * spec.cpus() / age;
-    }
-    return (spec.tasks() - job.doneCount()) * spec.cpus() * Math.max(1, spec.estimateS()) / age;
+  private JobRanking.Progress progress(Job job) {
+    double waitedS = Math.max(0, clock.wallMillis() - job.readyMillis()) / 1000.0;
+    return new JobRanking.Progress(
+        job.waitingCount(), job.doneCount(), job.openAttempts().size(), waitedS);
   }
 }
