--- a/src/main/java/org/ternhinge/controller/Leadership.java
+++ b/src/main/java/org/ternhinge/controller/Leadership.java
@@ -131,16 +131,15 @@
             electedAt);
     this.inventory =
         new MachineInventory(
-            removal,
             services,
-            authority,
-            dispatcher,
-            rentals,
-            releases,
             executor,
             machines,
+            rentals,
+            releases,
+            removal,
+            dispatcher,
+            new TermAnnouncer(authority, dispatcher, reports, clock),
             roundTrigger,
-            reports,
             electedAt);
     this.leaseMonitor =
         new LeaseMonitor(
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/TermAnnouncer.java
@@ -0,0 +1,78 @@
+package org.ternhinge.controller;
+
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
+import org.ternhinge.ledger.Authority;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Session;
+import org.ternhinge.wire.HostInfo;
+import org.ternhinge.wire.WorkerReport;
+import org.ternhinge.worker.Workers;
+
+/**
+ * Tells workers that have not reported yet of this leadership's term. Such a worker may still
+ * report to an earlier leader that is cut off from everything else; having seen this term it turns
+ * away from it. Guarded by the controller's lock.
+ */
+final class TermAnnouncer {
+  private static final Logger LOG = LoggerFactory.getLogger(TermAnnouncer.class);
+
+  /** The first command may be refused for its session; the refusal names the right one. */
+  private static final int MAX_TRIES = 2;
+
+  private final Authority authority;
+  private final CommandDispatcher dispatcher;
+  private final ReportSink reports;
+  private final Clock clock;
+
+  TermAnnouncer(
+      Authority authority, CommandDispatcher dispatcher, ReportSink reports, Clock clock) {
+    this.authority = authority;
+    this.dispatcher = dispatcher;
+    this.reports = reports;
+    this.clock = clock;
+  }
+
+  /**
+   * Tells a machine's worker of the term, if it is up and has not reported.
+   *
+   * @return whether it was told
+   */
+  boolean announce(Machine machine, HostInfo host) {
+    if (machine.reported || host.state() != HostInfo.State.RUNNING || host.endpoint() == null) {
+      return false;
+    }
+    Endpoint endpoint;
+    try {
+      endpoint = Endpoint.parse(host.endpoint());
+    } catch (IllegalArgumentException e) {
+      LOG.warn("machine {} is listed without a usable endpoint", machine.id);
+      return false;
+    }
+    send(machine, endpoint, machine.session, MAX_TRIES);
+    return true;
+  }
+
+  private void send(Machine machine, Endpoint endpoint, Session session, int triesLeft) {
+    if (authority.valid()) {
+      dispatcher.greet(
+          endpoint, session, outcome -> answered(machine, endpoint, outcome, triesLeft));
+    }
+  }
+
+  private void answered(
+      Machine machine, Endpoint endpoint, Outcome<Workers.Answer> outcome, int triesLeft) {
+    if (!(outcome instanceof Outcome.Applied<Workers.Answer> applied)) {
+      return;
+    }
+    WorkerReport report = applied.value().report();
+    reports.take(machine, report, false, clock.now());
+    if (applied.value() instanceof Workers.Answer.Refused
+        && report.token().compareTo(authority.term()) <= 0
+        && triesLeft > 1) {
+      send(machine, endpoint, report.session(), triesLeft - 1);
+    }
+  }
+}
