--- a/src/main/java/org/ternhinge/controller/MachineReleases.java
+++ b/src/main/java/org/ternhinge/controller/MachineReleases.java
@@ -1,8 +1,6 @@
 package org.ternhinge.controller;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.BooleanNode;
-import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.concurrent.locks.Lock;
@@ -16,11 +14,14 @@
 /**
  * Returns machines. A return is recorded before it is sent and repeated until answered, so that no
  * leader places anything on a machine that may vanish at any moment. All that are due go in one
- * call: the cloud takes few calls a second and up to a hundred names in each.
+ * call, since the cloud takes few calls a second. Guarded by the controller's lock.
  */
 final class MachineReleases {
+  /** Seconds until a call that failed, or that could not be made, is made again. */
   private static final double RETRY_S = 1.5;
-  private static final int MOST_NAMES = 100;
+
+  /** Names that the cloud takes in one call. */
+  private static final int MAX_NAMES = 100;
 
   private final MachineRemoval removal;
   private final LeadershipExecutor executor;
@@ -30,10 +31,17 @@
   private final Cloud cloud;
   private final Authority authority;
   private final Lock lock;
-  private final PackedRecords record;
+  private final PackedRecords records;
+
+  /** Machines whose return is recorded and not answered yet. */
   private final LinkedHashSet<Machine> due = new LinkedHashSet<>();
+
+  /** Whether a call is under way or put off. */
   private boolean calling;
 
+  /**
+   * @param records holds the returns that are not answered
+   */
   MachineReleases(
       MachineRemoval removal,
       ControllerServices services,
@@ -41,38 +49,38 @@
       LeadershipExecutor executor,
       MachineRegistry machines,
       RoundTrigger rounds,
-      PackedRecords record,
+      PackedRecords records,
       SteadyTime electedAt) {
     this.removal = removal;
+    this.cloud = services.cloud();
+    this.lock = services.lock();
+    this.authority = authority;
     this.executor = executor;
     this.machines = machines;
     this.rounds = rounds;
+    this.records = records;
     this.electedAt = electedAt;
-    this.cloud = services.cloud();
-    this.authority = authority;
-    this.lock = services.lock();
-    this.record = record;
   }
 
   /** Goes on with what an earlier leader has begun. */
   void resume(Entry entry) {
-    record.known(
-        entry,
-        (name, value) -> {
-          Machine m = machines.findOrAdd(new MachineId(name), electedAt);
-          m.releasing = true;
-          due(m);
-        });
+    records.known(entry, (name, value) -> resume(new MachineId(name)));
+  }
+
+  private void resume(MachineId id) {
+    Machine machine = machines.findOrAdd(id, electedAt);
+    machine.releasing = true;
+    addDue(machine);
   }
 
-  void release(Machine m) {
-    m.releasing = true;
-    JsonNode noted = BooleanNode.TRUE;
-    record.put(m.id.value(), noted, () -> due(m));
+  /** Returns a machine; nothing more is placed on it. */
+  void release(Machine machine) {
+    machine.releasing = true;
+    records.put(machine.id.value(), BooleanNode.TRUE, () -> addDue(machine));
   }
 
-  private void due(Machine m) {
-    due.add(m);
+  private void addDue(Machine machine) {
+    due.add(machine);
     call();
   }
 
@@ -82,44 +90,45 @@
     }
     calling = true;
     if (!authority.valid()) {
-      again();
+      retryLater();
       return;
     }
-    List<Machine> some = new ArrayList<>();
-    for (Machine m : due) {
-      if (some.size() < MOST_NAMES) {
-        some.add(m);
-      }
-    }
-    cloud.release(some.stream().map(m -> m.id).toList()).whenComplete((o, e) -> answered(some, o));
+    List<Machine> named = due.stream().limit(MAX_NAMES).toList();
+    cloud
+        .release(named.stream().map(machine -> machine.id).toList())
+        .whenComplete((outcome, error) -> answeredUnlocked(named, outcome));
   }
 
-  private void answered(List<Machine> some, Outcome<Integer> outcome) {
+  private void answeredUnlocked(List<Machine> named, Outcome<Integer> outcome) {
     lock.lock();
     try {
-      if (!(outcome instanceof Outcome.Applied<Integer>)) {
-        again();
-        return;
-      }
-      calling = false;
-      for (Machine m : some) {
-        due.remove(m);
-        removal.remove(m);
-        record.remove(m.id.value());
-      }
-      rounds.requestRound();
-      call();
+      answered(named, outcome);
     } finally {
       lock.unlock();
     }
   }
 
-  private void again() {
-    executor.later(
-        RETRY_S,
-        () -> {
-          calling = false;
-          call();
-        });
+  private void answered(List<Machine> named, Outcome<Integer> outcome) {
+    if (!(outcome instanceof Outcome.Applied<Integer>)) {
+      retryLater();
+      return;
+    }
+    calling = false;
+    for (Machine machine : named) {
+      due.remove(machine);
+      removal.remove(machine);
+      records.remove(machine.id.value());
+    }
+    rounds.requestRound();
+    call();
+  }
+
+  private void retryLater() {
+    executor.later(RETRY_S, this::retry);
+  }
+
+  private void retry() {
+    calling = false;
+    call();
   }
 }
--- a/src/main/java/org/ternhinge/controller/Rentals.java
+++ b/src/main/java/org/ternhinge/controller/Rentals.java
@@ -12,7 +12,6 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.ternhinge.cloud.Cloud;
-import org.ternhinge.config.Settings;
 import org.ternhinge.ledger.Authority;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.MachineId;
@@ -28,98 +27,117 @@
 
 /**
  * Rents machines. A rental's name and content are recorded before it is sent; a lost answer is
- * Unknown and settled by repeating the same name, which the cloud answers the same.
+ * Unknown and settled by repeating the same name, which the cloud answers the same. The record is
+ * kept until every machine of the rental has shown up, so that no leader forgets a machine that is
+ * being charged. Guarded by the controller's lock.
  */
 final class Rentals {
   private static final Logger LOG = LoggerFactory.getLogger(Rentals.class);
+
+  /** Seconds until a rental whose answer was lost, or that could not be sent, is sent again. */
   private static final double RETRY_S = 1.5;
+
+  /** Seconds until a rental that found the cloud's rate used up is sent again. */
   private static final double HELD_BACK_S = 0.3;
 
+  /** Seconds for which an offer that had no room is not asked for; doubled each time. */
+  private static final double FIRST_PAUSE_S = 5;
+
+  private static final double MAX_PAUSE_S = 30;
+
   private static final class Rental {
     private final RentalRequest request;
+
+    /** Whether the cloud may have carried the request out although no answer says so. */
     private boolean maybeSent;
+
+    /** Its machines that have not shown up yet; null until their names are known. */
     private Set<MachineId> unseen;
 
     Rental(RentalRequest request) {
       this.request = request;
     }
+
+    boolean answered() {
+      return unseen != null;
+    }
+
+    String offer() {
+      return offerKey(request.type(), request.zone(), request.spot());
+    }
   }
 
+  /** An offer that had no room when last asked for. */
   private static final class Refusal {
     private SteadyTime until;
     private double pauseS;
   }
 
-  private final Settings settings;
   private final LeadershipExecutor executor;
   private final MachineRegistry machines;
   private final RoundTrigger rounds;
+  private final List<String> zones;
   private final Cloud cloud;
-  private final PackedRecords record;
+  private final PackedRecords records;
   private final Authority authority;
   private final Clock clock;
   private final Lock lock;
-  private final Map<String, Rental> open = new LinkedHashMap<>();
+  private final Map<String, Rental> openRentals = new LinkedHashMap<>();
   private final Map<String, Refusal> refusals = new HashMap<>();
-  private long counter;
+  private long rentalCount;
 
+  /**
+   * @param records holds the rentals whose duty is not done
+   */
   Rentals(
       ControllerServices services,
       Authority authority,
       LeadershipExecutor executor,
       MachineRegistry machines,
       RoundTrigger rounds,
-      PackedRecords record) {
-    this.settings = services.settings();
-    this.executor = executor;
-    this.machines = machines;
-    this.rounds = rounds;
+      PackedRecords records) {
+    this.zones = services.settings().zones();
     this.cloud = services.cloud();
-    this.record = record;
-    this.authority = authority;
     this.clock = services.clock();
     this.lock = services.lock();
-  }
-
-  private void locked(Runnable action) {
-    lock.lock();
-    try {
-      action.run();
-    } finally {
-      lock.unlock();
-    }
+    this.authority = authority;
+    this.executor = executor;
+    this.machines = machines;
+    this.rounds = rounds;
+    this.records = records;
   }
 
   private static String offerKey(String type, String zone, boolean spot) {
     return type + " " + zone + (spot ? " spot" : "");
   }
 
-  void rent(Plan.Rent want) {
-    String key = offerKey(want.type(), want.zone(), want.spot());
-    for (Rental r : open.values()) {
-      RentalRequest q = r.request;
-      if (r.unseen == null && offerKey(q.type(), q.zone(), q.spot()).equals(key)) {
+  /** Rents machines, unless a rental of the same offer is still without an answer. */
+  void rent(Plan.Rent wanted) {
+    String offer = offerKey(wanted.type(), wanted.zone(), wanted.spot());
+    for (Rental rental : openRentals.values()) {
+      if (!rental.answered() && rental.offer().equals(offer)) {
         return;
       }
     }
-    String name = "t" + authority.term() + "-" + ++counter;
-    int count = Math.min(want.count(), RentalRequest.MAX_COUNT);
-    RentalRequest request = new RentalRequest(name, want.type(), want.zone(), want.spot(), count);
+    String name = "t" + authority.term() + "-" + ++rentalCount;
+    int count = Math.min(wanted.count(), RentalRequest.MAX_COUNT);
+    RentalRequest request =
+        new RentalRequest(name, wanted.type(), wanted.zone(), wanted.spot(), count);
     Rental rental = new Rental(request);
-    open.put(name, rental);
-    LOG.info("renting {} {} in {}{}", count, want.type(), want.zone(), want.spot() ? " spot" : "");
-    record.put(name, request.write(), () -> send(rental));
+    openRentals.put(name, rental);
+    LOG.info("renting {} {}", count, offer);
+    records.put(name, request.write(), () -> send(rental));
   }
 
-  /** Earlier leaders' rentals whose fate is not known here. */
+  /** Takes over earlier leaders' rentals, whose fate is not known here. */
   void resume(Entry entry) {
-    record.known(
+    records.known(
         entry,
         (name, value) -> {
           try {
             resume(RentalRequest.read(value));
-          } catch (WireException x) {
-            LOG.error("rental {} is unreadable: {}", name, x.getMessage());
+          } catch (WireException e) {
+            LOG.error("rental {} is unreadable: {}", name, e.getMessage());
           }
         });
   }
@@ -127,125 +145,152 @@
   private void resume(RentalRequest request) {
     Rental rental = new Rental(request);
     rental.maybeSent = true;
-    open.put(request.name(), rental);
+    openRentals.put(request.name(), rental);
     send(rental);
   }
 
   private void send(Rental rental) {
     if (!authority.valid()) {
-      executor.later(RETRY_S, () -> send(rental));
+      sendAfter(RETRY_S, rental);
       return;
     }
-    cloud.rent(rental.request).whenComplete((o, e) -> locked(() -> answered(rental, o)));
+    cloud.rent(rental.request).whenComplete((outcome, error) -> answeredUnlocked(rental, outcome));
+  }
+
+  private void sendAfter(double seconds, Rental rental) {
+    executor.later(seconds, () -> send(rental));
+  }
+
+  private void answeredUnlocked(Rental rental, Outcome<List<MachineId>> outcome) {
+    lock.lock();
+    try {
+      answered(rental, outcome);
+    } finally {
+      lock.unlock();
+    }
   }
 
   private void answered(Rental rental, Outcome<List<MachineId>> outcome) {
-    RentalRequest q = rental.request;
-    String key = offerKey(q.type(), q.zone(), q.spot());
-    SteadyTime now = clock.now();
     if (outcome instanceof Outcome.Applied<List<MachineId>> applied) {
-      rental.unseen = new HashSet<>();
-      for (MachineId id : applied.value()) {
-        if (machines.wasRemoved(id)) {
-          continue;
-        }
-        Machine m = machines.findOrAdd(id, now);
-        if (m.type == null) {
-          m.type = q.type();
-          m.zoneName = q.zone();
-          m.zone = settings.zones().indexOf(q.zone());
-          m.spot = q.spot();
-          m.rentedAt = now;
-        }
-        if (!m.reported && m.listedAt == null) {
-          rental.unseen.add(id);
-        }
-      }
-      if (applied.value().size() < q.count()) {
-        refuse(key, now);
-      } else {
-        refusals.remove(key);
-      }
-      finishIfSeen(rental);
-      rounds.requestRound();
+      rented(rental, applied.value());
     } else if (outcome != null && outcome.isBecause(Reason.HELD_BACK)) {
       // The cloud's rate is used up; the recorded request only waits for its turn.
-      executor.later(HELD_BACK_S, () -> send(rental));
-    } else if (outcome instanceof Outcome.NotApplied<List<MachineId>> not) {
-      boolean full = not.reason() == Reason.CONFLICT;
-      if (full || not.reason() == Reason.INVALID || !rental.maybeSent) {
-        refuse(key, now);
-        forget(rental);
-      } else {
-        executor.later(RETRY_S, () -> send(rental));
-      }
+      sendAfter(HELD_BACK_S, rental);
+    } else if (outcome instanceof Outcome.NotApplied<List<MachineId>> notApplied) {
+      refused(rental, notApplied.reason());
     } else {
       rental.maybeSent = true;
-      executor.later(RETRY_S, () -> send(rental));
+      sendAfter(RETRY_S, rental);
     }
   }
 
-  private void refuse(String key, SteadyTime now) {
-    Refusal r = refusals.computeIfAbsent(key, k -> new Refusal());
-    r.pauseS = r.pauseS == 0 ? 5 : Math.min(30, r.pauseS * 2);
-    r.until = now.plusSeconds(r.pauseS);
+  private void rented(Rental rental, List<MachineId> names) {
+    SteadyTime now = clock.now();
+    rental.unseen = new HashSet<>();
+    for (MachineId id : names) {
+      if (!machines.wasRemoved(id)) {
+        addMachine(rental, id, now);
+      }
+    }
+    if (names.size() < rental.request.count()) {
+      pauseOffer(rental.offer(), now);
+    } else {
+      refusals.remove(rental.offer());
+    }
+    forgetIfAllSeen(rental);
+    rounds.requestRound();
+  }
+
+  private void addMachine(Rental rental, MachineId id, SteadyTime now) {
+    Machine machine = machines.findOrAdd(id, now);
+    if (machine.type == null) {
+      RentalRequest request = rental.request;
+      machine.type = request.type();
+      machine.zoneName = request.zone();
+      machine.zone = zones.indexOf(request.zone());
+      machine.spot = request.spot();
+      machine.rentedAt = now;
+    }
+    if (!machine.reported && machine.listedAt == null) {
+      rental.unseen.add(id);
+    }
+  }
+
+  /** The cloud says that it did nothing; an earlier copy of the same request may have. */
+  private void refused(Rental rental, Reason reason) {
+    boolean isFinal = reason == Reason.CONFLICT || reason == Reason.INVALID;
+    if (isFinal || !rental.maybeSent) {
+      pauseOffer(rental.offer(), clock.now());
+      forget(rental);
+    } else {
+      sendAfter(RETRY_S, rental);
+    }
+  }
+
+  private void pauseOffer(String offer, SteadyTime now) {
+    Refusal refusal = refusals.computeIfAbsent(offer, key -> new Refusal());
+    refusal.pauseS =
+        refusal.pauseS == 0 ? FIRST_PAUSE_S : Math.min(MAX_PAUSE_S, refusal.pauseS * 2);
+    refusal.until = now.plusSeconds(refusal.pauseS);
   }
 
   private void forget(Rental rental) {
-    open.remove(rental.request.name());
-    record.remove(rental.request.name());
+    openRentals.remove(rental.request.name());
+    records.remove(rental.request.name());
   }
 
   /** A machine has shown up by itself; its rental's record has done its duty. */
   void seen(MachineId id) {
-    for (Rental r : List.copyOf(open.values())) {
-      if (r.unseen != null && r.unseen.remove(id)) {
-        finishIfSeen(r);
+    for (Rental rental : List.copyOf(openRentals.values())) {
+      if (rental.answered() && rental.unseen.remove(id)) {
+        forgetIfAllSeen(rental);
       }
     }
   }
 
-  private void finishIfSeen(Rental r) {
-    if (r.unseen.isEmpty()) {
-      forget(r);
+  private void forgetIfAllSeen(Rental rental) {
+    if (rental.unseen.isEmpty()) {
+      forget(rental);
     }
   }
 
-  void listed(Set<MachineId> shown, SteadyTime now) {
-    shown.forEach(this::seen);
-  }
-
-  List<Snapshot.Offer> offers(Collection<Flavor> flavors, List<String> zones, SteadyTime now) {
-    List<Snapshot.Offer> out = new ArrayList<>();
-    for (Flavor f : flavors) {
-      for (String zone : f.zones()) {
-        int z = zones.indexOf(zone);
-        if (z < 0) {
-          continue;
-        }
-        for (boolean spot : new boolean[] {true, false}) {
-          Refusal r = refusals.get(offerKey(f.name(), zone, spot));
-          if (r == null || r.until.isBefore(now)) {
-            out.add(new Snapshot.Offer(f, z, zone, spot, RentalRequest.MAX_COUNT));
-          }
+  /** What may be asked for now: all but the offers that lately had no room. */
+  List<Snapshot.Offer> offers(Collection<Flavor> types, SteadyTime now) {
+    List<Snapshot.Offer> offers = new ArrayList<>();
+    for (Flavor type : types) {
+      for (String zone : type.zones()) {
+        if (zones.contains(zone)) {
+          addOffer(type, zone, true, now, offers);
+          addOffer(type, zone, false, now, offers);
         }
       }
     }
-    return out;
+    return offers;
+  }
+
+  private void addOffer(
+      Flavor type, String zone, boolean spot, SteadyTime now, List<Snapshot.Offer> offers) {
+    Refusal refusal = refusals.get(offerKey(type.name(), zone, spot));
+    if (refusal == null || refusal.until.isBefore(now)) {
+      int zoneIndex = zones.indexOf(zone);
+      offers.add(new Snapshot.Offer(type, zoneIndex, zone, spot, RentalRequest.MAX_COUNT));
+    }
   }
 
   /** Machines asked for whose names are not known yet: as good as coming. */
-  List<Snapshot.Coming> coming(Map<String, Flavor> flavors, List<String> zones) {
-    List<Snapshot.Coming> out = new ArrayList<>();
-    for (Rental r : open.values()) {
-      RentalRequest q = r.request;
-      Flavor f = flavors.get(q.type());
-      int zone = zones.indexOf(q.zone());
-      if (r.unseen == null && f != null && zone >= 0) {
-        Snapshot.Offer offer = new Snapshot.Offer(f, zone, q.zone(), q.spot(), q.count());
-        out.add(new Snapshot.Coming(offer, q.count()));
+  List<Snapshot.Coming> coming(Map<String, Flavor> types) {
+    List<Snapshot.Coming> coming = new ArrayList<>();
+    for (Rental rental : openRentals.values()) {
+      RentalRequest request = rental.request;
+      Flavor type = types.get(request.type());
+      int zone = zones.indexOf(request.zone());
+      if (!rental.answered() && type != null && zone >= 0) {
+        int count = request.count();
+        Snapshot.Offer offer =
+            new Snapshot.Offer(type, zone, request.zone(), request.spot(), count);
+        coming.add(new Snapshot.Coming(offer, count));
       }
     }
-    return out;
+    return coming;
   }
 }
--- a/src/main/java/org/ternhinge/controller/SnapshotCache.java
+++ b/src/main/java/org/ternhinge/controller/SnapshotCache.java
@@ -119,8 +119,8 @@
         arrivalRates.spares(now, settings.zones().size()),
         settings.teams(),
         use,
-        rentals.offers(flavors.values(), settings.zones(), now),
-        rentals.coming(flavors, settings.zones()),
+        rentals.offers(flavors.values(), now),
+        rentals.coming(flavors),
         settled(now),
         tuning.idleS(),
         now);
