--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/LeadershipParts.java
@@ -0,0 +1,297 @@
+package org.ternhinge.controller;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.locks.ReentrantLock;
+import org.ternhinge.config.Settings;
+import org.ternhinge.config.Team;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.ledger.Attempt;
+import org.ternhinge.ledger.Authority;
+import org.ternhinge.ledger.Job;
+import org.ternhinge.ledger.Keys;
+import org.ternhinge.ledger.Ledger;
+import org.ternhinge.ledger.LedgerLoader;
+import org.ternhinge.ledger.LedgerWriter;
+import org.ternhinge.ledger.MachineAttributes;
+import org.ternhinge.ledger.RecordCodec;
+import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.metrics.Metrics;
+import org.ternhinge.model.Endpoint;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.model.Term;
+import org.ternhinge.sim.DirectStore;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.StoreCore;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.StateStore;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.TaskReport;
+import org.ternhinge.wire.WireException;
+import org.ternhinge.worker.Workers;
+
+/**
+ * The parts of a leadership around the one under test: a real ledger and writer over a state
+ * service at hand, workers that never answer, and a count of the rounds asked for.
+ */
+final class LeadershipParts {
+  static final Settings.Workers WORKER_SETTINGS = new Settings.Workers(2, 10, 30, 5, 20);
+  private static final int VALUE_BYTES = 8 * 1024;
+
+  final SimClock clock = new SimClock();
+  final StoreCore core = new StoreCore(clock);
+  final TestAuthority authority = new TestAuthority();
+  final HeldStore store = new HeldStore(new DirectStore(core));
+  final List<Command> sent = new ArrayList<>();
+  final Map<TaskId, Integer> shown = new HashMap<>();
+  final LeadershipExecutor executor;
+  final Ledger ledger;
+  final LedgerWriter writer;
+  final MachineRegistry machines;
+  final CommandDispatcher dispatcher;
+  final AttemptLifecycle attempts;
+  int roundsRequested;
+
+  /** Runs after each write, before the starts are sent. */
+  Runnable onWritten = () -> {};
+
+  LeadershipParts() {
+    core.txn(new Txn(Map.of(), List.of(new Change.Put(Keys.TERM, Json.object().put("n", 1), 0))));
+    authority.revision = core.get(Keys.TERM).entry().orElseThrow().revision();
+    ReentrantLock lock = new ReentrantLock();
+    Map<String, Team> teams = Map.of("red", new Team("red", 0, 0, 0, 0));
+    executor = new LeadershipExecutor(clock, lock);
+    ledger = new Ledger(teams, VALUE_BYTES, clock);
+    writer = new LedgerWriter(ledger, store, authority, clock, lock, 16, this::written);
+    machines = new MachineRegistry(clock.now().plusSeconds(60));
+    ControllerServices services =
+        new ControllerServices(
+            settings(teams),
+            Tuning.DEFAULT,
+            store,
+            null,
+            new SilentWorkers(),
+            clock,
+            lock,
+            Runnable::run,
+            new Metrics());
+    dispatcher =
+        new CommandDispatcher(
+            executor, (machine, report, isReport, now) -> true, services, authority, ledger);
+    attempts =
+        new AttemptLifecycle(ledger, writer, machines, dispatcher, () -> roundsRequested++, clock);
+  }
+
+  private static Settings settings(Map<String, Team> teams) {
+    Endpoint any = new Endpoint("10.0.0.9", 1);
+    return new Settings(
+        "node-0",
+        "east",
+        any,
+        any,
+        Map.of(),
+        any,
+        any,
+        List.of("east"),
+        teams,
+        List.of(),
+        WORKER_SETTINGS,
+        new Settings.StateLimits(80, 20, 8, 16),
+        new Settings.CloudLimits(4, 10),
+        1000,
+        0.025);
+  }
+
+  private void written(List<Attempt> opened) {
+    onWritten.run();
+    attempts.startDurable(opened);
+  }
+
+  /** A machine that has reported and takes direct commands. */
+  Machine machine(String name) {
+    Machine machine = machines.findOrAdd(new MachineId(name), clock.now());
+    machine.session = new Session(1);
+    machine.endpoint = new Endpoint("10.0.1.1", 9000);
+    machine.reported = true;
+    machine.lastReport = clock.now();
+    machine.leaseEnds = clock.now().plusSeconds(WORKER_SETTINGS.leaseS());
+    return machine;
+  }
+
+  /** A job that the state service and the ledger hold. */
+  Job job(ObjectNode json) {
+    ObjectNode record = RecordCodec.fresh(Specs.of(json), clock.wallMillis(), VALUE_BYTES);
+    String key = Keys.JOBS + json.get("ref").textValue();
+    core.txn(new Txn(Map.of(), List.of(new Change.Put(key, record, 0))));
+    Revision revision = core.get(key).entry().orElseThrow().revision();
+    try {
+      Job job = LedgerLoader.read(record, revision, clock.now());
+      ledger.adopt(job);
+      return job;
+    } catch (WireException e) {
+      throw new IllegalArgumentException(e);
+    }
+  }
+
+  /** Opens an attempt of a job's task on a machine, and hands it to the writer. */
+  Attempt open(Job job, int index, Machine machine) {
+    MachineAttributes site =
+        new MachineAttributes(
+            machine.id, machine.session, "small", 0, "east", false, Resources.offer(8, 0, 64));
+    ledger.open(job, List.of(new Ledger.Placement(index, site)), task -> false, clock.now());
+    writer.pump();
+    return job.open(index);
+  }
+
+  /** The tasks that machines show, counted as simply as can be. */
+  ReportedTasks reportedTasks() {
+    return new ReportedTasks() {
+      @Override
+      public boolean ghost(TaskId task) {
+        return shown.containsKey(task);
+      }
+
+      @Override
+      public void show(Machine machine, List<TaskReport> tasks) {
+        machine.tasks.forEach(task -> shown.remove(task.task()));
+        tasks.forEach(task -> shown.put(task.task(), 1));
+        machine.tasks = tasks;
+      }
+    };
+  }
+
+  /** A leadership that holds until it is lost. */
+  static final class TestAuthority implements Authority {
+    private Term term = new Term(1);
+    private Revision revision;
+
+    @Override
+    public Term term() {
+      return term;
+    }
+
+    @Override
+    public Revision termRevision() {
+      return revision;
+    }
+
+    @Override
+    public boolean valid() {
+      return true;
+    }
+
+    @Override
+    public void raised(Term to, Revision at) {
+      term = to;
+      revision = at;
+    }
+
+    @Override
+    public void lost(String why) {
+      throw new AssertionError(why);
+    }
+  }
+
+  /** Notes what it is told, and never answers. */
+  private final class SilentWorkers implements Workers {
+    @Override
+    public CompletableFuture<Outcome<Answer>> order(
+        Endpoint worker, Term term, Session session, List<Command> commands) {
+      sent.addAll(commands);
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public void forget(Endpoint worker) {}
+  }
+
+  /** Carries transactions out at once, or not before it is let go on. */
+  static final class HeldStore implements StateStore {
+    private final StateStore store;
+    private final List<Runnable> heldBack = new ArrayList<>();
+    private boolean holding;
+
+    HeldStore(StateStore store) {
+      this.store = store;
+    }
+
+    void hold() {
+      holding = true;
+    }
+
+    void letGo() {
+      holding = false;
+      List<Runnable> now = List.copyOf(heldBack);
+      heldBack.clear();
+      now.forEach(Runnable::run);
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority priority) {
+      if (!holding) {
+        return store.txn(txn, priority);
+      }
+      CompletableFuture<Outcome<Revision>> answer = new CompletableFuture<>();
+      heldBack.add(() -> store.txn(txn, priority).thenAccept(answer::complete));
+      return answer;
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Read>> get(String key, RequestPriority priority) {
+      return store.get(key, priority);
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Page>> list(
+        String prefix, String after, int limit, RequestPriority priority) {
+      return store.list(prefix, after, limit, priority);
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Long>> grant(long millis) {
+      return store.grant(millis);
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Long>> renew(long lease) {
+      return store.renew(lease);
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Long>> revoke(long lease) {
+      return store.revoke(lease);
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Changes>> follow(String prefix, Revision from, double waitS) {
+      return store.follow(prefix, from, waitS);
+    }
+
+    @Override
+    public int changesNow(RequestPriority priority) {
+      return store.changesNow(priority);
+    }
+
+    @Override
+    public double secondsUntilTxn(int changes, RequestPriority priority) {
+      return store.secondsUntilTxn(changes, priority);
+    }
+  }
+
+  SteadyTime now() {
+    return clock.now();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/LeaseMonitorTest.java
@@ -0,0 +1,133 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.ledger.Attempt;
+import org.ternhinge.ledger.Job;
+import org.ternhinge.model.AttemptNumber;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.Session;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.model.Term;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.TaskReport;
+import org.ternhinge.wire.TaskState;
+import org.ternhinge.wire.WorkerReport;
+
+class LeaseMonitorTest {
+  private final LeadershipParts parts = new LeadershipParts();
+  private final ReportedTasks reportedTasks = parts.reportedTasks();
+  private final LeaseMonitor monitor =
+      new LeaseMonitor(
+          LeadershipParts.WORKER_SETTINGS,
+          parts.ledger,
+          parts.machines,
+          parts.attempts,
+          reportedTasks,
+          parts.dispatcher,
+          new TermFence(parts.authority, parts.writer, parts.machines),
+          () -> parts.roundsRequested++);
+  private final Machine machine = parts.machine("n-1");
+  private final Job job = parts.job(Specs.json("wk-1", "batch", 2));
+
+  private TaskReport running(TaskId task, AttemptNumber number) {
+    return new TaskReport(task, number, TaskState.RUNNING, null, false);
+  }
+
+  /** Room that was kept for a job which went elsewhere must come back, and be planned with. */
+  @ParameterizedTest(name = "a reservation for 12 s after {0} s")
+  @CsvSource({"11.9, 1, 0", "12.1, 0, 1"})
+  void reservationsExpire(double ageS, int left, int rounds) {
+    JobId forJob = new JobId("wk-2");
+    Resources room = Resources.offer(1, 0, 1);
+    machine.kept.add(new Machine.Kept(forJob, room, parts.now().plusSeconds(12)));
+    parts.clock.runFor(ageS);
+    monitor.check(parts.now());
+    assertEquals(left, machine.kept.size());
+    assertEquals(rounds, parts.roundsRequested);
+  }
+
+  /** A worker past its lease has killed its tasks: only then may they start elsewhere. */
+  @ParameterizedTest(name = "{0} s after its last answer")
+  @CsvSource({"9.9, true", "10.1, false"})
+  void attemptsAreClosedWithTheLease(double silentForS, boolean open) {
+    Attempt attempt = parts.open(job, 0, machine);
+    reportedTasks.show(machine, List.of(running(attempt.task(), attempt.number())));
+    parts.clock.runFor(silentForS);
+    monitor.check(parts.now());
+    assertEquals(open ? attempt : null, job.open(0));
+    assertEquals(open, reportedTasks.ghost(attempt.task()));
+    assertEquals(open ? Session.NONE : new Session(1), machine.deadSession);
+  }
+
+  /** A late report may have shown tasks that nobody knows; they must not block starts for ever. */
+  @Test
+  void tasksWithoutAnAttemptAreForgottenWithTheLease() {
+    TaskId unknown = new TaskId(new JobId("wk-9"), 0);
+    reportedTasks.show(machine, List.of(running(unknown, new AttemptNumber(1))));
+    parts.clock.runFor(10.1);
+    monitor.check(parts.now());
+    assertFalse(reportedTasks.ghost(unknown));
+  }
+
+  /** Time to save, to learn of the peers' saving, and to report: 3 + 5 + 2 seconds. */
+  @ParameterizedTest(name = "after {0} s")
+  @CsvSource({"9.9, 3", "10.1, 0"})
+  void anOverdueStopIsRepeatedWithoutGrace(double afterS, double graceS) {
+    Attempt attempt = parts.open(job, 0, machine);
+    attempt.see(Attempt.Seen.RUNNING, parts.now());
+    parts.attempts.stop(attempt, 3);
+    parts.clock.runFor(afterS);
+    machine.leaseEnds = parts.now().plusSeconds(1);
+    monitor.check(parts.now());
+    assertEquals(graceS, attempt.stopGraceS());
+  }
+
+  /** Where no stop may be given, the end of the lease is what stops a task. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "a task that may run,       none,      false, true",
+    "a task that is stopped,    stop,      false, false",
+    "a task that is cancelled,  cancel,    false, false",
+    "a task nobody knows,       none,      true,  false"
+  })
+  void leasesThatMayBeRenewedWithoutCommands(
+      String name, String unwanted, boolean unknownTask, boolean mayRenew) {
+    Attempt attempt = parts.open(job, 0, machine);
+    if (unwanted.equals("stop")) {
+      attempt.stop(0, parts.now());
+    } else if (unwanted.equals("cancel")) {
+      parts.ledger.cancel(job);
+    }
+    TaskId task = unknownTask ? new TaskId(new JobId("wk-9"), 0) : attempt.task();
+    WorkerReport report =
+        new WorkerReport(
+            machine.id,
+            "10.0.1.1:9000",
+            "small",
+            "east",
+            false,
+            machine.session,
+            1,
+            new Term(1),
+            null,
+            List.of(running(task, attempt.number())));
+    assertEquals(mayRenew, monitor.mayRenewWithoutCommands(report));
+  }
+
+  /** A machine with nothing on it and no lease costs nothing and loses nothing. */
+  @Test
+  void anIdleMachineKeepsItsSession() {
+    parts.clock.runFor(60);
+    monitor.check(parts.now());
+    assertEquals(Session.NONE, machine.deadSession);
+    assertNull(job.open(0));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/MachineRegistryTest.java
@@ -0,0 +1,40 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.SteadyTime;
+
+class MachineRegistryTest {
+  private static final SteadyTime NOW = new SteadyTime(0);
+  private static final MachineId FIRST = new MachineId("n-1");
+  private static final MachineId SECOND = new MachineId("n-2");
+  private final SteadyTime leaseEnd = NOW.plusSeconds(40);
+  private final MachineRegistry registry = new MachineRegistry(leaseEnd);
+
+  @Test
+  void machinesAreKeptInOrderOfTheirNames() {
+    Machine second = registry.findOrAdd(SECOND, NOW);
+    Machine first = registry.findOrAdd(FIRST, NOW);
+    assertSame(first, registry.findOrAdd(FIRST, NOW.plusSeconds(1)));
+    assertEquals(List.of(first, second), List.copyOf(registry.all()));
+    assertEquals(leaseEnd, first.leaseEnds);
+  }
+
+  /** A late copy of a report must not bring a machine back that is certainly gone. */
+  @Test
+  void aRemovedMachineIsRemembered() {
+    registry.findOrAdd(FIRST, NOW);
+    assertFalse(registry.wasRemoved(FIRST));
+    registry.remove(FIRST);
+    assertTrue(registry.wasRemoved(FIRST));
+    assertNull(registry.find(FIRST));
+    assertFalse(registry.wasRemoved(SECOND));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/TermFenceTest.java
@@ -0,0 +1,78 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.ledger.Attempt;
+import org.ternhinge.model.Term;
+import org.ternhinge.sim.Specs;
+
+class TermFenceTest {
+  private final LeadershipParts parts = new LeadershipParts();
+  private final TermFence fence = new TermFence(parts.authority, parts.writer, parts.machines);
+  private final Machine machine = parts.machine("n-1");
+  private final Attempt attempt = parts.open(parts.job(Specs.json("wk-1", "batch", 1)), 0, machine);
+
+  /** Only a stopped attempt that a start under way alone keeps open is worth a higher term. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "all of it,               true,  UNSEEN,  5,   1, 0, true",
+    "not to stop,             false, UNSEEN,  5,   1, 0, false",
+    "stopped just now,        true,  UNSEEN,  3.9, 1, 0, false",
+    "the worker has shown it, true,  RUNNING, 5,   1, 0, false",
+    "no start under way,      true,  UNSEEN,  5,   0, 0, false",
+    "fenced already,          true,  UNSEEN,  5,   1, 1, false"
+  })
+  void isNeeded(
+      String name,
+      boolean stopping,
+      Attempt.Seen seen,
+      double stoppedForS,
+      int outstanding,
+      int fenced,
+      boolean needed) {
+    if (stopping) {
+      attempt.stop(0, parts.now());
+    }
+    attempt.see(seen, parts.now());
+    machine.strayStarts.put(Machine.key(attempt), outstanding);
+    machine.fencedStrays.put(Machine.key(attempt), fenced);
+    parts.clock.runFor(stoppedForS);
+    assertEquals(needed, fence.isNeeded(machine, attempt, parts.now()));
+  }
+
+  /** Every raise makes all workers' tokens old, so there is one at a time and few of them. */
+  @ParameterizedTest(name = "again after {0} s: term {1}")
+  @CsvSource({"0, 2", "9.9, 2", "10.1, 3"})
+  void raisesAreKeptApart(double againAfterS, long term) {
+    fence.raise(parts.now());
+    parts.clock.runFor(againAfterS);
+    fence.raise(parts.now());
+    parts.clock.runFor(0.1);
+    assertEquals(new Term(term), parts.authority.term());
+  }
+
+  @Test
+  void aSecondRaiseWaitsForTheFirst() {
+    parts.store.hold();
+    fence.raise(parts.now());
+    parts.clock.runFor(20);
+    fence.raise(parts.now());
+    parts.store.letGo();
+    parts.clock.runFor(1);
+    assertEquals(new Term(2), parts.authority.term());
+  }
+
+  /** A start counts as harmless only once the worker shows the term that was raised for it. */
+  @ParameterizedTest(name = "worker shows term {0}")
+  @CsvSource({"1, 1", "2, 0"})
+  void aWorkerThatShowsTheTermRefusesEarlierStarts(long shown, int outstanding) {
+    machine.strayStarts.put(Machine.key(attempt), 1);
+    fence.raise(parts.now());
+    parts.clock.runFor(0.1);
+    machine.sawToken(new Term(shown));
+    assertEquals(outstanding, machine.strayStarts.getInt(Machine.key(attempt)));
+  }
+}
