Controller: rename the terms for lost commands, outstanding starts and reservations

hearing/deaf become command reachability and lost commands, strays become outstanding starts, kept becomes reservations, ghost becomes isShown, troubles become job failures.

--- a/src/main/java/org/ternhinge/controller/CommandDispatcher.java
+++ b/src/main/java/org/ternhinge/controller/CommandDispatcher.java
@@ -25,7 +25,8 @@
 
 /**
  * Tells workers what to do: by direct orders, one at a time to a machine, and by the answers to
- * their reports. A direct start whose answer is lost stays a stray until nothing of it can arrive.
+ * their reports. A direct start whose answer is lost stays outstanding until nothing of it can
+ * arrive.
  */
 final class CommandDispatcher {
   private static final int MAX_COMMANDS = 400;
@@ -103,7 +104,7 @@
         if (a == null || a.stopping() || !a.durable() || !a.session().equals(m.session)) {
           continue;
         }
-        m.strayStarts.addTo(Machine.key(c), 1);
+        m.outstandingStarts.addTo(Machine.key(c), 1);
       }
       commands.add(c);
     }
@@ -166,30 +167,30 @@
         authority.lost("a worker has seen term " + r.token());
         return;
       }
-      settleStrays(m, session, commands);
-      m.hearing.heard();
+      settleOutstandingStarts(m, session, commands);
+      m.commandReachability.answered();
       metrics.ordered(now.secondsSince(sent));
       reports.take(m, r, false, now);
     } else if (outcome instanceof Outcome.NotApplied<Answer> not
         && not.reason() == Reason.NO_CONNECTION) {
-      settleStrays(m, session, commands);
+      settleOutstandingStarts(m, session, commands);
       m.directAfter = now.plusSeconds(settings.workers().reportS());
     } else {
-      // The order may yet arrive: its starts stay strays until the session ends.
+      // The order may yet arrive: its starts stay outstanding until the session ends.
       m.directAfter = now.plusSeconds(settings.workers().reportS());
     }
     order(m);
   }
 
-  private void settleStrays(Machine m, Session session, List<Command> commands) {
+  private void settleOutstandingStarts(Machine m, Session session, List<Command> commands) {
     if (!session.equals(m.session)) {
       return;
     }
     for (Command c : commands) {
       if (c.op() == Command.Op.START) {
         String key = Machine.key(c);
-        if (m.strayStarts.addTo(key, -1) <= 1) {
-          m.strayStarts.removeInt(key);
+        if (m.outstandingStarts.addTo(key, -1) <= 1) {
+          m.outstandingStarts.removeInt(key);
         }
       }
     }
@@ -211,7 +212,7 @@
         // Not in the ledger, so nobody may have it run.
         out.add(new Command(Command.Op.STOP, t.task(), t.attempt(), 0));
       } else if ((job == null || job.recorded(t.task().index()))
-          && m.strayStarts.getInt(Machine.key(t)) == 0) {
+          && m.outstandingStarts.getInt(Machine.key(t)) == 0) {
         // Only now: after this the worker forgets the attempt, and a repeated start would run it.
         forgets.add(new Command(Command.Op.FORGET, t.task(), t.attempt(), 0));
       }
@@ -264,7 +265,7 @@
         : null;
   }
 
-  /** Asks a machine that seems deaf for a sign; an order of nothing is answered with a report. */
+  /** Probes a machine that seems unreachable; an order of nothing is answered with a report. */
   void call(Machine m, SteadyTime now) {
     m.orderInFlight = true;
     Session session = m.session;
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -23,7 +23,7 @@
 final class Machine {
 
   /** Room kept for a job after others were stopped for it. */
-  record Kept(JobId job, Resources room, SteadyTime until) {}
+  record Reservation(JobId job, Resources room, SteadyTime until) {}
 
   final MachineId id;
   String type;
@@ -62,7 +62,7 @@
 
   SteadyTime idleSince;
 
-  final CommandReachability hearing = new CommandReachability();
+  final CommandReachability commandReachability = new CommandReachability();
 
   /** The term that a report of it was last answered in, or null. */
   Term answered;
@@ -80,13 +80,16 @@
   Snapshot.MachineView view;
 
   final LinkedHashMap<String, Double> images = new LinkedHashMap<>(8, 0.75f, true);
-  final List<Kept> kept = new ArrayList<>();
+  final List<Reservation> reservations = new ArrayList<>();
 
   /** Direct starts whose answers were lost: such a start may still arrive. */
-  final Object2IntOpenHashMap<String> strayStarts = new Object2IntOpenHashMap<>();
+  final Object2IntOpenHashMap<String> outstandingStarts = new Object2IntOpenHashMap<>();
 
-  /** Strays of an older term; none can arrive once the worker has shown the fencing term. */
-  final Object2IntOpenHashMap<String> fencedStrays = new Object2IntOpenHashMap<>();
+  /**
+   * Outstanding starts of an older term; none can arrive once the worker has shown the fencing
+   * term.
+   */
+  final Object2IntOpenHashMap<String> fencedStarts = new Object2IntOpenHashMap<>();
 
   Term fence = Term.NONE;
 
@@ -118,31 +121,31 @@
     return c.task() + "#" + c.attempt();
   }
 
-  /** The term was raised: the strays so far are of an older one. */
-  void fenceStrays(Term by) {
-    fencedStrays.clear();
-    fencedStrays.putAll(strayStarts);
+  /** The term was raised: the starts outstanding so far are of an older one. */
+  void fenceOutstandingStarts(Term by) {
+    fencedStarts.clear();
+    fencedStarts.putAll(outstandingStarts);
     fence = by;
   }
 
   /** The worker has shown a token. */
   void sawToken(Term shown) {
-    if (!fencedStrays.isEmpty() && shown.compareTo(fence) >= 0) {
-      fencedStrays
+    if (!fencedStarts.isEmpty() && shown.compareTo(fence) >= 0) {
+      fencedStarts
           .object2IntEntrySet()
           .forEach(
               e -> {
-                if (strayStarts.addTo(e.getKey(), -e.getIntValue()) <= e.getIntValue()) {
-                  strayStarts.removeInt(e.getKey());
+                if (outstandingStarts.addTo(e.getKey(), -e.getIntValue()) <= e.getIntValue()) {
+                  outstandingStarts.removeInt(e.getKey());
                 }
               });
-      fencedStrays.clear();
+      fencedStarts.clear();
     }
   }
 
-  void forgetStrays() {
-    strayStarts.clear();
-    fencedStrays.clear();
+  void forgetOutstandingStarts() {
+    outstandingStarts.clear();
+    fencedStarts.clear();
   }
 
   boolean sick(SteadyTime now) {
--- a/src/main/java/org/ternhinge/controller/ReportProcessor.java
+++ b/src/main/java/org/ternhinge/controller/ReportProcessor.java
@@ -35,8 +35,8 @@
   /** A session that ends so long before its lease can have ended was answered in vain. */
   private static final double LAPSE_S = 2;
 
-  /** So many machines may seem deaf before that is taken for this node's own trouble. */
-  private static final int MOST_DEAF = 3;
+  /** So many machines may seem unreachable before that is taken for this node's own trouble. */
+  private static final int MAX_UNREACHABLE = 3;
 
   private final AttemptLifecycle attempts;
   private final MachineRegistry machines;
@@ -48,7 +48,7 @@
   private final Authority authority;
   private final Ledger ledger;
   private final Map<String, Flavor> flavors;
-  private final Map<JobId, JobFailures> troubles;
+  private final Map<JobId, JobFailures> jobFailures;
   private final Rentals rentals;
   private final CommandDispatcher orders;
 
@@ -66,7 +66,7 @@
       Authority authority,
       Ledger ledger,
       Map<String, Flavor> flavors,
-      Map<JobId, JobFailures> troubles,
+      Map<JobId, JobFailures> jobFailures,
       Rentals rentals,
       CommandDispatcher orders) {
     this.attempts = attempts;
@@ -79,13 +79,13 @@
     this.authority = authority;
     this.ledger = ledger;
     this.flavors = flavors;
-    this.troubles = troubles;
+    this.jobFailures = jobFailures;
     this.rentals = rentals;
     this.orders = orders;
   }
 
   @Override
-  public boolean ghost(TaskId task) {
+  public boolean isShown(TaskId task) {
     return shown.containsKey(task);
   }
 
@@ -123,7 +123,7 @@
       return Optional.of(mayCommand ? orders.stops(m) : List.of());
     }
     if (r.token().compareTo(authority.term()) < 0 && authority.term().equals(m.answered)) {
-      missed(m, now);
+      commandHadNoEffect(m, now);
     }
     m.answered = authority.term();
     // The report was sent before now, so a lease counted from now ends no sooner than the worker's.
@@ -151,12 +151,12 @@
           attempts.close(a, false, "session over");
         }
       }
-      m.forgetStrays();
+      m.forgetOutstandingStarts();
       m.outbox.clear();
       m.session = r.session();
       if (m.answered != null && m.leaseEnds.secondsSince(now) > LAPSE_S) {
         // It was answered lately, and its lease has ended for want of an answer.
-        m.hearing.lapsed(now, othersHear());
+        m.commandReachability.leaseLapsed(now, othersReachable());
       }
       // A session may have begun just now, and lasts a whole lease without any answer.
       m.leaseEnds = leaseFrom(now).max(m.leaseEnds);
@@ -206,25 +206,25 @@
       }
     }
     if (missedStart) {
-      missed(m, now);
+      commandHadNoEffect(m, now);
     }
     return true;
   }
 
-  private void missed(Machine m, SteadyTime now) {
-    m.hearing.missed(now, othersHear());
-    if (m.hearing.deaf()) {
+  private void commandHadNoEffect(Machine m, SteadyTime now) {
+    m.commandReachability.noEffect(now, othersReachable());
+    if (m.commandReachability.commandsLost()) {
       rounds.requestRound();
     }
   }
 
-  /** Where many machines seem deaf at once it is the way from this node, not they. */
-  private boolean othersHear() {
-    int deaf = 0;
+  /** Where many machines seem unreachable at once it is the way from this node, not they. */
+  private boolean othersReachable() {
+    int unreachable = 0;
     for (Machine m : machines.all()) {
-      deaf += m.hearing.deaf() ? 1 : 0;
+      unreachable += m.commandReachability.commandsLost() ? 1 : 0;
     }
-    return deaf < Math.max(MOST_DEAF, machines.all().size() / 10);
+    return unreachable < Math.max(MAX_UNREACHABLE, machines.all().size() / 10);
   }
 
   /** Keeps count of what the machines show, by the difference to a machine's last message. */
@@ -279,7 +279,7 @@
       m.hasImage(spec.image(), spec.imageGb(), f == null ? Double.MAX_VALUE : f.cacheGb());
     }
     if (before == Attempt.Seen.UNSEEN && !a.recovered()) {
-      m.hearing.obeyed();
+      m.commandReachability.tookEffect();
     }
     if (before != seen && seen == Attempt.Seen.RUNNING) {
       if (!a.recovered()) {
@@ -311,7 +311,7 @@
     if (!a.stopping() && isReport && a.startAnswered() >= 0 && answerSettled) {
       missedStart = true;
     }
-    if (a.stopping() && answerSettled && m.strayStarts.getInt(Machine.key(a)) == 0) {
+    if (a.stopping() && answerSettled && m.outstandingStarts.getInt(Machine.key(a)) == 0) {
       attempts.close(a, false, "stopped before it started");
     }
   }
@@ -326,11 +326,11 @@
       case DONE -> {
         m.errorsInARow = 0;
         m.errorJobs.clear();
-        troubles.remove(job.spec().id());
+        jobFailures.remove(job.spec().id());
       }
       case ERROR -> failed(m, job, now);
       case NO_ROOM -> m.noRoomUntil = now.plusSeconds(5);
-      case UNKNOWN -> trouble(job).until = now.plusSeconds(3);
+      case UNKNOWN -> failuresOf(job).until = now.plusSeconds(3);
       default -> {}
     }
     if (a.seen() == Attempt.Seen.RUNNING && why != EndReason.ERROR) {
@@ -344,8 +344,8 @@
     return f == null ? Double.MAX_VALUE : f.cacheGb();
   }
 
-  private JobFailures trouble(Job job) {
-    return troubles.computeIfAbsent(job.spec().id(), k -> new JobFailures());
+  private JobFailures failuresOf(Job job) {
+    return jobFailures.computeIfAbsent(job.spec().id(), k -> new JobFailures());
   }
 
   /**
@@ -353,7 +353,7 @@
    * one job fails everywhere: such a job is put off for longer and longer and counts once.
    */
   private void failed(Machine m, Job job, SteadyTime now) {
-    JobFailures t = trouble(job);
+    JobFailures t = failuresOf(job);
     t.failedOn(m.id, now);
     if (t.machines() >= 3) {
       t.until = now.plusSeconds(Math.min(60, 2 * Math.pow(2, t.machines() - 3)));
--- a/src/main/java/org/ternhinge/controller/SnapshotCache.java
+++ b/src/main/java/org/ternhinge/controller/SnapshotCache.java
@@ -90,7 +90,7 @@
         && machine.endpoint != null
         && machine.session.compareTo(machine.deadSession) > 0
         && !machine.sick(now)
-        && !machine.hearing.deaf()
+        && !machine.commandReachability.commandsLost()
         && (machine.noRoomUntil == null || machine.noRoomUntil.isBefore(now))
         && machine.token.equals(authority.term())
         && now.secondsSince(machine.lastReport) < settings.workers().reportS() * MAX_REPORTS_OWED;
@@ -104,7 +104,7 @@
       boolean ready = placeable(machine, now);
       if (ready || mayBecomePlaceable(machine, now)) {
         machineViews.add(currentView(machine, ready));
-        for (Machine.Kept reservation : machine.kept) {
+        for (Machine.Reservation reservation : machine.reservations) {
           reservationsByJob.merge(reservation.job(), 1, Integer::sum);
         }
       }
@@ -131,7 +131,7 @@
     if (!known || leaving || machine.sick(now)) {
       return false;
     }
-    if (machine.hearing.deaf()) {
+    if (machine.commandReachability.commandsLost()) {
       // Not even as one that is coming, or nothing would be rented in its place.
       return false;
     }
@@ -176,7 +176,7 @@
               attempt.runningSince()));
     }
     List<Snapshot.Reservation> reservations = new ArrayList<>();
-    for (Machine.Kept reservation : machine.kept) {
+    for (Machine.Reservation reservation : machine.reservations) {
       reservations.add(new Snapshot.Reservation(reservation.job(), reservation.room()));
     }
     return new Snapshot.MachineView(
