--- a/src/main/java/org/ternhinge/controller/ArrivalRates.java
+++ b/src/main/java/org/ternhinge/controller/ArrivalRates.java
@@ -3,6 +3,7 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
 import org.ternhinge.config.Objective;
@@ -12,53 +13,67 @@
 
 /**
  * How often jobs of a class arrive, so that room can be kept for those whose users expect a start
- * sooner than a machine comes up.
+ * sooner than a machine comes up. Guarded by the controller's lock.
  */
 final class ArrivalRates {
-  /** Arrivals are counted over this time; long against a boot, short against a day. */
+  /** Seconds over which arrivals are counted; long against a boot, short against a day. */
   private static final double WINDOW_S = 180;
 
-  /** Room is kept for the arrivals of about the time that renting takes. */
+  /** Seconds of arrivals that room is kept for: about the time that renting takes. */
   private static final double AHEAD_S = 45;
 
+  /** Seconds that a rate is taken over at least, or one early arrival would count as many. */
+  private static final double MIN_SPAN_S = 60;
+
   private record Arrival(JobSpec spec, SteadyTime at) {}
 
-  private final Map<String, Double> withinS = new HashMap<>();
-  private final Map<String, ArrayDeque<Arrival>> recent = new HashMap<>();
+  /** For each class, the shortest wait that an objective asks for. */
+  private final Map<String, Double> waitAimS = new HashMap<>();
+
+  private final Map<String, ArrayDeque<Arrival>> recentByClass = new HashMap<>();
 
   ArrivalRates(List<Objective> objectives) {
-    for (Objective o : objectives) {
-      if (o.kind().equals("wait") && o.jobClass() != null) {
-        withinS.merge(o.jobClass(), o.withinS(), Math::min);
+    for (Objective objective : objectives) {
+      if (objective.kind().equals("wait") && objective.jobClass() != null) {
+        waitAimS.merge(objective.jobClass(), objective.withinS(), Math::min);
       }
     }
   }
 
+  /** Counts the arrival of a job, if jobs of its class can't wait for a machine to be rented. */
   void saw(JobSpec spec, SteadyTime at) {
-    if (withinS.containsKey(spec.jobClass()) && withinS.get(spec.jobClass()) < AHEAD_S) {
-      recent.computeIfAbsent(spec.jobClass(), k -> new ArrayDeque<>()).add(new Arrival(spec, at));
+    Double aimS = waitAimS.get(spec.jobClass());
+    if (aimS != null && aimS < AHEAD_S) {
+      recentByClass
+          .computeIfAbsent(spec.jobClass(), jobClass -> new ArrayDeque<>())
+          .add(new Arrival(spec, at));
     }
   }
 
   /** Jobs as they may come next, like the latest ones of their class. */
   List<Snapshot.JobView> spares(SteadyTime now, int zones) {
-    List<Snapshot.JobView> out = new ArrayList<>();
-    for (ArrayDeque<Arrival> q : recent.values()) {
-      while (!q.isEmpty() && now.secondsSince(q.peekFirst().at()) > WINDOW_S) {
-        q.pollFirst();
-      }
-      if (q.isEmpty()) {
-        continue;
-      }
-      double span = Math.max(60, Math.min(WINDOW_S, now.secondsSince(q.peekFirst().at())));
-      double expected = q.size() / span * AHEAD_S;
-      int keep = (int) Math.min(q.size(), expected + Math.sqrt(expected));
-      var latest = q.descendingIterator();
-      for (int i = 0; i < keep; i++) {
-        JobSpec spec = latest.next().spec();
-        out.add(Snapshot.JobView.expected(spec, i, new int[zones]));
+    List<Snapshot.JobView> spares = new ArrayList<>();
+    for (ArrayDeque<Arrival> recent : recentByClass.values()) {
+      forgetOld(recent, now);
+      int count = recent.isEmpty() ? 0 : expected(recent, now);
+      Iterator<Arrival> latest = recent.descendingIterator();
+      for (int i = 0; i < count; i++) {
+        spares.add(Snapshot.JobView.expected(latest.next().spec(), i, new int[zones]));
       }
     }
-    return out;
+    return spares;
+  }
+
+  private static void forgetOld(ArrayDeque<Arrival> recent, SteadyTime now) {
+    while (!recent.isEmpty() && now.secondsSince(recent.peekFirst().at()) > WINDOW_S) {
+      recent.pollFirst();
+    }
+  }
+
+  /** Arrivals to keep room for: those to be expected, and their standard deviation. */
+  private static int expected(ArrayDeque<Arrival> recent, SteadyTime now) {
+    double spanS = Math.min(WINDOW_S, now.secondsSince(recent.peekFirst().at()));
+    double mean = recent.size() / Math.max(MIN_SPAN_S, spanS) * AHEAD_S;
+    return (int) Math.min(recent.size(), mean + Math.sqrt(mean));
   }
 }
