--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/ArrivalRatesTest.java
@@ -0,0 +1,44 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.config.Objective;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.sim.Specs;
+
+class ArrivalRatesTest {
+  private static final SteadyTime START = new SteadyTime(0);
+
+  /** Room is kept for 45 s of arrivals and their deviation, where users can't wait for a rental. */
+  @ParameterizedTest(name = "{1} arrivals {2} s apart, {3} s after, an aim of {0} s")
+  @CsvSource({
+    "18, 0, 0, 0, 0",
+    "18, 1, 0, 0, 1",
+    "18, 4, 0, 0, 4",
+    "18, 9, 10, 0, 7",
+    "18, 9, 10, 80, 4",
+    "18, 9, 10, 150, 2",
+    "18, 9, 10, 181, 0",
+    "44, 4, 0, 0, 4",
+    "45, 4, 0, 0, 0",
+    "350, 4, 0, 0, 0"
+  })
+  void spares(double aimS, int arrivals, double apartS, double afterS, int expected) {
+    ArrivalRates rates =
+        new ArrivalRates(
+            List.of(
+                new Objective("wait", "c", 400),
+                new Objective("wait", "c", aimS),
+                new Objective("finished", "c", 1),
+                new Objective("wait", null, 1)));
+    SteadyTime now = START;
+    for (int i = 0; i < arrivals; i++) {
+      now = START.plusSeconds(i * apartS);
+      rates.saw(Specs.of(Specs.json("wk-" + i, "batch", 1)), now);
+    }
+    assertEquals(expected, rates.spares(now.plusSeconds(afterS), 1).size());
+  }
+}
