--- a/src/test/java/org/ternhinge/controller/DependentJobs.java
+++ b/src/test/java/org/ternhinge/controller/DependentJobs.java
@@ -37,15 +37,24 @@
     this(seed, 0, new SimCluster.Size(3, 4, 60, 30));
   }
 
+  /** A cluster whose settings name no coming limits of the state service. */
+  static DependentJobs withoutComingLimits(long seed, SimCluster.Size size) {
+    return new DependentJobs(new SimCluster(seed, 0, size));
+  }
+
+  private DependentJobs(SimCluster world) {
+    this.world = world;
+    this.users = new SimUsers(world);
+    world.clock.runFor(5);
+  }
+
   /**
    * A cluster that has had five seconds to elect a leader.
    *
    * @param loss the share of messages that are late or lost
    */
   DependentJobs(long seed, double loss, SimCluster.Size size) {
-    world = new SimCluster(seed, loss, size, SimCluster.COMING);
-    users = new SimUsers(world);
-    world.clock.runFor(5);
+    this(new SimCluster(seed, loss, size, SimCluster.COMING));
   }
 
   /** A submission of an array that names the jobs it depends on. */
@@ -142,4 +151,61 @@
     String body = new String(response.body(), StandardCharsets.UTF_8);
     assertTrue(body.contains("\"astand\":\"" + state + "\""), body);
   }
+
+  /** Jobs of a shape; all but the first wait. The names are given in order. */
+  List<JobId> shape(String shape, double runs) {
+    List<JobId> out = new ArrayList<>();
+    out.add(submit("wk-1", 2, runs));
+    out.add(submit("wk-2", 2, 5, out.get(0)));
+    if (shape.equals("chain")) {
+      out.add(submit("wk-3", 2, 5, out.get(1)));
+      out.add(submit("wk-4", 2, 5, out.get(2)));
+    } else {
+      out.add(submit("wk-3", 2, 5, out.get(0)));
+      out.add(submit("wk-4", 2, 5, out.get(1), out.get(2)));
+    }
+    return out;
+  }
+
+  /** What fails at the moment when the answer to a cancellation arrives. */
+  void rightAfter(String then) {
+    int leader = Math.max(0, world.leader());
+    if (then.startsWith("crash")) {
+      world.crash(leader, 3);
+    }
+    if (then.endsWith("outage")) {
+      world.stateFaults.outage(CANCEL_S + 16);
+    }
+    if (then.equals("refused")) {
+      world.stateFaults.refuse(leader, CANCEL_S + 16);
+    }
+    if (then.equals("all crash")) {
+      for (int i = 0; i < 3; i++) {
+        world.crash(i, 2 + i * 0.3);
+      }
+    }
+  }
+
+  /** Whatever nobody cancelled is done, whatever somebody did is over. */
+  void endedWell() {
+    for (JobId id : users.accepted()) {
+      String told = users.lastTold(id);
+      if (users.hasToBeCancelled(id)) {
+        assertEquals("cancelled", told, id + " has to be cancelled");
+      } else if (!users.mayBeCancelled(id)) {
+        assertEquals("done", told, id + " was cancelled by nobody");
+      } else {
+        assertTrue("done".equals(told) || "cancelled".equals(told), id + " is " + told);
+      }
+    }
+  }
+
+  /** A cancelled job and all that depend on it have ended as cancelled. */
+  void endedWell(JobId cancelled) {
+    for (JobId id : users.accepted()) {
+      if (id.equals(cancelled) || world.dependencies(id).contains(cancelled)) {
+        assertEquals("cancelled", users.lastTold(id), id.value());
+      }
+    }
+  }
 }
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/PipelineCancellationTest.java
@@ -0,0 +1,304 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.wire.Json;
+
+/**
+ * A cancellation takes every job that depends on the cancelled one along, in time and on every
+ * node, whatever fails right after the answer; one that meets the end of the job takes none.
+ */
+class PipelineCancellationTest {
+  private DependentJobs cluster;
+
+  /**
+   * Every job after the cancelled one is cancelled in time at every node, whatever happens right
+   * after the answer; the others are done.
+   */
+  @ParameterizedTest(name = "{0}, job {1}, asked {2}, then {3}")
+  @CsvSource({
+    "chain, 1, leader, nothing",
+    "chain, 1, follower, nothing",
+    "chain, 2, leader, nothing",
+    "chain, 2, follower, nothing",
+    "chain, 3, leader, nothing",
+    "chain, 4, follower, nothing",
+    "diamond, 1, leader, nothing",
+    "diamond, 2, follower, nothing",
+    "diamond, 3, leader, nothing",
+    "diamond, 4, leader, nothing",
+    "chain, 1, leader, crash",
+    "chain, 1, follower, crash",
+    "chain, 2, leader, crash",
+    "chain, 3, follower, crash",
+    "diamond, 1, leader, crash",
+    "diamond, 2, follower, crash",
+    "diamond, 4, leader, crash",
+    "chain, 1, leader, outage",
+    "chain, 1, follower, outage",
+    "chain, 2, leader, outage",
+    "chain, 3, follower, outage",
+    "diamond, 1, leader, outage",
+    "diamond, 3, follower, outage",
+    "chain, 1, leader, refused",
+    "chain, 2, follower, refused",
+    "diamond, 1, leader, refused",
+    "diamond, 1, leader, crash and outage",
+    "chain, 1, follower, crash and outage",
+    "chain, 2, leader, crash and outage",
+    "chain, 1, leader, all crash",
+    "diamond, 2, follower, all crash",
+    "chain, 1, leader, late",
+    "chain, 2, follower, late",
+    "diamond, 1, leader, late"
+  })
+  void laterJobsAreCancelledInTime(String shape, int cancelled, String asked, String then) {
+    for (long seed = 301; seed < 304; seed++) {
+      cluster = new DependentJobs(seed);
+      List<JobId> all = cluster.shape(shape, 60);
+      cluster.run(20);
+      assertEquals(4, cluster.users.accepted().size());
+      if (then.equals("late")) {
+        cluster.world.stateFaults.lateWrites(0.5, 30);
+      }
+      JobId cancelledJob = all.get(cancelled - 1);
+      int leader = cluster.world.leader();
+      double[] toldAt = {-1};
+      cluster.users.cancelAt(
+          asked.equals("leader") ? leader : (leader + 1) % 3,
+          cancelledJob,
+          () -> {
+            toldAt[0] = cluster.world.clock.seconds();
+            cluster.rightAfter(then);
+          });
+      cluster.runAskingEverywhere(30, all);
+      assertTrue(toldAt[0] >= 0, "the cancel is answered");
+      cluster.runAskingEverywhere(
+          toldAt[0] + DependentJobs.CANCEL_S + 1 - cluster.world.clock.seconds(), all);
+      for (JobId id : all) {
+        boolean later =
+            id.equals(cancelledJob) || cluster.world.dependencies(id).contains(cancelledJob);
+        for (int node = 0; node < 3 && later; node++) {
+          String says = cluster.says(node, id);
+          assertTrue(Set.of("cancelled", "503", "nothing").contains(says), node + " says " + says);
+        }
+      }
+      cluster.runAskingEverywhere(60, all);
+      cluster.users.quiet();
+      cluster.run(120);
+      cluster.nothingBroken();
+      cluster.endedWell();
+      for (JobId id : all) {
+        boolean later =
+            id.equals(cancelledJob) || cluster.world.dependencies(id).contains(cancelledJob);
+        assertEquals(
+            later ? "cancelled" : "done", cluster.users.lastTold(id), id + " with " + cancelledJob);
+      }
+    }
+  }
+
+  /**
+   * The cancel's write is carried out but not answered, and the nodes can't ask each other: one
+   * reads that it is there while the leader does not know yet. Nobody may be told an older state.
+   */
+  @ParameterizedTest(name = "{0}, cancelled job {1}")
+  @CsvSource({"chain, 1", "chain, 2", "diamond, 1", "diamond, 3"})
+  void aCancelWhoseAnswerIsLost(String shape, int cancelled) {
+    for (long seed = 401; seed < 421; seed++) {
+      cluster = new DependentJobs(seed);
+      List<JobId> all = cluster.shape(shape, 200);
+      cluster.run(15);
+      cluster.world.networkFaults.partZones(20);
+      cluster.world.stateFaults.lateWrites(0.7, 12);
+      cluster.users.cancelAt(cluster.world.leader(), all.get(cancelled - 1), () -> {});
+      for (int i = 0; i < 400; i++) {
+        all.forEach(cluster.users::pollEverywhere);
+        cluster.world.clock.runFor(0.05);
+      }
+      cluster.run(DependentJobs.CANCEL_S);
+      cluster.nothingBroken();
+      cluster.endedWell(all.get(cancelled - 1));
+    }
+  }
+
+  /** A cancel that is answered with done changes nothing for the jobs after it. */
+  @ParameterizedTest(name = "{0}, cancelled {1} s after the end of the first")
+  @CsvSource({
+    "chain, 0",
+    "chain, 0.02",
+    "chain, 0.1",
+    "chain, 0.4",
+    "chain, 0.7",
+    "chain, 1.2",
+    "chain, 3",
+    "diamond, 0",
+    "diamond, 0.1",
+    "diamond, 0.6",
+    "diamond, 2"
+  })
+  void aCancelThatMeetsTheEnd(String shape, double after) {
+    for (long seed = 311; seed < 316; seed++) {
+      cluster = new DependentJobs(seed);
+      List<JobId> all = cluster.shape(shape, 8);
+      JobId first = all.get(0);
+      cluster.world.clock.runFor(2);
+      while (!cluster.world.allCompleted(first)) {
+        cluster.world.clock.runFor(0.01);
+      }
+      cluster.world.clock.runFor(after);
+      String[] told = {null};
+      cluster.users.cancelAt(
+          cluster.world.nextInt(3), first, () -> told[0] = cluster.users.lastTold(first));
+      cluster.runAskingEverywhere(20, all);
+      cluster.run(60);
+      cluster.users.quiet();
+      cluster.run(60);
+      cluster.nothingBroken();
+      assertNotNull(told[0], "the cancel is answered");
+      for (JobId id : all) {
+        assertEquals(
+            told[0], cluster.users.lastTold(id), id + " after a cancel answered " + told[0]);
+      }
+    }
+  }
+
+  /** Whoever names a cancelled job is accepted all the same, and cancelled. */
+  @ParameterizedTest(name = "named {0} s after the cancel, first runs: {1}, crash: {2}")
+  @CsvSource({
+    "0.01, false, false",
+    "0.01, true, false",
+    "2, true, false",
+    "60, true, false",
+    "60, false, true",
+    "2, true, true"
+  })
+  void aCancelledJobIsNamed(double after, boolean runs, boolean crash) {
+    cluster = new DependentJobs(321);
+    JobId first = cluster.submit("wk-1", 2, 300);
+    cluster.run(runs ? 30 : 0.5);
+    boolean[] told = {false};
+    cluster.users.cancelAt(cluster.world.leader(), first, () -> told[0] = true);
+    while (!told[0]) {
+      cluster.world.clock.runFor(0.01);
+    }
+    cluster.world.clock.runFor(after);
+    if (crash) {
+      for (int i = 0; i < 3; i++) {
+        cluster.world.crash(i, 1);
+      }
+    }
+    JobId second = cluster.submit("wk-2", 2, 5, first);
+    JobId third = cluster.submit("wk-3", 2, 5, second);
+    List<JobId> all = List.of(first, second, third);
+    cluster.runAskingEverywhere(20, all);
+    assertEquals(all, cluster.users.accepted(), "all are accepted");
+    for (JobId id : all) {
+      for (int node = 0; node < 3; node++) {
+        assertEquals("cancelled", cluster.says(node, id), "node " + node + " of " + id);
+      }
+    }
+    cluster.users.quiet();
+    cluster.run(60);
+    cluster.nothingBroken();
+    assertEquals(0, cluster.world.tasks.runningTasks(second));
+  }
+
+  /** A repeat of a submission and a cancel of a derived cancellation have the same answer. */
+  @Test
+  void repeatsAndCancelsOfDerivedStates() {
+    cluster = new DependentJobs(322);
+    List<JobId> all = cluster.shape("chain", 300);
+    cluster.run(20);
+    cluster.users.cancelAt(cluster.world.leader(), all.get(0), () -> {});
+    cluster.world.clock.runFor(2);
+    for (int node = 0; node < 3; node++) {
+      for (int i = 1; i < 4; i++) {
+        JobId id = all.get(i);
+        byte[] body = Json.bytes(DependentJobs.job(id.value(), 2, 5, List.of(all.get(i - 1))));
+        DependentJobs.assertAnswer(
+            200, "cancelled", cluster.world.answerTo(node, "POST", "/submissions", body));
+        String path = "/submissions/" + id + "/cancel";
+        DependentJobs.assertAnswer(
+            200, "cancelled", cluster.world.answerTo(node, "POST", path, new byte[0]));
+      }
+    }
+    cluster.nothingBroken();
+  }
+
+  /** Thousands of jobs wait for one; its cancel is answered at once and settles all of them. */
+  @ParameterizedTest(name = "asked {0}, then {1}")
+  @CsvSource({
+    "leader, nothing",
+    "follower, nothing",
+    "leader, crash",
+    "follower, outage",
+    "leader, crash and outage",
+    "leader, lower"
+  })
+  void thousandsAfterOne(String asked, String then) {
+    cluster = new DependentJobs(351, 0, new SimCluster.Size(3, 4, 60, 30));
+    JobId first = cluster.submit("wk-1", 2, 3000);
+    cluster.run(20);
+    List<JobId> all = new ArrayList<>();
+    for (int i = 0; i < 2000; i++) {
+      ObjectNode body = DependentJobs.job("wk-1" + String.format("%04d", i), 1, 5, List.of(first));
+      cluster.users.submit(body);
+      all.add(DependentJobs.idOf(body));
+      if (i % 10 == 9) {
+        cluster.world.clock.runFor(0.8);
+      }
+    }
+    cluster.world.clock.runFor(70);
+    assertEquals(2001, cluster.users.accepted().size());
+    long changes = cluster.world.counts.stateChanges();
+    cluster.world.clock.runFor(20);
+    assertTrue(cluster.world.counts.stateChanges() - changes < 20, "a wait costs no writes");
+    int leader = cluster.world.leader();
+    double asking = cluster.world.clock.seconds();
+    double[] toldAt = {-1};
+    if (then.equals("lower")) {
+      cluster.world.stateFaults.lowerLimits();
+    }
+    cluster.users.cancelAt(
+        asked.equals("leader") ? leader : (leader + 1) % 3,
+        first,
+        () -> {
+          toldAt[0] = cluster.world.clock.seconds();
+          cluster.rightAfter(then);
+        });
+    cluster.world.clock.runFor(10);
+    assertTrue(toldAt[0] >= 0 && toldAt[0] - asking < 2, "answered at " + toldAt[0]);
+    cluster.world.clock.runFor(
+        toldAt[0] + DependentJobs.CANCEL_S + 1 - cluster.world.clock.seconds());
+    if (!then.endsWith("outage")) {
+      for (int i = 0; i < all.size(); i += 97) {
+        for (int node = 0; node < 3; node++) {
+          String says = cluster.says(node, all.get(i));
+          assertTrue(says.equals("cancelled") || says.equals("503"), node + " says " + says);
+        }
+      }
+    }
+    cluster.users.quiet();
+    for (int i = 0; i < 8; i++) {
+      cluster.users.pollAll();
+      cluster.world.clock.runFor(30);
+    }
+    cluster.nothingBroken();
+    Set<String> told = new LinkedHashSet<>();
+    all.forEach(id -> told.add(cluster.users.lastTold(id)));
+    assertEquals(Set.of("cancelled"), told);
+    assertEquals(0, cluster.world.tasks.runningTasks(first));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/RecordLimitsTest.java
@@ -0,0 +1,227 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.state.Change;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Json;
+
+/**
+ * The state service's limits become smaller without notice: records that were written under the
+ * larger ones go on being used, nothing is sent that is too large, and no leadership is lost.
+ */
+class RecordLimitsTest {
+  private DependentJobs cluster;
+
+  /**
+   * Records that the version in production laid down under the larger limit are there when the
+   * limits are lowered: nobody loses the leadership over them, and all jobs end well.
+   */
+  @ParameterizedTest(name = "{0} jobs of {1}, kind {2}, lowered {3}")
+  @CsvSource({
+    "1, 127, batch, before",
+    "1, 300, batch, before",
+    "3, 300, batch, before",
+    "3, 300, batch, after",
+    "2, 127, group, before",
+    "2, 127, group, after",
+    "2, 127, daemon, before",
+    "3, 300, cancelled, before",
+    "3, 300, cancelled, after",
+    "2, 300, half, before"
+  })
+  void largeRecordsOfTheOldVersion(int count, int tasks, String kind, String lowered)
+      throws Exception {
+    cluster = new DependentJobs(381, 0, new SimCluster.Size(3, 20, 400, 30));
+    cluster.run(10);
+    for (int i = 0; i < 3; i++) {
+      cluster.world.crash(i, 3 + i * 0.2);
+    }
+    List<JobId> all = new ArrayList<>();
+    for (int number = 0; number < count; number++) {
+      all.add(oldJob("wk-" + (100 + number), tasks, kind, number));
+    }
+    if (lowered.equals("before")) {
+      cluster.world.stateFaults.lowerLimits();
+    }
+    int led = cluster.world.counts.leaderships();
+    cluster.run(12);
+    if (!lowered.equals("before")) {
+      cluster.world.stateFaults.lowerLimits();
+    }
+    JobId next = cluster.submit("wk-5", 20, 5);
+    JobId after = cluster.submit("wk-6", 2, 5, next);
+    cluster.run(240);
+    if (kind.equals("daemon")) {
+      all.forEach(
+          id -> assertEquals(tasks, cluster.world.tasks.runningTasks(id), "replicas of " + id));
+      all.forEach(cluster.users::cancel);
+    }
+    cluster.run(60);
+    cluster.users.quiet();
+    cluster.run(400);
+    cluster.nothingBroken();
+    assertEquals(led + 1, cluster.world.counts.leaderships(), "no leadership is lost");
+    boolean cancelled = kind.equals("cancelled") || kind.equals("daemon");
+    all.forEach(
+        id ->
+            assertEquals(cancelled ? "cancelled" : "done", cluster.users.lastTold(id), id.value()));
+    assertEquals("done", cluster.users.lastTold(next));
+    assertEquals("done", cluster.users.lastTold(after));
+    for (JobId id : all) {
+      assertEquals(null, cluster.world.state.value("j/" + id), "its record is gone");
+    }
+  }
+
+  /**
+   * A job as the old version holds it, in pieces of 127 tasks, each on a machine of its own that
+   * nobody finds any more; a half of them done, for the kind so named.
+   */
+  private JobId oldJob(String id, int tasks, String kind, int number) throws Exception {
+    boolean array = !kind.equals("group") && !kind.equals("daemon");
+    ObjectNode body = Specs.json(id, array ? "batch" : kind, tasks).put("aaetlun_s", 5.0);
+    if (kind.equals("daemon")) {
+      body.put("forgang", "production").put("lanvelar", false);
+    }
+    JobSpec spec = Specs.of(body);
+    cluster.world.know(spec);
+    List<Change> records = new ArrayList<>();
+    for (int from = 0; from < tasks; from += 127) {
+      ObjectNode record = Json.object();
+      if (from == 0) {
+        record.set("s", spec.write());
+        record.put("t", cluster.world.clock.wallMillis()).put("p", 127).put("h", 1);
+        if (kind.equals("cancelled")) {
+          record.put("c", true);
+        }
+      }
+      int to = Math.min(tasks, from + 127);
+      List<String> done = new ArrayList<>();
+      ArrayNode open = Json.object().putArray("o");
+      for (int i = from; i < to; i++) {
+        if (kind.equals("half") && i % 2 == 0) {
+          done.add(Integer.toString(i));
+          cluster.world.finish(spec, i);
+        } else {
+          open.add(String.format("1:n-%06d:1:0:%d", 900_000 + number * 1000 + i, i));
+        }
+      }
+      record.put("d", String.join(",", done)).set("o", open);
+      String key = from == 0 ? "j/" + id : "j/" + id + "/" + from / 127;
+      records.add(new Change.Put(key, record, 0));
+    }
+    cluster.world.state.put(records);
+    cluster.users.hadAccepted(spec);
+    if (kind.equals("cancelled")) {
+      cluster.users.cancel(spec.id());
+    }
+    return spec.id();
+  }
+
+  /** Work goes on at the lower rate of changes, and nothing is sent that is too large. */
+  @ParameterizedTest(name = "seed {0}, lowered at {1} s")
+  @CsvSource({"391, 0", "392, 12", "393, 30"})
+  void workGoesOnUnderLowerLimits(long seed, double at) {
+    cluster = new DependentJobs(seed, 0, new SimCluster.Size(3, 10, 200, 30));
+    cluster.world.clock.after(at, cluster.world.stateFaults::lowerLimits);
+    int led = cluster.world.counts.leaderships();
+    List<JobId> firsts = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      firsts.add(cluster.submit("wk-1" + String.format("%02d", i), 150, 6));
+      JobId second = cluster.submit("wk-2" + String.format("%02d", i), 20, 6, firsts.get(i));
+      cluster.submit("wk-3" + String.format("%02d", i), 2, 6, second, firsts.get(0));
+      cluster.run(6);
+    }
+    cluster.run(500);
+    cluster.users.quiet();
+    cluster.run(100);
+    cluster.nothingBroken();
+    assertEquals(led, cluster.world.counts.leaderships(), "no leadership is lost");
+    assertEquals(36, cluster.users.accepted().size());
+    cluster
+        .users
+        .accepted()
+        .forEach(id -> assertEquals("done", cluster.users.lastTold(id), id.value()));
+    assertFalse(cluster.world.counts.stateChanges() == 0);
+    assertNotEquals(0, cluster.world.tasks.starts());
+  }
+
+  /**
+   * Controllers that know of no smaller limits lay down large records of work that runs on many
+   * machines; they are replaced one after the other, and then the limits are lowered while it runs.
+   */
+  @ParameterizedTest(name = "{0}, lowered {1} s after the last is replaced")
+  @CsvSource({"batch, 0", "batch, 10", "batch, 25", "group, 5", "daemon, 0", "daemon, 20"})
+  void largeRecordsOfWorkThatRuns(String kind, double lowered) {
+    cluster = DependentJobs.withoutComingLimits(401, new SimCluster.Size(3, 160, 1200, 30));
+    List<JobId> all = new ArrayList<>();
+    for (int i = 0; i < 2; i++) {
+      // One task to a machine.
+      ObjectNode body =
+          DependentJobs.job("wk-1" + i, 140, 200, List.of()).put("gerd", kind).put("cpus", 4.0);
+      body.putArray("velagerdir").add("small");
+      cluster.users.submit(body.put("lanvelar", !kind.equals("daemon")));
+      all.add(DependentJobs.idOf(body));
+    }
+    while (cluster.world.clock.seconds() < 90
+        && all.stream().anyMatch(id -> cluster.world.tasks.runningTasks(id) < 140)) {
+      cluster.run(1);
+    }
+    int largest =
+        all.stream()
+            .mapToInt(id -> Json.bytes(cluster.world.state.value("j/" + id)).length)
+            .max()
+            .orElse(0);
+    assertTrue(largest > 2500, "records of " + largest + " bytes");
+    cluster.world.announce(SimCluster.COMING);
+    for (int i = 0; i < 3; i++) {
+      cluster.world.crash(i, 2);
+      cluster.run(6);
+    }
+    int led = cluster.world.counts.leaderships();
+    all.forEach(
+        id ->
+            assertTrue(
+                cluster.world.tasks.runningTasks(id) > 100,
+                cluster.world.tasks.runningTasks(id) + " run"));
+    cluster.run(lowered);
+    cluster.world.stateFaults.lowerLimits();
+    JobId next = cluster.submit("wk-2", 20, 5, kind.equals("daemon") ? new JobId[0] : listed(all));
+    cluster.run(60);
+    if (kind.equals("daemon")) {
+      all.forEach(
+          id -> assertEquals(140, cluster.world.tasks.runningTasks(id), "replicas of " + id));
+      for (var worker : cluster.world.workersOf(all.get(0)).subList(0, 30)) {
+        cluster.world.machineFaults.restart(worker);
+      }
+      cluster.run(120);
+      all.forEach(
+          id -> assertEquals(140, cluster.world.tasks.runningTasks(id), "replicas of " + id));
+      all.forEach(cluster.users::cancel);
+    }
+    cluster.run(300);
+    cluster.users.quiet();
+    cluster.run(200);
+    cluster.nothingBroken();
+    assertEquals(led, cluster.world.counts.leaderships(), "no leadership is lost");
+    String end = kind.equals("daemon") ? "cancelled" : "done";
+    all.forEach(id -> assertEquals(end, cluster.users.lastTold(id), id.value()));
+    assertEquals("done", cluster.users.lastTold(next));
+  }
+
+  private static JobId[] listed(List<JobId> ids) {
+    return ids.toArray(new JobId[0]);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/SeededPipelinesTest.java
@@ -0,0 +1,170 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+
+/**
+ * Pipelines under seeded faults on virtual time: no rule is broken, and every job ends as its user
+ * and those of the jobs before it have asked.
+ */
+class SeededPipelinesTest {
+  private DependentJobs cluster;
+
+  /** Jobs submitted so far; the next one is named by it. */
+  private int jobs;
+
+  /** Limits are lowered in mid-run for even seeds. */
+  @ParameterizedTest(name = "seed {0}, loss {1}, {2}")
+  @CsvSource({
+    "1001, 0.00, NONE",
+    "1002, 0.02, NONE",
+    "1003, 0.01, CONTROLLER_CRASHES",
+    "1004, 0.02, CONTROLLER_CRASHES",
+    "1005, 0.01, CONNECTION_CUTS",
+    "1006, 0.02, CONNECTION_CUTS",
+    "1007, 0.01, STATE_OUTAGES",
+    "1008, 0.02, STATE_OUTAGES",
+    "1009, 0.01, LOST_COMMANDS",
+    "1010, 0.02, LOST_COMMANDS",
+    "1011, 0.01, REPORT_COPIES",
+    "1012, 0.02, REPORT_COPIES",
+    "1013, 0.01, ISOLATED_CONTROLLERS",
+    "1014, 0.02, ISOLATED_CONTROLLERS",
+    "1015, 0.01, LATE_WRITES",
+    "1016, 0.02, LATE_WRITES",
+    "1017, 0.01, LOST_REPORTS",
+    "1018, 0.02, LOST_REPORTS",
+    "1019, 0.01, MACHINE_HANGS",
+    "1020, 0.02, MACHINE_HANGS",
+    "1021, 0.01, SLOW_STATE_SERVICE",
+    "1022, 0.02, SLOW_STATE_SERVICE",
+    "1023, 0.01, HELD_REPORTS",
+    "1024, 0.02, HELD_REPORTS",
+    "1025, 0.01, ZONE_CUTS",
+    "1026, 0.02, ZONE_CUTS",
+    "1027, 0.01, REFUSED_LEADERS",
+    "1028, 0.02, REFUSED_LEADERS",
+    "1029, 0.01, INVALID_REQUESTS",
+    "1030, 0.02, INVALID_REQUESTS",
+    "1031, 0.01, BASIC",
+    "1032, 0.02, BASIC",
+    "1033, 0.03, BASIC",
+    "1034, 0.03, BASIC",
+    "1035, 0.01, COMBINED",
+    "1036, 0.02, COMBINED",
+    "1037, 0.03, COMBINED",
+    "1038, 0.03, COMBINED",
+    "1039, 0.02, COMBINED",
+    "1040, 0.02, COMBINED",
+    "1041, 0.01, ZONES_PARTED",
+    "1042, 0.02, ZONES_PARTED",
+    "1043, 0.02, ZONES_PARTED"
+  })
+  void rulesHold(long seed, double loss, FaultKind kind) {
+    cluster = new DependentJobs(seed, loss, new SimCluster.Size(3, 3, 36, 30));
+    SeededFaults faults = new SeededFaults(cluster.world, cluster.users, kind);
+    boolean invalidRequests = kind.includes(FaultKind.INVALID_REQUESTS);
+    if (invalidRequests) {
+      cluster.users.cancelAtEnd(0.2);
+    }
+    for (int step = 0; step < 150; step++) {
+      if (step < 80 && cluster.world.nextInt(6) == 0) {
+        pipeline();
+      }
+      if (step < 60 && cluster.world.nextInt(25) == 0) {
+        service();
+      }
+      if (!cluster.users.accepted().isEmpty() && cluster.world.nextInt(16) == 0) {
+        cluster.users.cancel(
+            cluster.users.accepted().get(cluster.world.nextInt(cluster.users.accepted().size())));
+      }
+      cluster.users.pollAll();
+      if (step < 120 && cluster.world.nextInt(2) == 0) {
+        cluster.users.sendInvalidDependencies();
+      }
+      if (invalidRequests && step < 110) {
+        cluster.users.sendInvalidRequest();
+      }
+      if (seed % 2 == 0 && step == 20 + seed % 40) {
+        cluster.world.stateFaults.lowerLimits();
+      }
+      if (step < 80) {
+        faults.step(step);
+      }
+      if (step == 90) {
+        cluster.users.accepted().stream()
+            .filter(id -> cluster.users.spec(id).isService())
+            .forEach(cluster.users::cancel);
+      }
+      if (step == 110) {
+        cluster.users.quiet();
+      }
+      cluster.world.clock.runFor(3);
+    }
+    for (int i = 0; i < 60; i++) {
+      cluster.users.pollAll();
+      cluster.world.clock.runFor(6);
+    }
+    cluster.nothingBroken();
+    assertTrue(
+        cluster.world.tasks.starts() > 20, "only " + cluster.world.tasks.starts() + " starts");
+    cluster.endedWell();
+  }
+
+  private String next() {
+    return String.format("wk-%06d", ++jobs);
+  }
+
+  private ObjectNode some(List<JobId> after) {
+    boolean gang = cluster.world.nextInt(3) == 0;
+    ObjectNode body =
+        DependentJobs.job(
+            next(), gang ? 2 : 1 + cluster.world.nextInt(12), 3 + cluster.world.nextInt(8), after);
+    body.put("gerd", gang ? "group" : "batch").put("together", gang).put("lanvelar", !gang);
+    body.put("eigandi", cluster.world.nextInt(2) == 0 ? "red" : "blue");
+    return body;
+  }
+
+  /** A chain, a fan-out or a diamond; its last job is urgent, and at times submitted late. */
+  private void pipeline() {
+    List<ObjectNode> all = new ArrayList<>();
+    ObjectNode first = some(List.of());
+    all.add(first);
+    int shape = cluster.world.nextInt(3);
+    int length = 2 + cluster.world.nextInt(3);
+    List<JobId> ends = new ArrayList<>();
+    JobId before = DependentJobs.idOf(first);
+    for (int i = 0; i < length; i++) {
+      ObjectNode body = some(List.of(before));
+      all.add(body);
+      ends.add(DependentJobs.idOf(body));
+      if (shape == 0) {
+        before = DependentJobs.idOf(body);
+        ends.retainAll(List.of(before));
+      }
+    }
+    if (shape != 1) {
+      all.add(some(ends));
+    }
+    ObjectNode last = all.remove(all.size() - 1);
+    last.put("forgang", "high").put("skiladagur_s", 120.0);
+    all.forEach(cluster.users::submitAfterNamed);
+    if (cluster.world.nextInt(4) == 0) {
+      cluster.users.submitLate(last, cluster.world.nextInt(60));
+    } else {
+      cluster.users.submitAfterNamed(last);
+    }
+  }
+
+  private void service() {
+    ObjectNode body = DependentJobs.job(next(), 2, 0, List.of()).put("gerd", "daemon");
+    cluster.users.submit(body.put("forgang", "production").put("lanvelar", false));
+  }
+}
