--- a/src/main/java/org/ternhinge/controller/ControllerNode.java
+++ b/src/main/java/org/ternhinge/controller/ControllerNode.java
@@ -100,7 +100,7 @@
     this.submissions =
         new SubmissionHandler(settings, role, machineTypes, writer, relay, connectivity);
     this.queries = new JobQueries(role, peerClient, lookup);
-    this.cancellations = new JobCancellations(role, peerClient, lookup, clock, lock);
+    this.cancellations = new JobCancellations(role, peerClient, lookup, clock);
     this.reports = new WorkerReports(role, peerClient, clock);
   }
 
--- a/src/main/java/org/ternhinge/controller/JobCancellations.java
+++ b/src/main/java/org/ternhinge/controller/JobCancellations.java
@@ -1,7 +1,6 @@
 package org.ternhinge.controller;
 
 import java.util.Optional;
-import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
@@ -26,15 +25,12 @@
   private final PeerClient peers;
   private final JobLookup lookup;
   private final Clock clock;
-  private final Lock lock;
 
-  JobCancellations(
-      LeadershipRole role, PeerClient peers, JobLookup lookup, Clock clock, Lock lock) {
+  JobCancellations(LeadershipRole role, PeerClient peers, JobLookup lookup, Clock clock) {
     this.role = role;
     this.peers = peers;
     this.lookup = lookup;
     this.clock = clock;
-    this.lock = lock;
   }
 
   /** Takes a cancellation from a user. */
@@ -69,18 +65,8 @@
       confirmIfOver(id, answer);
       return;
     }
-    FirstAnswer first = new FirstAnswer(answer);
+    Consumer<Response> first = AnswerDeadline.within(WRITE_TIMEOUT_S, clock, answer);
     leadership.cancel(job, state -> first.accept(Responses.known(state)));
-    clock.after(WRITE_TIMEOUT_S, () -> timedOut(first));
-  }
-
-  private void timedOut(FirstAnswer first) {
-    lock.lock();
-    try {
-      first.accept(Responses.busy());
-    } finally {
-      lock.unlock();
-    }
   }
 
   private void leaderAnswered(JobId id, Response response, Consumer<Response> answer) {
@@ -105,21 +91,4 @@
   private static boolean isOver(JobState state) {
     return state.phase() == JobState.Phase.DONE || state.phase() == JobState.Phase.CANCELLED;
   }
-
-  /** Lets only the first answer through: that of the write, or that of its time limit. */
-  private static final class FirstAnswer implements Consumer<Response> {
-    private Consumer<Response> answer;
-
-    FirstAnswer(Consumer<Response> answer) {
-      this.answer = answer;
-    }
-
-    @Override
-    public void accept(Response response) {
-      if (answer != null) {
-        answer.accept(response);
-        answer = null;
-      }
-    }
-  }
 }
--- a/src/test/java/org/ternhinge/controller/JobRequestsTest.java
+++ b/src/test/java/org/ternhinge/controller/JobRequestsTest.java
@@ -150,7 +150,7 @@
     follow(leaderKnown);
     storeJob(stored);
     leaderStatus = status;
-    JobCancellations cancellations = new JobCancellations(role, client, lookup, clock, lock);
+    JobCancellations cancellations = new JobCancellations(role, client, lookup, clock);
     if (fromPeer) {
       cancellations.cancelForPeer(JOB, r -> answer = r);
     } else {
