--- a/src/test/java/org/ternhinge/controller/JobFailuresTest.java
+++ b/src/test/java/org/ternhinge/controller/JobFailuresTest.java
@@ -8,6 +8,7 @@
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.sim.SimClock;
 
+/** Back-off and avoided machines of a job that fails. */
 class JobFailuresTest {
   /**
    * No job may wait for 90 s beside a machine that fits; a mark that never ends would have it so.
@@ -17,12 +18,12 @@
     SteadyTime start = new SimClock().now();
     MachineId first = new MachineId("n-1");
     MachineId second = new MachineId("n-2");
-    JobFailures t = new JobFailures();
-    t.failedOn(first, start);
-    t.failedOn(second, start.plusSeconds(20));
-    assertEquals(Set.of(first, second), t.avoid(start.plusSeconds(30)));
-    assertEquals(Set.of(second), t.avoid(start.plusSeconds(50)));
-    assertEquals(Set.of(), t.avoid(start.plusSeconds(70)));
-    assertEquals(2, t.machines());
+    JobFailures failures = new JobFailures();
+    failures.failedOn(first, start);
+    failures.failedOn(second, start.plusSeconds(20));
+    assertEquals(Set.of(first, second), failures.avoid(start.plusSeconds(30)));
+    assertEquals(Set.of(second), failures.avoid(start.plusSeconds(50)));
+    assertEquals(Set.of(), failures.avoid(start.plusSeconds(70)));
+    assertEquals(2, failures.machines());
   }
 }
--- a/src/test/java/org/ternhinge/controller/JobRankingTest.java
+++ b/src/test/java/org/ternhinge/controller/JobRankingTest.java
@@ -8,6 +8,7 @@
 import org.ternhinge.sim.Specs;
 import org.ternhinge.wire.JobSpec;
 
+/** The order of jobs by size and waiting time. */
 class JobRankingTest {
   private static JobSpec spec(String kind, int tasks, double cpus, double estimateS) {
     return Specs.of(Specs.json("wk-1", kind, tasks).put("cpus", cpus).put("aaetlun_s", estimateS));
--- a/src/test/java/org/ternhinge/controller/KeepAliveTest.java
+++ b/src/test/java/org/ternhinge/controller/KeepAliveTest.java
@@ -46,16 +46,16 @@
   }
 
   private static WorkerReport with(
-      WorkerReport r, Session session, long sequence, List<TaskReport> tasks) {
+      WorkerReport report, Session session, long sequence, List<TaskReport> tasks) {
     return new WorkerReport(
-        r.machine(),
-        r.endpoint(),
-        r.type(),
-        r.zone(),
-        r.spot(),
+        report.machine(),
+        report.endpoint(),
+        report.type(),
+        report.zone(),
+        report.spot(),
         session,
         sequence,
-        r.token(),
+        report.token(),
         null,
         tasks);
   }
--- a/src/test/java/org/ternhinge/controller/LargeFleetTest.java
+++ b/src/test/java/org/ternhinge/controller/LargeFleetTest.java
@@ -29,14 +29,14 @@
   /** The world's counts at some time. */
   private record Counts(
       double at, long orders, long changes, long rents, long returns, long lists) {
-    static Counts of(SimCluster w) {
+    static Counts of(SimCluster cluster) {
       return new Counts(
-          w.clock.seconds(),
-          w.counts.commandCalls(),
-          w.counts.stateChanges(),
-          w.counts.rentalCalls(),
-          w.counts.releaseCalls(),
-          w.counts.machineListings());
+          cluster.clock.seconds(),
+          cluster.counts.commandCalls(),
+          cluster.counts.stateChanges(),
+          cluster.counts.rentalCalls(),
+          cluster.counts.releaseCalls(),
+          cluster.counts.machineListings());
     }
   }
 
@@ -75,7 +75,7 @@
     assertTrue(
         world.counts.mostCommandCallsAtOnce() <= sockets,
         world.counts.mostCommandCallsAtOnce() + " orders at once");
-    long steps = world.metrics.mostSteps();
+    long steps = world.metrics.mostEvaluations();
     assertTrue(steps < 600L * FLEET, "a round of " + steps + " looks");
   }
 
--- a/src/test/java/org/ternhinge/controller/LeadershipExecutorTest.java
+++ b/src/test/java/org/ternhinge/controller/LeadershipExecutorTest.java
@@ -13,6 +13,7 @@
 import org.ternhinge.model.Outcome;
 import org.ternhinge.sim.SimClock;
 
+/** Actions of a leadership run under the lock, and not after its end. */
 class LeadershipExecutorTest {
   private final SimClock clock = new SimClock();
   private final ReentrantLock lock = new ReentrantLock();
--- a/src/test/java/org/ternhinge/controller/LeadershipParts.java
+++ b/src/test/java/org/ternhinge/controller/LeadershipParts.java
@@ -161,7 +161,7 @@
   ReportedTasks reportedTasks() {
     return new ReportedTasks() {
       @Override
-      public boolean ghost(TaskId task) {
+      public boolean isShown(TaskId task) {
         return shown.containsKey(task);
       }
 
--- a/src/test/java/org/ternhinge/controller/LeaseMonitorTest.java
+++ b/src/test/java/org/ternhinge/controller/LeaseMonitorTest.java
@@ -21,6 +21,7 @@
 import org.ternhinge.wire.TaskState;
 import org.ternhinge.wire.WorkerReport;
 
+/** Leases that run out, and whom an answer may keep alive. */
 class LeaseMonitorTest {
   private final LeadershipParts parts = new LeadershipParts();
   private final ReportedTasks reportedTasks = parts.reportedTasks();
@@ -47,10 +48,10 @@
   void reservationsExpire(double ageS, int left, int rounds) {
     JobId forJob = new JobId("wk-2");
     Resources room = Resources.offer(1, 0, 1);
-    machine.kept.add(new Machine.Kept(forJob, room, parts.now().plusSeconds(12)));
+    machine.reservations.add(new Machine.Reservation(forJob, room, parts.now().plusSeconds(12)));
     parts.clock.runFor(ageS);
     monitor.check(parts.now());
-    assertEquals(left, machine.kept.size());
+    assertEquals(left, machine.reservations.size());
     assertEquals(rounds, parts.roundsRequested);
   }
 
@@ -63,7 +64,7 @@
     parts.clock.runFor(silentForS);
     monitor.check(parts.now());
     assertEquals(open ? attempt : null, job.open(0));
-    assertEquals(open, reportedTasks.ghost(attempt.task()));
+    assertEquals(open, reportedTasks.isShown(attempt.task()));
     assertEquals(open ? Session.NONE : new Session(1), machine.deadSession);
   }
 
@@ -74,7 +75,7 @@
     reportedTasks.show(machine, List.of(running(unknown, new AttemptNumber(1))));
     parts.clock.runFor(10.1);
     monitor.check(parts.now());
-    assertFalse(reportedTasks.ghost(unknown));
+    assertFalse(reportedTasks.isShown(unknown));
   }
 
   /** Time to save, to learn of the peers' saving, and to report: 3 + 5 + 2 seconds. */
--- a/src/test/java/org/ternhinge/controller/MachineRegistryTest.java
+++ b/src/test/java/org/ternhinge/controller/MachineRegistryTest.java
@@ -11,6 +11,7 @@
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.SteadyTime;
 
+/** Machines that come, go and must not come back. */
 class MachineRegistryTest {
   private static final SteadyTime NOW = new SteadyTime(0);
   private static final MachineId FIRST = new MachineId("n-1");
--- a/src/test/java/org/ternhinge/controller/PackedRecordsTest.java
+++ b/src/test/java/org/ternhinge/controller/PackedRecordsTest.java
@@ -26,6 +26,7 @@
 import org.ternhinge.wire.Json;
 import org.ternhinge.wire.RentalRequest;
 
+/** Records that hold many small facts each. */
 class PackedRecordsTest {
   /** Records by their keys, written by the code of commit d679fcc. */
   private static final Map<String, String> D679FCC =
--- a/src/test/java/org/ternhinge/controller/ReportRelayTest.java
+++ b/src/test/java/org/ternhinge/controller/ReportRelayTest.java
@@ -7,6 +7,7 @@
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.SteadyTime;
 
+/** When a worker's report is relayed to the leader. */
 class ReportRelayTest {
   private static final MachineId WORKER = new MachineId("n-1");
 
--- a/src/test/java/org/ternhinge/controller/TermFenceTest.java
+++ b/src/test/java/org/ternhinge/controller/TermFenceTest.java
@@ -9,6 +9,7 @@
 import org.ternhinge.model.Term;
 import org.ternhinge.sim.Specs;
 
+/** When a leader raises its own term. */
 class TermFenceTest {
   private final LeadershipParts parts = new LeadershipParts();
   private final TermFence fence = new TermFence(parts.authority, parts.writer, parts.machines);
@@ -37,8 +38,8 @@
       attempt.stop(0, parts.now());
     }
     attempt.see(seen, parts.now());
-    machine.strayStarts.put(Machine.key(attempt), outstanding);
-    machine.fencedStrays.put(Machine.key(attempt), fenced);
+    machine.outstandingStarts.put(Machine.key(attempt), outstanding);
+    machine.fencedStarts.put(Machine.key(attempt), fenced);
     parts.clock.runFor(stoppedForS);
     assertEquals(needed, fence.isNeeded(machine, attempt, parts.now()));
   }
@@ -69,10 +70,10 @@
   @ParameterizedTest(name = "worker shows term {0}")
   @CsvSource({"1, 1", "2, 0"})
   void aWorkerThatShowsTheTermRefusesEarlierStarts(long shown, int outstanding) {
-    machine.strayStarts.put(Machine.key(attempt), 1);
+    machine.outstandingStarts.put(Machine.key(attempt), 1);
     fence.raise(parts.now());
     parts.clock.runFor(0.1);
     machine.sawToken(new Term(shown));
-    assertEquals(outstanding, machine.strayStarts.getInt(Machine.key(attempt)));
+    assertEquals(outstanding, machine.outstandingStarts.getInt(Machine.key(attempt)));
   }
 }
--- a/src/test/java/org/ternhinge/http/HttpTest.java
+++ b/src/test/java/org/ternhinge/http/HttpTest.java
@@ -60,29 +60,30 @@
   @ParameterizedTest(name = "{0} sockets, {1} machines")
   @CsvSource({"1500, 860", "1800, 1240", "2219, 1526", "2885, 1695", "64, 1", "8, 1"})
   void sharesLeaveUsersTheirPartAndFitTheLimit(int limit, int machines) {
-    SocketShares s = SocketShares.of(limit);
-    assertTrue(s.workers() >= machines, s.workers() + " kept connections for workers");
-    assertTrue(s.all() > s.workers(), "users find a socket");
-    for (int open = 0; open <= s.all(); open++) {
-      assertTrue(s.keptBeside(open) + open + s.calls() <= limit, open + " open, of " + s);
-      assertTrue(s.keptBeside(open) >= s.kept());
+    SocketShares shares = SocketShares.of(limit);
+    assertTrue(shares.workers() >= machines, shares.workers() + " kept connections for workers");
+    assertTrue(shares.all() > shares.workers(), "users find a socket");
+    for (int open = 0; open <= shares.all(); open++) {
+      assertTrue(
+          shares.keptBeside(open) + open + shares.calls() <= limit, open + " open, of " + shares);
+      assertTrue(shares.keptBeside(open) >= shares.kept());
     }
   }
 
   /** Sends a request on a connection; says whether the server keeps it, or null if it is gone. */
-  private Boolean ask(Socket s, String path) throws IOException {
-    s.setSoTimeout(20_000);
+  private Boolean ask(Socket socket, String path) throws IOException {
+    socket.setSoTimeout(20_000);
     String request = "GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n";
     StringBuilder head = new StringBuilder();
     try {
-      s.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
-      InputStream in = s.getInputStream();
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+      InputStream in = socket.getInputStream();
       while (head.indexOf("\r\n\r\n") < 0) {
-        int c = in.read();
-        if (c < 0) {
+        int character = in.read();
+        if (character < 0) {
           return null;
         }
-        head.append((char) c);
+        head.append((char) character);
       }
     } catch (IOException e) {
       return null;
@@ -92,9 +93,9 @@
   }
 
   private Socket connect() throws IOException {
-    Socket s = new Socket(here.host(), here.port());
-    sockets.add(s);
-    return s;
+    Socket socket = new Socket(here.host(), here.port());
+    sockets.add(socket);
+    return socket;
   }
 
   @Test
--- a/src/test/java/org/ternhinge/ledger/AuxiliaryWritesTest.java
+++ b/src/test/java/org/ternhinge/ledger/AuxiliaryWritesTest.java
@@ -12,6 +12,7 @@
 import org.ternhinge.sim.SimClock;
 import org.ternhinge.wire.Json;
 
+/** Writes beside those of jobs. */
 class AuxiliaryWritesTest {
   private static final Revision TERM = new Revision(7);
   private static final int VALUE_BYTES = 2048;
--- a/src/test/java/org/ternhinge/ledger/DependenciesTest.java
+++ b/src/test/java/org/ternhinge/ledger/DependenciesTest.java
@@ -72,8 +72,8 @@
         .sorted()
         .forEach(
             n -> {
-              JobState s = ledger.stateFor(jobs.get(n));
-              out.add(n + ":" + (s == null ? "unsure" : s.phase().word()));
+              JobState state = ledger.stateFor(jobs.get(n));
+              out.add(n + ":" + (state == null ? "unsure" : state.phase().word()));
             });
     return String.join(" ", out);
   }
--- a/src/test/java/org/ternhinge/ledger/LedgerTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerTest.java
@@ -24,6 +24,7 @@
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Json;
 
+/** Admission of attempts and the state of jobs. */
 class LedgerTest {
   private static final SteadyTime NOW = new SteadyTime(0);
   private final Ledger ledger =
@@ -75,9 +76,9 @@
     Job job = job(json);
     List<Placement> list = new ArrayList<>();
     for (String p : places.split(" ", -1)) {
-      MachineAttributes s =
+      MachineAttributes attributes =
           p.endsWith("A") ? A : p.endsWith("B") ? B : site("n-3", 0, "small", true);
-      list.add(new Placement(p.charAt(0) - '0', s));
+      list.add(new Placement(p.charAt(0) - '0', attributes));
     }
     assertEquals(Optional.ofNullable(expected), ledger.open(job, list, t -> false, NOW));
     int opened = expected == null ? list.size() : 0;
@@ -154,9 +155,9 @@
     int size = RecordSize.segmentSize(Specs.of(json), 8 * 1024);
     Job job = new Job(Specs.of(json), 1, size);
     for (int i = 0; i < 2 * size; i++) {
-      MachineId m = new MachineId(String.format("n-%06d", 990_000 + i));
+      MachineId machine = new MachineId(String.format("n-%06d", 990_000 + i));
       var number = new org.ternhinge.model.AttemptNumber(12_345 + i);
-      job.openMap().put(i, new Attempt(job, i, number, m, new Session(12), 1, false, NOW));
+      job.openMap().put(i, new Attempt(job, i, number, machine, new Session(12), 1, false, NOW));
     }
     job.highest(new org.ternhinge.model.AttemptNumber(99_999));
     for (int segment = 0; segment < 2; segment++) {
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -29,6 +29,7 @@
 import org.ternhinge.wire.Json;
 import org.ternhinge.wire.WireException;
 
+/** The order of writes, lost answers, and ends in several transactions. */
 class LedgerWriterTest {
   private static final int TASKS = 500;
 
@@ -86,7 +87,7 @@
   /** Only what the writer uses. */
   private final class Store implements StateStore {
     @Override
-    public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority lane) {
+    public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority priority) {
       sent.add(txn);
       CompletableFuture<Outcome<Revision>> out = new CompletableFuture<>();
       boolean mute = unanswered-- > 0;
@@ -98,23 +99,23 @@
     }
 
     @Override
-    public int changesNow(RequestPriority lane) {
+    public int changesNow(RequestPriority priority) {
       return budget;
     }
 
     @Override
-    public double secondsUntilTxn(int changes, RequestPriority lane) {
+    public double secondsUntilTxn(int changes, RequestPriority priority) {
       return 0;
     }
 
     @Override
-    public CompletableFuture<Outcome<Read>> get(String key, RequestPriority lane) {
+    public CompletableFuture<Outcome<Read>> get(String key, RequestPriority priority) {
       return CompletableFuture.completedFuture(Outcome.applied(core.get(key)));
     }
 
     @Override
     public CompletableFuture<Outcome<Page>> list(
-        String p, String after, int limit, RequestPriority lane) {
+        String prefix, String after, int limit, RequestPriority priority) {
       throw new UnsupportedOperationException();
     }
 
--- a/src/test/java/org/ternhinge/ledger/RecordWriteTest.java
+++ b/src/test/java/org/ternhinge/ledger/RecordWriteTest.java
@@ -9,6 +9,7 @@
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.sim.Specs;
 
+/** The urgency of writes. */
 class RecordWriteTest {
   private static final SteadyTime NOW = new SteadyTime(0);
 
--- a/src/test/java/org/ternhinge/ledger/TransactionDraftTest.java
+++ b/src/test/java/org/ternhinge/ledger/TransactionDraftTest.java
@@ -15,6 +15,7 @@
 import org.ternhinge.state.Change;
 import org.ternhinge.wire.Json;
 
+/** How much fits into one transaction. */
 class TransactionDraftTest {
   private static final Revision TERM = new Revision(7);
   private static final ObjectNode VALUE = Json.object();
--- a/src/test/java/org/ternhinge/ledger/WriteQueueTest.java
+++ b/src/test/java/org/ternhinge/ledger/WriteQueueTest.java
@@ -14,6 +14,7 @@
 import org.ternhinge.sim.SimClock;
 import org.ternhinge.sim.Specs;
 
+/** The queue of jobs with something to write. */
 class WriteQueueTest {
   private static final double GATHER_S = 1;
   private static final double LATE_S = 5;
--- a/src/test/java/org/ternhinge/limit/TokenBucketTest.java
+++ b/src/test/java/org/ternhinge/limit/TokenBucketTest.java
@@ -7,6 +7,7 @@
 import org.junit.jupiter.api.Test;
 import org.ternhinge.sim.SimClock;
 
+/** Rates, bursts and reserves of a token bucket. */
 class TokenBucketTest {
   private final SimClock clock = new SimClock();
   private final TokenBucket bucket = new TokenBucket(clock, 10);
--- a/src/test/java/org/ternhinge/model/LockedExecutorTest.java
+++ b/src/test/java/org/ternhinge/model/LockedExecutorTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 
+/** Actions and handlers run under the lock and leave it free. */
 class LockedExecutorTest {
   private final ReentrantLock lock = new ReentrantLock();
   private final LockedExecutor executor = new LockedExecutor(lock);
--- a/src/test/java/org/ternhinge/model/ModelTest.java
+++ b/src/test/java/org/ternhinge/model/ModelTest.java
@@ -15,6 +15,7 @@
 import org.ternhinge.wire.TaskReport;
 import org.ternhinge.wire.TaskState;
 
+/** The small types: what they parse, how they compare, what they refuse. */
 class ModelTest {
 
   @ParameterizedTest
@@ -89,11 +90,11 @@
     }
     for (int i = 0; i < alike.get(0).size(); i++) {
       for (int k = 0; k < alike.get(1).size(); k++) {
-        Object a = alike.get(0).get(i);
-        Object b = alike.get(1).get(k);
-        assertEquals(i == k, a.equals(b), a + " and " + b);
+        Object one = alike.get(0).get(i);
+        Object other = alike.get(1).get(k);
+        assertEquals(i == k, one.equals(other), one + " and " + other);
         if (i == k) {
-          assertEquals(a.hashCode(), b.hashCode(), a.toString());
+          assertEquals(one.hashCode(), other.hashCode(), one.toString());
         }
       }
     }
--- a/src/test/java/org/ternhinge/peer/FrameTest.java
+++ b/src/test/java/org/ternhinge/peer/FrameTest.java
@@ -14,6 +14,7 @@
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
 
+/** Frames between controllers, byte for byte as the version in production has them. */
 class FrameTest {
   private static ByteBuffer body(ByteBuffer frame) {
     assertEquals(frame.remaining() - 4, frame.getInt());
--- a/src/test/java/org/ternhinge/schedule/PlannerTest.java
+++ b/src/test/java/org/ternhinge/schedule/PlannerTest.java
@@ -23,6 +23,7 @@
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobSpec;
 
+/** Plans by tables of small fleets. */
 class PlannerTest {
   private static final List<String> ZONES = List.of("east", "west");
   private static final Flavor PLAIN =
@@ -40,16 +41,16 @@
   private final Map<String, Resources> use = new HashMap<>();
 
   private MachineView machine(
-      String name, Flavor f, int zone, Set<String> images, AttemptView... there) {
-    Resources free = f.capacity();
+      String name, Flavor flavor, int zone, Set<String> images, AttemptView... there) {
+    Resources free = flavor.capacity();
     for (AttemptView a : there) {
       free = free.minus(a.spec().need());
       use.merge(a.spec().team(), a.spec().need(), Resources::plus);
     }
-    MachineView m =
+    MachineView machine =
         new MachineView(
             new MachineId(name),
-            f,
+            flavor,
             zone,
             ZONES.get(zone),
             false,
@@ -60,23 +61,23 @@
             NOW.plusSeconds(-200),
             List.of(there),
             List.of());
-    machines.add(m);
-    return m;
+    machines.add(machine);
+    return machine;
   }
 
   private static JobSpec spec(String id, String kind, int tasks, Map<String, Object> changes) {
-    ObjectNode o = Specs.json(id, kind, tasks);
+    ObjectNode json = Specs.json(id, kind, tasks);
     changes.forEach(
         (k, v) -> {
           if (v instanceof String s) {
-            o.put(k, s);
+            json.put(k, s);
           } else if (v instanceof Boolean b) {
-            o.put(k, b);
+            json.put(k, b);
           } else {
-            o.put(k, ((Number) v).doubleValue());
+            json.put(k, ((Number) v).doubleValue());
           }
         });
-    return Specs.of(o);
+    return Specs.of(json);
   }
 
   private void job(JobSpec spec, boolean guaranteed) {
@@ -320,8 +321,8 @@
       // Room that is too dear to move to, and that no expected job may block.
       machine("n-2" + i, FAST, 0, Set.of());
     }
-    long steps = plan().steps();
-    assertTrue(steps < 20L * fleet, "replicas that could move: " + steps);
+    long evaluations = plan().evaluations();
+    assertTrue(evaluations < 20L * fleet, "replicas that could move: " + evaluations);
     machines.clear();
     for (int i = 0; i < fleet; i++) {
       machine("n-" + i, PLAIN, 0, Set.of(), running(spec("wk-9", "daemon", 1, ask), 0, 10));
@@ -329,8 +330,8 @@
     for (int i = 0; i < 200; i++) {
       spares.add(JobView.expected(spec("wk-3" + i, "daemon", 9, ask), i, 2));
     }
-    steps = plan().steps();
-    assertTrue(steps < 5L * fleet, "jobs that may come: " + steps);
+    evaluations = plan().evaluations();
+    assertTrue(evaluations < 5L * fleet, "jobs that may come: " + evaluations);
   }
 
   @Test
@@ -370,7 +371,7 @@
     job(spec("wk-4", "batch", 10, Map.of("eigandi", "green")), false);
     Plan plan = plan();
     assertEquals(10, on(plan).size(), "each has a place on a plain machine");
-    assertTrue(plan.steps() < 200_000, "looks: " + plan.steps());
+    assertTrue(plan.evaluations() < 200_000, "evaluations: " + plan.evaluations());
   }
 
   /** Who found nothing speaks for those alike that ask for as much, and for no others. */
--- a/src/test/java/org/ternhinge/sim/DelayedStore.java
+++ b/src/test/java/org/ternhinge/sim/DelayedStore.java
@@ -26,6 +26,8 @@
   private int calls;
 
   /**
+   * Creates a client whose calls take time.
+   *
    * @param delayS of the next message, in seconds
    */
   public DelayedStore(
@@ -41,6 +43,7 @@
     refuses = refused;
   }
 
+  /** How many calls were sent. */
   public int calls() {
     return calls;
   }
--- a/src/test/java/org/ternhinge/sim/DirectStore.java
+++ b/src/test/java/org/ternhinge/sim/DirectStore.java
@@ -11,6 +11,7 @@
 public class DirectStore implements StateStore {
   private final StoreCore core;
 
+  /** Creates a client that answers at once. */
   public DirectStore(StoreCore core) {
     this.core = core;
   }
@@ -20,18 +21,18 @@
   }
 
   @Override
-  public CompletableFuture<Outcome<Read>> get(String key, RequestPriority lane) {
+  public CompletableFuture<Outcome<Read>> get(String key, RequestPriority priority) {
     return now(Outcome.applied(core.get(key)));
   }
 
   @Override
   public CompletableFuture<Outcome<Page>> list(
-      String prefix, String after, int limit, RequestPriority lane) {
+      String prefix, String after, int limit, RequestPriority priority) {
     return now(Outcome.applied(core.list(prefix, after, limit)));
   }
 
   @Override
-  public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority lane) {
+  public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority priority) {
     return now(core.txn(txn));
   }
 
@@ -59,12 +60,12 @@
   }
 
   @Override
-  public int changesNow(RequestPriority lane) {
+  public int changesNow(RequestPriority priority) {
     return Integer.MAX_VALUE;
   }
 
   @Override
-  public double secondsUntilTxn(int changes, RequestPriority lane) {
+  public double secondsUntilTxn(int changes, RequestPriority priority) {
     return 0;
   }
 }
--- a/src/test/java/org/ternhinge/sim/OldVersion.java
+++ b/src/test/java/org/ternhinge/sim/OldVersion.java
@@ -16,8 +16,8 @@
 import org.ternhinge.wire.WireException;
 
 /**
- * The version before dependent jobs, modelled by what it drops and writes, around the code of
- * today:
+ * Creates a node of the version before dependent jobs. The version before dependent jobs, modelled
+ * by what it drops and writes, around the code of today:
  *
  * <ul>
  *   <li>it ignores {@code bidur_eftir} in a submission and in a record, and so writes every record
--- a/src/test/java/org/ternhinge/sim/SimClock.java
+++ b/src/test/java/org/ternhinge/sim/SimClock.java
@@ -19,6 +19,7 @@
     return new SteadyTime(nanos);
   }
 
+  /** Seconds since the clock began. */
   public double seconds() {
     return nanos / 1e9 - 1;
   }
@@ -33,12 +34,13 @@
     events.add(new Event(nanos + Math.max(0, (long) (seconds * 1e9)), made++, action));
   }
 
+  /** Lets time pass, with all that is due meanwhile. */
   public void runFor(double seconds) {
     long end = nanos + (long) (seconds * 1e9);
     while (!events.isEmpty() && events.peek().at <= end) {
-      Event e = events.poll();
-      nanos = Math.max(nanos, e.at);
-      e.action.run();
+      Event event = events.poll();
+      nanos = Math.max(nanos, event.at);
+      event.action.run();
     }
     nanos = end;
   }
--- a/src/test/java/org/ternhinge/sim/SimCloud.java
+++ b/src/test/java/org/ternhinge/sim/SimCloud.java
@@ -64,9 +64,9 @@
             to -> {
               ids.forEach(
                   id -> {
-                    SimWorker w = cluster.workers.remove(id);
-                    if (w != null) {
-                      w.die();
+                    SimWorker worker = cluster.workers.remove(id);
+                    if (worker != null) {
+                      worker.die();
                     }
                   });
               to.accept(Outcome.applied(ids.size()));
@@ -118,29 +118,30 @@
     }
 
     private int rentedNow(String offer) {
-      int n = booting.getOrDefault(offer, 0);
+      int count = booting.getOrDefault(offer, 0);
       for (SimWorker w : cluster.workers.values()) {
-        n += offer(w.flavor.name(), w.zone, w.spot).equals(offer) ? 1 : 0;
+        count += offer(w.flavor.name(), w.zone, w.spot).equals(offer) ? 1 : 0;
       }
-      return n;
+      return count;
     }
 
-    List<MachineId> rentNow(RentalRequest q) {
+    List<MachineId> rentNow(RentalRequest request) {
       return rentals.computeIfAbsent(
-          q.name(),
+          request.name(),
           k -> {
             List<MachineId> out = new ArrayList<>();
-            String offer = offer(q.type(), q.zone(), q.spot());
+            String offer = offer(request.type(), request.zone(), request.spot());
             int left = cluster.machinesOfEach() - rentedNow(offer);
-            for (int i = 0; i < Math.min(q.count(), left); i++) {
+            for (int i = 0; i < Math.min(request.count(), left); i++) {
               MachineId id = new MachineId(String.format("n-%06d", machinesMade++));
               out.add(id);
-              Flavor f = SimCluster.FLAVORS.get(q.type().equals("small") ? 0 : 1);
+              Flavor flavor = SimCluster.FLAVORS.get(request.type().equals("small") ? 0 : 1);
               cluster.clock.after(
-                  f.bootS() * (0.6 + cluster.random.nextDouble()),
+                  flavor.bootS() * (0.6 + cluster.random.nextDouble()),
                   () -> {
                     booting.merge(offer, -1, Integer::sum);
-                    cluster.workers.put(id, new SimWorker(cluster, id, f, q.zone(), q.spot()));
+                    cluster.workers.put(
+                        id, new SimWorker(cluster, id, flavor, request.zone(), request.spot()));
                   });
             }
             booting.merge(offer, out.size(), Integer::sum);
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -131,10 +131,12 @@
 
   private Consumer<JobId> lastTaskEnded = id -> {};
 
+  /** Creates a cluster of the usual size in which a share of the messages is lost. */
   public SimCluster(long seed, double lossShare) {
     this(seed, lossShare, SMALL);
   }
 
+  /** Creates a cluster in which a share of the messages is lost. */
   public SimCluster(long seed, double lossShare, Size size) {
     this(seed, lossShare, size, null);
   }
--- a/src/test/java/org/ternhinge/sim/SimUsers.java
+++ b/src/test/java/org/ternhinge/sim/SimUsers.java
@@ -25,6 +25,7 @@
   private final StarvationCheck starvation;
   private double quietSince = Double.MAX_VALUE;
 
+  /** Creates users of a cluster that have submitted nothing yet. */
   public SimUsers(SimCluster cluster) {
     this.cluster = cluster;
     SplittableRandom random = new SplittableRandom(SEED);
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -76,6 +76,7 @@
     report();
   }
 
+  /** The name of its machine. */
   public MachineId id() {
     return id;
   }
--- a/src/test/java/org/ternhinge/sim/Specs.java
+++ b/src/test/java/org/ternhinge/sim/Specs.java
@@ -9,16 +9,18 @@
 public final class Specs {
   private Specs() {}
 
+  /** A submission of a small job. */
   public static ObjectNode json(String id, String kind, int tasks) {
-    ObjectNode o = Json.object().put("ref", id).put("runflokkur", "c").put("eigandi", "red");
-    o.put("gerd", kind).put("forgang", "normal").put("verkbitar", tasks);
-    o.put("cpus", 1.0).put("accelerators", 0.0).put("memory_gb", 1.0);
-    o.put("mynd", "img-1").put("pull_gb", 1.0).putNull("velagerdir").putNull("svaedi");
-    o.put("together", false).put("scatter", false).put("lanvelar", true);
-    o.put("aaetlun_s", 10.0).put("vista_bil_s", 0.0).put("vistun_s", 0.0);
-    return o.putNull("skiladagur_s");
+    ObjectNode json = Json.object().put("ref", id).put("runflokkur", "c").put("eigandi", "red");
+    json.put("gerd", kind).put("forgang", "normal").put("verkbitar", tasks);
+    json.put("cpus", 1.0).put("accelerators", 0.0).put("memory_gb", 1.0);
+    json.put("mynd", "img-1").put("pull_gb", 1.0).putNull("velagerdir").putNull("svaedi");
+    json.put("together", false).put("scatter", false).put("lanvelar", true);
+    json.put("aaetlun_s", 10.0).put("vista_bil_s", 0.0).put("vistun_s", 0.0);
+    return json.putNull("skiladagur_s");
   }
 
+  /** Reads a submission that has to be valid. */
   public static JobSpec of(ObjectNode json) {
     try {
       return JobSpec.read(json);
--- a/src/test/java/org/ternhinge/sim/StoreCore.java
+++ b/src/test/java/org/ternhinge/sim/StoreCore.java
@@ -37,18 +37,21 @@
   private long revision = 1;
   private long lastLease;
 
+  /** Creates an empty store. */
   public StoreCore(Clock clock) {
     this.clock = clock;
   }
 
+  /** Reads a key. */
   public StateStore.Read get(String key) {
-    Value v = keys.get(key);
+    Value value = keys.get(key);
     return new StateStore.Read(
-        v == null
+        value == null
             ? java.util.Optional.empty()
-            : java.util.Optional.of(new Entry(key, v.value, new Revision(v.revision))));
+            : java.util.Optional.of(new Entry(key, value.value, new Revision(value.revision))));
   }
 
+  /** Reads a page of keys. */
   public StateStore.Page list(String prefix, String after, int limit) {
     List<Entry> out = new ArrayList<>();
     boolean more = false;
@@ -65,13 +68,14 @@
     return new StateStore.Page(out, more, new Revision(revision));
   }
 
+  /** Applies a transaction if its conditions hold. */
   public Outcome<Revision> txn(Txn txn) {
     StringBuilder failed = new StringBuilder(" ");
     txn.conditions()
         .forEach(
             (key, rev) -> {
-              Value v = keys.get(key);
-              if ((v == null ? 0 : v.revision) != rev.value()) {
+              Value value = keys.get(key);
+              if ((value == null ? 0 : value.revision) != rev.value()) {
                 failed.append(key).append(' ');
               }
             });
@@ -100,6 +104,7 @@
     return Outcome.applied(new Revision(revision));
   }
 
+  /** Grants a lease. */
   public long grant(long millis) {
     long id = ++lastLease;
     leases.put(id, new Lease(millis / 1000.0, clock.now().plusSeconds(millis / 1000.0)));
@@ -118,6 +123,7 @@
         });
   }
 
+  /** Renews a lease that has not ended. */
   public Outcome<Long> renew(long id) {
     Lease lease = leases.get(id);
     if (lease == null) {
@@ -138,16 +144,17 @@
     leases.replaceAll((id, l) -> new Lease(l.lifeS, clock.now().plusSeconds(seconds + l.lifeS)));
   }
 
+  /** Ends a lease and removes the keys that hang on it. */
   public void revoke(long id) {
     if (leases.remove(id) == null) {
       return;
     }
     revision++;
     for (var it = keys.entrySet().iterator(); it.hasNext(); ) {
-      var e = it.next();
-      if (e.getValue().lease == id) {
+      var entry = it.next();
+      if (entry.getValue().lease == id) {
         // The key first: a tree's entry may hold another key after its removal.
-        String key = e.getKey();
+        String key = entry.getKey();
         it.remove();
         log.add(new Change.Seen(key, null, new Revision(revision)));
       }
@@ -155,6 +162,7 @@
     wake();
   }
 
+  /** Hands on the changes after a revision, as soon as there are any or the time is over. */
   public void follow(String prefix, long from, double waitS, Consumer<StateStore.Changes> to) {
     follow(prefix, from, waitS, () -> false, to);
   }
@@ -181,17 +189,17 @@
     }
   }
 
-  private boolean answer(Watch w, boolean anyway) {
+  private boolean answer(Watch watch, boolean anyway) {
     List<Change.Seen> out = new ArrayList<>();
     for (Change.Seen c : log) {
-      if (c.revision().value() > w.from && c.key().startsWith(w.prefix)) {
+      if (c.revision().value() > watch.from && c.key().startsWith(watch.prefix)) {
         out.add(c);
       }
     }
     if (out.isEmpty() && !anyway) {
       return false;
     }
-    w.to.accept(new StateStore.Changes(new Revision(revision), out));
+    watch.to.accept(new StateStore.Changes(new Revision(revision), out));
     return true;
   }
 
--- a/src/test/java/org/ternhinge/wire/JobSpecTest.java
+++ b/src/test/java/org/ternhinge/wire/JobSpecTest.java
@@ -15,6 +15,7 @@
 import org.ternhinge.model.JobId;
 import org.ternhinge.sim.Specs;
 
+/** Submissions: what is read, what is refused. */
 class JobSpecTest {
 
   private static JsonNode parse(String text) throws WireException {
@@ -57,8 +58,8 @@
   void invalidFieldsAreNamed(String field, String value) throws WireException {
     ObjectNode body = Specs.json("wk-1", "batch", 3);
     body.set(field, parse(value));
-    WireException e = assertThrows(WireException.class, () -> JobSpec.read(body));
-    assertTrue(e.getMessage().startsWith(field + ":"), e.getMessage());
+    WireException error = assertThrows(WireException.class, () -> JobSpec.read(body));
+    assertTrue(error.getMessage().startsWith(field + ":"), error.getMessage());
   }
 
   @ParameterizedTest
--- a/src/test/java/org/ternhinge/wire/WorkerReportTest.java
+++ b/src/test/java/org/ternhinge/wire/WorkerReportTest.java
@@ -16,6 +16,7 @@
 import org.ternhinge.model.TaskId;
 import org.ternhinge.model.Term;
 
+/** Reports: what is read, what is refused, and how they are written. */
 class WorkerReportTest {
   private static final WorkerReport FULL =
       new WorkerReport(
@@ -84,13 +85,13 @@
 
   @Test
   void unknownFieldsArePassedOverWhateverTheyHold() throws WireException {
-    ObjectNode o = FULL.write();
-    change(o, "new", "{\"verkbitar\":[{\"vel\":1}],\"vakt\":[[]]}");
-    change((ObjectNode) o.get("verkbitar").get(0), "new", "[1,{\"astand\":\"x\"}]");
-    change((ObjectNode) o.get("verkbitar").get(0), "astaeda", "null");
-    assertEquals(FULL, WorkerReport.read(Json.bytes(o)));
-    change(o, "fyrirvari_s", "null");
-    assertEquals(null, WorkerReport.read(Json.bytes(o)).noticeS());
+    ObjectNode json = FULL.write();
+    change(json, "new", "{\"verkbitar\":[{\"vel\":1}],\"vakt\":[[]]}");
+    change((ObjectNode) json.get("verkbitar").get(0), "new", "[1,{\"astand\":\"x\"}]");
+    change((ObjectNode) json.get("verkbitar").get(0), "astaeda", "null");
+    assertEquals(FULL, WorkerReport.read(Json.bytes(json)));
+    change(json, "fyrirvari_s", "null");
+    assertEquals(null, WorkerReport.read(Json.bytes(json)).noticeS());
   }
 
   @ParameterizedTest(name = "{0} = {1}")
