--- a/src/main/java/org/ternhinge/cli/ClassDataTraining.java
+++ b/src/main/java/org/ternhinge/cli/ClassDataTraining.java
@@ -52,7 +52,7 @@
             new Settings.CloudLimits(4, 10),
             100,
             0.025);
-    Thread service = new Thread(() -> serve(settings), "rehearsal");
+    Thread service = new Thread(() -> serve(settings), "training");
     service.setDaemon(true);
     service.start();
     WorkerReport.read(REPORT.getBytes(StandardCharsets.UTF_8)).write();
--- a/src/main/java/org/ternhinge/cli/Main.java
+++ b/src/main/java/org/ternhinge/cli/Main.java
@@ -76,10 +76,10 @@
   }
 
   @Command(
-      name = "rehearse",
+      name = "train-class-data",
       hidden = true,
       description = "Runs for two seconds on loopback; the build archives the classes it loads.")
-  int rehearse() throws IOException, InterruptedException, WireException {
+  int trainClassData() throws IOException, InterruptedException, WireException {
     ClassDataTraining.run();
     System.exit(0);
     return 0;
--- a/src/main/java/org/ternhinge/cloud/HttpCloud.java
+++ b/src/main/java/org/ternhinge/cloud/HttpCloud.java
@@ -42,17 +42,11 @@
     if (!tokens.tryTake(priority, 1)) {
       return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, "no tokens"));
     }
-    return http.call(endpoint, method, path, body, TIMEOUT_S).thenApply(o -> settle(o, reader));
+    return http.call(endpoint, method, path, body, TIMEOUT_S)
+        .thenApply(outcome -> outcome.flatMap(reply -> decode(reply, reader)));
   }
 
-  private <T> Outcome<T> settle(Outcome<Reply> outcome, Reader<T> reader) {
-    if (outcome instanceof Outcome.NotApplied<Reply> n) {
-      return Outcome.notApplied(n.reason(), n.detail());
-    }
-    if (outcome instanceof Outcome.Unknown<Reply> u) {
-      return Outcome.unknown(u.detail());
-    }
-    Reply reply = ((Outcome.Applied<Reply>) outcome).value();
+  private <T> Outcome<T> decode(Reply reply, Reader<T> reader) {
     try {
       return switch (reply.status()) {
         case 200 -> Outcome.applied(reader.read(Json.parse(reply.body())));
--- a/src/main/java/org/ternhinge/controller/CommandDispatcher.java
+++ b/src/main/java/org/ternhinge/controller/CommandDispatcher.java
@@ -18,20 +18,18 @@
 import org.ternhinge.model.Session;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.wire.Command;
-import org.ternhinge.wire.TaskReport;
 import org.ternhinge.wire.WorkerReport;
 import org.ternhinge.worker.Workers;
 import org.ternhinge.worker.Workers.Answer;
 
 /**
- * Tells workers what to do: by direct orders, one at a time to a machine, and by the answers to
- * their reports. A direct start whose answer is lost stays a stray until nothing of it can arrive,
- * and a worker is told to forget an attempt only when no start of it can come after. Guarded by the
- * controller's lock.
+ * Sends commands to workers directly, one message at a time to a machine. A direct start whose
+ * answer is lost stays outstanding until nothing of it can arrive. Guarded by the controller's
+ * lock.
  */
 final class CommandDispatcher {
   /** Commands that one message carries at most. */
-  private static final int MAX_COMMANDS = 400;
+  static final int MAX_COMMANDS = 400;
 
   /** A machine that owes so many reports is not told anything directly. */
   private static final double SILENT_REPORTS = 2.5;
@@ -80,8 +78,6 @@
     return Math.max(0, maxUnderWay - underWay);
   }
 
-  // ---- direct orders --------------------------------------------------------------------------
-
   /** Sends what waits for a machine, one order at a time so that orders keep their sequence. */
   void order(Machine machine) {
     SteadyTime now = clock.now();
@@ -118,7 +114,9 @@
     return machine.directAfter == null || !now.isBefore(machine.directAfter);
   }
 
-  /** Takes what is still wanted from a machine's outbox; its starts are strays from here on. */
+  /**
+   * Takes what is still wanted from a machine's outbox; its starts are outstanding from here on.
+   */
   private List<Command> takeOutbox(Machine machine) {
     List<Command> commands = new ArrayList<>();
     while (!machine.outbox.isEmpty() && commands.size() < MAX_COMMANDS) {
@@ -178,8 +176,8 @@
     send(to, session, List.of(), then);
   }
 
-  /** Asks a machine that seems deaf for a sign; an order of nothing is answered with a report. */
-  void call(Machine machine, SteadyTime now) {
+  /** Asks a worker that seems unreachable for a report; a message without commands brings one. */
+  void probe(Machine machine, SteadyTime now) {
     sendOrder(machine, List.of(), now);
   }
 
@@ -206,7 +204,7 @@
           && not.reason() != Reason.NO_CONNECTION) {
         settleOutstandingStarts(machine, session, commands);
       }
-      // Otherwise the order may yet arrive: its starts stay strays until the session ends.
+      // Otherwise the order may yet arrive: its starts stay outstanding until the session ends.
       machine.directAfter = now.plusSeconds(settings.workers().reportS());
     }
     order(machine);
@@ -226,85 +224,4 @@
       }
     }
   }
-
-  // ---- answers to reports ---------------------------------------------------------------------
-
-  /**
-   * What a worker is to do, by its newest report. Stops come first: they are what must not be cut
-   * off where there is more to tell than one answer carries.
-   */
-  List<Command> commands(Machine machine, WorkerReport report) {
-    List<Command> stops = new ArrayList<>();
-    List<Command> forgets = new ArrayList<>();
-    addUnheld(machine, report, stops, forgets);
-    List<Command> starts = new ArrayList<>();
-    for (Attempt attempt : ledger.attemptsOn(machine.id)) {
-      if (!attempt.session().equals(report.session())) {
-        continue;
-      }
-      if (attempt.stopping()) {
-        addStop(attempt, stops);
-      } else if (awaitsStart(attempt)
-          && stops.size() + forgets.size() + starts.size() < MAX_COMMANDS) {
-        attempt.startAnswered(report.sequence());
-        starts.add(new Command(Command.Op.START, attempt.task(), attempt.number(), 0));
-      }
-    }
-    stops.addAll(forgets);
-    stops.addAll(starts);
-    return stops.size() > MAX_COMMANDS ? stops.subList(0, MAX_COMMANDS) : stops;
-  }
-
-  private static boolean awaitsStart(Attempt attempt) {
-    return attempt.seen() == Attempt.Seen.UNSEEN && attempt.durable() && !attempt.recovered();
-  }
-
-  /**
-   * What the worker shows and the ledger does not hold there: nobody may have such a task run, and
-   * the worker may forget the end of one that is recorded. Only then: afterwards a repeated start
-   * would run it.
-   */
-  private void addUnheld(
-      Machine machine, WorkerReport report, List<Command> stops, List<Command> forgets) {
-    for (TaskReport task : report.tasks()) {
-      if (ledger.holds(task, machine.id)) {
-        continue;
-      }
-      if (!task.ended()) {
-        stops.add(new Command(Command.Op.STOP, task.task(), task.attempt(), 0));
-      } else if (isRecorded(task) && machine.outstandingStarts.getInt(Machine.key(task)) == 0) {
-        forgets.add(new Command(Command.Op.FORGET, task.task(), task.attempt(), 0));
-      }
-    }
-  }
-
-  private boolean isRecorded(TaskReport task) {
-    Job job = ledger.job(task.task().job());
-    return job == null || job.recorded(task.task().index());
-  }
-
-  /** The stops that are due on a machine, whatever its report at hand shows. */
-  List<Command> stops(Machine machine) {
-    List<Command> stops = new ArrayList<>();
-    for (Attempt attempt : ledger.attemptsOn(machine.id)) {
-      if (attempt.stopping()
-          && attempt.session().equals(machine.session)
-          && stops.size() < MAX_COMMANDS) {
-        addStop(attempt, stops);
-      }
-    }
-    return stops;
-  }
-
-  /**
-   * Adds the stop of an attempt, unless its start was never seen to arrive, or it is saving within
-   * the grace that it was given.
-   */
-  private static void addStop(Attempt attempt, List<Command> stops) {
-    Attempt.Seen seen = attempt.seen();
-    double graceS = attempt.stopGraceS();
-    if (seen != Attempt.Seen.UNSEEN && (seen != Attempt.Seen.SAVING || graceS == 0)) {
-      stops.add(new Command(Command.Op.STOP, attempt.task(), attempt.number(), graceS));
-    }
-  }
 }
--- a/src/main/java/org/ternhinge/controller/FleetParts.java
+++ b/src/main/java/org/ternhinge/controller/FleetParts.java
@@ -44,7 +44,13 @@
             context.rounds(),
             context.services().clock());
     this.reports =
-        new ReportProcessor(context, observer(), shownTasks, attempts, rentals, dispatcher);
+        new ReportProcessor(
+            context,
+            observer(),
+            shownTasks,
+            attempts,
+            rentals,
+            new ReportAnswers(context.ledger()));
     this.removal =
         new MachineRemoval(
             context.machines(),
--- a/src/main/java/org/ternhinge/controller/JobCancellations.java
+++ b/src/main/java/org/ternhinge/controller/JobCancellations.java
@@ -1,6 +1,5 @@
 package org.ternhinge.controller;
 
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
@@ -21,42 +20,25 @@
   /** The leader's own limit, which leaves time for its answer to reach the asking node. */
   private static final double WRITE_TIMEOUT_S = LEADER_TIMEOUT_S - 0.5;
 
-  private final LeadershipRole role;
-  private final PeerClient peers;
   private final JobLookup lookup;
   private final Clock clock;
+  private final LeaderFirst router;
 
   JobCancellations(LeadershipRole role, PeerClient peers, JobLookup lookup, Clock clock) {
-    this.role = role;
-    this.peers = peers;
     this.lookup = lookup;
     this.clock = clock;
+    this.router =
+        new LeaderFirst(role, peers, LEADER_TIMEOUT_S, this::cancelAsLeader, this::confirmIfOver);
   }
 
   /** Takes a cancellation from a user. */
   void cancelForUser(JobId id, Request request, Consumer<Response> answer) {
-    if (role.valid().isPresent()) {
-      cancelAsLeader(id, role.valid().get(), answer);
-      return;
-    }
-    Optional<String> leader = role.otherLeader();
-    if (leader.isEmpty()) {
-      confirmIfOver(id, answer);
-    } else {
-      peers.askOrBusy(
-          leader.get(),
-          request,
-          LEADER_TIMEOUT_S,
-          response -> leaderAnswered(id, response, answer));
-    }
+    router.answerUser(id, request, answer);
   }
 
   /** Takes a cancellation that another node hands to this one as the leader. */
   void cancelForPeer(JobId id, Consumer<Response> answer) {
-    role.valid()
-        .ifPresentOrElse(
-            leadership -> cancelAsLeader(id, leadership, answer),
-            () -> answer.accept(Responses.busy()));
+    router.answerPeer(id, answer);
   }
 
   private void cancelAsLeader(JobId id, Leadership leadership, Consumer<Response> answer) {
@@ -69,14 +51,6 @@
     leadership.cancel(job, state -> first.accept(Responses.known(state)));
   }
 
-  private void leaderAnswered(JobId id, Response response, Consumer<Response> answer) {
-    if (Responses.isBusy(response)) {
-      confirmIfOver(id, answer);
-    } else {
-      answer.accept(response);
-    }
-  }
-
   private void confirmIfOver(JobId id, Consumer<Response> answer) {
     lookup.find(id, RequestPriority.QUERY, result -> answer.accept(toResponse(result)));
   }
--- a/src/main/java/org/ternhinge/controller/JobQueries.java
+++ b/src/main/java/org/ternhinge/controller/JobQueries.java
@@ -1,6 +1,5 @@
 package org.ternhinge.controller;
 
-import java.util.Optional;
 import java.util.function.Consumer;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
@@ -16,40 +15,23 @@
   /** Leaves time to read the state service within the 2 s that users wait. */
   private static final double LEADER_TIMEOUT_S = 0.8;
 
-  private final LeadershipRole role;
-  private final PeerClient peers;
   private final JobLookup lookup;
+  private final LeaderFirst router;
 
   JobQueries(LeadershipRole role, PeerClient peers, JobLookup lookup) {
-    this.role = role;
-    this.peers = peers;
     this.lookup = lookup;
+    this.router =
+        new LeaderFirst(role, peers, LEADER_TIMEOUT_S, this::answerAsLeader, this::answerFromStore);
   }
 
   /** Answers a question that a user has put to this node. */
   void answerUser(JobId id, Request request, Consumer<Response> answer) {
-    if (role.valid().isPresent()) {
-      answerAsLeader(id, role.valid().get(), answer);
-      return;
-    }
-    Optional<String> leader = role.otherLeader();
-    if (leader.isEmpty()) {
-      answerFromStore(id, answer);
-    } else {
-      peers.askOrBusy(
-          leader.get(),
-          request,
-          LEADER_TIMEOUT_S,
-          response -> leaderAnswered(id, response, answer));
-    }
+    router.answerUser(id, request, answer);
   }
 
   /** Answers a question that another node takes this one to be the leader for. */
   void answerPeer(JobId id, Consumer<Response> answer) {
-    role.valid()
-        .ifPresentOrElse(
-            leadership -> answerAsLeader(id, leadership, answer),
-            () -> answer.accept(Responses.busy()));
+    router.answerPeer(id, answer);
   }
 
   private void answerAsLeader(JobId id, Leadership leadership, Consumer<Response> answer) {
@@ -61,14 +43,6 @@
     }
   }
 
-  private void leaderAnswered(JobId id, Response response, Consumer<Response> answer) {
-    if (Responses.isBusy(response)) {
-      answerFromStore(id, answer);
-    } else {
-      answer.accept(response);
-    }
-  }
-
   private void answerFromStore(JobId id, Consumer<Response> answer) {
     lookup.find(id, RequestPriority.QUERY, result -> answer.accept(toResponse(result)));
   }
--- a/src/main/java/org/ternhinge/controller/JobWatch.java
+++ b/src/main/java/org/ternhinge/controller/JobWatch.java
@@ -105,8 +105,8 @@
   }
 
   private void takeIn(Change.Seen change) {
-    boolean laterPiece = change.key().indexOf('/', Keys.JOBS.length()) >= 0;
-    if (change.value() == null || laterPiece) {
+    boolean laterSegment = change.key().indexOf('/', Keys.JOBS.length()) >= 0;
+    if (change.value() == null || laterSegment) {
       return;
     }
     JobId id = new JobId(change.key().substring(Keys.JOBS.length()));
--- a/src/main/java/org/ternhinge/controller/LeaseMonitor.java
+++ b/src/main/java/org/ternhinge/controller/LeaseMonitor.java
@@ -105,7 +105,7 @@
         && !machine.orderInFlight
         && dispatcher.free()
         && machine.reachability.isProbeDue(now)) {
-      dispatcher.call(machine, now);
+      dispatcher.probe(machine, now);
     }
   }
 
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -122,10 +122,10 @@
   /** Direct starts whose answers were lost: such a start may still arrive. */
   final Object2IntOpenHashMap<String> outstandingStarts = new Object2IntOpenHashMap<>();
 
-  /** Strays of an older term; none can arrive once the worker has shown the fencing term. */
+  /** Those of an older term; none can arrive once the worker has shown the fencing term. */
   final Object2IntOpenHashMap<String> fencedStarts = new Object2IntOpenHashMap<>();
 
-  /** A worker that has shown this term refuses the fenced strays. */
+  /** A worker that has shown this term refuses the fenced starts. */
   Term fence = Term.NONE;
 
   // ---- what it is told ----------------------------------------------------------------------
@@ -156,17 +156,17 @@
     this.rentedAt = now;
   }
 
-  /** Key of an attempt among the strays. */
+  /** Key of an attempt among the outstanding starts. */
   static String key(TaskReport report) {
     return key(report.task(), report.attempt());
   }
 
-  /** Key of an attempt among the strays. */
+  /** Key of an attempt among the outstanding starts. */
   static String key(Attempt attempt) {
     return key(attempt.task(), attempt.number());
   }
 
-  /** Key of a command's attempt among the strays. */
+  /** Key of a command's attempt among the outstanding starts. */
   static String key(Command command) {
     return key(command.task(), command.attempt());
   }
@@ -175,14 +175,14 @@
     return task + "#" + attempt;
   }
 
-  /** The term was raised: the strays so far are of an older one. */
+  /** The term was raised: the outstanding starts so far are of an older one. */
   void fenceOutstandingStarts(Term raised) {
     fencedStarts.clear();
     fencedStarts.putAll(outstandingStarts);
     fence = raised;
   }
 
-  /** The worker has shown a token: strays that it refuses from now on are none any more. */
+  /** The worker has shown a token: starts that it refuses from now on are outstanding no more. */
   void sawToken(Term shown) {
     if (fencedStarts.isEmpty() || shown.compareTo(fence) < 0) {
       return;
--- a/src/main/java/org/ternhinge/controller/ReportProcessor.java
+++ b/src/main/java/org/ternhinge/controller/ReportProcessor.java
@@ -53,7 +53,7 @@
   private final Authority authority;
   private final Ledger ledger;
   private final Rentals rentals;
-  private final CommandDispatcher commands;
+  private final ReportAnswers answers;
 
   ReportProcessor(
       LeadershipContext context,
@@ -61,7 +61,7 @@
       ReportedTasks reportedTasks,
       AttemptLifecycle attempts,
       Rentals rentals,
-      CommandDispatcher commands) {
+      ReportAnswers answers) {
     this.observer = observer;
     this.reportedTasks = reportedTasks;
     this.attempts = attempts;
@@ -73,7 +73,7 @@
     this.authority = context.authority();
     this.ledger = context.ledger();
     this.rentals = rentals;
-    this.commands = commands;
+    this.answers = answers;
   }
 
   /**
@@ -107,7 +107,7 @@
       // It was overtaken by an answer to an order, or is a copy: it was sent before that answer was
       // taken in. What it shows is old, but a worker that hears this must not miss a stop by it.
       machine.leaseEnds = leaseFrom(machine.lastReport).max(machine.leaseEnds);
-      return Optional.of(mayCommand ? commands.stops(machine) : List.of());
+      return Optional.of(mayCommand ? answers.stops(machine) : List.of());
     }
     if (report.token().compareTo(authority.term()) < 0
         && authority.term().equals(machine.answered)) {
@@ -116,7 +116,7 @@
     machine.answered = authority.term();
     // The report was sent before now, so a lease counted from now ends no sooner than the worker's.
     machine.leaseEnds = leaseFrom(now).max(machine.leaseEnds);
-    return Optional.of(mayCommand ? commands.commands(machine, report) : List.of());
+    return Optional.of(mayCommand ? answers.commands(machine, report) : List.of());
   }
 
   private static boolean isOver(Session session, Machine machine) {
--- a/src/main/java/org/ternhinge/controller/ReportRelay.java
+++ b/src/main/java/org/ternhinge/controller/ReportRelay.java
@@ -15,28 +15,32 @@
   private static final double BACK_S = 12;
 
   private static final double RELAY_S = 30;
-  private static final int MOST = 10_000;
+  private static final int MAX_REDIRECTIONS = 10_000;
 
-  private record Detour(SteadyTime redirected, SteadyTime relayUntil) {}
+  private record Redirection(SteadyTime redirected, SteadyTime relayUntil) {}
 
-  private final Map<MachineId, Detour> detours = new HashMap<>();
+  private final Map<MachineId, Redirection> redirections = new HashMap<>();
 
   /** Whether this report is to be relayed; otherwise the worker is taken to be redirected. */
   boolean relays(MachineId worker, SteadyTime now) {
-    Detour detour = detours.get(worker);
-    if (detour != null && detour.relayUntil != null && now.isBefore(detour.relayUntil)) {
+    Redirection redirection = redirections.get(worker);
+    if (redirection != null
+        && redirection.relayUntil != null
+        && now.isBefore(redirection.relayUntil)) {
       return true;
     }
     boolean back =
-        detour != null && detour.redirected != null && now.secondsSince(detour.redirected) < BACK_S;
-    if (detours.size() >= MOST) {
-      detours.clear();
+        redirection != null
+            && redirection.redirected != null
+            && now.secondsSince(redirection.redirected) < BACK_S;
+    if (redirections.size() >= MAX_REDIRECTIONS) {
+      redirections.clear();
     }
     if (back) {
-      detours.put(worker, new Detour(null, now.plusSeconds(RELAY_S)));
+      redirections.put(worker, new Redirection(null, now.plusSeconds(RELAY_S)));
       return true;
     }
-    detours.put(worker, new Detour(now, null));
+    redirections.put(worker, new Redirection(now, null));
     return false;
   }
 }
--- a/src/main/java/org/ternhinge/election/Election.java
+++ b/src/main/java/org/ternhinge/election/Election.java
@@ -30,7 +30,7 @@
  * refused wherever it arrives. Whether the leadership holds is judged from the sending of the last
  * renewal that succeeded, never from a refusal: a node can't tell an outage from its own exclusion.
  *
- * <p>A node looks at the leader's key and watches it while another leads. Once it is gone, the node
+ * <p>A node reads the leader's key and watches it while another leads. Once it is gone, the node
  * reads the last term, asks for a lease, and claims both keys on condition that neither has changed
  * since it read them.
  */
@@ -39,7 +39,7 @@
   private static final double DRIFT = Settings.DRIFT;
 
   /** Pause after a call that failed. */
-  private static final double LOOK_AGAIN_S = 0.5;
+  private static final double RETRY_S = 0.5;
 
   /** Pause after another node has claimed the leadership first. */
   private static final double LOST_RACE_S = 0.05;
@@ -117,7 +117,7 @@
   /** Takes part from now on. */
   public void start(Listener to) {
     listener = to;
-    locked.execute(this::look);
+    locked.execute(this::readLeader);
   }
 
   /** The node that leads as far as this one knows, or null. */
@@ -172,19 +172,19 @@
     clock.after(seconds, locked.guarded(action));
   }
 
-  private void look() {
+  private void readLeader() {
     if (held != null) {
       return;
     }
-    locked.whenAnswered(store.get(Keys.LEADER, RequestPriority.RENEWAL), this::looked);
+    locked.whenAnswered(store.get(Keys.LEADER, RequestPriority.RENEWAL), this::leaderRead);
   }
 
-  private void looked(Outcome<StateStore.Read> outcome) {
+  private void leaderRead(Outcome<StateStore.Read> outcome) {
     if (held != null) {
       return;
     }
     if (!(outcome instanceof Outcome.Applied<StateStore.Read> read)) {
-      later(LOOK_AGAIN_S, this::look);
+      later(RETRY_S, this::readLeader);
       return;
     }
     Entry entry = read.value().entry().orElse(null);
@@ -198,7 +198,7 @@
       readTerm(entry.revision());
       return;
     }
-    leaderIs(found);
+    noteLeader(found);
     follow(entry.revision());
   }
 
@@ -211,7 +211,7 @@
   }
 
   /** Takes note of who leads; null where nobody does. */
-  private void leaderIs(LeaderRecord found) {
+  private void noteLeader(LeaderRecord found) {
     leader = found;
     leaderKnowsDependencies = found != null && found.knowsDependencies();
   }
@@ -228,18 +228,18 @@
       return;
     }
     if (!(outcome instanceof Outcome.Applied<StateStore.Changes> seen)) {
-      later(LOOK_AGAIN_S, this::look);
+      later(RETRY_S, this::readLeader);
       return;
     }
     boolean gone = false;
     for (Change.Seen change : seen.value().changes()) {
       if (change.key().equals(Keys.LEADER)) {
         gone = change.value() == null;
-        leaderIs(gone ? null : LeaderRecord.fromJson(change.value()));
+        noteLeader(gone ? null : LeaderRecord.fromJson(change.value()));
       }
     }
     if (gone) {
-      later(random.nextDouble() * SPREAD_S, this::look);
+      later(random.nextDouble() * SPREAD_S, this::readLeader);
     } else {
       Revision now = seen.value().revision();
       follow(now.compareTo(from) > 0 ? now : from);
@@ -259,7 +259,7 @@
       TermRecord last = TermRecord.of(read.value().entry().orElse(null));
       requestLease(new Candidacy(leaderRevision, last));
     } else {
-      later(LOOK_AGAIN_S, this::look);
+      later(RETRY_S, this::readLeader);
     }
   }
 
@@ -273,7 +273,7 @@
   /** Where the answer was lost, a lease may be left that nobody uses; it ends by itself. */
   private void leaseGranted(Candidacy candidacy, SteadyTime sent, Outcome<Long> outcome) {
     if (!(outcome instanceof Outcome.Applied<Long> granted)) {
-      later(LOOK_AGAIN_S, this::look);
+      later(RETRY_S, this::readLeader);
       return;
     }
     LeadershipLease lease =
@@ -308,7 +308,7 @@
     // or leaves a term that nobody uses.
     lease.release();
     boolean lostRace = outcome != null && outcome.isBecause(Reason.CONFLICT);
-    later(lostRace ? LOST_RACE_S : LOOK_AGAIN_S, this::look);
+    later(lostRace ? LOST_RACE_S : RETRY_S, this::readLeader);
   }
 
   // ---- while this node leads ------------------------------------------------------------------
@@ -368,7 +368,7 @@
       leader = null;
       lease.release();
       listener.deposed(why);
-      later(DEPOSED_S, Election.this::look);
+      later(DEPOSED_S, Election.this::readLeader);
     }
   }
 }
--- a/src/main/java/org/ternhinge/ledger/Authority.java
+++ b/src/main/java/org/ternhinge/ledger/Authority.java
@@ -14,7 +14,7 @@
   /** Whether the leadership certainly still holds, judged by this process alone. */
   boolean valid();
 
-  /** The term's key was raised by this leadership itself, to fence its own stray commands. */
+  /** The term's key was raised by this leadership itself, to fence its own late commands. */
   void raised(Term term, Revision revision);
 
   /** The state service has shown that the leadership is over. */
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -310,8 +310,9 @@
   }
 
   /** The jobs that may be written, as in {@link WriteQueue#ready}. */
-  Map<WriteQueue.Urgency, List<Job>> readyToWrite(SteadyTime gathered, SteadyTime late) {
-    return writeQueue.ready(gathered, late);
+  Map<WriteQueue.Urgency, List<Job>> readyToWrite(
+      SteadyTime batchedBefore, SteadyTime overdueBefore) {
+    return writeQueue.ready(batchedBefore, overdueBefore);
   }
 
   /** Whether a job has something to write. */
--- a/src/main/java/org/ternhinge/ledger/TransactionAssembler.java
+++ b/src/main/java/org/ternhinge/ledger/TransactionAssembler.java
@@ -14,10 +14,10 @@
  */
 final class TransactionAssembler {
   /**
-   * Seconds for which ends of tasks are gathered before they are written: a fraction of the time in
+   * Seconds for which ends of tasks are batched before they are written: a fraction of the time in
    * which users notice an end, and long enough for a segment to collect those of many tasks.
    */
-  private static final double GATHER_S = 0.4;
+  private static final double BATCH_S = 0.4;
 
   /**
    * Seconds after which ends of tasks no longer wait behind starts, so that none waits for ever.
@@ -63,7 +63,7 @@
   private void addByUrgency(TransactionDraft draft) {
     SteadyTime now = clock.now();
     Map<Urgency, List<Job>> ready =
-        ledger.readyToWrite(now.plusSeconds(-GATHER_S), now.plusSeconds(-LATE_S));
+        ledger.readyToWrite(now.plusSeconds(-BATCH_S), now.plusSeconds(-LATE_S));
     for (Urgency urgency : Urgency.values()) {
       // The rentals and releases among the auxiliary writes go before starts of lower priority.
       if (urgency == Urgency.HIGH_OPENS && !auxiliaryWrites.addTo(draft)) {
--- a/src/main/java/org/ternhinge/ledger/WriteQueue.java
+++ b/src/main/java/org/ternhinge/ledger/WriteQueue.java
@@ -19,7 +19,7 @@
     ENDS,
     HIGH_OPENS,
     OPENS,
-    /** Ends of tasks, which are gathered for a moment. */
+    /** Ends of tasks, which are batched for a moment. */
     ENDINGS
   }
 
@@ -48,24 +48,24 @@
   /**
    * The jobs that may be written, by urgency, those that have waited longest first.
    *
-   * @param gathered endings that came later than this go on being gathered
-   * @param late endings that came before this wait behind nobody's opens any more
+   * @param batchedBefore endings that came later than this wait for more
+   * @param overdueBefore endings that came before this no longer wait behind opens
    */
-  Map<Urgency, List<Job>> ready(SteadyTime gathered, SteadyTime late) {
+  Map<Urgency, List<Job>> ready(SteadyTime batchedBefore, SteadyTime overdueBefore) {
     Map<Urgency, List<Job>> ready = new EnumMap<>(Urgency.class);
     for (Urgency urgency : Urgency.values()) {
       ready.put(urgency, new ArrayList<>());
     }
     for (Job job : jobs) {
-      Urgency urgency = urgency(job, late);
-      if (urgency != Urgency.ENDINGS || !gathered.isBefore(job.dirtySince())) {
+      Urgency urgency = urgency(job, overdueBefore);
+      if (urgency != Urgency.ENDINGS || !batchedBefore.isBefore(job.dirtySince())) {
         ready.get(urgency).add(job);
       }
     }
     return ready;
   }
 
-  private static Urgency urgency(Job job, SteadyTime late) {
+  private static Urgency urgency(Job job, SteadyTime overdueBefore) {
     if (job.cancelledByDependency()) {
       // Users are told already, and there may be thousands of them.
       return Urgency.ENDINGS;
@@ -77,7 +77,7 @@
       return Urgency.ENDS;
     }
     if (!job.opening()) {
-      return job.dirtySince().isBefore(late) ? Urgency.OPENS : Urgency.ENDINGS;
+      return job.dirtySince().isBefore(overdueBefore) ? Urgency.OPENS : Urgency.ENDINGS;
     }
     return switch (job.planned().priority()) {
       case PRODUCTION -> Urgency.PRODUCTION_OPENS;
--- a/src/main/java/org/ternhinge/model/Outcome.java
+++ b/src/main/java/org/ternhinge/model/Outcome.java
@@ -50,15 +50,20 @@
     return new Unknown<>(detail);
   }
 
-  /** The same outcome with another value. */
-  default <R> Outcome<R> map(Function<T, R> change) {
-    if (this instanceof Applied<T> a) {
-      return new Applied<>(change.apply(a.value()));
+  /** What follows from the value of a call that was carried out; otherwise the same outcome. */
+  default <R> Outcome<R> flatMap(Function<T, Outcome<R>> next) {
+    if (this instanceof Applied<T> applied) {
+      return next.apply(applied.value());
     }
-    if (this instanceof NotApplied<T> n) {
-      return new NotApplied<>(n.reason(), n.detail());
+    if (this instanceof NotApplied<T> notApplied) {
+      return notApplied(notApplied.reason(), notApplied.detail());
     }
-    return new Unknown<>(((Unknown<T>) this).detail());
+    return unknown(((Unknown<T>) this).detail());
+  }
+
+  /** The same outcome with another value. */
+  default <R> Outcome<R> map(Function<T, R> change) {
+    return flatMap(value -> applied(change.apply(value)));
   }
 
   /** Whether the call was not carried out for this reason. */
--- a/src/main/java/org/ternhinge/state/HttpStateStore.java
+++ b/src/main/java/org/ternhinge/state/HttpStateStore.java
@@ -1,6 +1,7 @@
 package org.ternhinge.state;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
@@ -69,17 +70,10 @@
       return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, "no tokens"));
     }
     return http.call(endpoint, method, path, body, limitS, timeouts.capS())
-        .thenApply(outcome -> settle(outcome, reader));
+        .thenApply(outcome -> outcome.flatMap(reply -> decode(reply, reader)));
   }
 
-  private <T> Outcome<T> settle(Outcome<Reply> outcome, Reader<T> reader) {
-    if (outcome instanceof Outcome.NotApplied<Reply> n) {
-      return Outcome.notApplied(n.reason(), n.detail());
-    }
-    if (outcome instanceof Outcome.Unknown<Reply> u) {
-      return Outcome.unknown(u.detail());
-    }
-    Reply reply = ((Outcome.Applied<Reply>) outcome).value();
+  private <T> Outcome<T> decode(Reply reply, Reader<T> reader) {
     try {
       return switch (reply.status()) {
         case 200 -> Outcome.applied(reader.read(Json.parse(reply.body())));
@@ -87,8 +81,7 @@
         case 409 -> Outcome.notApplied(Reason.CONFLICT, failed(reply.body()));
         case 410 -> Outcome.notApplied(Reason.TOO_OLD, "");
         case 400 ->
-            Outcome.notApplied(
-                Reason.INVALID, new String(reply.body(), java.nio.charset.StandardCharsets.UTF_8));
+            Outcome.notApplied(Reason.INVALID, new String(reply.body(), StandardCharsets.UTF_8));
         case 429 -> {
           requests.drain();
           yield Outcome.notApplied(Reason.REFUSED, "429");
--- a/src/main/java/org/ternhinge/worker/HttpWorkers.java
+++ b/src/main/java/org/ternhinge/worker/HttpWorkers.java
@@ -28,17 +28,11 @@
   public CompletableFuture<Outcome<Answer>> order(
       Endpoint worker, Term term, Session session, List<Command> commands) {
     byte[] body = Command.order(term, session, commands);
-    return http.call(worker, "POST", "/commands", body, TIMEOUT_S).thenApply(HttpWorkers::settle);
+    return http.call(worker, "POST", "/commands", body, TIMEOUT_S)
+        .thenApply(outcome -> outcome.flatMap(HttpWorkers::decode));
   }
 
-  private static Outcome<Answer> settle(Outcome<Reply> outcome) {
-    if (outcome instanceof Outcome.NotApplied<Reply> n) {
-      return Outcome.notApplied(n.reason(), n.detail());
-    }
-    if (outcome instanceof Outcome.Unknown<Reply> u) {
-      return Outcome.unknown(u.detail());
-    }
-    Reply reply = ((Outcome.Applied<Reply>) outcome).value();
+  private static Outcome<Answer> decode(Reply reply) {
     try {
       return switch (reply.status()) {
         case 200 -> Outcome.applied(new Answer.Executed(WorkerReport.read(reply.body())));
--- /dev/null
+++ b/src/test/java/org/ternhinge/cli/LoopbackServices.java
@@ -0,0 +1,242 @@
+package org.ternhinge.cli;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.ternhinge.model.Clock;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.StoreCore;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Entry;
+import org.ternhinge.state.StateStore;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.WireException;
+
+/** A state service and a cloud without machines, over HTTP on loopback. */
+final class LoopbackServices implements AutoCloseable {
+  private static final String NODE_PREFIX = "node-";
+
+  private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
+  private final ExecutorService requests = Executors.newCachedThreadPool();
+  private final StoreCore store = new StoreCore(new RealClock());
+  private final HttpServer server;
+
+  LoopbackServices() throws IOException {
+    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setExecutor(requests);
+    server.createContext("/", this::serve);
+    server.start();
+  }
+
+  /** Where both services are reached. */
+  String endpoint() {
+    return "127.0.0.1:" + server.getAddress().getPort();
+  }
+
+  /** The number of the node that leads, or -1. */
+  synchronized int leader() {
+    return store
+        .get("leader")
+        .entry()
+        .map(entry -> entry.value().path("node").asText().substring(NODE_PREFIX.length()))
+        .map(Integer::parseInt)
+        .orElse(-1);
+  }
+
+  @Override
+  public void close() {
+    server.stop(0);
+    requests.shutdownNow();
+    timers.shutdownNow();
+  }
+
+  /** The real clock, for leases. */
+  private final class RealClock implements Clock {
+    @Override
+    public SteadyTime now() {
+      return new SteadyTime(System.nanoTime());
+    }
+
+    @Override
+    public long wallMillis() {
+      return System.currentTimeMillis();
+    }
+
+    @Override
+    public void after(double seconds, Runnable action) {
+      var unused =
+          timers.schedule(() -> locked(action), (long) (seconds * 1000), TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private synchronized void locked(Runnable action) {
+    action.run();
+  }
+
+  private void serve(HttpExchange exchange) throws IOException {
+    byte[] body = exchange.getRequestBody().readAllBytes();
+    try {
+      answer(exchange, body);
+    } catch (WireException e) {
+      reply(exchange, 400, Json.object());
+    }
+  }
+
+  private static void reply(HttpExchange exchange, int status, JsonNode value) throws IOException {
+    byte[] bytes = Json.bytes(value);
+    exchange.sendResponseHeaders(status, bytes.length);
+    try (OutputStream out = exchange.getResponseBody()) {
+      out.write(bytes);
+    }
+  }
+
+  private static Map<String, String> query(HttpExchange exchange) {
+    Map<String, String> out = new HashMap<>();
+    String query = exchange.getRequestURI().getQuery();
+    for (String part : query == null ? new String[0] : query.split("&")) {
+      int eq = part.indexOf('=');
+      out.put(part.substring(0, eq), part.substring(eq + 1));
+    }
+    return out;
+  }
+
+  private static ObjectNode entry(Entry entry) {
+    ObjectNode out = Json.object().put("path", entry.key());
+    out.set("v", entry.value());
+    return out.put("utgafunumer", entry.revision().value());
+  }
+
+  private void answer(HttpExchange exchange, byte[] body) throws IOException, WireException {
+    String path = exchange.getRequestURI().getPath();
+    Map<String, String> query = query(exchange);
+    if (path.equals("/flavors")) {
+      reply(exchange, 200, Flavor.writeAll(SimCluster.FLAVORS));
+    } else if (path.equals("/hosts") && exchange.getRequestMethod().equals("GET")) {
+      ObjectNode none = Json.object().put("more", false);
+      none.putArray("velar");
+      reply(exchange, 200, none);
+    } else if (path.equals("/hosts")) {
+      reply(exchange, 503, Json.object().put("error", "no capacity"));
+    } else if (path.equals("/follow")) {
+      follow(exchange, query);
+    } else {
+      synchronized (this) {
+        state(exchange, path, query, body);
+      }
+    }
+  }
+
+  private void state(HttpExchange exchange, String path, Map<String, String> query, byte[] body)
+      throws IOException, WireException {
+    if (path.equals("/keys")) {
+      StateStore.Page page =
+          store.list(query.get("prefix"), query.get("from"), Integer.parseInt(query.get("page")));
+      ObjectNode out = Json.object().put("more", page.more());
+      ArrayNode rows = out.putArray("rows");
+      page.entries().forEach(e -> rows.add(entry(e)));
+      reply(exchange, 200, out.put("breytingatal", page.revision().value()));
+    } else if (path.startsWith("/keys/")) {
+      var found = store.get(path.substring(6)).entry();
+      reply(
+          exchange,
+          found.isPresent() ? 200 : 404,
+          found.map(LoopbackServices::entry).orElse(Json.object()));
+    } else if (path.equals("/txn")) {
+      outcome(exchange, store.txn(readTxn(Json.parse(body))).map(Revision::value), "breytingatal");
+    } else if (path.equals("/holds")) {
+      long life = Json.count(Json.parse(body), "life_ms");
+      reply(exchange, 200, Json.object().put("leiga", store.grant(life)));
+    } else if (path.endsWith("/extend")) {
+      long id = Long.parseLong(path.split("/", -1)[2]);
+      outcome(exchange, store.renew(id), "leiga");
+    } else {
+      store.revoke(Long.parseLong(path.split("/", -1)[2]));
+      reply(exchange, 200, Json.object());
+    }
+  }
+
+  private static void outcome(HttpExchange exchange, Outcome<Long> outcome, String field)
+      throws IOException {
+    if (outcome instanceof Outcome.Applied<Long> a) {
+      reply(exchange, 200, Json.object().put(field, a.value()));
+    } else {
+      boolean gone = outcome.isBecause(Outcome.Reason.NOT_FOUND);
+      ObjectNode out = Json.object();
+      out.putArray("failed");
+      reply(exchange, gone ? 404 : 409, out);
+    }
+  }
+
+  private static Txn readTxn(JsonNode json) throws WireException {
+    Map<String, Revision> conditions = new LinkedHashMap<>();
+    for (JsonNode c : json.path("if")) {
+      conditions.put(Json.text(c, "path"), new Revision(Json.count(c, "utgafunumer")));
+    }
+    List<Change> changes = new ArrayList<>();
+    for (JsonNode c : json.path("then")) {
+      String set = Json.textOrNull(c, "set");
+      changes.add(
+          set == null
+              ? new Change.Delete(Json.text(c, "remove"))
+              : new Change.Put(set, c.get("v"), c.path("leiga").asLong()));
+    }
+    return new Txn(conditions, changes);
+  }
+
+  private void follow(HttpExchange exchange, Map<String, String> query) throws IOException {
+    List<StateStore.Changes> seen = new ArrayList<>();
+    Object arrived = new Object();
+    synchronized (this) {
+      store.follow(
+          query.get("prefix"),
+          Long.parseLong(query.get("from")),
+          Integer.parseInt(query.get("wait_ms")) / 1000.0,
+          c -> {
+            synchronized (arrived) {
+              seen.add(c);
+              arrived.notifyAll();
+            }
+          });
+    }
+    synchronized (arrived) {
+      while (seen.isEmpty()) {
+        try {
+          arrived.wait();
+        } catch (InterruptedException e) {
+          return;
+        }
+      }
+    }
+    ObjectNode out = Json.object().put("breytingatal", seen.get(0).revision().value());
+    ArrayNode log = out.putArray("log");
+    for (Change.Seen c : seen.get(0).changes()) {
+      ObjectNode item = log.addObject().put("utgafunumer", c.revision().value());
+      if (c.value() == null) {
+        item.put("remove", c.key());
+      } else {
+        item.put("set", c.key()).set("v", c.value());
+      }
+    }
+    reply(exchange, 200, out);
+  }
+}
--- a/src/test/java/org/ternhinge/controller/PipelineCancellationTest.java
+++ b/src/test/java/org/ternhinge/controller/PipelineCancellationTest.java
@@ -251,20 +251,7 @@
     cluster = new DependentJobs(351, 0, new SimCluster.Size(3, 4, 60, 30));
     JobId first = cluster.submit("wk-1", 2, 3000);
     cluster.run(20);
-    List<JobId> all = new ArrayList<>();
-    for (int i = 0; i < 2000; i++) {
-      ObjectNode body = DependentJobs.job("wk-1" + String.format("%04d", i), 1, 5, List.of(first));
-      cluster.users.submit(body);
-      all.add(DependentJobs.idOf(body));
-      if (i % 10 == 9) {
-        cluster.world.clock.runFor(0.8);
-      }
-    }
-    cluster.world.clock.runFor(70);
-    assertEquals(2001, cluster.users.accepted().size());
-    long changes = cluster.world.counts.stateChanges();
-    cluster.world.clock.runFor(20);
-    assertTrue(cluster.world.counts.stateChanges() - changes < 20, "a wait costs no writes");
+    List<JobId> all = submitThousandsAfter(first);
     int leader = cluster.world.leader();
     double asking = cluster.world.clock.seconds();
     double[] toldAt = {-1};
@@ -283,12 +270,7 @@
     cluster.world.clock.runFor(
         toldAt[0] + DependentJobs.CANCEL_S + 1 - cluster.world.clock.seconds());
     if (!then.endsWith("outage")) {
-      for (int i = 0; i < all.size(); i += 97) {
-        for (int node = 0; node < 3; node++) {
-          String says = cluster.says(node, all.get(i));
-          assertTrue(says.equals("cancelled") || says.equals("503"), node + " says " + says);
-        }
-      }
+      noNodeCallsThemWaiting(all);
     }
     cluster.users.quiet();
     for (int i = 0; i < 8; i++) {
@@ -301,4 +283,32 @@
     assertEquals(Set.of("cancelled"), told);
     assertEquals(0, cluster.world.tasks.runningTasks(first));
   }
+
+  /** Two thousand jobs that wait for one and cost nothing meanwhile. */
+  private List<JobId> submitThousandsAfter(JobId first) {
+    List<JobId> all = new ArrayList<>();
+    for (int i = 0; i < 2000; i++) {
+      ObjectNode body = DependentJobs.job("wk-1" + String.format("%04d", i), 1, 5, List.of(first));
+      cluster.users.submit(body);
+      all.add(DependentJobs.idOf(body));
+      if (i % 10 == 9) {
+        cluster.world.clock.runFor(0.8);
+      }
+    }
+    cluster.world.clock.runFor(70);
+    assertEquals(2001, cluster.users.accepted().size());
+    long changes = cluster.world.counts.stateChanges();
+    cluster.world.clock.runFor(20);
+    assertTrue(cluster.world.counts.stateChanges() - changes < 20, "a wait costs no writes");
+    return all;
+  }
+
+  private void noNodeCallsThemWaiting(List<JobId> jobs) {
+    for (int i = 0; i < jobs.size(); i += 97) {
+      for (int node = 0; node < 3; node++) {
+        String says = cluster.says(node, jobs.get(i));
+        assertTrue(says.equals("cancelled") || says.equals("503"), node + " says " + says);
+      }
+    }
+  }
 }
--- a/src/test/java/org/ternhinge/controller/RecordLimitsTest.java
+++ b/src/test/java/org/ternhinge/controller/RecordLimitsTest.java
@@ -166,19 +166,7 @@
   @CsvSource({"batch, 0", "batch, 10", "batch, 25", "group, 5", "daemon, 0", "daemon, 20"})
   void largeRecordsOfWorkThatRuns(String kind, double lowered) {
     cluster = DependentJobs.withoutComingLimits(401, new SimCluster.Size(3, 160, 1200, 30));
-    List<JobId> all = new ArrayList<>();
-    for (int i = 0; i < 2; i++) {
-      // One task to a machine.
-      ObjectNode body =
-          DependentJobs.job("wk-1" + i, 140, 200, List.of()).put("gerd", kind).put("cpus", 4.0);
-      body.putArray("velagerdir").add("small");
-      cluster.users.submit(body.put("lanvelar", !kind.equals("daemon")));
-      all.add(DependentJobs.idOf(body));
-    }
-    while (cluster.world.clock.seconds() < 90
-        && all.stream().anyMatch(id -> cluster.world.tasks.runningTasks(id) < 140)) {
-      cluster.run(1);
-    }
+    List<JobId> all = runOneTaskToAMachine(kind);
     int largest =
         all.stream()
             .mapToInt(id -> Json.bytes(cluster.world.state.value("j/" + id)).length)
@@ -201,14 +189,7 @@
     JobId next = cluster.submit("wk-2", 20, 5, kind.equals("daemon") ? new JobId[0] : listed(all));
     cluster.run(60);
     if (kind.equals("daemon")) {
-      all.forEach(
-          id -> assertEquals(140, cluster.world.tasks.runningTasks(id), "replicas of " + id));
-      for (var worker : cluster.world.workersOf(all.get(0)).subList(0, 30)) {
-        cluster.world.machineFaults.restart(worker);
-      }
-      cluster.run(120);
-      all.forEach(
-          id -> assertEquals(140, cluster.world.tasks.runningTasks(id), "replicas of " + id));
+      replicasAreRestored(all);
       all.forEach(cluster.users::cancel);
     }
     cluster.run(300);
@@ -221,6 +202,37 @@
     assertEquals("done", cluster.users.lastTold(next));
   }
 
+  /** Two jobs whose tasks each take a machine; all of them run, or as many as did in 90 s. */
+  private List<JobId> runOneTaskToAMachine(String kind) {
+    List<JobId> all = new ArrayList<>();
+    for (int i = 0; i < 2; i++) {
+      ObjectNode body =
+          DependentJobs.job("wk-1" + i, 140, 200, List.of()).put("gerd", kind).put("cpus", 4.0);
+      body.putArray("velagerdir").add("small");
+      cluster.users.submit(body.put("lanvelar", !kind.equals("daemon")));
+      all.add(DependentJobs.idOf(body));
+    }
+    while (cluster.world.clock.seconds() < 90
+        && all.stream().anyMatch(id -> cluster.world.tasks.runningTasks(id) < 140)) {
+      cluster.run(1);
+    }
+    return all;
+  }
+
+  private void replicasAreRestored(List<JobId> services) {
+    allReplicasRun(services);
+    for (var worker : cluster.world.workersOf(services.get(0)).subList(0, 30)) {
+      cluster.world.machineFaults.restart(worker);
+    }
+    cluster.run(120);
+    allReplicasRun(services);
+  }
+
+  private void allReplicasRun(List<JobId> services) {
+    services.forEach(
+        id -> assertEquals(140, cluster.world.tasks.runningTasks(id), "replicas of " + id));
+  }
+
   private static JobId[] listed(List<JobId> ids) {
     return ids.toArray(new JobId[0]);
   }
--- a/src/test/java/org/ternhinge/controller/SeededFaultTest.java
+++ b/src/test/java/org/ternhinge/controller/SeededFaultTest.java
@@ -80,22 +80,13 @@
     }
     world.clock.runFor(5);
     for (int step = 0; step < 120; step++) {
-      if (step < 70 && world.nextInt(3) == 0) {
-        submit();
-      }
-      if (!users.accepted().isEmpty() && world.nextInt(12) == 0) {
-        users.cancel(users.accepted().get(world.nextInt(users.accepted().size())));
-      }
-      users.pollAll();
-      if (invalidRequests && step < 100) {
-        users.sendInvalidRequest();
-      }
+      askAndCancel(step, invalidRequests);
       if (step < 80) {
         faults.step(step);
       }
       if (step == 90) {
         // Services hold their team's limit for ever; the rest is to finish.
-        users.accepted().stream().filter(id -> users.spec(id).isService()).forEach(users::cancel);
+        users.cancelServices();
       }
       if (step == 100) {
         // The longest trouble lasts less than a minute.
@@ -117,6 +108,20 @@
     }
   }
 
+  /** What users do in one step. */
+  private void askAndCancel(int step, boolean invalidRequests) {
+    if (step < 70 && world.nextInt(3) == 0) {
+      submit();
+    }
+    if (!users.accepted().isEmpty() && world.nextInt(12) == 0) {
+      users.cancel(users.accepted().get(world.nextInt(users.accepted().size())));
+    }
+    users.pollAll();
+    if (invalidRequests && step < 100) {
+      users.sendInvalidRequest();
+    }
+  }
+
   private void submit() {
     String id = String.format("wk-%06d", ++jobs);
     String kind = List.of("batch", "batch", "group", "daemon").get(world.nextInt(4));
--- a/src/test/java/org/ternhinge/controller/SeededPipelinesTest.java
+++ b/src/test/java/org/ternhinge/controller/SeededPipelinesTest.java
@@ -75,23 +75,8 @@
       cluster.users.cancelAtEnd(0.2);
     }
     for (int step = 0; step < 150; step++) {
-      if (step < 80 && cluster.world.nextInt(6) == 0) {
-        pipeline();
-      }
-      if (step < 60 && cluster.world.nextInt(25) == 0) {
-        service();
-      }
-      if (!cluster.users.accepted().isEmpty() && cluster.world.nextInt(16) == 0) {
-        cluster.users.cancel(
-            cluster.users.accepted().get(cluster.world.nextInt(cluster.users.accepted().size())));
-      }
-      cluster.users.pollAll();
-      if (step < 120 && cluster.world.nextInt(2) == 0) {
-        cluster.users.sendInvalidDependencies();
-      }
-      if (invalidRequests && step < 110) {
-        cluster.users.sendInvalidRequest();
-      }
+      submitAndCancel(step);
+      askInvalid(step, invalidRequests);
       if (seed % 2 == 0 && step == 20 + seed % 40) {
         cluster.world.stateFaults.lowerLimits();
       }
@@ -99,9 +84,7 @@
         faults.step(step);
       }
       if (step == 90) {
-        cluster.users.accepted().stream()
-            .filter(id -> cluster.users.spec(id).isService())
-            .forEach(cluster.users::cancel);
+        cluster.users.cancelServices();
       }
       if (step == 110) {
         cluster.users.quiet();
@@ -118,6 +101,29 @@
     cluster.endedWell();
   }
 
+  private void submitAndCancel(int step) {
+    if (step < 80 && cluster.world.nextInt(6) == 0) {
+      pipeline();
+    }
+    if (step < 60 && cluster.world.nextInt(25) == 0) {
+      service();
+    }
+    List<JobId> accepted = cluster.users.accepted();
+    if (!accepted.isEmpty() && cluster.world.nextInt(16) == 0) {
+      cluster.users.cancel(accepted.get(cluster.world.nextInt(accepted.size())));
+    }
+  }
+
+  private void askInvalid(int step, boolean invalidRequests) {
+    cluster.users.pollAll();
+    if (step < 120 && cluster.world.nextInt(2) == 0) {
+      cluster.users.sendInvalidDependencies();
+    }
+    if (invalidRequests && step < 110) {
+      cluster.users.sendInvalidRequest();
+    }
+  }
+
   private String next() {
     return String.format("wk-%06d", ++jobs);
   }
--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/ProductionLeadershipTest.java
@@ -0,0 +1,133 @@
+package org.ternhinge.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.ternhinge.ledger.ProductionLiterals.json;
+import static org.ternhinge.ledger.ProductionLiterals.text;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.locks.ReentrantLock;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.config.Team;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.election.Election;
+import org.ternhinge.model.Term;
+import org.ternhinge.sim.DirectStore;
+import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.StoreCore;
+import org.ternhinge.state.Change;
+import org.ternhinge.state.Txn;
+import org.ternhinge.wire.WireException;
+
+/** The term's and the leader's records, as both versions of an upgrade write and read them. */
+class ProductionLeadershipTest {
+  private final SimClock clock = new SimClock();
+  private final StoreCore core = new StoreCore(clock);
+  private final Ledger ledger = new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), 8192, clock);
+
+  private Election election(List<Authority> elected) {
+    Election election =
+        new Election(
+            "node-1",
+            new DirectStore(core),
+            clock,
+            Tuning.DEFAULT,
+            10,
+            new ReentrantLock(),
+            new SplittableRandom(3));
+    election.start(
+        new Election.Listener() {
+          @Override
+          public void elected(Authority authority) {
+            elected.add(authority);
+          }
+
+          @Override
+          public void deposed(String why) {}
+        });
+    clock.runFor(1);
+    return election;
+  }
+
+  private void put(String key, String value, long lease) throws WireException {
+    core.txn(new Txn(Map.of(), List.of(new Change.Put(key, json(value), lease))));
+  }
+
+  private String value(String key) {
+    return text(core.get(key).entry().orElseThrow().value());
+  }
+
+  /** A claim's term names its process, a raise of a leadership's own does not. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource(
+      delimiter = '|',
+      value = {"| 1", "{\"n\":41,\"inc\":\"5c0ffee\"} | 42", "{\"n\":7} | 8"})
+  void aTermIsTakenOver(String before, long term) throws WireException {
+    if (before != null) {
+      put("term", before, 0);
+    }
+    List<Authority> elected = new ArrayList<>();
+    election(elected);
+    assertEquals(new Term(term), elected.get(0).term());
+    String inc = Long.toHexString(new SplittableRandom(3).nextLong());
+    assertEquals("{\"n\":" + term + ",\"inc\":\"" + inc + "\"}", value("term"));
+    // Production reads the node and the process, and ignores what it does not know.
+    assertEquals(
+        "{\"node\":\"node-1\",\"inc\":\"" + inc + "\",\"term\":" + term + ",\"deps\":true}",
+        value("leader"));
+  }
+
+  /**
+   * Only by its own word a leader knows dependent jobs; production would drop what they name. The
+   * first line is what production writes, the second what commit d679fcc does.
+   */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource(
+      delimiter = '|',
+      value = {
+        "{\"node\":\"node-2\",\"inc\":\"5c0ffee\",\"term\":3} | false",
+        "{\"node\":\"node-2\",\"inc\":\"5c0ffee\",\"term\":3,\"deps\":true} | true"
+      })
+  void aLeaderSaysWhatItKnows(String leader, boolean knows) throws WireException {
+    put("leader", leader, core.grant(60_000));
+    Election election = election(new ArrayList<>());
+    assertEquals("node-2", election.leaderNode());
+    assertEquals(knows, election.leaderKnowsDependencies());
+  }
+
+  @Test
+  void aTermIsRaisedTheSame() throws WireException {
+    List<Authority> elected = new ArrayList<>();
+    election(elected);
+    LedgerWriter writer =
+        new LedgerWriter(
+            ledger,
+            new DirectStore(core),
+            elected.get(0),
+            clock,
+            new ReentrantLock(),
+            16,
+            opened -> {});
+    writer.raiseTerm(null);
+    assertEquals("{\"n\":2}", value("term"));
+  }
+
+  /** Another node's leadership is seen, whichever version it runs. */
+  @Test
+  void anotherLeaderIsSeen() throws WireException {
+    put("term", "{\"n\":41,\"inc\":\"5c0ffee\"}", 0);
+    String leader = "{\"node\":\"node-0\",\"inc\":\"5c0ffee\",\"term\":41}";
+    put("leader", leader, core.grant(600_000));
+    List<Authority> elected = new ArrayList<>();
+    Election election = election(elected);
+    assertEquals("node-0", election.leaderNode());
+    assertFalse(election.valid());
+    assertEquals(List.of(), elected);
+    assertEquals(leader, value("leader"));
+  }
+}
--- a/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/ProductionRecordsTest.java
@@ -3,44 +3,45 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static org.ternhinge.ledger.ProductionLiterals.CANCELLED;
+import static org.ternhinge.ledger.ProductionLiterals.DEPENDENT_CANCELLED;
+import static org.ternhinge.ledger.ProductionLiterals.DEPENDENT_MERGED;
+import static org.ternhinge.ledger.ProductionLiterals.DEPENDENT_OPEN;
+import static org.ternhinge.ledger.ProductionLiterals.FULL;
+import static org.ternhinge.ledger.ProductionLiterals.MERGED;
+import static org.ternhinge.ledger.ProductionLiterals.OPEN;
+import static org.ternhinge.ledger.ProductionLiterals.PLAIN;
+import static org.ternhinge.ledger.ProductionLiterals.SECOND;
+import static org.ternhinge.ledger.ProductionLiterals.THIRD;
+import static org.ternhinge.ledger.ProductionLiterals.WAITING;
+import static org.ternhinge.ledger.ProductionLiterals.WAITING_CANCELLED;
+import static org.ternhinge.ledger.ProductionLiterals.json;
+import static org.ternhinge.ledger.ProductionLiterals.literal;
+import static org.ternhinge.ledger.ProductionLiterals.text;
 
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
-import java.util.SplittableRandom;
 import java.util.StringJoiner;
 import java.util.TreeSet;
-import java.util.concurrent.locks.ReentrantLock;
 import java.util.stream.Collectors;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.config.Team;
-import org.ternhinge.config.Tuning;
-import org.ternhinge.election.Election;
 import org.ternhinge.ledger.Ledger.Placement;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Resources;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.Session;
-import org.ternhinge.model.Term;
-import org.ternhinge.sim.DirectStore;
 import org.ternhinge.sim.SimClock;
 import org.ternhinge.sim.Specs;
-import org.ternhinge.sim.StoreCore;
-import org.ternhinge.state.Change;
-import org.ternhinge.state.Txn;
-import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.JobState;
-import org.ternhinge.wire.Json;
-import org.ternhinge.wire.RentalRequest;
 import org.ternhinge.wire.WireException;
 
 /**
@@ -56,97 +57,9 @@
   private static final Revision AT = new Revision(9);
   private static final long ACCEPTED = 1_700_000_000_123L;
 
-  private static final String PLAIN =
-      "{\"s\":{\"ref\":\"wk-000001\",\"runflokkur\":\"c\",\"eigandi\":\"red\",\"gerd\":\"batch\","
-          + "\"forgang\":\"normal\",\"verkbitar\":3,\"cpus\":1.0,\"accelerators\":0.0,"
-          + "\"memory_gb\":1.0,\"mynd\":\"img-1\",\"pull_gb\":1.0,\"together\":false,"
-          + "\"scatter\":false,\"lanvelar\":true,\"aaetlun_s\":10.0,\"vista_bil_s\":0.0,"
-          + "\"vistun_s\":0.0},\"t\":1700000000123,\"p\":127,\"h\":0,\"d\":\"\",\"o\":[]}";
-
-  /** Every field that may be absent is there. */
-  private static final String FULL =
-      "{\"s\":{\"ref\":\"wk-000412\",\"runflokkur\":\"c\",\"eigandi\":\"red\",\"gerd\":\"group\","
-          + "\"forgang\":\"high\",\"verkbitar\":2,\"cpus\":1.0,\"accelerators\":1.0,"
-          + "\"memory_gb\":1.0,\"mynd\":\"img-1\",\"pull_gb\":1.0,"
-          + "\"velagerdir\":[\"g8\",\"small\"],\"svaedi\":\"east\",\"together\":true,"
-          + "\"scatter\":false,\"lanvelar\":true,\"aaetlun_s\":10.0,\"vista_bil_s\":30.0,"
-          + "\"vistun_s\":4.0,\"skiladagur_s\":900.0},"
-          + "\"t\":1700000000123,\"p\":127,\"h\":0,\"d\":\"\",\"o\":[]}";
-
-  /**
-   * A job of twenty tasks in segments of eight, up to where its first segment tells of its tasks.
-   */
-  private static final String TWENTY =
-      "{\"s\":{\"ref\":\"wk-000002\",\"runflokkur\":\"c\",\"eigandi\":\"red\",\"gerd\":\"batch\","
-          + "\"forgang\":\"normal\",\"verkbitar\":20,\"cpus\":1.0,\"accelerators\":0.0,"
-          + "\"memory_gb\":1.0,\"mynd\":\"img-1\",\"pull_gb\":1.0,\"together\":false,"
-          + "\"scatter\":false,\"lanvelar\":true,\"aaetlun_s\":10.0,\"vista_bil_s\":0.0,"
-          + "\"vistun_s\":0.0},\"t\":1700000000123,\"p\":8,";
-
-  private static final String OPEN =
-      TWENTY + "\"h\":3,\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
-  private static final String SECOND = "{\"d\":\"8-9\",\"o\":[\"2:n-000009:3:1:10-11\"]}";
-  private static final String THIRD = "{\"d\":\"\",\"o\":[\"3:n-000008:2:1:16-17\"]}";
-  private static final String MERGED =
-      TWENTY + "\"h\":4,\"f\":\"1\",\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
-  private static final String CANCELLED =
-      TWENTY + "\"h\":4,\"c\":true,\"f\":\"1\",\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
-
-  // ---- written by the code of commit d679fcc ----------------------------------------------------
-
-  /** A job of twenty tasks that names two others, up to its segment size. */
-  private static final String DEPENDENT_TWENTY =
-      "{\"s\":{\"ref\":\"wk-000002\",\"runflokkur\":\"c\",\"eigandi\":\"red\",\"gerd\":\"batch\","
-          + "\"forgang\":\"normal\",\"verkbitar\":20,\"cpus\":1.0,\"accelerators\":0.0,"
-          + "\"memory_gb\":1.0,\"mynd\":\"img-1\",\"pull_gb\":1.0,\"together\":false,"
-          + "\"scatter\":false,\"lanvelar\":true,\"aaetlun_s\":10.0,\"vista_bil_s\":0.0,"
-          + "\"vistun_s\":0.0,\"bidur_eftir\":[\"wk-000398\",\"wk-000405\"]},"
-          + "\"t\":1700000000123,";
-
-  private static final String WAITING = DEPENDENT_TWENTY + "\"p\":127,\"h\":0,\"d\":\"\",\"o\":[]}";
-
-  /** A job before it is cancelled: nothing of it ever started, and all later segments are over. */
-  private static final String WAITING_CANCELLED =
-      DEPENDENT_TWENTY + "\"p\":8,\"h\":0,\"c\":true,\"f\":\"1-2\",\"d\":\"\",\"o\":[]}";
-
-  private static final String DEPENDENT_OPEN =
-      DEPENDENT_TWENTY + "\"p\":8,\"h\":3,\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
-  private static final String DEPENDENT_MERGED =
-      DEPENDENT_TWENTY
-          + "\"p\":8,\"h\":4,\"f\":\"1\",\"d\":\"0-2,5\",\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
-  private static final String DEPENDENT_CANCELLED =
-      DEPENDENT_TWENTY
-          + "\"p\":8,\"h\":4,\"c\":true,\"f\":\"1\",\"d\":\"0-2,5\","
-          + "\"o\":[\"1:n-000007:1:0:3-4,6-7\"]}";
-
   private final SimClock clock = new SimClock();
-  private final StoreCore core = new StoreCore(clock);
   private final Ledger ledger = new Ledger(Map.of("red", new Team("red", 0, 0, 0, 0)), 8192, clock);
 
-  private static String text(JsonNode value) {
-    return new String(Json.bytes(value), StandardCharsets.UTF_8);
-  }
-
-  private static JsonNode json(String text) throws WireException {
-    return Json.parse(text.getBytes(StandardCharsets.UTF_8));
-  }
-
-  private static String literal(String name) {
-    return switch (name) {
-      case "plain" -> PLAIN;
-      case "full" -> FULL;
-      case "open" -> OPEN;
-      case "merged" -> MERGED;
-      case "cancelled" -> CANCELLED;
-      case "waiting" -> WAITING;
-      case "waiting, cancelled" -> WAITING_CANCELLED;
-      case "dependent, open" -> DEPENDENT_OPEN;
-      case "dependent, merged" -> DEPENDENT_MERGED;
-      case "dependent, cancelled" -> DEPENDENT_CANCELLED;
-      default -> throw new IllegalArgumentException(name);
-    };
-  }
-
   private Job read(String first) throws WireException {
     return RecordCodec.decodeFirst(json(first), AT, clock.now());
   }
@@ -435,151 +348,4 @@
             : RecordCodec.decodeState(id, json(literal(record)));
     assertEquals(new JobState(id, phase, done, running), state);
   }
-
-  @Test
-  void keysAreTheSame() {
-    JobId id = new JobId("wk-000002");
-    assertEquals("j/wk-000002", Keys.job(id));
-    assertEquals("j/wk-000002", Keys.segment(id, 0));
-    assertEquals("j/wk-000002/2", Keys.segment(id, 2));
-    assertEquals("f/wk-000002", Keys.end(id));
-    assertEquals("r/ x/ term leader flavors", String.join(" ", others()));
-  }
-
-  private static List<String> others() {
-    return List.of(Keys.RENTALS, Keys.RELEASES, Keys.TERM, Keys.LEADER, Keys.FLAVORS);
-  }
-
-  @Test
-  void aRentalIsTheSame() throws WireException {
-    String rental =
-        "{\"leigubeidni\":\"t5-3\",\"velagerd\":\"small\",\"svaedi\":\"east\",\"lanvelar\":true,"
-            + "\"count\":12}";
-    RentalRequest request = new RentalRequest("t5-3", "small", "east", true, 12);
-    assertEquals(request, RentalRequest.read(json(rental)));
-    assertEquals(rental, text(request.write()));
-  }
-
-  /** Machine types as the versions keep them for the next start. */
-  @Test
-  void machineTypesAreTheSame() throws WireException {
-    String types =
-        "{\"velagerdir\":[{\"name\":\"small\",\"cpus\":4.0,\"accelerators\":0.0,"
-            + "\"memory_gb\":16.0,\"cache_gb\":50.0,\"pull_gb_per_s\":1.0,\"hourly\":0.2,"
-            + "\"low_price\":0.1,\"startup_s\":5.0,\"svaedin\":[\"east\",\"west\"]},"
-            + "{\"name\":\"fast\",\"cpus\":16.0,\"accelerators\":2.0,\"memory_gb\":64.0,"
-            + "\"cache_gb\":50.0,\"pull_gb_per_s\":1.5,\"hourly\":3.0,\"low_price\":1.0,"
-            + "\"startup_s\":8.0,\"svaedin\":[\"west\"]}]}";
-    List<String> both = List.of("east", "west");
-    List<Flavor> expected =
-        List.of(
-            new Flavor("small", Resources.offer(4, 0, 16), 4, 0, 16, 50, 1, 0.2, 0.1, 5, both),
-            new Flavor(
-                "fast", Resources.offer(16, 2, 64), 16, 2, 64, 50, 1.5, 3, 1, 8, List.of("west")));
-    assertEquals(expected, Flavor.readAll(json(types)));
-    assertEquals(types, text(Flavor.writeAll(expected)));
-  }
-
-  // ---- term and leader --------------------------------------------------------------------------
-
-  private Election election(List<Authority> elected) {
-    Election election =
-        new Election(
-            "node-1",
-            new DirectStore(core),
-            clock,
-            Tuning.DEFAULT,
-            10,
-            new ReentrantLock(),
-            new SplittableRandom(3));
-    election.start(
-        new Election.Listener() {
-          @Override
-          public void elected(Authority authority) {
-            elected.add(authority);
-          }
-
-          @Override
-          public void deposed(String why) {}
-        });
-    clock.runFor(1);
-    return election;
-  }
-
-  private void put(String key, String value, long lease) throws WireException {
-    core.txn(new Txn(Map.of(), List.of(new Change.Put(key, json(value), lease))));
-  }
-
-  private String value(String key) {
-    return text(core.get(key).entry().orElseThrow().value());
-  }
-
-  /** A claim's term names its process, a raise of a leadership's own does not. */
-  @ParameterizedTest(name = "{0}")
-  @CsvSource(
-      delimiter = '|',
-      value = {"| 1", "{\"n\":41,\"inc\":\"5c0ffee\"} | 42", "{\"n\":7} | 8"})
-  void aTermIsTakenOver(String before, long term) throws WireException {
-    if (before != null) {
-      put("term", before, 0);
-    }
-    List<Authority> elected = new ArrayList<>();
-    election(elected);
-    assertEquals(new Term(term), elected.get(0).term());
-    String inc = Long.toHexString(new SplittableRandom(3).nextLong());
-    assertEquals("{\"n\":" + term + ",\"inc\":\"" + inc + "\"}", value("term"));
-    // Production reads the node and the process, and ignores what it does not know.
-    assertEquals(
-        "{\"node\":\"node-1\",\"inc\":\"" + inc + "\",\"term\":" + term + ",\"deps\":true}",
-        value("leader"));
-  }
-
-  /**
-   * Only by its own word a leader knows dependent jobs; production would drop what they name. The
-   * first line is what production writes, the second what commit d679fcc does.
-   */
-  @ParameterizedTest(name = "{0}")
-  @CsvSource(
-      delimiter = '|',
-      value = {
-        "{\"node\":\"node-2\",\"inc\":\"5c0ffee\",\"term\":3} | false",
-        "{\"node\":\"node-2\",\"inc\":\"5c0ffee\",\"term\":3,\"deps\":true} | true"
-      })
-  void aLeaderSaysWhatItKnows(String leader, boolean knows) throws WireException {
-    put("leader", leader, core.grant(60_000));
-    Election election = election(new ArrayList<>());
-    assertEquals("node-2", election.leaderNode());
-    assertEquals(knows, election.leaderKnowsDependencies());
-  }
-
-  @Test
-  void aTermIsRaisedTheSame() throws WireException {
-    List<Authority> elected = new ArrayList<>();
-    election(elected);
-    LedgerWriter writer =
-        new LedgerWriter(
-            ledger,
-            new DirectStore(core),
-            elected.get(0),
-            clock,
-            new ReentrantLock(),
-            16,
-            opened -> {});
-    writer.raiseTerm(null);
-    assertEquals("{\"n\":2}", value("term"));
-  }
-
-  /** Another node's leadership is seen, whichever version it runs. */
-  @Test
-  void anotherLeaderIsSeen() throws WireException {
-    put("term", "{\"n\":41,\"inc\":\"5c0ffee\"}", 0);
-    String leader = "{\"node\":\"node-0\",\"inc\":\"5c0ffee\",\"term\":41}";
-    put("leader", leader, core.grant(600_000));
-    List<Authority> elected = new ArrayList<>();
-    Election election = election(elected);
-    assertEquals("node-0", election.leaderNode());
-    assertFalse(election.valid());
-    assertEquals(List.of(), elected);
-    assertEquals(leader, value("leader"));
-  }
 }
--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/ProductionSharedRecordsTest.java
@@ -0,0 +1,60 @@
+package org.ternhinge.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.ternhinge.ledger.ProductionLiterals.json;
+import static org.ternhinge.ledger.ProductionLiterals.text;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.RentalRequest;
+import org.ternhinge.wire.WireException;
+
+/** Keys, rentals and machine types: what both versions of an upgrade store in the same form. */
+class ProductionSharedRecordsTest {
+  @Test
+  void keysAreTheSame() {
+    JobId id = new JobId("wk-000002");
+    assertEquals("j/wk-000002", Keys.job(id));
+    assertEquals("j/wk-000002", Keys.segment(id, 0));
+    assertEquals("j/wk-000002/2", Keys.segment(id, 2));
+    assertEquals("f/wk-000002", Keys.end(id));
+    assertEquals("r/ x/ term leader flavors", String.join(" ", others()));
+  }
+
+  private static List<String> others() {
+    return List.of(Keys.RENTALS, Keys.RELEASES, Keys.TERM, Keys.LEADER, Keys.FLAVORS);
+  }
+
+  @Test
+  void aRentalIsTheSame() throws WireException {
+    String rental =
+        "{\"leigubeidni\":\"t5-3\",\"velagerd\":\"small\",\"svaedi\":\"east\",\"lanvelar\":true,"
+            + "\"count\":12}";
+    RentalRequest request = new RentalRequest("t5-3", "small", "east", true, 12);
+    assertEquals(request, RentalRequest.read(json(rental)));
+    assertEquals(rental, text(request.write()));
+  }
+
+  /** Machine types as the versions keep them for the next start. */
+  @Test
+  void machineTypesAreTheSame() throws WireException {
+    String types =
+        "{\"velagerdir\":[{\"name\":\"small\",\"cpus\":4.0,\"accelerators\":0.0,"
+            + "\"memory_gb\":16.0,\"cache_gb\":50.0,\"pull_gb_per_s\":1.0,\"hourly\":0.2,"
+            + "\"low_price\":0.1,\"startup_s\":5.0,\"svaedin\":[\"east\",\"west\"]},"
+            + "{\"name\":\"fast\",\"cpus\":16.0,\"accelerators\":2.0,\"memory_gb\":64.0,"
+            + "\"cache_gb\":50.0,\"pull_gb_per_s\":1.5,\"hourly\":3.0,\"low_price\":1.0,"
+            + "\"startup_s\":8.0,\"svaedin\":[\"west\"]}]}";
+    List<String> both = List.of("east", "west");
+    List<Flavor> expected =
+        List.of(
+            new Flavor("small", Resources.offer(4, 0, 16), 4, 0, 16, 50, 1, 0.2, 0.1, 5, both),
+            new Flavor(
+                "fast", Resources.offer(16, 2, 64), 16, 2, 64, 50, 1.5, 3, 1, 8, List.of("west")));
+    assertEquals(expected, Flavor.readAll(json(types)));
+    assertEquals(types, text(Flavor.writeAll(expected)));
+  }
+}
--- a/src/test/java/org/ternhinge/model/ModelTest.java
+++ b/src/test/java/org/ternhinge/model/ModelTest.java
@@ -76,14 +76,8 @@
         for (int index = 0; index < 2; index++) {
           TaskId task = new TaskId(new JobId("wk-" + n), index);
           all.add(task);
-          for (boolean saved : new boolean[] {false, true}) {
-            all.add(new TaskReport(task, new AttemptNumber(5), TaskState.RUNNING, null, saved));
-            all.add(new TaskReport(task, new AttemptNumber(6), TaskState.RUNNING, null, saved));
-            EndReason why = EndReason.DONE;
-            all.add(new TaskReport(task, new AttemptNumber(5), TaskState.ENDED, why, saved));
-            why = EndReason.ERROR;
-            all.add(new TaskReport(task, new AttemptNumber(5), TaskState.ENDED, why, saved));
-          }
+          all.addAll(reports(task, false));
+          all.addAll(reports(task, true));
         }
       }
       alike.add(all);
@@ -99,4 +93,12 @@
       }
     }
   }
+
+  private static List<TaskReport> reports(TaskId task, boolean saved) {
+    return List.of(
+        new TaskReport(task, new AttemptNumber(5), TaskState.RUNNING, null, saved),
+        new TaskReport(task, new AttemptNumber(6), TaskState.RUNNING, null, saved),
+        new TaskReport(task, new AttemptNumber(5), TaskState.ENDED, EndReason.DONE, saved),
+        new TaskReport(task, new AttemptNumber(5), TaskState.ENDED, EndReason.ERROR, saved));
+  }
 }
--- /dev/null
+++ b/src/test/java/org/ternhinge/schedule/PlannerFixture.java
@@ -0,0 +1,128 @@
+package org.ternhinge.schedule;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.ints.IntArrayList;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ternhinge.config.Team;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.schedule.Snapshot.AttemptView;
+import org.ternhinge.schedule.Snapshot.JobView;
+import org.ternhinge.schedule.Snapshot.MachineView;
+import org.ternhinge.schedule.Snapshot.Offer;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.JobSpec;
+
+/** A small fleet with jobs that a test builds up and has planned. */
+abstract class PlannerFixture {
+  static final List<String> ZONES = List.of("east", "west");
+  static final Flavor PLAIN =
+      new Flavor("plain", Resources.offer(4, 0, 16), 4, 0, 16, 50, 0.5, 0.2, 0.05, 20, ZONES);
+  static final Flavor FAST =
+      new Flavor("fast", Resources.offer(16, 2, 64), 16, 2, 64, 50, 0.5, 5, 1.5, 40, ZONES);
+
+  static final SteadyTime NOW = new SteadyTime(1_000_000_000_000L);
+
+  final List<MachineView> machines = new ArrayList<>();
+  final List<JobView> jobs = new ArrayList<>();
+  final List<JobView> spares = new ArrayList<>();
+  final List<Offer> offers = new ArrayList<>();
+  final List<Snapshot.Coming> coming = new ArrayList<>();
+  final Map<String, Resources> use = new HashMap<>();
+
+  MachineView machine(
+      String name, Flavor flavor, int zone, Set<String> images, AttemptView... there) {
+    Resources free = flavor.capacity();
+    for (AttemptView a : there) {
+      free = free.minus(a.spec().need());
+      use.merge(a.spec().team(), a.spec().need(), Resources::plus);
+    }
+    MachineView machine =
+        new MachineView(
+            new MachineId(name),
+            flavor,
+            zone,
+            ZONES.get(zone),
+            false,
+            free,
+            true,
+            images,
+            NOW.plusSeconds(there.length == 0 ? -100 : 0),
+            NOW.plusSeconds(-200),
+            List.of(there),
+            List.of());
+    machines.add(machine);
+    return machine;
+  }
+
+  static JobSpec spec(String id, String kind, int tasks, Map<String, Object> changes) {
+    ObjectNode json = Specs.json(id, kind, tasks);
+    changes.forEach(
+        (k, v) -> {
+          if (v instanceof String s) {
+            json.put(k, s);
+          } else if (v instanceof Boolean b) {
+            json.put(k, b);
+          } else {
+            json.put(k, ((Number) v).doubleValue());
+          }
+        });
+    return Specs.of(json);
+  }
+
+  void job(JobSpec spec, boolean guaranteed) {
+    job(spec, guaranteed, 0);
+  }
+
+  void job(JobSpec spec, boolean guaranteed, double ageS) {
+    IntArrayList pending = new IntArrayList();
+    for (int i = 0; i < spec.tasks(); i++) {
+      pending.add(i);
+    }
+    jobs.add(
+        new JobView(
+            spec,
+            jobs.size(),
+            ageS,
+            guaranteed,
+            ageS > 120,
+            pending,
+            pending.size(),
+            IntArrayList.wrap(new int[2]),
+            false,
+            Set.of(),
+            0));
+  }
+
+  Plan plan() {
+    Map<String, Team> teams =
+        Map.of(
+            "red", new Team("red", 8000, 100_000, 0, 0),
+            "blue", new Team("blue", 8000, 40_000, 0, 0),
+            "green", new Team("green", 0, 0, 0, 0));
+    return Planner.plan(
+        new Snapshot(machines, jobs, spares, teams, use, offers, coming, true, 40, NOW));
+  }
+
+  static List<String> on(Plan plan) {
+    List<String> out = new ArrayList<>();
+    plan.places().forEach(p -> p.machines().forEach(m -> out.add(m.value())));
+    return out;
+  }
+
+  static AttemptView running(JobSpec spec, int index, double seconds) {
+    return new AttemptView(spec, index, false, NOW.plusSeconds(-seconds));
+  }
+
+  static JobSpec accelerated(String id, int tasks) {
+    Map<String, Object> ask =
+        Map.of("cpus", 14.0, "accelerators", 2.0, "forgang", "high", "together", true);
+    return spec(id, "group", tasks, ask);
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/ReportResponses.java
@@ -0,0 +1,50 @@
+package org.ternhinge.sim;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.OptionalInt;
+import org.ternhinge.model.Term;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.WireException;
+
+/** Reads what controllers answer to a worker's report; an unreadable answer is a failed test. */
+final class ReportResponses {
+  private static final String NODE_PREFIX = "node-";
+
+  private ReportResponses() {}
+
+  /** The number of the controller that a redirect names, if it names one. */
+  static OptionalInt redirectedTo(byte[] redirect) {
+    String name = parse(redirect).path("tilkynna_til").asText("");
+    return name.isEmpty()
+        ? OptionalInt.empty()
+        : OptionalInt.of(Integer.parseInt(name.substring(NODE_PREFIX.length())));
+  }
+
+  /** The term that an answer carries. */
+  static Term token(byte[] answer) {
+    try {
+      return new Term(Json.count(parse(answer), "valdmerki"));
+    } catch (WireException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** The commands that an answer carries. */
+  static List<Command> commands(byte[] answer) {
+    try {
+      return Command.read(parse(answer));
+    } catch (WireException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private static JsonNode parse(byte[] body) {
+    try {
+      return Json.parse(body);
+    } catch (WireException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -19,7 +19,6 @@
 import org.ternhinge.model.Resources;
 import org.ternhinge.model.TaskId;
 import org.ternhinge.state.Change;
-import org.ternhinge.wire.Command;
 import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Json;
@@ -121,16 +120,13 @@
   final QuotaCheck quota;
   final PlacementCheck placement;
   final CancellationCheck cancellations;
-  private final DependencyCheck dependencyCheck;
-  private final List<TaskObserver> checks;
+  final TaskEvents events;
   private final Size size;
   private final SimController[] controllers;
 
   /** Controllers whose processes are of the version before dependent jobs. */
   private final boolean[] oldVersion;
 
-  private Consumer<JobId> lastTaskEnded = id -> {};
-
   /** Creates a cluster of the usual size in which a share of the messages is lost. */
   public SimCluster(long seed, double lossShare) {
     this(seed, lossShare, SMALL);
@@ -165,10 +161,16 @@
     quota = new QuotaCheck(violations, settings.teams());
     placement = new PlacementCheck(violations);
     cancellations = new CancellationCheck(violations, clock, jobs, tasks);
-    dependencyCheck = new DependencyCheck(violations, jobs, state::value);
+    DependencyCheck dependencyCheck = new DependencyCheck(violations, jobs, state::value);
     state.onChange(dependencyCheck::changed);
-    checks =
-        List.of(new RanTwiceCheck(violations), dependencyCheck, cancellations, placement, quota);
+    events =
+        new TaskEvents(
+            jobs,
+            tasks,
+            cancellations,
+            dependencyCheck,
+            List.of(
+                new RanTwiceCheck(violations), dependencyCheck, cancellations, placement, quota));
     controllers = new SimController[size.nodes];
     oldVersion = new boolean[size.nodes];
     for (int i = 0; i < size.nodes; i++) {
@@ -381,44 +383,6 @@
     return violations.all();
   }
 
-  /** Commands leave a controller, as a direct message or in an answer to a report. */
-  void commandsLeave(MachineId to, List<Command> commands) {
-    cancellations.sent(to, commands);
-    dependencyCheck.sent(commands);
-  }
-
-  /** A task takes its place on a machine. */
-  void started(SimWorker machine, TaskId task, JobSpec spec) {
-    TaskObserver.Start start =
-        new TaskObserver.Start(machine, task, spec, tasks.started(machine, task));
-    checks.forEach(check -> check.started(start));
-  }
-
-  /** A task is on a machine no more. */
-  void left(SimWorker machine, TaskId task) {
-    tasks.left(machine, task);
-    checks.forEach(check -> check.left(machine, task, jobs.spec(task.job())));
-  }
-
-  /** A task is completed, and with it its whole gang. */
-  void completed(TaskId task) {
-    JobSpec spec = jobs.spec(task.job());
-    boolean ended = false;
-    for (int i = 0; i < spec.tasks(); i++) {
-      if (spec.isGang() || i == task.index()) {
-        ended |= jobs.complete(new TaskId(task.job(), i));
-      }
-    }
-    if (ended && allCompleted(task.job())) {
-      lastTaskEnded.accept(task.job());
-    }
-  }
-
-  /** Has somebody told of each job at the moment at which its last task ends. */
-  void onLastTaskEnd(Consumer<JobId> listener) {
-    lastTaskEnded = listener;
-  }
-
   /** Starts of tasks whose user had been told that their job is cancelled. */
   public int startsAfterCancel() {
     return cancellations.startsAfterCancel();
--- a/src/test/java/org/ternhinge/sim/SimCommandClient.java
+++ b/src/test/java/org/ternhinge/sim/SimCommandClient.java
@@ -29,7 +29,7 @@
     MachineId id = SimWorker.idAt(endpoint);
     SimWorker worker = cluster.workers.get(id);
     cluster.tasks.sent(id, commands);
-    cluster.commandsLeave(id, commands);
+    cluster.events.commandsLeave(id, commands);
     CompletableFuture<Outcome<Answer>> answer =
         cluster.networkFaults.call(
             owner.zone(),
--- a/src/test/java/org/ternhinge/sim/SimUsers.java
+++ b/src/test/java/org/ternhinge/sim/SimUsers.java
@@ -116,6 +116,14 @@
     cancellations.cancel(id);
   }
 
+  /**
+   * Asks to cancel all services, those too whose acceptance was never answered: one of them may run
+   * all the same, and would hold its team's limit for ever.
+   */
+  public void cancelServices() {
+    jobs.submittedServices().forEach(cancellations::cancel);
+  }
+
   /** Asks one controller to cancel a job; what follows runs as soon as the user has the answer. */
   public void cancelAt(int controller, JobId id, Runnable then) {
     cancellations.cancelAt(controller, id, then);
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -19,7 +19,6 @@
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Json;
 import org.ternhinge.wire.TaskReport;
-import org.ternhinge.wire.WireException;
 import org.ternhinge.wire.WorkerReport;
 import org.ternhinge.worker.Workers;
 
@@ -35,7 +34,6 @@
   private static final double NEXT_NODE_S = 1;
   private static final double REDIRECT_S = 0.2;
   private static final double LEASE_CHECK_S = 0.5;
-  private static final String NODE_PREFIX = "node-";
   private static final String HOST = "10.9.0.1";
   private static final int FIRST_PORT = 1000;
 
@@ -241,17 +239,25 @@
                 controller,
                 ReportHistory.request(body),
                 response -> {
-                  if (response.status() == 200) {
-                    cluster.commandsLeave(id, commands(response.body()));
-                  }
+                  answerLeaves(response, answerIsLost);
                   if (!answerIsLost) {
                     to.accept(Outcome.applied(response));
-                  } else if (response.status() == 200) {
-                    cluster.tasks.sent(id, commands(response.body()));
                   }
                 }));
   }
 
+  /** A controller has answered a report; a lost answer's commands were sent all the same. */
+  private void answerLeaves(Response response, boolean lost) {
+    if (response.status() != 200) {
+      return;
+    }
+    List<Command> commands = ReportResponses.commands(response.body());
+    cluster.events.commandsLeave(id, commands);
+    if (lost) {
+      cluster.tasks.sent(id, commands);
+    }
+  }
+
   private void answered(Outcome<Response> outcome, int inSession, SteadyTime sent, int number) {
     if (dead) {
       return;
@@ -285,8 +291,7 @@
 
   /** Turns to the controller that a redirect names, and gives the seconds to the next report. */
   private double follow(byte[] redirect) {
-    String name = textOrNull(redirect, "tilkynna_til");
-    int named = name == null ? target : Integer.parseInt(name.substring(NODE_PREFIX.length()));
+    int named = ReportResponses.redirectedTo(redirect).orElse(target);
     if (named == target) {
       target = (target + 1) % cluster.nodeCount();
       return NEXT_NODE_S;
@@ -295,27 +300,11 @@
     return REDIRECT_S;
   }
 
-  private static String textOrNull(byte[] body, String field) {
-    try {
-      return Json.textOrNull(Json.parse(body), field);
-    } catch (WireException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
-  private static List<Command> commands(byte[] answer) {
-    try {
-      return Command.read(Json.parse(answer));
-    } catch (WireException e) {
-      throw new IllegalStateException(e);
-    }
-  }
-
   // ---- commands -------------------------------------------------------------------------------
 
   /** Takes in an answer to a report: its token, its renewal of the lease and its commands. */
   private void obey(byte[] body, SteadyTime sent) {
-    Term answered = token(body);
+    Term answered = ReportResponses.token(body);
     if (answered.compareTo(token) < 0) {
       return;
     }
@@ -324,15 +313,7 @@
       changed();
     }
     leaseFrom = sent;
-    commands(body).forEach(this::run);
-  }
-
-  private static Term token(byte[] answer) {
-    try {
-      return new Term(Json.count(Json.parse(answer), "valdmerki"));
-    } catch (WireException e) {
-      throw new IllegalStateException(e);
-    }
+    ReportResponses.commands(body).forEach(this::run);
   }
 
   /** A direct command arrives, perhaps long after it was sent. */
@@ -403,7 +384,7 @@
       return;
     }
     task.run();
-    cluster.started(this, task.id(), spec);
+    cluster.events.started(this, task.id(), spec);
     changed();
     if (!spec.isService()) {
       hang.afterWork(spec.estimateS(), () -> complete(key, task));
@@ -412,7 +393,7 @@
 
   private void complete(String key, SimTask task) {
     if (holds(key, task) && task.isRunning()) {
-      cluster.completed(task.id());
+      cluster.events.completed(task.id());
       end(task, EndReason.DONE);
       changed();
     }
@@ -425,7 +406,7 @@
 
   private void leave(SimTask task) {
     if (task.isRunning()) {
-      cluster.left(this, task.id());
+      cluster.events.left(this, task.id());
     }
   }
 }
--- a/src/test/java/org/ternhinge/sim/StarvationCheck.java
+++ b/src/test/java/org/ternhinge/sim/StarvationCheck.java
@@ -69,28 +69,35 @@
   private int placesIn(String zone, JobSpec spec, int wanted) {
     Map<String, Integer> byZone = new HashMap<>(cluster.placement.tasksByZone(spec.id()));
     int places = 0;
-    for (SimWorker w : cluster.liveWorkers()) {
-      boolean reached = !w.cut() && !w.deaf() && !w.mute() && !w.hung();
-      boolean allowed =
-          spec.allowsType(w.flavor.name())
-              && (spec.zone() == null || spec.zone().equals(w.zone))
-              && (zone == null || zone.equals(w.zone))
-              && (!w.spot || spec.spotAllowed());
-      if (!reached || !allowed || (spec.together() && elsewhere(byZone, w.zone))) {
+    for (SimWorker worker : cluster.liveWorkers()) {
+      boolean elsewhere = spec.together() && elsewhere(byZone, worker.zone);
+      if (!reached(worker) || !allowed(spec, worker, zone) || elsewhere) {
         continue;
       }
-      Resources left = cluster.tasks.free(w);
+      Resources left = cluster.tasks.free(worker);
       while (places < wanted
           && spec.need().fitsIn(left)
-          && byZone.getOrDefault(w.zone, 0) < spec.zoneLimit()) {
+          && byZone.getOrDefault(worker.zone, 0) < spec.zoneLimit()) {
         left = left.minus(spec.need());
-        byZone.merge(w.zone, 1, Integer::sum);
+        byZone.merge(worker.zone, 1, Integer::sum);
         places++;
       }
     }
     return places;
   }
 
+  private static boolean reached(SimWorker worker) {
+    return !worker.cut() && !worker.deaf() && !worker.mute() && !worker.hung();
+  }
+
+  /** Whether a job permits a machine, within a zone or any where that is null. */
+  private static boolean allowed(JobSpec spec, SimWorker worker, String zone) {
+    return spec.allowsType(worker.flavor.name())
+        && (spec.zone() == null || spec.zone().equals(worker.zone))
+        && (zone == null || zone.equals(worker.zone))
+        && (!worker.spot || spec.spotAllowed());
+  }
+
   private static boolean elsewhere(Map<String, Integer> byZone, String zone) {
     return byZone.entrySet().stream().anyMatch(e -> e.getValue() > 0 && !e.getKey().equals(zone));
   }
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/TaskEvents.java
@@ -0,0 +1,71 @@
+package org.ternhinge.sim;
+
+import java.util.List;
+import java.util.function.Consumer;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.wire.Command;
+import org.ternhinge.wire.JobSpec;
+
+/** What happens to tasks in a cluster, passed on to the checks of the rules. */
+final class TaskEvents {
+  private final JobCatalog jobs;
+  private final TaskObservations tasks;
+  private final CancellationCheck cancellations;
+  private final DependencyCheck dependencyCheck;
+  private final List<TaskObserver> checks;
+  private Consumer<JobId> lastTaskEnded = id -> {};
+
+  /** The checks hear of each event in their order. */
+  TaskEvents(
+      JobCatalog jobs,
+      TaskObservations tasks,
+      CancellationCheck cancellations,
+      DependencyCheck dependencyCheck,
+      List<TaskObserver> checks) {
+    this.jobs = jobs;
+    this.tasks = tasks;
+    this.cancellations = cancellations;
+    this.dependencyCheck = dependencyCheck;
+    this.checks = checks;
+  }
+
+  /** Commands leave a controller, as a direct message or in an answer to a report. */
+  void commandsLeave(MachineId to, List<Command> commands) {
+    cancellations.sent(to, commands);
+    dependencyCheck.sent(commands);
+  }
+
+  /** A task takes its place on a machine. */
+  void started(SimWorker machine, TaskId task, JobSpec spec) {
+    TaskObserver.Start start =
+        new TaskObserver.Start(machine, task, spec, tasks.started(machine, task));
+    checks.forEach(check -> check.started(start));
+  }
+
+  /** A task is on a machine no more. */
+  void left(SimWorker machine, TaskId task) {
+    tasks.left(machine, task);
+    checks.forEach(check -> check.left(machine, task, jobs.spec(task.job())));
+  }
+
+  /** A task is completed, and with it its whole gang. */
+  void completed(TaskId task) {
+    JobSpec spec = jobs.spec(task.job());
+    boolean ended = false;
+    for (int i = 0; i < spec.tasks(); i++) {
+      if (spec.isGang() || i == task.index()) {
+        ended |= jobs.complete(new TaskId(task.job(), i));
+      }
+    }
+    if (ended && jobs.allCompleted(task.job())) {
+      lastTaskEnded.accept(task.job());
+    }
+  }
+
+  /** Has somebody told of each job at the moment at which its last task ends. */
+  void onLastTaskEnd(Consumer<JobId> listener) {
+    lastTaskEnded = listener;
+  }
+}
--- a/src/test/java/org/ternhinge/sim/UserCancellations.java
+++ b/src/test/java/org/ternhinge/sim/UserCancellations.java
@@ -78,7 +78,7 @@
    * the last task.
    */
   void cancelAtEnd(double share) {
-    cluster.onLastTaskEnd(
+    cluster.events.onLastTaskEnd(
         id -> {
           if (!jobs.isAccepted(id) || random.nextDouble() >= share) {
             return;
--- a/src/test/java/org/ternhinge/sim/UserJobs.java
+++ b/src/test/java/org/ternhinge/sim/UserJobs.java
@@ -22,7 +22,7 @@
 
   private final SimCluster cluster;
   private final Map<JobId, JobSpec> accepted = new LinkedHashMap<>();
-  private final Map<JobId, ObjectNode> bodies = new HashMap<>();
+  private final Map<JobId, ObjectNode> bodies = new LinkedHashMap<>();
   private final Map<JobId, Double> submittedAt = new HashMap<>();
   private final Map<JobId, Double> lastAnsweredAt = new HashMap<>();
   private final Map<JobId, String> lastTold = new HashMap<>();
@@ -54,6 +54,14 @@
     return accepted.containsKey(id);
   }
 
+  /** All services that were ever submitted, in that order. */
+  List<JobId> submittedServices() {
+    return bodies.entrySet().stream()
+        .filter(submission -> Specs.of(submission.getValue()).isService())
+        .map(Map.Entry::getKey)
+        .toList();
+  }
+
   JobSpec spec(JobId id) {
     return accepted.get(id);
   }
