A job's first tasks after a long wait are not stopped at once for others

In the stand-in world (LateStartTest) such a job beside a full fleet's work was not started at all in 200 s.

Change: while none of its tasks is done, a job whose first tasks were opened after more than 120 s of waiting yields only to production, to work within a guarantee and to jobs that have waited as long. PlannerTest and LateStartTest fail without the guard.

--- a/src/main/java/org/ternhinge/controller/JobViews.java
+++ b/src/main/java/org/ternhinge/controller/JobViews.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -68,6 +69,29 @@
     return views;
   }
 
+  /** The jobs that got their first tasks after too long a wait and have none done yet. */
+  Set<JobId> startedLate(SteadyTime now) {
+    Set<JobId> jobs = new HashSet<>();
+    for (Job job : ledger.jobs()) {
+      if (!job.spec().isService() && !job.cancelled() && startedLate(job, now)) {
+        jobs.add(job.spec().id());
+      }
+    }
+    return jobs;
+  }
+
+  private boolean startedLate(Job job, SteadyTime now) {
+    JobRanking.Progress progress = progress(job);
+    if (progress.open() == 0 || progress.done() > 0 || progress.waitedS() <= JobRanking.LATE_S) {
+      return false;
+    }
+    double openForS = 0;
+    for (Attempt attempt : job.openAttempts()) {
+      openForS = Math.max(openForS, now.secondsSince(attempt.openedAt()));
+    }
+    return progress.waitedS() - openForS > JobRanking.LATE_S;
+  }
+
   private List<Job> unfinished() {
     List<Job> jobs = new ArrayList<>();
     for (Job job : ledger.jobs()) {
--- a/src/main/java/org/ternhinge/controller/SnapshotCache.java
+++ b/src/main/java/org/ternhinge/controller/SnapshotCache.java
@@ -67,6 +67,7 @@
         teamUse(),
         rentals.offers(flavors.values(), now),
         rentals.coming(flavors),
+        jobViews.startedLate(now),
         settled(now),
         tuning.idleS(),
         now);
--- a/src/main/java/org/ternhinge/schedule/GangReservations.java
+++ b/src/main/java/org/ternhinge/schedule/GangReservations.java
@@ -118,17 +118,17 @@
     return most;
   }
 
-  private void claim(JobView job, GangPlace spot) {
+  private void claim(JobView job, GangPlace place) {
     JobSpec spec = job.spec();
     List<Plan.Victim> victims = new ArrayList<>();
-    for (AttemptView attempt : spot.victims) {
+    for (AttemptView attempt : place.victims) {
       victims.add(new Plan.Victim(attempt.spec().id(), attempt.index()));
     }
     builder
         .plan
         .stops()
-        .add(new Plan.Stop(spot.machine.view.id(), spec.id(), spec.need(), victims));
-    spot.machine.stop(spec, spot.victims);
+        .add(new Plan.Stop(place.machine.view.id(), spec.id(), spec.need(), victims));
+    place.machine.stop(spec, place.victims);
   }
 
   private Missing missing(JobView job, Candidate best, boolean patient) {
--- a/src/main/java/org/ternhinge/schedule/Preemption.java
+++ b/src/main/java/org/ternhinge/schedule/Preemption.java
@@ -54,6 +54,9 @@
       return false;
     }
     JobSpec victimSpec = victim.spec();
+    if (startedLate(victimSpec) && !precedesLate(job)) {
+      return false;
+    }
     if (victimSpec.priority().compareTo(job.spec().priority()) > 0) {
       return true;
     }
@@ -63,6 +66,21 @@
         && exceeds(victimSpec.team(), victimSpec);
   }
 
+  /**
+   * Whether a job has got its first tasks only after too long a wait, and none of them is done. If
+   * any job of higher priority could stop these, it would have no start again and take the next
+   * free places, which would be taken back in turn: thousands of starts, none of any use.
+   */
+  private boolean startedLate(JobSpec spec) {
+    return !builder.snapshot.startedLate().isEmpty()
+        && builder.snapshot.startedLate().contains(spec.id());
+  }
+
+  /** Whether a job is served before one that has waited too long, or like it. */
+  private static boolean precedesLate(JobView job) {
+    return job.guaranteed() || job.late() || job.spec().priority() == Priority.PRODUCTION;
+  }
+
   private boolean exceeds(String teamName, JobSpec victim) {
     Team team = builder.snapshot.teams().get(teamName);
     if (team == null) {
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -17,6 +17,7 @@
  * All that the planner decides from; nothing in it changes while it decides.
  *
  * @param spares jobs as they may arrive before a rented machine could be up
+ * @param startedLate jobs that got their first tasks after too long a wait and have none done yet
  * @param settled whether this leadership is old enough for every live machine to have reported
  */
 public record Snapshot(
@@ -27,6 +28,7 @@
     Map<String, Resources> teamUse,
     List<Offer> offers,
     List<Coming> coming,
+    Set<JobId> startedLate,
     boolean settled,
     double idleS,
     SteadyTime now) {
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/LateStartTest.java
@@ -0,0 +1,52 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+
+/**
+ * A job of low priority in a full fleet, once it has waited for so long that it is served first.
+ */
+class LateStartTest {
+  private static final int LOW_TASKS = 4;
+
+  /**
+   * Four machines of each type, zone and kind are no more than the work of normal priority fills.
+   */
+  private final DependentJobs cluster =
+      new DependentJobs(71, 0, new SimCluster.Size(3, 1, 200, 30));
+
+  /**
+   * Its first tasks run to their end. Without the guard they are stopped at once for what waits at
+   * a higher priority, and the job takes the next free places, again and again.
+   */
+  @ParameterizedTest(name = "tasks of {0} s")
+  @CsvSource({"8", "15"})
+  void itsFirstTasksAreLeftAlone(double runsS) {
+    for (int i = 0; i < 6; i++) {
+      cluster.users.submit(job("wk-1" + i, 200, 12, "normal"));
+    }
+    cluster.run(10);
+    ObjectNode low = job("wk-2", LOW_TASKS, runsS, "low");
+    cluster.users.submit(low);
+    JobId id = DependentJobs.idOf(low);
+    cluster.run(200);
+    int starts = cluster.world.tasks.startsOf(id);
+    assertTrue(starts > 0, "it is late, and was not started");
+    assertTrue(starts <= 2 * LOW_TASKS, starts + " starts of " + LOW_TASKS + " tasks");
+    assertEquals(List.of(), cluster.world.violations());
+  }
+
+  private static ObjectNode job(String id, int tasks, double runsS, String priority) {
+    return DependentJobs.job(id, tasks, runsS, List.of())
+        .put("forgang", priority)
+        .put("cpus", 4.0)
+        .put("lanvelar", true);
+  }
+}
--- a/src/test/java/org/ternhinge/schedule/PlannerFixture.java
+++ b/src/test/java/org/ternhinge/schedule/PlannerFixture.java
@@ -4,10 +4,12 @@
 import it.unimi.dsi.fastutil.ints.IntArrayList;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.ternhinge.config.Team;
+import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Resources;
 import org.ternhinge.model.SteadyTime;
@@ -34,6 +36,7 @@
   final List<JobView> spares = new ArrayList<>();
   final List<Offer> offers = new ArrayList<>();
   final List<Snapshot.Coming> coming = new ArrayList<>();
+  final Set<JobId> startedLate = new HashSet<>();
   final Map<String, Resources> use = new HashMap<>();
 
   MachineView machine(
@@ -107,7 +110,8 @@
             "blue", new Team("blue", 8000, 40_000, 0, 0),
             "green", new Team("green", 0, 0, 0, 0));
     return Planner.plan(
-        new Snapshot(machines, jobs, spares, teams, use, offers, coming, true, 40, NOW));
+        new Snapshot(
+            machines, jobs, spares, teams, use, offers, coming, startedLate, true, 40, NOW));
   }
 
   static List<String> on(Plan plan) {
--- a/src/test/java/org/ternhinge/schedule/PlannerTest.java
+++ b/src/test/java/org/ternhinge/schedule/PlannerTest.java
@@ -7,6 +7,8 @@
 import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.model.Resources;
 import org.ternhinge.schedule.Snapshot.AttemptView;
 import org.ternhinge.schedule.Snapshot.Offer;
@@ -193,4 +195,26 @@
     coming.add(new Snapshot.Coming(plain, 1));
     assertEquals(List.of(), plan().rents());
   }
+
+  /**
+   * Without the guard a job of low priority that has waited too long loses its first tasks at once,
+   * takes the next free places, and loses them again.
+   */
+  @ParameterizedTest(name = "started late {0}, guaranteed {1}, waited {2} s: stops {3}")
+  @CsvSource({
+    "false, false, 10, 1", // priority alone
+    "true, false, 10, 0",
+    "true, true, 10, 1", // a guarantee goes before it
+    "true, false, 130, 1" // so does one that has waited as long
+  })
+  void firstTasksAfterALongWaitAreLeftAlone(
+      boolean late, boolean guaranteed, double waitedS, int stops) {
+    JobSpec low = spec("wk-9", "batch", 1, Map.of("cpus", 4.0, "forgang", "low"));
+    machine("n-1", PLAIN, 0, Set.of(), running(low, 0, 2));
+    if (late) {
+      startedLate.add(low.id());
+    }
+    job(spec("wk-1", "batch", 1, Map.of("cpus", 4.0)), guaranteed, waitedS);
+    assertEquals(stops, plan().stops().size());
+  }
 }
