--- a/src/test/java/org/ternhinge/limit/StateServiceBudgetTest.java
+++ b/src/test/java/org/ternhinge/limit/StateServiceBudgetTest.java
@@ -59,4 +59,34 @@
     assertEquals(0, refused);
     assertTrue(sent > 60 * 0.3 * CHANGES_PER_S, "the shares are used: " + sent);
   }
+
+  /**
+   * The shares are those of the version in production: 0.7 for the leader, and for each of the
+   * others its part of the rest. So any mix of both versions keeps to the limits as well.
+   */
+  @ParameterizedTest(name = "{0} controllers, leading {1}: {2} requests and {3} changes a second")
+  @CsvSource({
+    "3, true, 56, 21",
+    "3, false, 12, 4.5",
+    "5, true, 56, 21",
+    "5, false, 6, 2.25",
+    "1, true, 56, 21"
+  })
+  void theSharesAreThoseOfProduction(
+      int controllers, boolean leading, double requestsPerS, double changesPerS) {
+    StateServiceBudget budget =
+        new StateServiceBudget(clock, REQUESTS_PER_S, CHANGES_PER_S, controllers - 1);
+    budget.setLeading(leading);
+    assertEquals(requestsPerS, ratePerS(budget.requests()), 1e-6);
+    assertEquals(changesPerS, ratePerS(budget.changes()), 1e-6);
+  }
+
+  /** Once its tokens are spent, one more comes after the inverse of a bucket's rate. */
+  private static double ratePerS(TokenBucket bucket) {
+    while (bucket.tryTake(RequestPriority.RENEWAL, 1)) {
+      // Spends what is there.
+    }
+    double forOne = bucket.secondsUntil(RequestPriority.RENEWAL, 1);
+    return 1 / (bucket.secondsUntil(RequestPriority.RENEWAL, 2) - forOne);
+  }
 }
