Tests: one stand-in of a leadership that holds, in place of two alike

PackedRecordsTest and RepartitionedRecordsTest had the same record Leader; SteadyAuthority serves both. No assertion is touched.

--- a/src/test/java/org/ternhinge/controller/PackedRecordsTest.java
+++ b/src/test/java/org/ternhinge/controller/PackedRecordsTest.java
@@ -12,13 +12,12 @@
 import java.util.concurrent.locks.ReentrantLock;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.ternhinge.ledger.Authority;
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.ledger.LedgerWriter;
 import org.ternhinge.model.Revision;
-import org.ternhinge.model.Term;
 import org.ternhinge.sim.DirectStore;
 import org.ternhinge.sim.SimClock;
+import org.ternhinge.sim.SteadyAuthority;
 import org.ternhinge.sim.StoreCore;
 import org.ternhinge.state.Change;
 import org.ternhinge.state.Entry;
@@ -98,7 +97,7 @@
         new LedgerWriter(
             ledger,
             new DirectStore(core),
-            new Leader(term),
+            new SteadyAuthority(term),
             clock,
             new ReentrantLock(),
             16,
@@ -165,31 +164,11 @@
         new LedgerWriter(
             new Ledger(Map.of(), 8192, clock),
             new DirectStore(core),
-            new Leader(term),
+            new SteadyAuthority(term),
             clock,
             new ReentrantLock(),
             16,
             a -> {});
     return new PackedRecords(writer, prefix, valueBytes);
   }
-
-  private record Leader(Revision termRevision) implements Authority {
-    @Override
-    public Term term() {
-      return new Term(1);
-    }
-
-    @Override
-    public boolean valid() {
-      return true;
-    }
-
-    @Override
-    public void raised(Term term, Revision revision) {}
-
-    @Override
-    public void lost(String why) {
-      throw new AssertionError(why);
-    }
-  }
 }
--- a/src/test/java/org/ternhinge/ledger/RepartitionedRecordsTest.java
+++ b/src/test/java/org/ternhinge/ledger/RepartitionedRecordsTest.java
@@ -21,10 +21,10 @@
 import org.ternhinge.model.Resources;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.Session;
-import org.ternhinge.model.Term;
 import org.ternhinge.sim.DirectStore;
 import org.ternhinge.sim.SimClock;
 import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.SteadyAuthority;
 import org.ternhinge.sim.StoreCore;
 import org.ternhinge.state.Change;
 import org.ternhinge.state.Entry;
@@ -147,7 +147,7 @@
         new LedgerWriter(
             ledger,
             new DirectStore(core),
-            new Leader(term),
+            new SteadyAuthority(term),
             clock,
             new ReentrantLock(),
             16,
@@ -196,24 +196,4 @@
   private static String text(JsonNode value) {
     return new String(Json.bytes(value), StandardCharsets.UTF_8);
   }
-
-  private record Leader(Revision termRevision) implements Authority {
-    @Override
-    public Term term() {
-      return new Term(1);
-    }
-
-    @Override
-    public boolean valid() {
-      return true;
-    }
-
-    @Override
-    public void raised(Term term, Revision revision) {}
-
-    @Override
-    public void lost(String why) {
-      throw new AssertionError(why);
-    }
-  }
 }
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/SteadyAuthority.java
@@ -0,0 +1,26 @@
+package org.ternhinge.sim;
+
+import org.ternhinge.ledger.Authority;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.Term;
+
+/** A leadership with term 1 that always holds; to lose it fails the test. */
+public record SteadyAuthority(Revision termRevision) implements Authority {
+  @Override
+  public Term term() {
+    return new Term(1);
+  }
+
+  @Override
+  public boolean valid() {
+    return true;
+  }
+
+  @Override
+  public void raised(Term term, Revision revision) {}
+
+  @Override
+  public void lost(String why) {
+    throw new AssertionError(why);
+  }
+}
