A faulty job no longer has healthy machines returned; its retries are few

Cause: two failures in a row on a machine had it set aside for ten minutes and returned, whosever tasks they were.

Now: a failure counts against a machine if a task of the job was ever done; of other jobs three have to fail there, each only while it has failed nowhere else, and what such a job said is withdrawn or confirmed by what becomes of it. A job that failed on three machines and has nothing done backs off, 2 s doubling to 60 s, and then tries one task; all retries share slots that take a tenth of the state service's changes. The level stands in the job's record (field "e", absent otherwise; a version that does not know it drops it), so the next leader goes on from there.

--- a/src/main/java/org/ternhinge/controller/AttemptObserver.java
+++ b/src/main/java/org/ternhinge/controller/AttemptObserver.java
@@ -161,7 +161,7 @@
       LOG.debug("{} attempt {} on {} ended: {}", attempt.task(), attempt.number(), machine.id, why);
     }
     switch (why) {
-      case DONE -> failures.succeeded(machine, job);
+      case DONE -> failures.succeeded(machine, job, now);
       case ERROR -> failures.failed(machine, job, now);
       case NO_ROOM -> failures.noRoom(machine, now);
       case UNKNOWN -> failures.unknownJob(job, now);
--- a/src/main/java/org/ternhinge/controller/FleetParts.java
+++ b/src/main/java/org/ternhinge/controller/FleetParts.java
@@ -1,9 +1,6 @@
 package org.ternhinge.controller;
 
-import java.util.HashMap;
-import java.util.Map;
 import org.ternhinge.ledger.Keys;
-import org.ternhinge.model.JobId;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.wire.WorkerReport;
 
@@ -13,8 +10,7 @@
   private final CommandDispatcher dispatcher;
   private final MachineRemoval removal;
 
-  /** What went wrong with the tasks of jobs, apart from any machine's fault. */
-  final Map<JobId, JobFailures> failures = new HashMap<>();
+  final TaskFailures failures;
 
   final ShownTasks shownTasks = new ShownTasks();
   final Rentals rentals;
@@ -27,6 +23,7 @@
 
   FleetParts(LeadershipContext context) {
     this.context = context;
+    this.failures = failures();
     this.rentals = rentals();
     this.dispatcher =
         new CommandDispatcher(
@@ -77,6 +74,14 @@
     return reports.take(machine, report, isReport, now);
   }
 
+  private TaskFailures failures() {
+    return new TaskFailures(
+        context.ledger(),
+        context.machines(),
+        context.services().settings().stateLimits().writeRps(),
+        context.electedAt());
+  }
+
   private Rentals rentals() {
     return new Rentals(
         context.services(),
@@ -93,7 +98,7 @@
         context.authority(),
         context.ledger(),
         context.machineTypes().byName(),
-        new TaskFailures(failures),
+        failures,
         context.services().metrics());
   }
 
--- a/src/main/java/org/ternhinge/controller/JobViews.java
+++ b/src/main/java/org/ternhinge/controller/JobViews.java
@@ -38,9 +38,9 @@
   private final Settings settings;
   private final Clock clock;
   private final Ledger ledger;
-  private final Map<JobId, JobFailures> failures;
+  private final TaskFailures failures;
 
-  JobViews(Settings settings, Clock clock, Ledger ledger, Map<JobId, JobFailures> failures) {
+  JobViews(Settings settings, Clock clock, Ledger ledger, TaskFailures failures) {
     this.settings = settings;
     this.clock = clock;
     this.ledger = ledger;
@@ -111,17 +111,20 @@
   private Snapshot.JobView view(Job job, boolean guaranteed, int reservedTasks, SteadyTime now) {
     JobSpec spec = job.planned();
     JobRanking.Progress progress = progress(job);
-    JobFailures jobFailures = failures.get(spec.id());
+    JobFailures jobFailures = failures.ofJob(spec.id());
+    boolean singleTasks = jobFailures != null && jobFailures.triesSingleTasks() && !spec.isGang();
     boolean blocked =
-        jobFailures != null && jobFailures.until != null && now.isBefore(jobFailures.until);
+        jobFailures != null
+            && (jobFailures.blocked(now) || (singleTasks && !job.openAttempts().isEmpty()));
+    int most = singleTasks ? 1 : Integer.MAX_VALUE;
     return new Snapshot.JobView(
         spec,
         JobRanking.key(spec, progress),
         progress.waitedS(),
         guaranteed,
         progress.late(),
-        pending(job),
-        progress.waiting(),
+        pending(job, most),
+        Math.min(most, progress.waiting()),
         openByZone(job),
         blocked,
         jobFailures == null ? Set.of() : jobFailures.avoid(now),
@@ -134,12 +137,17 @@
         job.waitingCount(), job.doneCount(), job.openAttempts().size(), waitedS);
   }
 
-  /** The first tasks without an open attempt; all of them where the job is a gang. */
-  private static IntList pending(Job job) {
-    IntList pending = new IntArrayList(Math.min(job.waitingCount(), MAX_PENDING));
+  /**
+   * The first tasks without an open attempt; all of them where the job is a gang.
+   *
+   * @param most how many tasks may start in a round
+   */
+  private static IntList pending(Job job, int most) {
+    int limit = Math.min(most, MAX_PENDING);
+    IntList pending = new IntArrayList(Math.min(job.waitingCount(), limit));
     boolean gang = job.spec().isGang();
     int task = job.nextWaiting(0);
-    while (task >= 0 && (gang || pending.size() < MAX_PENDING)) {
+    while (task >= 0 && (gang || pending.size() < limit)) {
       pending.add(task);
       task = job.nextWaiting(task + 1);
     }
--- a/src/main/java/org/ternhinge/controller/Leadership.java
+++ b/src/main/java/org/ternhinge/controller/Leadership.java
@@ -97,7 +97,8 @@
     this.cancellations = new Cancellations(ledger, attempts, writer);
     this.jobWatch = jobWatch(context, planning.arrivalRates);
     this.recovery =
-        new LeadershipRecovery(services, executor, ledger, machines, fleet.rentals, fleet.releases);
+        new LeadershipRecovery(
+            services, executor, ledger, machines, fleet.rentals, fleet.releases, fleet.failures);
   }
 
   private Ledger ledger(Settings settings) {
--- a/src/main/java/org/ternhinge/controller/LeadershipRecovery.java
+++ b/src/main/java/org/ternhinge/controller/LeadershipRecovery.java
@@ -23,6 +23,7 @@
   private final MachineRegistry machines;
   private final Rentals rentals;
   private final MachineReleases releases;
+  private final TaskFailures failures;
 
   LeadershipRecovery(
       ControllerServices services,
@@ -30,13 +31,15 @@
       Ledger ledger,
       MachineRegistry machines,
       Rentals rentals,
-      MachineReleases releases) {
+      MachineReleases releases,
+      TaskFailures failures) {
     this.services = services;
     this.executor = executor;
     this.ledger = ledger;
     this.machines = machines;
     this.rentals = rentals;
     this.releases = releases;
+    this.failures = failures;
   }
 
   /**
@@ -71,6 +74,7 @@
       machines.findOrAdd(id, now);
     }
     stopCancelledJobs(now);
+    failures.recover(loaded.jobs(), now);
   }
 
   /** The duty to end a cancelled job's tasks passes from leader to leader. */
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -4,10 +4,8 @@
 import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Set;
 import org.ternhinge.ledger.Attempt;
 import org.ternhinge.model.AttemptNumber;
 import org.ternhinge.model.Endpoint;
@@ -140,8 +138,8 @@
 
   // ---- failures -----------------------------------------------------------------------------
 
-  int errorsInARow;
-  final Set<JobId> errorJobs = new HashSet<>();
+  /** Failures of tasks since one was last done here. */
+  final MachineFailures failures = new MachineFailures();
 
   /** Until then it is set aside because tasks fail on it; null where they don't. */
   SteadyTime sickUntil;
--- /dev/null
+++ b/src/main/java/org/ternhinge/controller/RetrySlots.java
@@ -0,0 +1,35 @@
+package org.ternhinge.controller;
+
+import java.util.TreeSet;
+import org.ternhinge.model.SteadyTime;
+
+/**
+ * Spreads the retries of all failing jobs over time. Each retry costs changes of the state service,
+ * so however many jobs fail, their retries together have a bounded rate. Time is cut into slots of
+ * one length, and each slot is given to one retry.
+ */
+final class RetrySlots {
+  private final double slotS;
+  private final SteadyTime origin;
+  private final TreeSet<Long> taken = new TreeSet<>();
+
+  /**
+   * Creates slots of which none is taken.
+   *
+   * @param slotS length of a slot, in seconds
+   */
+  RetrySlots(double slotS, SteadyTime origin) {
+    this.slotS = slotS;
+    this.origin = origin;
+  }
+
+  /** Takes the first free slot that begins at some time or later, and gives its beginning. */
+  SteadyTime take(SteadyTime earliest, SteadyTime now) {
+    taken.headSet((long) Math.floor(now.secondsSince(origin) / slotS)).clear();
+    long slot = (long) Math.ceil(earliest.secondsSince(origin) / slotS);
+    while (!taken.add(slot)) {
+      slot++;
+    }
+    return origin.plusSeconds(slot * slotS);
+  }
+}
--- a/src/main/java/org/ternhinge/controller/SnapshotCache.java
+++ b/src/main/java/org/ternhinge/controller/SnapshotCache.java
@@ -7,7 +7,6 @@
 import org.ternhinge.config.Tuning;
 import org.ternhinge.ledger.Authority;
 import org.ternhinge.ledger.Ledger;
-import org.ternhinge.model.JobId;
 import org.ternhinge.model.Resources;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.schedule.Snapshot;
@@ -34,7 +33,7 @@
       Authority authority,
       Ledger ledger,
       Map<String, Flavor> flavors,
-      Map<JobId, JobFailures> failures,
+      TaskFailures failures,
       MachineRegistry machines,
       ArrivalRates arrivalRates,
       Rentals rentals,
--- a/src/main/java/org/ternhinge/controller/TaskFailures.java
+++ b/src/main/java/org/ternhinge/controller/TaskFailures.java
@@ -1,16 +1,26 @@
 package org.ternhinge.controller;
 
+import java.util.Collection;
+import java.util.HashMap;
 import java.util.Map;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.ternhinge.ledger.Job;
+import org.ternhinge.ledger.Ledger;
 import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
 import org.ternhinge.model.SteadyTime;
 
 /**
- * Tells a machine that fails its tasks from a job that fails on every machine. The machine is set
- * aside when tasks fail on it in a row; the job is put off for longer and longer, and from then on
- * no longer counts against machines. Guarded by the controller's lock.
+ * Tells a machine that fails its tasks from a job that fails on every machine. Guarded by the
+ * controller's lock.
+ *
+ * <p>One failure is evidence against both. A job of which a task was ever done is in order, so its
+ * failures count against the machine. A job of which nothing was done counts against a machine only
+ * while it has failed nowhere else, and then several such jobs have to fail there. A job that has
+ * failed on several machines, and nowhere succeeded, is at fault itself: it backs off for longer
+ * and longer, one of its tasks is tried at a time, and the level of its back-off is kept in its
+ * record, so that the next leader goes on from there.
  */
 final class TaskFailures {
   private static final Logger LOG = LoggerFactory.getLogger(TaskFailures.class);
@@ -21,45 +31,111 @@
   /** How long a job rests after an end whose reason the worker does not know. */
   private static final double UNKNOWN_END_S = 3;
 
-  /** A job that fails on so many machines is at fault itself. */
+  /** A job that fails on so many machines, and has nothing done, counts against none of them. */
+  private static final int JOB_SUSPECT_MACHINES = 2;
+
+  /** A job that fails on so many machines, and has nothing done, backs off. */
   private static final int JOB_AT_FAULT_MACHINES = 3;
 
-  /** A failing job rests for so long at first, twice as long after each further machine. */
+  /** A failing job rests for so long at first, twice as long after each further try. */
   private static final double FAILING_JOB_FIRST_S = 2;
 
   private static final double FAILING_JOB_MAX_S = 60;
 
-  /** Tasks that have to fail in a row on a machine before the machine is taken for sick. */
-  private static final int SICK_AFTER_ERRORS = 2;
+  /** Failures in a row, of jobs known to be in order, after which a machine is taken for sick. */
+  private static final int SICK_AFTER_FAILURES = 2;
+
+  /** The same where the jobs are not known to be in order; each job counts once. */
+  private static final int SICK_AFTER_JOBS = 3;
 
   private static final double SICK_S = 600;
 
-  private final Map<JobId, JobFailures> failures;
+  /** Changes of the state service that one retry costs: its attempt opens and closes. */
+  private static final double CHANGES_PER_RETRY = 2;
+
+  /** The part of the state service's changes that all retries of failing jobs may take. */
+  private static final double RETRY_SHARE = 0.1;
+
+  private final Ledger ledger;
+  private final MachineRegistry machines;
+  private final RetrySlots slots;
+  private final Map<JobId, JobFailures> failures = new HashMap<>();
+
+  /** Forgets failures of jobs that are over when there are so many entries. */
+  private int pruneAt = 64;
+
+  /**
+   * Creates a part that knows of no failures.
+   *
+   * @param changesPerS changes a second that the state service takes
+   */
+  TaskFailures(Ledger ledger, MachineRegistry machines, double changesPerS, SteadyTime now) {
+    this.ledger = ledger;
+    this.machines = machines;
+    this.slots = new RetrySlots(CHANGES_PER_RETRY / (changesPerS * RETRY_SHARE), now);
+  }
 
-  TaskFailures(Map<JobId, JobFailures> failures) {
-    this.failures = failures;
+  /** What went wrong with a job's tasks, or null where nothing did. */
+  JobFailures ofJob(JobId job) {
+    return failures.get(job);
+  }
+
+  /** Jobs that backed off under an earlier leader go on doing so, at the level they had reached. */
+  void recover(Collection<Job> jobs, SteadyTime now) {
+    for (Job job : jobs) {
+      if (job.backoffLevel() > 0) {
+        backOff(job, job.backoffLevel(), now);
+      }
+    }
   }
 
   /** A task was done: both its machine and its job are well. */
-  void succeeded(Machine machine, Job job) {
-    machine.errorsInARow = 0;
-    machine.errorJobs.clear();
-    failures.remove(job.spec().id());
+  void succeeded(Machine machine, Job job, SteadyTime now) {
+    if (!machine.sick(now)) {
+      machine.failures.clear();
+    }
+    ledger.setBackoffLevel(job, 0);
+    JobFailures jobFailures = failures.remove(job.spec().id());
+    if (jobFailures != null) {
+      jobFailures.machines().forEach(id -> blame(id, job, now));
+    }
+  }
+
+  /** What failed on a machine is done now: that was the machine's fault. */
+  private void blame(MachineId id, Job job, SteadyTime now) {
+    Machine machine = machines.find(id);
+    if (machine != null) {
+      machine.failures.jobIsInOrder(job.spec().id());
+      reconsider(machine, now);
+    }
   }
 
   /** A task failed by itself. */
   void failed(Machine machine, Job job, SteadyTime now) {
+    JobId id = job.spec().id();
     JobFailures jobFailures = of(job);
     jobFailures.failedOn(machine.id, now);
-    if (jobFailures.machines() >= JOB_AT_FAULT_MACHINES) {
-      jobFailures.until = now.plusSeconds(restS(jobFailures.machines()));
-      return;
+    if (isInOrder(job)) {
+      machine.failures.jobInOrderFailed();
+    } else {
+      machine.failures.otherJobFailed(id);
+      backOffIfAtFault(job, jobFailures, now);
     }
-    machine.errorsInARow++;
-    machine.errorJobs.add(job.spec().id());
-    if (machine.errorsInARow >= SICK_AFTER_ERRORS && !machine.sick(now)) {
-      machine.sickUntil = now.plusSeconds(SICK_S);
-      LOG.info("machine {} fails its tasks and is set aside", machine.id);
+    reconsider(machine, now);
+    if (jobFailures.machineCount() == JOB_SUSPECT_MACHINES) {
+      // What it said of the machines before is void.
+      for (MachineId other : jobFailures.machines()) {
+        reconsider(machines.find(other), now);
+      }
+    }
+  }
+
+  private void backOffIfAtFault(Job job, JobFailures jobFailures, SteadyTime now) {
+    boolean atFault =
+        jobFailures.triesSingleTasks() || jobFailures.machineCount() >= JOB_AT_FAULT_MACHINES;
+    // Tasks that were under way together fail together, which is one try.
+    if (atFault && !jobFailures.blocked(now)) {
+      backOff(job, jobFailures.backoffLevel() + 1, now);
     }
   }
 
@@ -70,15 +146,69 @@
 
   /** A start was refused since the worker could not get the job's description yet. */
   void unknownJob(Job job, SteadyTime now) {
-    of(job).until = now.plusSeconds(UNKNOWN_END_S);
+    JobFailures jobFailures = of(job);
+    if (!jobFailures.blocked(now)) {
+      jobFailures.startAfter(now.plusSeconds(UNKNOWN_END_S));
+    }
+  }
+
+  private void backOff(Job job, int level, SteadyTime now) {
+    SteadyTime until = slots.take(now.plusSeconds(restS(level)), now);
+    of(job).backOff(level, until);
+    ledger.setBackoffLevel(job, level);
+    LOG.info(
+        "job {} fails on every machine and backs off for {} s",
+        job.spec().id(),
+        Math.round(until.secondsSince(now)));
   }
 
-  private static double restS(int machines) {
-    double rest = FAILING_JOB_FIRST_S * Math.pow(2, machines - JOB_AT_FAULT_MACHINES);
+  private static double restS(int level) {
+    double rest = FAILING_JOB_FIRST_S * Math.pow(2, level - 1);
     return Math.min(FAILING_JOB_MAX_S, rest);
   }
 
+  /** Sets a machine aside, or takes it back, by what is known of its failures now. */
+  private void reconsider(Machine machine, SteadyTime now) {
+    if (machine == null) {
+      return;
+    }
+    boolean sick = showsSick(machine);
+    if (sick && !machine.sick(now)) {
+      machine.sickUntil = now.plusSeconds(SICK_S);
+      LOG.info("machine {} fails its tasks and is set aside", machine.id);
+    } else if (!sick && machine.sick(now)) {
+      machine.sickUntil = null;
+      LOG.info("machine {} is used again: the jobs that failed there fail elsewhere", machine.id);
+    }
+  }
+
+  private boolean showsSick(Machine machine) {
+    int ofJobsInOrder = machine.failures.countOfJobsInOrder();
+    int ofOthers = machine.failures.countOfOtherJobs(id -> !isSuspect(id));
+    return ofJobsInOrder >= SICK_AFTER_FAILURES || ofJobsInOrder + ofOthers >= SICK_AFTER_JOBS;
+  }
+
+  /** Whether a task of the job was done once: a job that was submitted with a mistake has none. */
+  private static boolean isInOrder(Job job) {
+    return job.doneCount() > 0;
+  }
+
+  /**
+   * Whether the failures of a job of which nothing was done say nothing of machines: it fails on
+   * several, or is over.
+   */
+  private boolean isSuspect(JobId id) {
+    JobFailures jobFailures = failures.get(id);
+    return jobFailures == null
+        || jobFailures.triesSingleTasks()
+        || jobFailures.machineCount() >= JOB_SUSPECT_MACHINES;
+  }
+
   private JobFailures of(Job job) {
+    if (failures.size() >= pruneAt) {
+      failures.keySet().removeIf(id -> ledger.job(id) == null);
+      pruneAt = Math.max(pruneAt, 2 * failures.size());
+    }
     return failures.computeIfAbsent(job.spec().id(), id -> new JobFailures());
   }
 }
--- a/src/main/java/org/ternhinge/ledger/Job.java
+++ b/src/main/java/org/ternhinge/ledger/Job.java
@@ -41,6 +41,7 @@
   private long readyMillis;
   private boolean cancelledByDependency;
   private int specBytes;
+  private int backoffLevel;
   private boolean repartitionWanted;
   private boolean repartitionTooLarge;
 
@@ -234,6 +235,15 @@
     highest = number;
   }
 
+  /** How often its back-off has grown since a task of it was done; 0 where none failed lately. */
+  public int backoffLevel() {
+    return backoffLevel;
+  }
+
+  void backoffLevel(int level) {
+    backoffLevel = level;
+  }
+
   /** Whether the job is cancelled. */
   public boolean cancelled() {
     return cancelled;
--- a/src/main/java/org/ternhinge/ledger/Ledger.java
+++ b/src/main/java/org/ternhinge/ledger/Ledger.java
@@ -255,6 +255,14 @@
     }
   }
 
+  /**
+   * Notes how far a job that fails everywhere has backed off. The level goes into its record with
+   * the next change that is written anyway: a retry must not cost one more.
+   */
+  public void setBackoffLevel(Job job, int level) {
+    job.backoffLevel(level);
+  }
+
   /** One that it depends on is durably cancelled: so is it, whenever its own record says so. */
   void cancelByDependency(Job job) {
     job.markCancelledByDependency();
--- a/src/main/java/org/ternhinge/ledger/RecordCodec.java
+++ b/src/main/java/org/ternhinge/ledger/RecordCodec.java
@@ -39,6 +39,12 @@
   /** The highest attempt number that the job has used. */
   private static final String HIGHEST_ATTEMPT = "h";
 
+  /**
+   * How often the back-off of a job that fails everywhere has grown; absent where it has not. A
+   * version that does not know it drops it, and the job then begins to back off anew.
+   */
+  private static final String BACKOFF_LEVEL = "e";
+
   /** Present and true once the job is cancelled. */
   private static final String CANCELLED = "c";
 
@@ -99,6 +105,9 @@
     out.put(ACCEPTED, job.acceptedMillis());
     out.put(SEGMENT_SIZE, job.segmentSize());
     out.put(HIGHEST_ATTEMPT, job.highest().value());
+    if (job.backoffLevel() > 0) {
+      out.put(BACKOFF_LEVEL, job.backoffLevel());
+    }
     if (job.cancelled()) {
       out.put(CANCELLED, true);
     }
@@ -153,6 +162,7 @@
     }
     Job job = new Job(JobSpec.read(spec), Json.count(value, ACCEPTED), segmentSize);
     job.highest(new AttemptNumber(Json.count(value, HIGHEST_ATTEMPT)));
+    job.backoffLevel(value.path(BACKOFF_LEVEL).asInt());
     if (value.path(CANCELLED).asBoolean()) {
       job.markCancelled(true);
     }
--- a/src/test/java/org/ternhinge/controller/JobFailuresTest.java
+++ b/src/test/java/org/ternhinge/controller/JobFailuresTest.java
@@ -24,6 +24,6 @@
     assertEquals(Set.of(first, second), failures.avoid(start.plusSeconds(30)));
     assertEquals(Set.of(second), failures.avoid(start.plusSeconds(50)));
     assertEquals(Set.of(), failures.avoid(start.plusSeconds(70)));
-    assertEquals(2, failures.machines());
+    assertEquals(2, failures.machineCount());
   }
 }
--- /dev/null
+++ b/src/test/java/org/ternhinge/ledger/BackoffLevelRecordTest.java
@@ -0,0 +1,33 @@
+package org.ternhinge.ledger;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.ternhinge.model.Revision;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.WireException;
+
+/** The level of a failing job's back-off, which the next leader reads from the job's record. */
+class BackoffLevelRecordTest {
+  private static final int VALUE_BYTES = 8 * 1024;
+
+  /** A job that does not fail is written as the version in production writes it. */
+  @ParameterizedTest
+  @ValueSource(ints = {0, 1, 6, 1000})
+  void theLevelIsReadBack(int level) throws WireException {
+    ObjectNode record = RecordCodec.fresh(Specs.of(Specs.json("wk-1", "batch", 3)), 1, VALUE_BYTES);
+    assertFalse(record.has("e"));
+    Job job = RecordCodec.decodeFirst(record, Revision.NONE, new SteadyTime(0));
+    job.backoffLevel(level);
+    ObjectNode written = RecordCodec.encode(job, 0);
+    assertEquals(level > 0, written.has("e"));
+    Job read = RecordCodec.decodeFirst(written, Revision.NONE, new SteadyTime(0));
+    assertEquals(level, read.backoffLevel());
+    written.remove("e");
+    assertEquals(record, written, "what a version that does not know it keeps");
+  }
+}
--- a/src/test/java/org/ternhinge/sim/JobCatalog.java
+++ b/src/test/java/org/ternhinge/sim/JobCatalog.java
@@ -20,6 +20,9 @@
 
   private final Set<TaskId> completed = new HashSet<>();
 
+  /** Jobs that were submitted with a mistake: their tasks fail on every machine. */
+  private final Set<JobId> faulty = new HashSet<>();
+
   /**
    * Adds a job.
    *
@@ -32,6 +35,14 @@
     dependencies.put(spec.id(), all);
   }
 
+  void markFaulty(JobId id) {
+    faulty.add(id);
+  }
+
+  boolean isFaulty(JobId id) {
+    return faulty.contains(id);
+  }
+
   JobSpec spec(JobId id) {
     return specs.get(id);
   }
--- a/src/test/java/org/ternhinge/sim/MachineFaults.java
+++ b/src/test/java/org/ternhinge/sim/MachineFaults.java
@@ -83,6 +83,11 @@
     }
   }
 
+  /** Every task that starts on a machine fails from now on. */
+  public void makeSick(SimWorker worker) {
+    worker.sick = true;
+  }
+
   // ---- lost commands and lost reports ---------------------------------------------------------
 
   /** Some machine's reports arrive, while nothing reaches it. */
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -321,6 +321,11 @@
     state.put(ends);
   }
 
+  /** A job was submitted with a mistake: its tasks fail on every machine. */
+  public void failsEverywhere(JobId id) {
+    jobs.markFaulty(id);
+  }
+
   /** A task was completed before the cluster began. */
   public void finish(JobSpec spec, int index) {
     jobs.complete(new TaskId(spec.id(), index));
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -34,6 +34,10 @@
   private static final double NEXT_NODE_S = 1;
   private static final double REDIRECT_S = 0.2;
   private static final double LEASE_CHECK_S = 0.5;
+
+  /** How long a task runs that fails by itself. */
+  private static final double FAILS_AFTER_S = 0.5;
+
   private static final String HOST = "10.9.0.1";
   private static final int FIRST_PORT = 1000;
 
@@ -52,6 +56,9 @@
   private int reports;
   private boolean dead;
 
+  /** Whether every task fails here. */
+  boolean sick;
+
   /** Until then nothing passes in either direction. */
   SteadyTime cutUntil;
 
@@ -386,11 +393,20 @@
     task.run();
     cluster.events.started(this, task.id(), spec);
     changed();
-    if (!spec.isService()) {
+    if (sick || cluster.jobs.isFaulty(task.id().job())) {
+      hang.afterWork(FAILS_AFTER_S, () -> fail(key, task));
+    } else if (!spec.isService()) {
       hang.afterWork(spec.estimateS(), () -> complete(key, task));
     }
   }
 
+  private void fail(String key, SimTask task) {
+    if (holds(key, task) && task.isRunning()) {
+      end(task, EndReason.ERROR);
+      changed();
+    }
+  }
+
   private void complete(String key, SimTask task) {
     if (holds(key, task) && task.isRunning()) {
       cluster.events.completed(task.id());
