Lists of machines of more than a page come to their end

The leader learnt nothing of failed, taken or unexpected machines, and rentals stayed on record whose machines were long gone; the next leader counted on those for 60 to 90 s.

Now a page that was held back is asked for again after 0.3 s, and after 2 s on a level with rentals; returns that were held back likewise after 0.3 s instead of 1.5. A machine that no list has shown and that was known before a list begun more than twice the lag later is gone, as one that was listed.

Test: MachineInventoryTest; without the guards the cases with a page held back and with a machine that no list shows fail.

--- a/src/main/java/org/ternhinge/cloud/Cloud.java
+++ b/src/main/java/org/ternhinge/cloud/Cloud.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.wire.Flavor;
@@ -20,6 +21,11 @@
   /** Gives machines back; once applied, they and all that ran on them are gone. */
   CompletableFuture<Outcome<Integer>> release(List<MachineId> machines);
 
-  /** A page of the machines that are rented, in the order of their names, after the given one. */
-  CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit);
+  /**
+   * A page of the machines that are rented, in the order of their names.
+   *
+   * @param after the machine that the page begins after, or null for the first page
+   */
+  CompletableFuture<Outcome<HostInfo.Page>> list(
+      MachineId after, int limit, RequestPriority priority);
 }
--- a/src/main/java/org/ternhinge/cloud/HttpCloud.java
+++ b/src/main/java/org/ternhinge/cloud/HttpCloud.java
@@ -86,9 +86,9 @@
   }
 
   @Override
-  public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
+  public CompletableFuture<Outcome<HostInfo.Page>> list(
+      MachineId after, int limit, RequestPriority priority) {
     String from = after == null ? "" : "from=" + after.value() + "&";
-    return send(
-        "GET", "/hosts?" + from + "page=" + limit, null, RequestPriority.QUERY, HostInfo::readPage);
+    return send("GET", "/hosts?" + from + "page=" + limit, null, priority, HostInfo::readPage);
   }
 }
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -82,6 +82,9 @@
 
   SteadyTime rentedAt;
 
+  /** When this leadership first heard of it; it was rented before. */
+  final SteadyTime knownSince;
+
   /** When a list last showed it, or null. */
   SteadyTime listedAt;
 
@@ -150,6 +153,7 @@
   Machine(MachineId id, SteadyTime now, SteadyTime leaseEnds) {
     this.id = id;
     this.leaseEnds = leaseEnds;
+    this.knownSince = now;
     this.idleSince = now;
     this.rentedAt = now;
   }
--- a/src/main/java/org/ternhinge/controller/MachineInventory.java
+++ b/src/main/java/org/ternhinge/controller/MachineInventory.java
@@ -9,9 +9,11 @@
 import org.ternhinge.cloud.Cloud;
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Tuning;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.wire.HostInfo;
 
@@ -26,6 +28,16 @@
   /** Machines asked for in one request. */
   private static final int PAGE = 500;
 
+  /** Seconds until a page that found the cloud's rate used up is asked for again. */
+  private static final double HELD_BACK_S = 0.3;
+
+  /**
+   * Seconds after which a page that found the rate used up goes on a level with rentals. A list is
+   * what shows machines that are gone and those that nobody expected, so a long row of rentals must
+   * not keep it away.
+   */
+  private static final double PAGE_LATE_S = 2;
+
   /** Of the commands that may still go out, one in so many may tell workers of the term. */
   private static final int ANNOUNCEMENT_SHARE = 2;
 
@@ -51,6 +63,9 @@
 
   private SteadyTime readingSince;
 
+  /** Since when the next page is to be read. */
+  private SteadyTime pageDueSince;
+
   MachineInventory(
       ControllerServices services,
       LeadershipExecutor executor,
@@ -81,19 +96,35 @@
   void list() {
     hosts.clear();
     readingSince = clock.now();
-    readPage(null);
+    nextPage(null);
+  }
+
+  private void nextPage(MachineId after) {
+    pageDueSince = clock.now();
+    readPage(after);
   }
 
   private void readPage(MachineId after) {
-    executor.whenAnswered(cloud.list(after, PAGE), this::pageRead);
+    boolean late = clock.now().secondsSince(pageDueSince) > PAGE_LATE_S;
+    RequestPriority priority = late ? RequestPriority.ATTEMPT : RequestPriority.QUERY;
+    executor.whenAnswered(cloud.list(after, PAGE, priority), outcome -> pageRead(after, outcome));
   }
 
-  private void pageRead(Outcome<HostInfo.Page> outcome) {
+  /**
+   * A page that was only held back is read as soon as the cloud's rate permits: with few calls a
+   * second there never is a token for the second page at once, and a list begun anew each time
+   * would never come to its end. After any other failure the list is read anew.
+   */
+  private void pageRead(MachineId after, Outcome<HostInfo.Page> outcome) {
+    if (outcome != null && outcome.isBecause(Reason.HELD_BACK)) {
+      executor.later(HELD_BACK_S, () -> readPage(after));
+      return;
+    }
     if (outcome instanceof Outcome.Applied<HostInfo.Page> applied) {
       HostInfo.Page page = applied.value();
       hosts.addAll(page.hosts());
       if (page.more() && !page.hosts().isEmpty()) {
-        readPage(page.hosts().get(page.hosts().size() - 1).machine());
+        nextPage(page.hosts().get(page.hosts().size() - 1).machine());
         return;
       }
       listed();
@@ -161,16 +192,17 @@
   }
 
   /**
-   * Removes what has been taken. A machine stays listed until it is gone, and no list is older than
-   * twice the lag: one that was listed earlier than that and is missing now has been taken.
+   * Removes what is gone. A machine is listed until then, and no list is older than twice the lag:
+   * one that was there earlier than that and is missing now is gone. It was there when a list
+   * showed it; one that no list has shown was there when this leadership came to know of it, by a
+   * report, by the answer to a rental or by an attempt on it.
    */
   private void removeMissing(Set<MachineId> shown) {
     double oldestListS =
         2 * settings.cloudLimits().listLagS() * (1 + Settings.DRIFT) + tuning.marginS();
     for (Machine machine : List.copyOf(machines.all())) {
-      if (machine.listedAt != null
-          && !shown.contains(machine.id)
-          && readingSince.secondsSince(machine.listedAt) > oldestListS) {
+      SteadyTime thereAt = machine.listedAt == null ? machine.knownSince : machine.listedAt;
+      if (!shown.contains(machine.id) && readingSince.secondsSince(thereAt) > oldestListS) {
         LOG.info("machine {} is no longer listed", machine.id);
         removal.lost(machine, "machine taken");
         removal.remove(machine);
--- a/src/main/java/org/ternhinge/controller/MachineReleases.java
+++ b/src/main/java/org/ternhinge/controller/MachineReleases.java
@@ -8,6 +8,7 @@
 import org.ternhinge.model.LockedExecutor;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.state.Entry;
 
@@ -20,6 +21,9 @@
   /** Seconds until a call that failed, or that could not be made, is made again. */
   private static final double RETRY_S = 1.5;
 
+  /** Seconds until a call that found the cloud's rate used up is made again. */
+  private static final double HELD_BACK_S = 0.3;
+
   /** Names that the cloud takes in one call. */
   private static final int MAX_NAMES = 100;
 
@@ -92,7 +96,7 @@
     }
     calling = true;
     if (!authority.valid()) {
-      retryLater();
+      retryAfter(RETRY_S);
       return;
     }
     List<Machine> named = due.stream().limit(MAX_NAMES).toList();
@@ -102,7 +106,8 @@
 
   private void answered(List<Machine> named, Outcome<Integer> outcome) {
     if (!(outcome instanceof Outcome.Applied<Integer>)) {
-      retryLater();
+      boolean heldBack = outcome != null && outcome.isBecause(Reason.HELD_BACK);
+      retryAfter(heldBack ? HELD_BACK_S : RETRY_S);
       return;
     }
     calling = false;
@@ -115,8 +120,8 @@
     call();
   }
 
-  private void retryLater() {
-    executor.later(RETRY_S, this::retry);
+  private void retryAfter(double seconds) {
+    executor.later(seconds, this::retry);
   }
 
   private void retry() {
--- a/src/test/java/org/ternhinge/controller/InitialMachineTypesTest.java
+++ b/src/test/java/org/ternhinge/controller/InitialMachineTypesTest.java
@@ -60,7 +60,8 @@
     }
 
     @Override
-    public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
+    public CompletableFuture<Outcome<HostInfo.Page>> list(
+        MachineId after, int limit, RequestPriority priority) {
       throw new AssertionError("nothing is listed here");
     }
   }
--- a/src/test/java/org/ternhinge/controller/LeadershipParts.java
+++ b/src/test/java/org/ternhinge/controller/LeadershipParts.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.ReentrantLock;
+import org.ternhinge.cloud.Cloud;
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Team;
 import org.ternhinge.config.Tuning;
@@ -58,6 +59,8 @@
   final HeldStore store = new HeldStore(new DirectStore(core));
   final List<Command> sent = new ArrayList<>();
   final Map<TaskId, Integer> shown = new HashMap<>();
+  private final ReentrantLock lock = new ReentrantLock();
+  private final Map<String, Team> teams = Map.of("red", new Team("red", 0, 0, 0, 0));
   final LeadershipExecutor executor;
   final Ledger ledger;
   final LedgerWriter writer;
@@ -72,23 +75,11 @@
   LeadershipParts() {
     core.txn(new Txn(Map.of(), List.of(new Change.Put(Keys.TERM, Json.object().put("n", 1), 0))));
     authority.revision = core.get(Keys.TERM).entry().orElseThrow().revision();
-    ReentrantLock lock = new ReentrantLock();
-    Map<String, Team> teams = Map.of("red", new Team("red", 0, 0, 0, 0));
     executor = new LeadershipExecutor(clock, lock);
     ledger = new Ledger(teams, VALUE_BYTES, clock);
     writer = new LedgerWriter(ledger, store, authority, clock, lock, 16, this::written);
     machines = new MachineRegistry(clock.now().plusSeconds(60));
-    ControllerServices services =
-        new ControllerServices(
-            settings(teams),
-            Tuning.DEFAULT,
-            store,
-            null,
-            new SilentWorkers(),
-            clock,
-            lock,
-            Runnable::run,
-            new Metrics());
+    ControllerServices services = services(null);
     dispatcher =
         new CommandDispatcher(
             executor, (machine, report, isReport, now) -> true, services, authority, ledger);
@@ -96,6 +87,25 @@
         new AttemptLifecycle(ledger, writer, machines, dispatcher, () -> roundsRequested++, clock);
   }
 
+  /** What a leadership is built upon, with a cloud. */
+  ControllerServices services(Cloud cloud) {
+    return new ControllerServices(
+        settings(teams),
+        Tuning.DEFAULT,
+        store,
+        cloud,
+        new SilentWorkers(),
+        clock,
+        lock,
+        Runnable::run,
+        new Metrics());
+  }
+
+  /** Records under a prefix that hold many small entries each. */
+  PackedRecords packedRecords(String prefix) {
+    return new PackedRecords(writer, prefix, VALUE_BYTES);
+  }
+
   private static Settings settings(Map<String, Team> teams) {
     Endpoint any = new Endpoint("10.0.0.9", 1);
     return new Settings(
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/MachineInventoryTest.java
@@ -0,0 +1,169 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.cloud.Cloud;
+import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.HostInfo;
+import org.ternhinge.wire.RentalRequest;
+
+/** Lists of machines in several pages, some of which the cloud's rate holds back. */
+class MachineInventoryTest {
+  private static final MachineId FIRST = new MachineId("n-000001");
+  private static final MachineId LAST = new MachineId("n-000999");
+
+  /** Twice the lag of the list, which the settings say is 10 s. */
+  private static final double OLDEST_LIST_S = 20;
+
+  private final LeadershipParts parts = new LeadershipParts();
+  private final ScriptedCloud cloud = new ScriptedCloud();
+  private final MachineInventory inventory = inventory();
+
+  /** Answers calls for pages by a script, and without one by the whole list in two pages. */
+  private static final class ScriptedCloud implements Cloud {
+    private final Deque<String> script = new ArrayDeque<>();
+    private final List<RequestPriority> asked = new ArrayList<>();
+
+    @Override
+    public CompletableFuture<Outcome<HostInfo.Page>> list(
+        MachineId after, int limit, RequestPriority priority) {
+      asked.add(priority);
+      String next = script.isEmpty() ? "page" : script.poll();
+      Outcome<HostInfo.Page> outcome =
+          switch (next) {
+            case "held" -> Outcome.notApplied(Reason.HELD_BACK, "no tokens");
+            case "refused" -> Outcome.notApplied(Reason.REFUSED, "trouble");
+            case "lost" -> Outcome.unknown("no answer");
+            default -> Outcome.applied(page(after));
+          };
+      return CompletableFuture.completedFuture(outcome);
+    }
+
+    private static HostInfo.Page page(MachineId after) {
+      MachineId id = after == null ? FIRST : LAST;
+      HostInfo host =
+          new HostInfo(id, "10.0.1.1:9000", "small", "east", false, HostInfo.State.RUNNING, 5);
+      return new HostInfo.Page(List.of(host), after == null);
+    }
+
+    @Override
+    public CompletableFuture<Outcome<List<Flavor>>> flavors() {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<Outcome<List<MachineId>>> rent(RentalRequest request) {
+      return new CompletableFuture<>();
+    }
+
+    @Override
+    public CompletableFuture<Outcome<Integer>> release(List<MachineId> machines) {
+      return new CompletableFuture<>();
+    }
+  }
+
+  private MachineInventory inventory() {
+    ControllerServices services = parts.services(cloud);
+    MachineRemoval removal =
+        new MachineRemoval(
+            parts.machines,
+            parts.ledger,
+            parts.reportedTasks(),
+            parts.attempts,
+            services.workers());
+    RoundTrigger rounds = () -> parts.roundsRequested++;
+    return new MachineInventory(
+        services,
+        parts.executor,
+        parts.machines,
+        new Rentals(
+            services,
+            parts.authority,
+            parts.executor,
+            parts.machines,
+            rounds,
+            parts.packedRecords("r/")),
+        new MachineReleases(
+            removal,
+            services,
+            parts.authority,
+            parts.executor,
+            parts.machines,
+            rounds,
+            parts.packedRecords("x/"),
+            parts.now()),
+        removal,
+        parts.dispatcher,
+        new TermAnnouncer(
+            parts.authority, parts.dispatcher, (m, report, isReport, now) -> true, parts.clock),
+        rounds,
+        parts.now());
+  }
+
+  /**
+   * With two calls a second there is never a token for the second page at once. When a list was
+   * begun anew for that, one of more than a page never came to its end.
+   */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "page, 0.1",
+    "page held page, 0.5",
+    "held page held held page, 1.5",
+    "page held held held held held held held held held held page, 4",
+    "page refused page page, 6",
+    "page lost page page, 6",
+    "refused refused page held page, 11"
+  })
+  void aListComesToItsEnd(String script, double withinS) {
+    cloud.script.addAll(List.of(script.split(" ")));
+    inventory.list();
+    parts.clock.runFor(withinS);
+    assertNotNull(parts.machines.find(FIRST), "the first page");
+    assertNotNull(parts.machines.find(LAST), "the last page");
+  }
+
+  /** A page that has waited for long goes on a level with rentals. */
+  @Test
+  void aPageThatWaitsIsNotPassedOverForEver() {
+    for (int i = 0; i < 20; i++) {
+      cloud.script.add("held");
+    }
+    inventory.list();
+    parts.clock.runFor(5);
+    assertEquals(RequestPriority.QUERY, cloud.asked.get(0));
+    assertEquals(RequestPriority.ATTEMPT, cloud.asked.get(15));
+  }
+
+  /**
+   * A machine that is known and that no list has shown is gone once a list was begun late enough:
+   * the next leader otherwise counts on those that rentals of the last one have named.
+   */
+  @ParameterizedTest(name = "known for {0} s, {1}")
+  @CsvSource({"0, , true", "15, , true", "21, , false", "21, held, false", "21, refused, true"})
+  void whatNoListShowsIsGone(double knownForS, String secondPage, boolean stillThere) {
+    MachineId other = new MachineId("n-000500");
+    parts.machines.findOrAdd(other, parts.now());
+    parts.clock.runFor(knownForS);
+    if (secondPage != null) {
+      cloud.script.addAll(List.of("page", secondPage));
+    }
+    inventory.list();
+    parts.clock.runFor(1);
+    assertEquals(stillThere, parts.machines.find(other) != null);
+    parts.clock.runFor(OLDEST_LIST_S + 10);
+    assertEquals(null, parts.machines.find(other), "gone in the end");
+  }
+}
--- a/src/test/java/org/ternhinge/sim/SimCloud.java
+++ b/src/test/java/org/ternhinge/sim/SimCloud.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.ternhinge.cloud.Cloud;
+import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.wire.Flavor;
@@ -74,7 +75,8 @@
   }
 
   @Override
-  public CompletableFuture<Outcome<HostInfo.Page>> list(MachineId after, int limit) {
+  public CompletableFuture<Outcome<HostInfo.Page>> list(
+      MachineId after, int limit, RequestPriority priority) {
     cluster.counts.machineListing();
     if (cluster.networkFaults.apart(NetworkFaults.zoneOf(node), null)) {
       return owner.guard(cluster.networkFaults.lostCall(5));
