--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -31,8 +31,6 @@
   private static final double REPORT_GAP_S = 0.5;
 
   private static final double REPORT_TIMEOUT_S = 4;
-  private static final double NEXT_NODE_S = 1;
-  private static final double REDIRECT_S = 0.2;
   private static final double LEASE_CHECK_S = 0.5;
 
   /** How long a task runs that fails by itself. */
@@ -52,7 +50,7 @@
   private long sequence;
   private Term token = Term.NONE;
   private SteadyTime leaseFrom;
-  private int target;
+  private final ReportTarget target;
   private int reports;
   private boolean dead;
 
@@ -75,7 +73,8 @@
     this.zone = zone;
     this.spot = spot;
     this.hang = new MachineHang(cluster.clock);
-    this.target = cluster.random.nextInt(cluster.nodeCount());
+    this.target =
+        new ReportTarget(cluster.nodeCount(), cluster.random.nextInt(cluster.nodeCount()));
     this.leaseFrom = cluster.clock.now();
     watchLease();
     report();
@@ -228,7 +227,7 @@
   }
 
   private CompletableFuture<Outcome<Response>> send(byte[] body) {
-    int controller = target;
+    int controller = target.controller();
     boolean answerIsLost = deaf();
     if (cluster.machineFaults.heldBack(id, body)) {
       return cluster.network.fail(false, REPORT_TIMEOUT_S);
@@ -282,10 +281,9 @@
         obey(response.body(), sent);
       }
     } else if (response != null && response.status() == 421) {
-      next = follow(response.body());
+      next = target.follow(response.body());
     } else {
-      target = (target + 1) % cluster.nodeCount();
-      next = NEXT_NODE_S;
+      next = target.next();
     }
     cluster.clock.after(
         next,
@@ -296,17 +294,6 @@
         });
   }
 
-  /** Turns to the controller that a redirect names, and gives the seconds to the next report. */
-  private double follow(byte[] redirect) {
-    int named = ReportResponses.redirectedTo(redirect).orElse(target);
-    if (named == target) {
-      target = (target + 1) % cluster.nodeCount();
-      return NEXT_NODE_S;
-    }
-    target = named;
-    return REDIRECT_S;
-  }
-
   // ---- commands -------------------------------------------------------------------------------
 
   /** Takes in an answer to a report: its token, its renewal of the lease and its commands. */
