Machines that are late are not counted on; the dead go after one wait, not one a leader

BootTimes keeps, by type and zone, how long machines took lately; one that is not up yet counts with the time it has taken so far. Where a quarter came up in time, the others are late past 1.5 times that, and their need is rented again; where hardly any did, the place is slow as such: a quarter of the overdue is replaced at a time, they are waited for up to eight times the usual time, and offers elsewhere look cheaper (the expected boot time is part of an offer). A machine's age counts from its rental, by the list's own word under a new leader. The late that come up are used or idle and go, as before.

--- a/src/main/java/org/ternhinge/controller/FleetParts.java
+++ b/src/main/java/org/ternhinge/controller/FleetParts.java
@@ -12,6 +12,8 @@
 
   final TaskFailures failures;
 
+  final BootTimes bootTimes;
+
   final ShownTasks shownTasks = new ShownTasks();
   final Rentals rentals;
   final AttemptLifecycle attempts;
@@ -24,6 +26,8 @@
   FleetParts(LeadershipContext context) {
     this.context = context;
     this.failures = failures();
+    this.bootTimes =
+        new BootTimes(context.machines(), context.machineTypes().byName(), context.electedAt());
     this.rentals = rentals();
     this.dispatcher =
         new CommandDispatcher(
@@ -47,7 +51,8 @@
             shownTasks,
             attempts,
             rentals,
-            new ReportAnswers(context.ledger()));
+            new ReportAnswers(context.ledger()),
+            bootTimes);
     this.removal =
         new MachineRemoval(
             context.machines(),
@@ -65,6 +70,7 @@
             context.machineTypes(),
             context.ledger(),
             releases,
+            bootTimes,
             context.electedAt());
   }
 
--- a/src/main/java/org/ternhinge/controller/MachineInventory.java
+++ b/src/main/java/org/ternhinge/controller/MachineInventory.java
@@ -177,8 +177,10 @@
       machine.zone = settings.zones().indexOf(host.zone());
       machine.spot = host.spot();
     }
-    if (machine.listedAt == null) {
-      machine.rentedAt = now.plusSeconds(-host.ageS());
+    SteadyTime rentedAt = now.plusSeconds(-host.ageS());
+    if (rentedAt.isBefore(machine.rentedAt)) {
+      // The list lags, so it tells a machine's least age.
+      machine.rentedAt = rentedAt;
       machine.view = null;
     }
   }
--- a/src/main/java/org/ternhinge/controller/MachineViews.java
+++ b/src/main/java/org/ternhinge/controller/MachineViews.java
@@ -10,6 +10,7 @@
 import org.ternhinge.ledger.Authority;
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
 import org.ternhinge.model.SteadyTime;
 import org.ternhinge.schedule.Snapshot;
 import org.ternhinge.wire.Flavor;
@@ -30,18 +31,21 @@
   private final Ledger ledger;
   private final Map<String, Flavor> flavors;
   private final MachineRegistry machines;
+  private final BootTimes bootTimes;
 
   MachineViews(
       Settings settings,
       Authority authority,
       Ledger ledger,
       Map<String, Flavor> flavors,
-      MachineRegistry machines) {
+      MachineRegistry machines,
+      BootTimes bootTimes) {
     this.settings = settings;
     this.authority = authority;
     this.ledger = ledger;
     this.flavors = flavors;
     this.machines = machines;
+    this.bootTimes = bootTimes;
   }
 
   /** Whether tasks may be placed on a machine now. */
@@ -77,18 +81,26 @@
   /** The views of all machines that count, those that are coming included. */
   List<Snapshot.MachineView> list(SteadyTime now) {
     List<Snapshot.MachineView> views = new ArrayList<>(machines.all().size());
+    Set<MachineId> late = bootTimes.late(now);
     for (Machine machine : machines.all()) {
       if (!mayEverTakeTasks(machine, now)) {
         continue;
       }
       boolean ready = isReady(machine, now);
-      if (ready || !machine.reported || now.secondsSince(machine.lastReport) <= SILENT_S) {
+      if (ready || isExpected(machine, late, now)) {
         views.add(keptView(machine, ready));
       }
     }
     return views;
   }
 
+  /** Whether a machine that is not ready is likely to be so before long. */
+  private static boolean isExpected(Machine machine, Set<MachineId> late, SteadyTime now) {
+    return machine.reported
+        ? now.secondsSince(machine.lastReport) <= SILENT_S
+        : !late.contains(machine.id);
+  }
+
   /** For how many tasks of each job room is kept, on the machines of these views. */
   static Map<JobId, Integer> reservedTasks(List<Snapshot.MachineView> views) {
     Map<JobId, Integer> reserved = new HashMap<>();
--- a/src/main/java/org/ternhinge/controller/PlanningParts.java
+++ b/src/main/java/org/ternhinge/controller/PlanningParts.java
@@ -18,6 +18,7 @@
             context.machines(),
             arrivalRates,
             fleet.rentals,
+            fleet.bootTimes,
             context.electedAt());
     this.rounds =
         new SchedulingRounds(
--- a/src/main/java/org/ternhinge/controller/Rentals.java
+++ b/src/main/java/org/ternhinge/controller/Rentals.java
@@ -248,13 +248,13 @@
   }
 
   /** What may be asked for now: all but the offers that lately had no room. */
-  List<Snapshot.Offer> offers(Collection<Flavor> types, SteadyTime now) {
+  List<Snapshot.Offer> offers(Collection<Flavor> types, BootTimes bootTimes, SteadyTime now) {
     List<Snapshot.Offer> offers = new ArrayList<>();
     for (Flavor type : types) {
       for (String zone : type.zones()) {
         if (zones.contains(zone)) {
-          addOffer(type, zone, true, now, offers);
-          addOffer(type, zone, false, now, offers);
+          addOffer(type, zone, true, bootTimes, now, offers);
+          addOffer(type, zone, false, bootTimes, now, offers);
         }
       }
     }
@@ -262,11 +262,17 @@
   }
 
   private void addOffer(
-      Flavor type, String zone, boolean spot, SteadyTime now, List<Snapshot.Offer> offers) {
+      Flavor type,
+      String zone,
+      boolean spot,
+      BootTimes bootTimes,
+      SteadyTime now,
+      List<Snapshot.Offer> offers) {
     Refusal refusal = refusals.get(offerKey(type.name(), zone, spot));
     if (refusal == null || refusal.until.isBefore(now)) {
       int zoneIndex = zones.indexOf(zone);
-      offers.add(new Snapshot.Offer(type, zoneIndex, zone, spot, RentalRequest.MAX_COUNT));
+      double bootS = bootTimes.expectedS(type, zone);
+      offers.add(new Snapshot.Offer(type, zoneIndex, zone, spot, RentalRequest.MAX_COUNT, bootS));
     }
   }
 
--- a/src/main/java/org/ternhinge/controller/ReportProcessor.java
+++ b/src/main/java/org/ternhinge/controller/ReportProcessor.java
@@ -54,6 +54,7 @@
   private final Ledger ledger;
   private final Rentals rentals;
   private final ReportAnswers answers;
+  private final BootTimes bootTimes;
 
   ReportProcessor(
       LeadershipContext context,
@@ -61,7 +62,8 @@
       ReportedTasks reportedTasks,
       AttemptLifecycle attempts,
       Rentals rentals,
-      ReportAnswers answers) {
+      ReportAnswers answers,
+      BootTimes bootTimes) {
     this.observer = observer;
     this.reportedTasks = reportedTasks;
     this.attempts = attempts;
@@ -74,6 +76,7 @@
     this.ledger = context.ledger();
     this.rentals = rentals;
     this.answers = answers;
+    this.bootTimes = bootTimes;
   }
 
   /**
@@ -204,6 +207,7 @@
     if (machine.rentedAt != null && ledger.attemptsOn(machine.id).isEmpty()) {
       machine.idleSince = now;
     }
+    bootTimes.cameUp(machine, now);
     rentals.seen(machine.id);
     rounds.requestRound();
   }
--- a/src/main/java/org/ternhinge/controller/SnapshotCache.java
+++ b/src/main/java/org/ternhinge/controller/SnapshotCache.java
@@ -24,6 +24,7 @@
   private final MachineRegistry machines;
   private final ArrivalRates arrivalRates;
   private final Rentals rentals;
+  private final BootTimes bootTimes;
   private final SteadyTime electedAt;
   private final MachineViews machineViews;
   private final JobViews jobViews;
@@ -37,6 +38,7 @@
       MachineRegistry machines,
       ArrivalRates arrivalRates,
       Rentals rentals,
+      BootTimes bootTimes,
       SteadyTime electedAt) {
     this.settings = services.settings();
     this.tuning = services.tuning();
@@ -45,8 +47,9 @@
     this.machines = machines;
     this.arrivalRates = arrivalRates;
     this.rentals = rentals;
+    this.bootTimes = bootTimes;
     this.electedAt = electedAt;
-    this.machineViews = new MachineViews(settings, authority, ledger, flavors, machines);
+    this.machineViews = new MachineViews(settings, authority, ledger, flavors, machines, bootTimes);
     this.jobViews = new JobViews(settings, services.clock(), ledger, failures);
   }
 
@@ -64,7 +67,7 @@
         arrivalRates.spares(now, settings.zones().size()),
         settings.teams(),
         teamUse(),
-        rentals.offers(flavors.values(), now),
+        rentals.offers(flavors.values(), bootTimes, now),
         rentals.coming(flavors),
         jobViews.startedLate(now),
         settled(now),
--- a/src/main/java/org/ternhinge/controller/UnusableMachineCheck.java
+++ b/src/main/java/org/ternhinge/controller/UnusableMachineCheck.java
@@ -28,10 +28,16 @@
    */
   private static final int ZONE_LEASES = 3;
 
-  /** A machine may take so many times its type's usual time to boot, and at least so much more. */
-  private static final double BOOT_FACTOR = 3;
+  /**
+   * A machine that the cloud's list says is up gets so many times its type's usual time to boot to
+   * report to this leadership, and at least so much more: its way here may be cut.
+   */
+  private static final double UNHEARD_FACTOR = 3;
 
-  private static final double BOOT_MARGIN_S = 45;
+  private static final double UNHEARD_MARGIN_S = 45;
+
+  /** Reports that a worker may owe a new leader. */
+  private static final int REPORTS_AWAITED = 2;
 
   /** Leases for which a machine may go without getting what it is told. */
   private static final double UNREACHABLE_LEASES = 2;
@@ -41,6 +47,7 @@
   private final MachineTypes machineTypes;
   private final Ledger ledger;
   private final MachineReleases releases;
+  private final BootTimes bootTimes;
   private final SteadyTime electedAt;
 
   UnusableMachineCheck(
@@ -49,12 +56,14 @@
       MachineTypes machineTypes,
       Ledger ledger,
       MachineReleases releases,
+      BootTimes bootTimes,
       SteadyTime electedAt) {
     this.settings = settings;
     this.machines = machines;
     this.machineTypes = machineTypes;
     this.ledger = ledger;
     this.releases = releases;
+    this.bootTimes = bootTimes;
     this.electedAt = electedAt;
   }
 
@@ -111,9 +120,19 @@
     return machine.sick(now) ? "sick" : null;
   }
 
-  /** A machine from before this leadership gets as long to report as one that boots. */
+  /**
+   * Whether a machine has not come up in the time that it may take. That counts from its rental,
+   * whichever leader rented it; but one that is up has to find a new leader first.
+   */
   private boolean neverCameUp(Machine machine, Flavor type, SteadyTime now) {
-    double bootAllowedS = Math.max(BOOT_FACTOR * type.bootS(), type.bootS() + BOOT_MARGIN_S);
-    return !machine.reported && now.secondsSince(machine.rentedAt.max(electedAt)) > bootAllowedS;
+    if (machine.reported) {
+      return false;
+    }
+    if (machine.listedUp) {
+      double allowedS = Math.max(UNHEARD_FACTOR * type.bootS(), type.bootS() + UNHEARD_MARGIN_S);
+      return now.secondsSince(machine.rentedAt.max(electedAt)) > allowedS;
+    }
+    return now.secondsSince(electedAt) > REPORTS_AWAITED * settings.workers().reportS()
+        && bootTimes.isGivenUp(machine, now);
   }
 }
--- a/src/main/java/org/ternhinge/schedule/RentalPlanner.java
+++ b/src/main/java/org/ternhinge/schedule/RentalPlanner.java
@@ -121,7 +121,7 @@
         continue;
       }
       double price = offer.flavor().price(offer.spot()) / Math.min(fits, Math.max(1, wanted));
-      double waits = offer.flavor().bootS() + offer.flavor().fetchSeconds(spec.imageGb());
+      double waits = offer.bootS() + offer.flavor().fetchSeconds(spec.imageGb());
       double cost = price * (1 + waits / 120);
       if (cost < least) {
         least = cost;
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -99,6 +99,18 @@
   /** Machines that were asked for and whose names are not known yet. */
   public record Coming(Offer of, int count) {}
 
-  /** A machine type that can be rented in a zone, as spot or ordinary. */
-  public record Offer(Flavor flavor, int zone, String zoneName, boolean spot, int most) {}
+  /**
+   * A machine type that can be rented in a zone, as spot or ordinary.
+   *
+   * @param most how many may be rented at once
+   * @param bootS how long such a machine takes to come up there, in seconds
+   */
+  public record Offer(
+      Flavor flavor, int zone, String zoneName, boolean spot, int most, double bootS) {
+
+    /** An offer of machines that come up in their type's usual time. */
+    public Offer(Flavor flavor, int zone, String zoneName, boolean spot, int most) {
+      this(flavor, zone, zoneName, spot, most, flavor.bootS());
+    }
+  }
 }
--- a/src/test/java/org/ternhinge/sim/SimCloud.java
+++ b/src/test/java/org/ternhinge/sim/SimCloud.java
@@ -1,9 +1,6 @@
 package org.ternhinge.sim;
 
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import org.ternhinge.cloud.Cloud;
 import org.ternhinge.limit.RequestPriority;
@@ -65,6 +62,7 @@
             to -> {
               ids.forEach(
                   id -> {
+                    cluster.stock.release(id);
                     SimWorker worker = cluster.workers.remove(id);
                     if (worker != null) {
                       worker.die();
@@ -81,74 +79,18 @@
     if (cluster.networkFaults.apart(NetworkFaults.zoneOf(node), null)) {
       return owner.guard(cluster.networkFaults.lostCall(5));
     }
-    List<HostInfo> hosts = new ArrayList<>();
-    boolean more = false;
-    for (SimWorker w :
-        (after == null ? cluster.workers : cluster.workers.tailMap(after, false)).values()) {
-      if (hosts.size() == limit) {
-        more = true;
-        break;
-      }
-      hosts.add(
-          new HostInfo(
-              w.id(), w.endpoint(), w.flavor.name(), w.zone, w.spot, HostInfo.State.RUNNING, 30));
-    }
+    List<HostInfo> rented = cluster.stock.list();
+    List<HostInfo> hosts =
+        rented.stream()
+            .filter(host -> after == null || host.machine().compareTo(after) > 0)
+            .limit(limit)
+            .toList();
+    boolean more =
+        !hosts.isEmpty() && !hosts.get(hosts.size() - 1).equals(rented.get(rented.size() - 1));
     HostInfo.Page page = new HostInfo.Page(hosts, more);
     CompletableFuture<Outcome<HostInfo.Page>> out = new CompletableFuture<>();
     // The list lags.
     cluster.clock.after(1, () -> out.complete(Outcome.applied(page)));
     return owner.guard(out);
   }
-
-  /** What the cloud has rented out, to whomever. */
-  static final class Stock {
-    private final SimCluster cluster;
-    private final Map<String, List<MachineId>> rentals = new HashMap<>();
-    private final Map<String, Integer> booting = new HashMap<>();
-    private int machinesMade;
-
-    Stock(SimCluster cluster) {
-      this.cluster = cluster;
-    }
-
-    int machinesMade() {
-      return machinesMade;
-    }
-
-    private static String offer(String type, String zone, boolean spot) {
-      return type + zone + spot;
-    }
-
-    private int rentedNow(String offer) {
-      int count = booting.getOrDefault(offer, 0);
-      for (SimWorker w : cluster.workers.values()) {
-        count += offer(w.flavor.name(), w.zone, w.spot).equals(offer) ? 1 : 0;
-      }
-      return count;
-    }
-
-    List<MachineId> rentNow(RentalRequest request) {
-      return rentals.computeIfAbsent(
-          request.name(),
-          k -> {
-            List<MachineId> out = new ArrayList<>();
-            String offer = offer(request.type(), request.zone(), request.spot());
-            int left = cluster.machinesOfEach() - rentedNow(offer);
-            for (int i = 0; i < Math.min(request.count(), left); i++) {
-              MachineId id = new MachineId(String.format("n-%06d", machinesMade++));
-              out.add(id);
-              Flavor flavor = SimCluster.FLAVORS.get(request.type().equals("small") ? 0 : 1);
-              cluster.clock.after(
-                  flavor.bootS() * (0.6 + cluster.random.nextDouble()),
-                  () -> {
-                    booting.merge(offer, -1, Integer::sum);
-                    cluster.workers.put(
-                        id, new SimWorker(cluster, id, flavor, request.zone(), request.spot()));
-                  });
-            }
-            booting.merge(offer, out.size(), Integer::sum);
-            return out;
-          });
-    }
-  }
 }
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -100,6 +100,9 @@
   /** Faults of the state service. */
   public final StateServiceFaults stateFaults;
 
+  /** Faults of machines that are rented. */
+  public final BootFaults bootFaults = new BootFaults();
+
   /** Faults of machines. */
   public final MachineFaults machineFaults;
 
@@ -113,7 +116,7 @@
   final ClusterSettings settings;
   final SimNetwork network;
   final TreeMap<MachineId, SimWorker> workers = new TreeMap<>();
-  final SimCloud.Stock stock = new SimCloud.Stock(this);
+  final SimStock stock = new SimStock(this);
   final ReportHistory reportHistory = new ReportHistory(this);
   final JobCatalog jobs = new JobCatalog();
   final RuleViolations violations = new RuleViolations();
@@ -353,6 +356,11 @@
     return stock.machinesMade();
   }
 
+  /** Machines that are rented and not up. */
+  public List<MachineId> bootingMachines() {
+    return stock.booting();
+  }
+
   /** Machines that are up. */
   public List<SimWorker> liveWorkers() {
     return List.copyOf(workers.values());
--- /dev/null
+++ b/src/test/java/org/ternhinge/sim/SimStock.java
@@ -0,0 +1,137 @@
+package org.ternhinge.sim;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.wire.Flavor;
+import org.ternhinge.wire.HostInfo;
+import org.ternhinge.wire.RentalRequest;
+
+/** What the cloud has rented out, to whomever. */
+final class SimStock {
+  /** A machine that was rented and is not up yet. */
+  private record Booting(RentalRequest request, Flavor flavor) {}
+
+  private final SimCluster cluster;
+  private final Map<String, List<MachineId>> rentals = new HashMap<>();
+  private final TreeMap<MachineId, Booting> booting = new TreeMap<>();
+  private final Map<MachineId, SteadyTime> rentedAt = new HashMap<>();
+  private int machinesMade;
+
+  SimStock(SimCluster cluster) {
+    this.cluster = cluster;
+  }
+
+  /** Machines that were ever rented. */
+  int machinesMade() {
+    return machinesMade;
+  }
+
+  /** Machines that are rented and not up. */
+  List<MachineId> booting() {
+    return List.copyOf(booting.keySet());
+  }
+
+  private int rentedNow(RentalRequest request) {
+    int count = 0;
+    for (Booting machine : booting.values()) {
+      RentalRequest other = machine.request;
+      count +=
+          other.type().equals(request.type())
+                  && other.zone().equals(request.zone())
+                  && other.spot() == request.spot()
+              ? 1
+              : 0;
+    }
+    for (SimWorker worker : cluster.workers.values()) {
+      count +=
+          worker.flavor.name().equals(request.type())
+                  && worker.zone.equals(request.zone())
+                  && worker.spot == request.spot()
+              ? 1
+              : 0;
+    }
+    return count;
+  }
+
+  /** Rents machines; the same request again gives the same answer. */
+  List<MachineId> rentNow(RentalRequest request) {
+    return rentals.computeIfAbsent(request.name(), name -> rentNew(request));
+  }
+
+  private List<MachineId> rentNew(RentalRequest request) {
+    List<MachineId> out = new ArrayList<>();
+    int left = cluster.machinesOfEach() - rentedNow(request);
+    for (int i = 0; i < Math.min(request.count(), left); i++) {
+      out.add(rentOne(request));
+    }
+    return out;
+  }
+
+  private MachineId rentOne(RentalRequest request) {
+    MachineId id = new MachineId(String.format("n-%06d", machinesMade++));
+    Flavor flavor = SimCluster.FLAVORS.get(request.type().equals("small") ? 0 : 1);
+    booting.put(id, new Booting(request, flavor));
+    rentedAt.put(id, cluster.clock.now());
+    double usualS = flavor.bootS() * (0.6 + cluster.random.nextDouble());
+    double bootS = usualS * cluster.bootFaults.factor(request);
+    if (!cluster.bootFaults.neverComesUp(machinesMade - 1)) {
+      cluster.clock.after(bootS, () -> comesUp(id));
+    }
+    return id;
+  }
+
+  private void comesUp(MachineId id) {
+    Booting machine = booting.remove(id);
+    if (machine != null) {
+      RentalRequest request = machine.request;
+      cluster.workers.put(
+          id, new SimWorker(cluster, id, machine.flavor, request.zone(), request.spot()));
+    }
+  }
+
+  /** A machine that is not up is given back. */
+  void release(MachineId id) {
+    booting.remove(id);
+  }
+
+  /** All machines that are rented, as they were some time ago, in the order of their names. */
+  List<HostInfo> list() {
+    SteadyTime then = cluster.clock.now().plusSeconds(-cluster.bootFaults.listLagS());
+    TreeMap<MachineId, HostInfo> hosts = new TreeMap<>();
+    booting.forEach(
+        (id, machine) -> {
+          RentalRequest request = machine.request;
+          hosts.put(
+              id,
+              new HostInfo(
+                  id,
+                  "",
+                  request.type(),
+                  request.zone(),
+                  request.spot(),
+                  HostInfo.State.BOOTING,
+                  then.secondsSince(rentedAt.get(id))));
+        });
+    cluster.workers.forEach(
+        (id, worker) ->
+            hosts.put(
+                id,
+                new HostInfo(
+                    id,
+                    worker.endpoint(),
+                    worker.flavor.name(),
+                    worker.zone,
+                    worker.spot,
+                    worker.startedAt.isBefore(then) || worker.startedAt.equals(then)
+                        ? HostInfo.State.RUNNING
+                        : HostInfo.State.BOOTING,
+                    then.secondsSince(rentedAt.get(id)))));
+    hosts.values().removeIf(host -> host.ageS() < 0);
+    return List.copyOf(hosts.values());
+  }
+}
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -49,6 +49,7 @@
   private int session = 1;
   private long sequence;
   private Term token = Term.NONE;
+  final SteadyTime startedAt;
   private SteadyTime leaseFrom;
   private final ReportTarget target;
   private int reports;
@@ -75,7 +76,8 @@
     this.hang = new MachineHang(cluster.clock);
     this.target =
         new ReportTarget(cluster.nodeCount(), cluster.random.nextInt(cluster.nodeCount()));
-    this.leaseFrom = cluster.clock.now();
+    this.startedAt = cluster.clock.now();
+    this.leaseFrom = startedAt;
     watchLease();
     report();
   }
