A node that can't read who leads finds the leader; the next leader ends the last one's grace

Cause, by reading and by RefusedControllerTest: a node that the state service refuses forgets who leads when it steps down, and answered its users' questions and cancellations 503 for as long as it was refused while another node led. And a leader that can't renew its lease goes on answering reports for its grace (19 s here), so that the next leader heard of no worker before it told some, 6 s and a list later.

The next leader tells one listed worker of each zone of its term at once; with that worker's next report the earlier leader steps down.

Tests changed: KeepAliveTest's case of a leader in its grace cut the leader off and expected it to go on beside its successor; it is an outage now, where nobody succeeds, with the same assertions, and a new case pins that a successor ends the grace.

--- a/src/main/java/org/ternhinge/controller/ControllerNode.java
+++ b/src/main/java/org/ternhinge/controller/ControllerNode.java
@@ -101,8 +101,9 @@
     SubmissionRelay relay = new SubmissionRelay(peerClient, others, clock);
     this.submissions =
         new SubmissionHandler(settings, role, machineTypes, writer, relay, connectivity);
-    this.queries = new JobQueries(role, peerClient, lookup);
-    this.cancellations = new JobCancellations(role, peerClient, lookup, clock);
+    LeaderSearch search = new LeaderSearch(role, peerClient, connectivity, others, clock, lock);
+    this.queries = new JobQueries(role, peerClient, search, lookup);
+    this.cancellations = new JobCancellations(role, peerClient, search, lookup, clock);
     this.reports = new WorkerReports(role, peerClient, clock);
   }
 
--- a/src/main/java/org/ternhinge/controller/JobCancellations.java
+++ b/src/main/java/org/ternhinge/controller/JobCancellations.java
@@ -24,11 +24,13 @@
   private final Clock clock;
   private final LeaderFirst router;
 
-  JobCancellations(LeadershipRole role, PeerClient peers, JobLookup lookup, Clock clock) {
+  JobCancellations(
+      LeadershipRole role, PeerClient peers, LeaderSearch search, JobLookup lookup, Clock clock) {
     this.lookup = lookup;
     this.clock = clock;
     this.router =
-        new LeaderFirst(role, peers, LEADER_TIMEOUT_S, this::cancelAsLeader, this::confirmIfOver);
+        new LeaderFirst(
+            role, peers, search, LEADER_TIMEOUT_S, this::cancelAsLeader, this::confirmIfOver);
   }
 
   /** Takes a cancellation from a user. */
--- a/src/main/java/org/ternhinge/controller/JobLookup.java
+++ b/src/main/java/org/ternhinge/controller/JobLookup.java
@@ -53,13 +53,21 @@
   private record StoredJob(Found found, List<JobId> waitsFor) {}
 
   private final StateStore store;
+  private final SharedLookups shared = new SharedLookups(this::search);
 
   JobLookup(StateStore store) {
     this.store = store;
   }
 
-  /** Finds a job; the result may come on any thread, without the controller's lock. */
+  /**
+   * Finds a job; the result may come on any thread, without the controller's lock. Requests for the
+   * same job at the same time share their reads.
+   */
   void find(JobId id, RequestPriority priority, Consumer<Result> then) {
+    shared.find(id, priority, then);
+  }
+
+  private void search(JobId id, RequestPriority priority, Consumer<Result> then) {
     new Search(id, priority, then).start();
   }
 
--- a/src/main/java/org/ternhinge/controller/JobQueries.java
+++ b/src/main/java/org/ternhinge/controller/JobQueries.java
@@ -18,10 +18,11 @@
   private final JobLookup lookup;
   private final LeaderFirst router;
 
-  JobQueries(LeadershipRole role, PeerClient peers, JobLookup lookup) {
+  JobQueries(LeadershipRole role, PeerClient peers, LeaderSearch search, JobLookup lookup) {
     this.lookup = lookup;
     this.router =
-        new LeaderFirst(role, peers, LEADER_TIMEOUT_S, this::answerAsLeader, this::answerFromStore);
+        new LeaderFirst(
+            role, peers, search, LEADER_TIMEOUT_S, this::answerAsLeader, this::answerFromStore);
   }
 
   /** Answers a question that a user has put to this node. */
--- a/src/main/java/org/ternhinge/controller/LeaderFirst.java
+++ b/src/main/java/org/ternhinge/controller/LeaderFirst.java
@@ -8,7 +8,8 @@
 
 /**
  * Has requests about a job answered by the leader, here or on another node, and otherwise by what
- * the state service holds. Guarded by the controller's lock.
+ * the state service holds. Where neither can be had, the other nodes are asked for the leader.
+ * Guarded by the controller's lock.
  */
 final class LeaderFirst {
   /** Answers as the leader. */
@@ -27,6 +28,7 @@
 
   private final LeadershipRole role;
   private final PeerClient peers;
+  private final LeaderSearch search;
   private final double leaderTimeoutS;
   private final LeaderAnswer asLeader;
   private final StoreAnswer fromStore;
@@ -39,11 +41,13 @@
   LeaderFirst(
       LeadershipRole role,
       PeerClient peers,
+      LeaderSearch search,
       double leaderTimeoutS,
       LeaderAnswer asLeader,
       StoreAnswer fromStore) {
     this.role = role;
     this.peers = peers;
+    this.search = search;
     this.leaderTimeoutS = leaderTimeoutS;
     this.asLeader = asLeader;
     this.fromStore = fromStore;
@@ -55,15 +59,43 @@
       asLeader.give(id, role.valid().get(), answer);
       return;
     }
-    Optional<String> leader = role.otherLeader();
+    Optional<String> leader = search.leader();
     if (leader.isEmpty()) {
-      fromStore.give(id, answer);
+      answerWithoutLeader(id, request, leader, answer);
     } else {
       peers.askOrBusy(
-          leader.get(), request, leaderTimeoutS, response -> leaderAnswered(id, response, answer));
+          leader.get(),
+          request,
+          leaderTimeoutS,
+          orElse(answer, () -> answerWithoutLeader(id, request, leader, answer)));
     }
   }
 
+  /**
+   * Answers by what the state service holds, or by a leader that this node does not know.
+   *
+   * @param asked the node that has been asked as the leader already
+   */
+  private void answerWithoutLeader(
+      JobId id, Request request, Optional<String> asked, Consumer<Response> answer) {
+    if (search.isStateSilent()) {
+      search.ask(request, asked, leaderTimeoutS, orElse(answer, () -> fromStore.give(id, answer)));
+    } else {
+      fromStore.give(id, orElse(answer, () -> search.ask(request, asked, leaderTimeoutS, answer)));
+    }
+  }
+
+  /** Hands a final answer on; one that leaves the request open goes to the next to be asked. */
+  private static Consumer<Response> orElse(Consumer<Response> answer, Runnable next) {
+    return response -> {
+      if (Responses.isBusy(response)) {
+        next.run();
+      } else {
+        answer.accept(response);
+      }
+    };
+  }
+
   /** Answers another node that takes this one to be the leader; nothing is passed on again. */
   void answerPeer(JobId id, Consumer<Response> answer) {
     role.valid()
@@ -71,12 +103,4 @@
             leadership -> asLeader.give(id, leadership, answer),
             () -> answer.accept(Responses.busy()));
   }
-
-  private void leaderAnswered(JobId id, Response response, Consumer<Response> answer) {
-    if (Responses.isBusy(response)) {
-      fromStore.give(id, answer);
-    } else {
-      answer.accept(response);
-    }
-  }
 }
--- a/src/main/java/org/ternhinge/controller/MachineInventory.java
+++ b/src/main/java/org/ternhinge/controller/MachineInventory.java
@@ -58,6 +58,9 @@
   private final RoundTrigger rounds;
   private final SteadyTime electedAt;
 
+  /** Zones in which a worker was told of the term. */
+  private final Set<Integer> zonesTold = new HashSet<>();
+
   /** The hosts of the reading under way, and when it began. */
   private final List<HostInfo> hosts = new ArrayList<>();
 
@@ -144,8 +147,7 @@
       }
       Machine machine = machines.findOrAdd(host.machine(), now);
       describe(machine, host, now);
-      if (!machine.termAnnounced && announcements > 0 && termAnnouncer.announce(machine, host)) {
-        machine.termAnnounced = true;
+      if (announceTerm(machine, host, announcements > 0)) {
         announcements--;
       }
       machine.listedAt = now;
@@ -160,6 +162,24 @@
     rounds.requestRound();
   }
 
+  /**
+   * Tells a worker of the term, if that is due. One in each zone is told as soon as it is listed:
+   * an earlier leader that can't renew its lease goes on answering reports for a while, and its
+   * workers then stay with it. It steps down at the first report that shows this term.
+   *
+   * @param due whether workers may be told that have not found their way by themselves
+   * @return whether it was told
+   */
+  private boolean announceTerm(Machine machine, HostInfo host, boolean due) {
+    boolean first = !zonesTold.contains(machine.zone);
+    if (machine.termAnnounced || !(due || first) || !termAnnouncer.announce(machine, host)) {
+      return false;
+    }
+    machine.termAnnounced = true;
+    zonesTold.add(machine.zone);
+    return true;
+  }
+
   /**
    * How many workers may be told of the term now. Most find their way by themselves; those that
    * have not after a while are told, few at a time, since a new leader has better things to do than
--- a/src/test/java/org/ternhinge/controller/KeepAliveTest.java
+++ b/src/test/java/org/ternhinge/controller/KeepAliveTest.java
@@ -96,7 +96,8 @@
   @CsvSource({"false, 200", "true, 503"})
   void inItsGraceALeaderKeepsAliveOnlyWhatItKnows(boolean unknown, int status) {
     int leader = world.leader();
-    world.networkFaults.cutOff(leader, 60);
+    // Nobody can take over; a next leader would have it step down by the first worker it tells.
+    world.stateFaults.outage(60);
     world.clock.runFor(8);
     WorkerReport last = world.lastReport(machine);
     List<TaskReport> tasks = new ArrayList<>(last.tasks());
@@ -107,4 +108,16 @@
     WorkerReport now = with(last, last.session(), last.sequence() + 1, tasks);
     assertEquals(status, world.answerTo(leader, now).status());
   }
+
+  /** A leader that is cut off keeps its workers no longer than until the next one has told one. */
+  @Test
+  void theNextLeaderEndsTheGrace() {
+    int leader = world.leader();
+    world.networkFaults.cutOff(leader, 60);
+    world.clock.runFor(10);
+    WorkerReport last = world.lastReport(machine);
+    WorkerReport now = with(last, last.session(), last.sequence() + 1, last.tasks());
+    assertEquals(503, world.answerTo(leader, now).status());
+    assertEquals(2, world.tasks.runningTasks(job), "tasks that go on");
+  }
 }
