Commands leave only while the authority they were decided on holds

A command that waits for its connection while the process stands still left when the process went on, on a term that another leader may have followed by then. Workers and the next leader guard against such commands, but they need not be sent: the dispatcher is asked once more when the connection is there, and a command that may not be sent is withdrawn, which counts as certainly not sent.

HttpTest: a withdrawn call on a new and on a kept connection.

--- a/src/main/java/org/ternhinge/controller/CommandDispatcher.java
+++ b/src/main/java/org/ternhinge/controller/CommandDispatcher.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
 import org.ternhinge.config.Settings;
 import org.ternhinge.http.SocketShares;
@@ -42,6 +43,7 @@
   private final Metrics metrics;
   private final Authority authority;
   private final Ledger ledger;
+  private final Lock lock;
 
   /** Orders that may be under way at once; each takes a socket. */
   private final int maxUnderWay;
@@ -65,6 +67,7 @@
     this.metrics = services.metrics();
     this.authority = authority;
     this.ledger = ledger;
+    this.lock = services.lock();
     this.maxUnderWay = SocketShares.of(settings.maxSockets()).calls();
   }
 
@@ -158,7 +161,22 @@
       Endpoint to, Session session, List<Command> commands, Consumer<Outcome<Answer>> then) {
     underWay++;
     executor.whenAnswered(
-        workers.order(to, authority.term(), session, commands), outcome -> cameBack(outcome, then));
+        workers.order(to, authority.term(), session, commands, this::mayStillSend),
+        outcome -> cameBack(outcome, then));
+  }
+
+  /**
+   * Whether the authority that a command was decided on still holds as it is about to leave. The
+   * process may have stood still since, or the connection have taken long; another leader may have
+   * decided otherwise by now.
+   */
+  private boolean mayStillSend() {
+    lock.lock();
+    try {
+      return !executor.stopped() && authority.valid();
+    } finally {
+      lock.unlock();
+    }
   }
 
   private void cameBack(Outcome<Answer> outcome, Consumer<Outcome<Answer>> then) {
--- a/src/main/java/org/ternhinge/http/HttpCaller.java
+++ b/src/main/java/org/ternhinge/http/HttpCaller.java
@@ -29,6 +29,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Future;
+import java.util.function.BooleanSupplier;
 import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
@@ -99,7 +100,26 @@
    */
   public CompletableFuture<Outcome<Reply>> call(
       Endpoint to, String method, String path, byte[] body, double timeoutS, double connectS) {
-    Call call = new Call(to, method, path, body);
+    return begin(new Call(to, method, path, body, () -> true), timeoutS, connectS);
+  }
+
+  /**
+   * A call that is sent only if a condition holds at the moment when it could be, with a connection
+   * at hand. The future completes on the event loop.
+   *
+   * @param maySend asked on the event loop
+   */
+  public CompletableFuture<Outcome<Reply>> callIf(
+      BooleanSupplier maySend,
+      Endpoint to,
+      String method,
+      String path,
+      byte[] body,
+      double timeoutS) {
+    return begin(new Call(to, method, path, body, maySend), timeoutS, CONNECT_S);
+  }
+
+  private CompletableFuture<Outcome<Reply>> begin(Call call, double timeoutS, double connectS) {
     if (loop.inEventLoop()) {
       start(call, timeoutS, connectS);
     } else {
@@ -171,23 +191,30 @@
         });
   }
 
-  private static final class Call {
+  private final class Call {
     private final Endpoint to;
     private final String method;
     private final String path;
     private final byte[] body;
+    private final BooleanSupplier maySend;
     private final CompletableFuture<Outcome<Reply>> result = new CompletableFuture<>();
     private Future<?> timer;
     private Channel channel;
 
-    Call(Endpoint to, String method, String path, byte[] body) {
+    Call(Endpoint to, String method, String path, byte[] body, BooleanSupplier maySend) {
       this.to = to;
       this.method = method;
       this.path = path;
       this.body = body;
+      this.maySend = maySend;
     }
 
     void send(Channel on) {
+      if (!maySend.getAsBoolean()) {
+        keep(to, on);
+        finish(Outcome.notApplied(Reason.WITHDRAWN, "not to be sent any more"));
+        return;
+      }
       channel = on;
       channel.pipeline().get(Replies.class).call = this;
       ByteBuf content = body == null ? Unpooled.EMPTY_BUFFER : Unpooled.wrappedBuffer(body);
--- a/src/main/java/org/ternhinge/model/Outcome.java
+++ b/src/main/java/org/ternhinge/model/Outcome.java
@@ -27,6 +27,8 @@
     HELD_BACK,
     /** No connection came about. */
     NO_CONNECTION,
+    /** The caller's condition for sending it no longer held when it could be sent. */
+    WITHDRAWN,
     NOT_FOUND,
     INVALID,
     /** The revision asked for is no longer kept. */
--- a/src/main/java/org/ternhinge/worker/HttpWorkers.java
+++ b/src/main/java/org/ternhinge/worker/HttpWorkers.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.ternhinge.http.HttpCaller;
 import org.ternhinge.http.Reply;
 import org.ternhinge.model.Endpoint;
@@ -26,9 +27,13 @@
 
   @Override
   public CompletableFuture<Outcome<Answer>> order(
-      Endpoint worker, Term term, Session session, List<Command> commands) {
+      Endpoint worker,
+      Term term,
+      Session session,
+      List<Command> commands,
+      BooleanSupplier maySend) {
     byte[] body = Command.order(term, session, commands);
-    return http.call(worker, "POST", "/commands", body, TIMEOUT_S)
+    return http.callIf(maySend, worker, "POST", "/commands", body, TIMEOUT_S)
         .thenApply(outcome -> outcome.flatMap(HttpWorkers::decode));
   }
 
--- a/src/main/java/org/ternhinge/worker/Workers.java
+++ b/src/main/java/org/ternhinge/worker/Workers.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
 import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Session;
@@ -24,9 +25,14 @@
     record Refused(WorkerReport report) implements Answer {}
   }
 
-  /** Sends commands to a worker; none at all asks for a report only. */
+  /**
+   * Sends commands to a worker; none at all asks for a report only.
+   *
+   * @param maySend asked once more right before the commands leave, since the process may have
+   *     stood still in between; called on any thread
+   */
   CompletableFuture<Outcome<Answer>> order(
-      Endpoint worker, Term term, Session session, List<Command> commands);
+      Endpoint worker, Term term, Session session, List<Command> commands, BooleanSupplier maySend);
 
   /** The worker at this address is of no more use. */
   void forget(Endpoint worker);
--- a/src/test/java/org/ternhinge/controller/LeadershipParts.java
+++ b/src/test/java/org/ternhinge/controller/LeadershipParts.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.BooleanSupplier;
 import org.ternhinge.cloud.Cloud;
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Team;
@@ -220,7 +221,11 @@
   private final class SilentWorkers implements Workers {
     @Override
     public CompletableFuture<Outcome<Answer>> order(
-        Endpoint worker, Term term, Session session, List<Command> commands) {
+        Endpoint worker,
+        Term term,
+        Session session,
+        List<Command> commands,
+        BooleanSupplier maySend) {
       sent.addAll(commands);
       return new CompletableFuture<>();
     }
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/PausedControllerTest.java
@@ -0,0 +1,129 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+
+/**
+ * A leader whose process stands still for seconds while its clocks run on, or all controllers that
+ * are away for a minute and more.
+ */
+class PausedControllerTest {
+  private final DependentJobs cluster =
+      DependentJobs.withoutComingLimits(61, new SimCluster.Size(3, 8, 400, 30));
+
+  private List<JobId> submit(String prefix, int jobs, int tasks, double runsS) {
+    List<JobId> ids = new ArrayList<>();
+    for (int i = 0; i < jobs; i++) {
+      ids.add(cluster.submit(prefix + i, tasks, runsS));
+    }
+    return ids;
+  }
+
+  /**
+   * The commands of a round wait for their connections when the process stops. When it goes on,
+   * another leader may have claimed a higher term; what was decided before must not leave then.
+   */
+  @ParameterizedTest(name = "stands still {0} s after a submission for {1} s")
+  @CsvSource({
+    "0.05, 3",
+    "0.05, 8",
+    "0.05, 30",
+    "0.2, 8",
+    "0.3, 8",
+    "0.4, 8",
+    "0.4, 30",
+    "0.6, 8",
+    "0.8, 30"
+  })
+  void nothingDecidedBeforeIsSentOnLapsedAuthority(double afterS, double seconds) {
+    submit("wk-1", 4, 6, 60);
+    // Leaves machines that idle, so that the next jobs wait for no boot.
+    submit("wk-0", 4, 8, 5);
+    cluster.run(35);
+    cluster.world.slowConnections(0.25);
+    submit("wk-2", 4, 8, 5);
+    cluster.world.clock.runFor(afterS);
+    cluster.world.pause(cluster.world.leader(), seconds);
+    cluster.run(seconds + 20);
+    assertEquals(0, cluster.world.counts.commandsOfOldTerms(), "commands sent under an old term");
+    cluster.allDoneAfter(90);
+  }
+
+  /** At each moment between two renewals, which are 2 s apart. */
+  @ParameterizedTest(name = "{0} s after a renewal, for {1} s")
+  @CsvSource({
+    "0, 5", "0.5, 5", "1, 5", "1.5, 5", "1.9, 5", "0, 7", "0.7, 7", "1.4, 7", "1.99, 7", "0, 25",
+    "1, 25", "2, 25"
+  })
+  void aPauseDuringRenewal(double offsetS, double seconds) {
+    List<JobId> jobs = submit("wk-1", 4, 6, 90);
+    cluster.run(30 + offsetS);
+    cluster.world.slowConnections(0.05);
+    int paused = cluster.world.leader();
+    cluster.world.pause(paused, seconds);
+    cluster.world.clock.runFor(0.1);
+    submit("wk-2", 3, 4, 5);
+    cluster.users.cancel(jobs.get(0));
+    cluster.run(seconds + 15);
+    assertEquals("cancelled", cluster.users.lastTold(jobs.get(0)));
+    assertEquals(0, cluster.world.counts.commandsOfOldTerms(), "commands sent under an old term");
+    cluster.users.quiet();
+    cluster.run(120);
+    cluster.nothingBroken();
+  }
+
+  /**
+   * All controllers are away for longer than a lease, so all that ran has ended. What was open is
+   * settled in few writes, services run first, and what was confirmed as cancelled stays so.
+   */
+  @ParameterizedTest(name = "all away for {0} s")
+  @CsvSource({"30", "60", "100"})
+  void allControllersAreAway(double seconds) {
+    List<JobId> services = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      var body = DependentJobs.job("wk-3" + i, 4, 0, List.of());
+      body.put("gerd", "daemon").put("forgang", "production").put("scatter", true);
+      cluster.users.submit(body);
+      services.add(DependentJobs.idOf(body));
+    }
+    List<JobId> others = submit("wk-1", 8, 10, 150);
+    cluster.run(40);
+    cluster.users.cancel(others.get(0));
+    cluster.run(3);
+    assertEquals("cancelled", cluster.users.lastTold(others.get(0)));
+    for (int i = 0; i < 3; i++) {
+      cluster.world.crash(i, seconds + i * 0.2);
+    }
+    cluster.run(seconds + 2);
+    long changes = cluster.world.counts.stateChanges();
+    cluster.run(14);
+    int running = services.stream().mapToInt(cluster.world.tasks::runningTasks).sum();
+    assertEquals(20, running, "replicas that run again");
+    assertEquals(0, cluster.world.tasks.runningTasks(others.get(0)), "cancelled tasks");
+    long settled = cluster.world.counts.stateChanges() - changes;
+    assertTrue(settled < 14 * 30, settled + " changes after the return");
+    cluster.run(60);
+    int again = others.stream().mapToInt(cluster.world.tasks::runningTasks).sum();
+    assertEquals(70, again, "tasks of others that run again");
+    cluster.nothingBroken();
+  }
+
+  /** A follower that stands still is missed by nobody. */
+  @Test
+  void aFollowerStandsStill() {
+    List<JobId> jobs = submit("wk-1", 4, 6, 10);
+    cluster.world.pause((cluster.world.leader() + 1) % 3, 40);
+    cluster.run(60);
+    assertEquals(1, cluster.world.counts.leaderships());
+    jobs.forEach(job -> assertEquals("done", cluster.users.lastTold(job)));
+    cluster.nothingBroken();
+  }
+}
--- a/src/test/java/org/ternhinge/controller/RefusedControllerTest.java
+++ b/src/test/java/org/ternhinge/controller/RefusedControllerTest.java
@@ -18,6 +18,9 @@
   /** Six seconds of lease, and what the next leader takes to claim it and to load. */
   private static final double TAKE_OVER_S = 10;
 
+  /** A command, the fetch of an image, and some more. */
+  private static final double STARTS_S = 4;
+
   private final DependentJobs cluster =
       DependentJobs.withoutComingLimits(47, new SimCluster.Size(5, 4, 100, 30));
 
@@ -73,7 +76,7 @@
     cluster.run(TAKE_OVER_S);
     int starts = cluster.world.tasks.starts();
     cluster.submit("wk-20", 4, 5);
-    cluster.run(12);
+    cluster.run(STARTS_S);
     assertTrue(cluster.world.tasks.starts() >= starts + 4, "work starts again in time");
     cluster.run(seconds + 10);
     int changes = cluster.world.counts.leaderships() - before;
--- a/src/test/java/org/ternhinge/http/HttpTest.java
+++ b/src/test/java/org/ternhinge/http/HttpTest.java
@@ -22,6 +22,7 @@
 import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -128,6 +129,36 @@
     assertTrue(write instanceof Outcome.Unknown, "it may have been carried out");
   }
 
+  /** What was decided on an authority that has lapsed does not leave. */
+  @ParameterizedTest(name = "may be sent: {0}, on a kept connection: {1}")
+  @CsvSource({"true, false", "false, false", "true, true", "false, true"})
+  void aCallThatMayNotBeSentIsWithdrawn(boolean maySend, boolean kept) throws Exception {
+    AtomicInteger arrived = new AtomicInteger();
+    Channel channel =
+        new HttpServer(
+                group,
+                (request, to) -> {
+                  arrived.incrementAndGet();
+                  to.accept(Response.of(200));
+                },
+                SocketShares.of(64),
+                "/work",
+                null)
+            .listen(new Endpoint("127.0.0.1", 0));
+    here = new Endpoint("127.0.0.1", ((InetSocketAddress) channel.localAddress()).getPort());
+    HttpCaller caller = new HttpCaller(group.next(), SocketShares.of(64));
+    if (kept) {
+      caller.call(here, "GET", "/", null, 20).get(30, TimeUnit.SECONDS);
+    }
+    Outcome<Reply> outcome =
+        caller.callIf(() -> maySend, here, "POST", "/", new byte[2], 20).get(30, TimeUnit.SECONDS);
+    assertEquals(maySend, outcome instanceof Outcome.Applied);
+    assertEquals(!maySend, outcome.isBecause(Reason.WITHDRAWN));
+    // The connection serves the next call.
+    caller.call(here, "GET", "/", null, 20).get(30, TimeUnit.SECONDS);
+    assertEquals((kept ? 1 : 0) + (maySend ? 1 : 0) + 1, arrived.get());
+  }
+
   /** A 503 that names a time to come back says so in its head; nothing else does. */
   @ParameterizedTest(name = "{0}, back in {1} s")
   @CsvSource({"503, 1, 1", "503, 17, 17", "503, 0, ", "200, 0, ", "422, 0, "})
--- a/src/test/java/org/ternhinge/sim/MessageCounts.java
+++ b/src/test/java/org/ternhinge/sim/MessageCounts.java
@@ -1,5 +1,9 @@
 package org.ternhinge.sim;
 
+import java.util.List;
+import org.ternhinge.model.Term;
+import org.ternhinge.wire.Command;
+
 /** Counts of messages and calls since the cluster began, by which tests bound the work done. */
 public final class MessageCounts {
   private long reports;
@@ -11,6 +15,7 @@
   private long rentalCalls;
   private long releaseCalls;
   private int leaderships;
+  private long commandsOfOldTerms;
 
   void report() {
     reports++;
@@ -26,6 +31,12 @@
     commandCallsUnderWay--;
   }
 
+  void commandsLeave(List<Command> commands, Term term, Term highest) {
+    if (term.compareTo(highest) < 0) {
+      commandsOfOldTerms += commands.size();
+    }
+  }
+
   void stateChanges(int changes) {
     stateChanges += changes;
   }
@@ -46,6 +57,11 @@
     leaderships++;
   }
 
+  /** Commands that were sent directly under a term when a higher one had been claimed. */
+  public long commandsOfOldTerms() {
+    return commandsOfOldTerms;
+  }
+
   /** Reports that workers sent. */
   public long reports() {
     return reports;
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -125,6 +125,10 @@
   final CancellationCheck cancellations;
   final TaskEvents events;
   private final Size size;
+
+  /** How long a connection to a worker takes to come about. */
+  double connectS;
+
   private final SimController[] controllers;
 
   /** Controllers whose processes are of the version before dependent jobs. */
@@ -222,6 +226,18 @@
     clock.after(backAfterS, () -> startController(index));
   }
 
+  /** A controller's process stands still for a while; its clocks run on. */
+  public void pause(int index, double seconds) {
+    if (controllers[index] != null) {
+      controllers[index].pause(seconds);
+    }
+  }
+
+  /** Connections to workers take so long to come about from now on. */
+  public void slowConnections(double seconds) {
+    connectS = seconds;
+  }
+
   /** How many controllers there are. */
   public int nodeCount() {
     return size.nodes;
--- a/src/test/java/org/ternhinge/sim/SimCommandClient.java
+++ b/src/test/java/org/ternhinge/sim/SimCommandClient.java
@@ -2,9 +2,12 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import org.ternhinge.model.AsyncCalls;
 import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.Session;
 import org.ternhinge.model.Term;
 import org.ternhinge.wire.Command;
@@ -24,31 +27,61 @@
 
   @Override
   public CompletableFuture<Outcome<Answer>> order(
-      Endpoint endpoint, Term term, Session session, List<Command> commands) {
+      Endpoint endpoint,
+      Term term,
+      Session session,
+      List<Command> commands,
+      BooleanSupplier maySend) {
     cluster.counts.commandCallBegan();
-    MachineId id = SimWorker.idAt(endpoint);
-    SimWorker worker = cluster.workers.get(id);
-    cluster.tasks.sent(id, commands);
-    cluster.events.commandsLeave(id, commands);
-    CompletableFuture<Outcome<Answer>> answer =
-        cluster.networkFaults.call(
-            owner.zone(),
-            worker == null ? owner.zone() : worker.zone,
-            () -> !reaches(worker),
-            TIMEOUT_S,
-            to -> {
-              if (worker != null) {
-                worker.order(term, session, commands, to);
-              }
-            });
+    if (cluster.connectS == 0) {
+      return counted(send(endpoint, term, session, commands, maySend));
+    }
+    CompletableFuture<Outcome<Answer>> answer = new CompletableFuture<>();
+    owner.after(
+        cluster.connectS,
+        () ->
+            AsyncCalls.whenAnswered(
+                send(endpoint, term, session, commands, maySend), answer::complete));
+    return counted(answer);
+  }
+
+  private CompletableFuture<Outcome<Answer>> counted(CompletableFuture<Outcome<Answer>> call) {
     return owner.guard(
-        answer.thenApply(
+        call.thenApply(
             outcome -> {
               cluster.counts.commandCallEnded();
               return outcome;
             }));
   }
 
+  /** The connection is there. */
+  private CompletableFuture<Outcome<Answer>> send(
+      Endpoint endpoint,
+      Term term,
+      Session session,
+      List<Command> commands,
+      BooleanSupplier maySend) {
+    if (!maySend.getAsBoolean()) {
+      return CompletableFuture.completedFuture(
+          Outcome.notApplied(Reason.WITHDRAWN, "not to be sent any more"));
+    }
+    cluster.counts.commandsLeave(commands, term, cluster.state.term());
+    MachineId id = SimWorker.idAt(endpoint);
+    SimWorker worker = cluster.workers.get(id);
+    cluster.tasks.sent(id, commands);
+    cluster.events.commandsLeave(id, commands);
+    return cluster.networkFaults.call(
+        owner.zone(),
+        worker == null ? owner.zone() : worker.zone,
+        () -> !reaches(worker),
+        TIMEOUT_S,
+        to -> {
+          if (worker != null) {
+            worker.order(term, session, commands, to);
+          }
+        });
+  }
+
   private boolean reaches(SimWorker worker) {
     return worker != null
         && !worker.cut()
--- a/src/test/java/org/ternhinge/sim/SimController.java
+++ b/src/test/java/org/ternhinge/sim/SimController.java
@@ -31,6 +31,9 @@
   private final ControllerNode node;
   private boolean alive = true;
 
+  /** Until then the process stands still while its clocks run on. */
+  private SteadyTime pausedUntil = new SteadyTime(0);
+
   SimController(SimCluster cluster, int index) {
     this.cluster = cluster;
     this.index = index;
@@ -94,6 +97,24 @@
     alive = false;
   }
 
+  /** Stands still for a while; what is due or arrives meanwhile is taken up afterwards. */
+  void pause(double seconds) {
+    pausedUntil = now().plusSeconds(seconds).max(pausedUntil);
+  }
+
+  /** Runs an action at once, or as soon as the process goes on; never once it is killed. */
+  private void whenRunning(Runnable action) {
+    if (!alive) {
+      return;
+    }
+    double leftS = pausedUntil.secondsSince(now());
+    if (leftS > 0) {
+      cluster.clock.after(leftS, () -> whenRunning(action));
+    } else {
+      action.run();
+    }
+  }
+
   int index() {
     return index;
   }
@@ -104,13 +125,15 @@
 
   /** A request of a user or a worker arrives. */
   void handle(Request request, Consumer<Response> answer) {
-    node.handle(
-        understood(request),
-        response -> {
-          if (alive) {
-            answer.accept(response);
-          }
-        });
+    whenRunning(
+        () ->
+            node.handle(
+                understood(request),
+                response -> {
+                  if (alive) {
+                    answer.accept(response);
+                  }
+                }));
   }
 
   /** A request of another controller arrives; the old version knows no paths for them alone. */
@@ -119,7 +142,7 @@
       answer.accept(Response.of(404));
       return;
     }
-    node.handlePeer(understood(request), answer);
+    whenRunning(() -> node.handlePeer(understood(request), answer));
   }
 
   private Request understood(Request request) {
@@ -129,13 +152,7 @@
   @Override
   public <T> CompletableFuture<T> guard(CompletableFuture<T> from) {
     CompletableFuture<T> guarded = new CompletableFuture<>();
-    AsyncCalls.whenAnswered(
-        from,
-        value -> {
-          if (alive) {
-            guarded.complete(value);
-          }
-        });
+    AsyncCalls.whenAnswered(from, value -> whenRunning(() -> guarded.complete(value)));
     return guarded;
   }
 
@@ -151,12 +168,6 @@
 
   @Override
   public void after(double seconds, Runnable action) {
-    cluster.clock.after(
-        seconds,
-        () -> {
-          if (alive) {
-            action.run();
-          }
-        });
+    cluster.clock.after(seconds, () -> whenRunning(action));
   }
 }
--- a/src/test/java/org/ternhinge/sim/SimStateService.java
+++ b/src/test/java/org/ternhinge/sim/SimStateService.java
@@ -4,10 +4,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.ternhinge.ledger.Keys;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.SteadyTime;
+import org.ternhinge.model.Term;
 import org.ternhinge.state.Change;
 import org.ternhinge.state.Entry;
 import org.ternhinge.state.Txn;
@@ -120,6 +122,12 @@
     return contents.get(key).entry().map(Entry::value).orElse(null);
   }
 
+  /** The highest term that was claimed. */
+  Term term() {
+    JsonNode term = value(Keys.TERM);
+    return new Term(term == null ? 0 : term.path("n").asLong());
+  }
+
   /** The controller that it holds for the leader, or -1. */
   int leader() {
     JsonNode leader = value(LEADER_KEY);
