--- a/src/test/java/org/ternhinge/schedule/PlannerFixture.java
+++ b/src/test/java/org/ternhinge/schedule/PlannerFixture.java
@@ -100,7 +100,8 @@
             IntArrayList.wrap(new int[2]),
             false,
             Set.of(),
-            0));
+            0,
+            false));
   }
 
   Plan plan() {
