--- a/src/test/java/org/ternhinge/controller/PausedControllerTest.java
+++ b/src/test/java/org/ternhinge/controller/PausedControllerTest.java
@@ -48,7 +48,7 @@
     // Leaves machines that idle, so that the next jobs wait for no boot.
     submit("wk-0", 4, 8, 5);
     cluster.run(35);
-    cluster.world.slowConnections(0.25);
+    cluster.world.connectS = 0.25;
     submit("wk-2", 4, 8, 5);
     cluster.world.clock.runFor(afterS);
     cluster.world.pause(cluster.world.leader(), seconds);
@@ -66,7 +66,7 @@
   void aPauseDuringRenewal(double offsetS, double seconds) {
     List<JobId> jobs = submit("wk-1", 4, 6, 90);
     cluster.run(30 + offsetS);
-    cluster.world.slowConnections(0.05);
+    cluster.world.connectS = 0.05;
     int paused = cluster.world.leader();
     cluster.world.pause(paused, seconds);
     cluster.world.clock.runFor(0.1);
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -127,7 +127,7 @@
   private final Size size;
 
   /** How long a connection to a worker takes to come about. */
-  double connectS;
+  public double connectS;
 
   private final SimController[] controllers;
 
@@ -233,11 +233,6 @@
     }
   }
 
-  /** Connections to workers take so long to come about from now on. */
-  public void slowConnections(double seconds) {
-    connectS = seconds;
-  }
-
   /** How many controllers there are. */
   public int nodeCount() {
     return size.nodes;
