Reverted: the share of a full fleet for arrays that wait for long

What the array is short of is a place that nothing of higher priority takes back; a share would have to be kept from others, not only be offered first. The test of a swarm of tiny jobs stays.

--- a/src/main/java/org/ternhinge/controller/JobViews.java
+++ b/src/main/java/org/ternhinge/controller/JobViews.java
@@ -51,9 +51,8 @@
    * All jobs with tasks to place, in the order in which they could first start.
    *
    * @param reserved for how many tasks of each job room is kept
-   * @param share what may go to arrays that have waited for long
    */
-  List<Snapshot.JobView> list(SteadyTime now, Map<JobId, Integer> reserved, StarvationShare share) {
+  List<Snapshot.JobView> list(SteadyTime now, Map<JobId, Integer> reserved) {
     Map<String, Resources> asked = new HashMap<>();
     List<Snapshot.JobView> views = new ArrayList<>();
     for (Job job : unfinished()) {
@@ -64,9 +63,7 @@
       }
       Resources sum = asked.merge(spec.team(), spec.need().times(spec.tasks()), Resources::plus);
       if (job.waitingCount() > 0) {
-        boolean guaranteed = isGuaranteed(sum, team);
-        int starved = share.take(job, progress(job), guaranteed);
-        views.add(view(job, guaranteed, starved, reserved.getOrDefault(spec.id(), 0), now));
+        views.add(view(job, isGuaranteed(sum, team), reserved.getOrDefault(spec.id(), 0), now));
       }
     }
     return views;
@@ -111,13 +108,7 @@
     return asked.cpus() <= team.cpus() && (team.gpus() == 0 || asked.gpus() <= team.gpus());
   }
 
-  /**
-   * A job as the planner is shown it.
-   *
-   * @param starved how many of its tasks go ahead of its priority, or 0
-   */
-  private Snapshot.JobView view(
-      Job job, boolean guaranteed, int starved, int reservedTasks, SteadyTime now) {
+  private Snapshot.JobView view(Job job, boolean guaranteed, int reservedTasks, SteadyTime now) {
     JobSpec spec = job.planned();
     JobRanking.Progress progress = progress(job);
     JobFailures jobFailures = failures.ofJob(spec.id());
@@ -125,8 +116,7 @@
     boolean blocked =
         jobFailures != null
             && (jobFailures.blocked(now) || (singleTasks && !job.openAttempts().isEmpty()));
-    int most = starved > 0 ? starved : Integer.MAX_VALUE;
-    most = singleTasks ? 1 : most;
+    int most = singleTasks ? 1 : Integer.MAX_VALUE;
     return new Snapshot.JobView(
         spec,
         JobRanking.key(spec, progress),
@@ -138,8 +128,7 @@
         openByZone(job),
         blocked,
         jobFailures == null ? Set.of() : jobFailures.avoid(now),
-        reservedTasks,
-        starved > 0);
+        reservedTasks);
   }
 
   private JobRanking.Progress progress(Job job) {
--- a/src/main/java/org/ternhinge/controller/SnapshotCache.java
+++ b/src/main/java/org/ternhinge/controller/SnapshotCache.java
@@ -63,7 +63,7 @@
     List<Snapshot.MachineView> views = machineViews.list(now);
     return new Snapshot(
         views,
-        jobViews.list(now, MachineViews.reservedTasks(views), new StarvationShare(views)),
+        jobViews.list(now, MachineViews.reservedTasks(views)),
         arrivalRates.spares(now, settings.zones().size()),
         settings.teams(),
         teamUse(),
--- a/src/main/java/org/ternhinge/schedule/Planner.java
+++ b/src/main/java/org/ternhinge/schedule/Planner.java
@@ -56,7 +56,6 @@
   /** Order in which jobs are served. */
   public static final Comparator<JobView> ORDER =
       Comparator.comparing((JobView job) -> job.spec().priority() != Priority.PRODUCTION)
-          .thenComparing(job -> !job.starved())
           .thenComparing(job -> !job.guaranteed() && !job.late())
           .thenComparing(job -> job.spec().priority())
           .thenComparingDouble(JobView::rank);
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -75,7 +75,6 @@
    * @param ageS seconds since it was accepted
    * @param guaranteed whether it lies within its team's guarantee
    * @param avoid machines that it failed on
-   * @param starved whether it goes ahead of its priority for once
    */
   public record JobView(
       JobSpec spec,
@@ -88,14 +87,12 @@
       IntList zoneOpen,
       boolean blocked,
       Set<MachineId> avoid,
-      int reservedTasks,
-      boolean starved) {
+      int reservedTasks) {
 
     /** A job of which nothing waits yet, to keep or rent room for. */
     public static JobView expected(JobSpec spec, double rank, int zoneCount) {
       IntList open = IntArrayList.wrap(new int[zoneCount]);
-      return new JobView(
-          spec, rank, 0, false, false, IntList.of(), 0, open, false, Set.of(), 0, false);
+      return new JobView(spec, rank, 0, false, false, IntList.of(), 0, open, false, Set.of(), 0);
     }
   }
 
