--- a/src/main/java/org/ternhinge/controller/AttemptLifecycle.java
+++ b/src/main/java/org/ternhinge/controller/AttemptLifecycle.java
@@ -60,7 +60,7 @@
       machine.outbox.add(new Command(Command.Op.START, attempt.task(), attempt.number(), 0));
       addressed.add(machine);
     }
-    addressed.forEach(dispatcher::order);
+    addressed.forEach(dispatcher::dispatch);
   }
 
   /**
@@ -128,7 +128,7 @@
     machine.view = null;
     if (attempt.seen() != Attempt.Seen.UNSEEN) {
       machine.outbox.add(new Command(Command.Op.STOP, attempt.task(), attempt.number(), graceS));
-      dispatcher.order(machine);
+      dispatcher.dispatch(machine);
     }
   }
 
--- a/src/main/java/org/ternhinge/controller/CommandDispatcher.java
+++ b/src/main/java/org/ternhinge/controller/CommandDispatcher.java
@@ -45,12 +45,12 @@
   private final Ledger ledger;
   private final Lock lock;
 
-  /** Orders that may be under way at once; each takes a socket. */
+  /** Messages that may be under way at once; each takes a socket. */
   private final int maxUnderWay;
 
   private int underWay;
 
-  /** Machines with something to be told, until an order under way has come back. */
+  /** Machines with something to be told, until a message under way has come back. */
   private final LinkedHashSet<Machine> queue = new LinkedHashSet<>();
 
   CommandDispatcher(
@@ -71,23 +71,23 @@
     this.maxUnderWay = SocketShares.of(settings.maxSockets()).calls();
   }
 
-  /** Whether another order may go out now. */
+  /** Whether another message may go out now. */
   boolean free() {
     return spare() > 0;
   }
 
-  /** How many more orders may go out now. */
+  /** How many more messages may go out now. */
   int spare() {
     return Math.max(0, maxUnderWay - underWay);
   }
 
-  /** Sends what waits for a machine, one order at a time so that orders keep their sequence. */
-  void order(Machine machine) {
+  /** Sends what waits for a machine, one message at a time so that commands keep their sequence. */
+  void dispatch(Machine machine) {
     SteadyTime now = clock.now();
-    if (machine.orderInFlight || machine.outbox.isEmpty()) {
+    if (machine.commandsInFlight || machine.outbox.isEmpty()) {
       return;
     }
-    if (!mayOrder(machine, now)) {
+    if (!mayCommand(machine, now)) {
       machine.outbox.clear();
       return;
     }
@@ -97,16 +97,16 @@
     }
     List<Command> commands = takeOutbox(machine);
     if (!commands.isEmpty()) {
-      sendOrder(machine, commands, now);
+      sendCommands(machine, commands, now);
     }
   }
 
   /**
    * Whether a machine may be told something directly. One that does not answer lately may not: its
-   * next report's answer carries the commands, and orders to a whole zone that is cut off would
+   * next report's answer carries the commands, and messages to a whole zone that is cut off would
    * keep all others waiting for their time-outs.
    */
-  private boolean mayOrder(Machine machine, SteadyTime now) {
+  private boolean mayCommand(Machine machine, SteadyTime now) {
     if (!authority.valid() || machine.endpoint == null || machine.gone) {
       return false;
     }
@@ -146,14 +146,14 @@
     return attempt != null && attempt.number().equals(command.attempt()) ? attempt : null;
   }
 
-  private void sendOrder(Machine machine, List<Command> commands, SteadyTime now) {
-    machine.orderInFlight = true;
+  private void sendCommands(Machine machine, List<Command> commands, SteadyTime now) {
+    machine.commandsInFlight = true;
     Session session = machine.session;
     send(
         machine.endpoint,
         session,
         commands,
-        outcome -> ordered(machine, session, commands, outcome, now));
+        outcome -> answered(machine, session, commands, outcome, now));
   }
 
   /** The one way out to a worker, so that what is under way is counted. */
@@ -161,7 +161,7 @@
       Endpoint to, Session session, List<Command> commands, Consumer<Outcome<Answer>> then) {
     underWay++;
     executor.whenAnswered(
-        workers.order(to, authority.term(), session, commands, this::mayStillSend),
+        workers.command(to, authority.term(), session, commands, this::mayStillSend),
         outcome -> cameBack(outcome, then));
   }
 
@@ -185,7 +185,7 @@
     while (free() && !queue.isEmpty()) {
       Machine next = queue.iterator().next();
       queue.remove(next);
-      order(next);
+      dispatch(next);
     }
   }
 
@@ -196,16 +196,16 @@
 
   /** Asks a worker that seems unreachable for a report; a message without commands brings one. */
   void probe(Machine machine, SteadyTime now) {
-    sendOrder(machine, List.of(), now);
+    sendCommands(machine, List.of(), now);
   }
 
-  private void ordered(
+  private void answered(
       Machine machine,
       Session session,
       List<Command> commands,
       Outcome<Answer> outcome,
       SteadyTime sent) {
-    machine.orderInFlight = false;
+    machine.commandsInFlight = false;
     SteadyTime now = clock.now();
     if (outcome instanceof Outcome.Applied<Answer> applied) {
       WorkerReport report = applied.value().report();
@@ -215,17 +215,17 @@
       }
       settleOutstandingStarts(machine, session, commands);
       machine.reachability.probeAnswered();
-      metrics.ordered(now.secondsSince(sent));
+      metrics.commandAnswered(now.secondsSince(sent));
       reports.take(machine, report, false, now);
     } else {
       if (outcome instanceof Outcome.NotApplied<Answer> not
           && not.reason() != Reason.NO_CONNECTION) {
         settleOutstandingStarts(machine, session, commands);
       }
-      // Otherwise the order may yet arrive: its starts stay outstanding until the session ends.
+      // Otherwise the message may yet arrive: its starts stay outstanding until the session ends.
       machine.directAfter = now.plusSeconds(settings.workers().reportS());
     }
-    order(machine);
+    dispatch(machine);
   }
 
   private static void settleOutstandingStarts(
--- a/src/main/java/org/ternhinge/controller/LeaseMonitor.java
+++ b/src/main/java/org/ternhinge/controller/LeaseMonitor.java
@@ -102,7 +102,7 @@
   /** Sends an empty command where commands seem to get lost: an answer shows that they arrive. */
   private void probeIfUnreachable(Machine machine, SteadyTime now) {
     if (machine.endpoint != null
-        && !machine.orderInFlight
+        && !machine.commandsInFlight
         && dispatcher.free()
         && machine.reachability.isProbeDue(now)) {
       dispatcher.probe(machine, now);
--- a/src/main/java/org/ternhinge/controller/Machine.java
+++ b/src/main/java/org/ternhinge/controller/Machine.java
@@ -44,7 +44,7 @@
   String zoneName;
   boolean spot;
 
-  /** Where it takes direct orders, or null before its first report. */
+  /** Where it takes direct commands, or null before its first report. */
   Endpoint endpoint;
 
   /** The endpoint as reported, to be compared without reading it again. */
@@ -131,12 +131,12 @@
 
   // ---- what it is told ----------------------------------------------------------------------
 
-  /** Commands that wait for a direct order. */
+  /** Commands that wait to be sent directly. */
   final ArrayDeque<Command> outbox = new ArrayDeque<>();
 
-  boolean orderInFlight;
+  boolean commandsInFlight;
 
-  /** Until then it is told nothing directly, since an order failed; null where none has. */
+  /** Until then it is told nothing directly, since a message failed; null where none has. */
   SteadyTime directAfter;
 
   // ---- failures -----------------------------------------------------------------------------
--- a/src/main/java/org/ternhinge/controller/MachineFailures.java
+++ b/src/main/java/org/ternhinge/controller/MachineFailures.java
@@ -7,14 +7,14 @@
 /** The failures of tasks on one machine since a task was last done there. */
 final class MachineFailures {
   /** Failures of jobs that are known to be in order: these are the machine's. */
-  private int ofJobsInOrder;
+  private int ofHealthyJobs;
 
   /** Failures of jobs of which nothing is known yet. */
   private final Object2IntOpenHashMap<JobId> ofOtherJobs = new Object2IntOpenHashMap<>();
 
   /** A task of a job that is known to be in order has failed. */
-  void jobInOrderFailed() {
-    ofJobsInOrder++;
+  void healthyJobFailed() {
+    ofHealthyJobs++;
   }
 
   /** A task of a job of which nothing was done yet has failed. */
@@ -23,19 +23,19 @@
   }
 
   /** A job turns out to be in order: its failures here were the machine's. */
-  void jobIsInOrder(JobId job) {
-    ofJobsInOrder += ofOtherJobs.removeInt(job);
+  void jobIsHealthy(JobId job) {
+    ofHealthyJobs += ofOtherJobs.removeInt(job);
   }
 
   /** A task was done on the machine: it is well. */
   void clear() {
-    ofJobsInOrder = 0;
+    ofHealthyJobs = 0;
     ofOtherJobs.clear();
   }
 
   /** How many tasks of jobs in order have failed. */
-  int countOfJobsInOrder() {
-    return ofJobsInOrder;
+  int countOfHealthyJobs() {
+    return ofHealthyJobs;
   }
 
   /** How many other jobs have failed, of those that a condition holds for. */
--- a/src/main/java/org/ternhinge/controller/ReportProcessor.java
+++ b/src/main/java/org/ternhinge/controller/ReportProcessor.java
@@ -107,7 +107,8 @@
     }
     boolean fresh = take(machine, report, true, now);
     if (!fresh) {
-      // It was overtaken by an answer to an order, or is a copy: it was sent before that answer was
+      // It was overtaken by an answer to a command, or is a copy: it was sent before that answer
+      // was
       // taken in. What it shows is old, but a worker that hears this must not miss a stop by it.
       machine.leaseEnds = leaseFrom(machine.lastReport).max(machine.leaseEnds);
       return Optional.of(mayCommand ? answers.stops(machine) : List.of());
--- a/src/main/java/org/ternhinge/controller/TaskFailures.java
+++ b/src/main/java/org/ternhinge/controller/TaskFailures.java
@@ -105,7 +105,7 @@
   private void blame(MachineId id, Job job, SteadyTime now) {
     Machine machine = machines.find(id);
     if (machine != null) {
-      machine.failures.jobIsInOrder(job.spec().id());
+      machine.failures.jobIsHealthy(job.spec().id());
       reconsider(machine, now);
     }
   }
@@ -115,8 +115,8 @@
     JobId id = job.spec().id();
     JobFailures jobFailures = of(job);
     jobFailures.failedOn(machine.id, now);
-    if (isInOrder(job)) {
-      machine.failures.jobInOrderFailed();
+    if (isHealthy(job)) {
+      machine.failures.healthyJobFailed();
     } else {
       machine.failures.otherJobFailed(id);
       backOffIfAtFault(job, jobFailures, now);
@@ -183,13 +183,13 @@
   }
 
   private boolean showsSick(Machine machine) {
-    int ofJobsInOrder = machine.failures.countOfJobsInOrder();
+    int ofHealthyJobs = machine.failures.countOfHealthyJobs();
     int ofOthers = machine.failures.countOfOtherJobs(id -> !isSuspect(id));
-    return ofJobsInOrder >= SICK_AFTER_FAILURES || ofJobsInOrder + ofOthers >= SICK_AFTER_JOBS;
+    return ofHealthyJobs >= SICK_AFTER_FAILURES || ofHealthyJobs + ofOthers >= SICK_AFTER_JOBS;
   }
 
   /** Whether a task of the job was done once: a job that was submitted with a mistake has none. */
-  private static boolean isInOrder(Job job) {
+  private static boolean isHealthy(Job job) {
     return job.doneCount() > 0;
   }
 
--- a/src/main/java/org/ternhinge/http/SocketShares.java
+++ b/src/main/java/org/ternhinge/http/SocketShares.java
@@ -2,8 +2,8 @@
 
 /**
  * How a process shares out its sockets. Without shares, the connections of a large fleet's workers,
- * or a burst of orders to them, take the last socket, and then users, probes, other controllers and
- * the state service are refused as if the process were dead.
+ * or a burst of commands to them, take the last socket, and then users, probes, other controllers
+ * and the state service are refused as if the process were dead.
  *
  * @param kept idle connections to other systems, as long as no more is free
  * @param calls connections to workers in use at once
@@ -25,8 +25,8 @@
 
   /**
    * Idle connections to other systems that may be kept beside those now open to this process. What
-   * its share leaves unused goes to them: a new connection for each order costs several times what
-   * the order itself does.
+   * its share leaves unused goes to them: a new connection for each command costs several times
+   * what the command itself does.
    */
   int keptBeside(int connections) {
     return Math.max(kept, kept + workers - connections);
--- a/src/main/java/org/ternhinge/metrics/Metrics.java
+++ b/src/main/java/org/ternhinge/metrics/Metrics.java
@@ -11,7 +11,7 @@
   private static final long MAX_MS = 3_600_000;
 
   private final Histogram starts = new Histogram(MAX_MS, 2);
-  private final Histogram orders = new Histogram(MAX_MS, 2);
+  private final Histogram commands = new Histogram(MAX_MS, 2);
   private final Histogram rounds = new Histogram(MAX_MS, 2);
   private final Histogram evaluations = new Histogram(MAX_EVALUATIONS, 2);
   private final Histogram takeOvers = new Histogram(MAX_MS, 2);
@@ -35,9 +35,9 @@
     return evaluations.getMaxValue();
   }
 
-  /** Round trip of a direct order. */
-  public synchronized void ordered(double seconds) {
-    record(orders, seconds);
+  /** Round trip of direct commands. */
+  public synchronized void commandAnswered(double seconds) {
+    record(commands, seconds);
   }
 
   /** From election to readiness. */
@@ -53,7 +53,7 @@
   public synchronized void log() {
     if (LOG.isInfoEnabled() && starts.getTotalCount() + takeOvers.getTotalCount() > 0) {
       LOG.info("open to running ms: {}", line(starts));
-      LOG.info("direct order ms: {}", line(orders));
+      LOG.info("direct command ms: {}", line(commands));
       LOG.info("round ms: {}", line(rounds));
       LOG.info("round evaluations: {}", line(evaluations));
       LOG.info("election to ready ms: {}", line(takeOvers));
--- a/src/main/java/org/ternhinge/wire/Command.java
+++ b/src/main/java/org/ternhinge/wire/Command.java
@@ -8,7 +8,7 @@
 import org.ternhinge.model.TaskId;
 import org.ternhinge.model.Term;
 
-/** An order to a worker about one attempt. */
+/** A command to a worker about one attempt. */
 public record Command(Op op, TaskId task, AttemptNumber attempt, double graceS) {
 
   /** What a worker can be told to do. */
@@ -34,8 +34,8 @@
     return out.bytes();
   }
 
-  /** The body of a direct order. */
-  public static byte[] order(Term term, Session session, List<Command> commands) {
+  /** The body of a message with direct commands. */
+  public static byte[] body(Term term, Session session, List<Command> commands) {
     JsonStreamWriter out = new JsonStreamWriter();
     out.beginObject();
     out.field("valdmerki", term.value());
--- a/src/main/java/org/ternhinge/worker/HttpWorkers.java
+++ b/src/main/java/org/ternhinge/worker/HttpWorkers.java
@@ -14,7 +14,7 @@
 import org.ternhinge.wire.WireException;
 import org.ternhinge.wire.WorkerReport;
 
-/** Direct orders over HTTP. */
+/** Direct commands over HTTP. */
 public final class HttpWorkers implements Workers {
   private static final double TIMEOUT_S = 3;
 
@@ -26,13 +26,13 @@
   }
 
   @Override
-  public CompletableFuture<Outcome<Answer>> order(
+  public CompletableFuture<Outcome<Answer>> command(
       Endpoint worker,
       Term term,
       Session session,
       List<Command> commands,
       BooleanSupplier maySend) {
-    byte[] body = Command.order(term, session, commands);
+    byte[] body = Command.body(term, session, commands);
     return http.callIf(maySend, worker, "POST", "/commands", body, TIMEOUT_S)
         .thenApply(outcome -> outcome.flatMap(HttpWorkers::decode));
   }
--- a/src/main/java/org/ternhinge/worker/Workers.java
+++ b/src/main/java/org/ternhinge/worker/Workers.java
@@ -10,10 +10,10 @@
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.WorkerReport;
 
-/** Direct orders to workers. */
+/** Direct commands to workers. */
 public interface Workers {
 
-  /** What a worker said to an order. */
+  /** What a worker said to commands. */
   sealed interface Answer {
     /** The worker's report after the commands. */
     WorkerReport report();
@@ -31,7 +31,7 @@
    * @param maySend asked once more right before the commands leave, since the process may have
    *     stood still in between; called on any thread
    */
-  CompletableFuture<Outcome<Answer>> order(
+  CompletableFuture<Outcome<Answer>> command(
       Endpoint worker, Term term, Session session, List<Command> commands, BooleanSupplier maySend);
 
   /** The worker at this address is of no more use. */
--- a/src/test/java/org/ternhinge/controller/CancellationsTest.java
+++ b/src/test/java/org/ternhinge/controller/CancellationsTest.java
@@ -52,7 +52,7 @@
     }
     Attempt attempt = parts.open(job, 0, machine);
     attempt.see(seen, parts.now());
-    machine.orderInFlight = false;
+    machine.commandsInFlight = false;
     parts.sent.clear();
     cancellations.cancel(job, state -> {});
     assertTrue(attempt.stopping());
--- a/src/test/java/org/ternhinge/controller/LeadershipParts.java
+++ b/src/test/java/org/ternhinge/controller/LeadershipParts.java
@@ -220,7 +220,7 @@
   /** Notes what it is told, and never answers. */
   private final class SilentWorkers implements Workers {
     @Override
-    public CompletableFuture<Outcome<Answer>> order(
+    public CompletableFuture<Outcome<Answer>> command(
         Endpoint worker,
         Term term,
         Session session,
--- a/src/test/java/org/ternhinge/sim/SimCommandClient.java
+++ b/src/test/java/org/ternhinge/sim/SimCommandClient.java
@@ -26,7 +26,7 @@
   }
 
   @Override
-  public CompletableFuture<Outcome<Answer>> order(
+  public CompletableFuture<Outcome<Answer>> command(
       Endpoint endpoint,
       Term term,
       Session session,
@@ -77,7 +77,7 @@
         TIMEOUT_S,
         to -> {
           if (worker != null) {
-            worker.order(term, session, commands, to);
+            worker.command(term, session, commands, to);
           }
         });
   }
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -313,13 +313,13 @@
   }
 
   /** A direct command arrives, perhaps long after it was sent. */
-  void order(
+  void command(
       Term term, Session to, List<Command> commands, Consumer<Outcome<Workers.Answer>> answer) {
     if (dead) {
       return;
     }
     if (hung()) {
-      hang.defer(() -> order(term, to, commands, answer));
+      hang.defer(() -> command(term, to, commands, answer));
       return;
     }
     if (term.compareTo(token) < 0 || to.value() != session) {
--- a/src/test/java/org/ternhinge/wire/WorkerReportTest.java
+++ b/src/test/java/org/ternhinge/wire/WorkerReportTest.java
@@ -74,8 +74,7 @@
     assertEquals(Json.parse(bytes(json)), Json.parse(Command.answer(new Term(41), commands)));
     String order = json.replace("41,", "41,\"vakt\":7,");
     assertEquals(
-        Json.parse(bytes(order)),
-        Json.parse(Command.order(new Term(41), new Session(7), commands)));
+        Json.parse(bytes(order)), Json.parse(Command.body(new Term(41), new Session(7), commands)));
   }
 
   @Test
