A healthy array that meets several sick machines is not held back while its tasks run

Found by rereading the mend of faulty jobs: an array that failed on three sick machines before a task of it was done counted as one that fails everywhere, and while its first tasks ran, however long, only one task was tried at a time.

--- a/src/main/java/org/ternhinge/controller/JobViews.java
+++ b/src/main/java/org/ternhinge/controller/JobViews.java
@@ -111,12 +111,7 @@
   private Snapshot.JobView view(Job job, boolean guaranteed, int reservedTasks, SteadyTime now) {
     JobSpec spec = job.planned();
     JobRanking.Progress progress = progress(job);
-    JobFailures jobFailures = failures.ofJob(spec.id());
-    boolean singleTasks = jobFailures != null && jobFailures.triesSingleTasks() && !spec.isGang();
-    boolean blocked =
-        jobFailures != null
-            && (jobFailures.blocked(now) || (singleTasks && !job.openAttempts().isEmpty()));
-    int most = singleTasks ? 1 : Integer.MAX_VALUE;
+    int most = failures.triesSingleTask(job, now) ? 1 : Integer.MAX_VALUE;
     return new Snapshot.JobView(
         spec,
         JobRanking.key(spec, progress),
@@ -126,8 +121,8 @@
         pending(job, most),
         Math.min(most, progress.waiting()),
         openByZone(job),
-        blocked,
-        jobFailures == null ? Set.of() : jobFailures.avoid(now),
+        failures.isBlocked(job, now),
+        failures.avoidedBy(job, now),
         reservedTasks);
   }
 
--- a/src/main/java/org/ternhinge/controller/TaskFailures.java
+++ b/src/main/java/org/ternhinge/controller/TaskFailures.java
@@ -3,8 +3,10 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.ternhinge.ledger.Attempt;
 import org.ternhinge.ledger.Job;
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.model.JobId;
@@ -15,12 +17,12 @@
  * Tells a machine that fails its tasks from a job that fails on every machine. Guarded by the
  * controller's lock.
  *
- * <p>One failure is evidence against both. A job of which a task was ever done is in order, so its
- * failures count against the machine. A job of which nothing was done counts against a machine only
- * while it has failed nowhere else, and then several such jobs have to fail there. A job that has
- * failed on several machines, and nowhere succeeded, is at fault itself: it backs off for longer
- * and longer, one of its tasks is tried at a time, and the level of its back-off is kept in its
- * record, so that the next leader goes on from there.
+ * <p>One failure is evidence against both. A job of which a task was ever done, or has run for a
+ * while, is healthy, so its failures count against the machine. Any other job counts against a
+ * machine only while it has failed nowhere else, and then several such jobs have to fail there. A
+ * job that has failed on several machines, and nowhere succeeded, is at fault itself: it backs off
+ * for longer and longer, one of its tasks is tried at a time, and the level of its back-off is kept
+ * in its record, so that the next leader goes on from there.
  */
 final class TaskFailures {
   private static final Logger LOG = LoggerFactory.getLogger(TaskFailures.class);
@@ -50,6 +52,12 @@
 
   private static final double SICK_S = 600;
 
+  /**
+   * A task that has run for so long shows that its job is healthy: a job that was submitted with a
+   * mistake fails as soon as it is started.
+   */
+  private static final double RUNS_WELL_S = 20;
+
   /** Changes of the state service that one retry costs: its attempt opens and closes. */
   private static final double CHANGES_PER_RETRY = 2;
 
@@ -75,11 +83,6 @@
     this.slots = new RetrySlots(CHANGES_PER_RETRY / (changesPerS * RETRY_SHARE), now);
   }
 
-  /** What went wrong with a job's tasks, or null where nothing did. */
-  JobFailures ofJob(JobId job) {
-    return failures.get(job);
-  }
-
   /** Jobs that backed off under an earlier leader go on doing so, at the level they had reached. */
   void recover(Collection<Job> jobs, SteadyTime now) {
     for (Job job : jobs) {
@@ -115,7 +118,7 @@
     JobId id = job.spec().id();
     JobFailures jobFailures = of(job);
     jobFailures.failedOn(machine.id, now);
-    if (isHealthy(job)) {
+    if (isHealthy(job, now)) {
       machine.failures.healthyJobFailed();
     } else {
       machine.failures.otherJobFailed(id);
@@ -188,9 +191,46 @@
     return ofHealthyJobs >= SICK_AFTER_FAILURES || ofHealthyJobs + ofOthers >= SICK_AFTER_JOBS;
   }
 
-  /** Whether a task of the job was done once: a job that was submitted with a mistake has none. */
-  private static boolean isHealthy(Job job) {
-    return job.doneCount() > 0;
+  /** Whether a task of the job was done once, or runs well now. */
+  private static boolean isHealthy(Job job, SteadyTime now) {
+    if (job.doneCount() > 0) {
+      return true;
+    }
+    for (Attempt attempt : job.openAttempts()) {
+      SteadyTime since = attempt.runningSince();
+      if (since != null && now.secondsSince(since) > RUNS_WELL_S) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  /** Whether nothing of a job may be started now. */
+  boolean isBlocked(Job job, SteadyTime now) {
+    JobFailures jobFailures = failures.get(job.spec().id());
+    if (jobFailures == null) {
+      return false;
+    }
+    if (!jobFailures.triesSingleTasks()) {
+      return jobFailures.blocked(now);
+    }
+    boolean triesNow = !job.spec().isGang() && !job.openAttempts().isEmpty();
+    return (jobFailures.blocked(now) || triesNow) && !isHealthy(job, now);
+  }
+
+  /** Whether only one task of a job is to be tried, since it has failed everywhere so far. */
+  boolean triesSingleTask(Job job, SteadyTime now) {
+    JobFailures jobFailures = failures.get(job.spec().id());
+    return jobFailures != null
+        && jobFailures.triesSingleTasks()
+        && !job.spec().isGang()
+        && !isHealthy(job, now);
+  }
+
+  /** Where nothing of a job should go now. */
+  Set<MachineId> avoidedBy(Job job, SteadyTime now) {
+    JobFailures jobFailures = failures.get(job.spec().id());
+    return jobFailures == null ? Set.of() : jobFailures.avoid(now);
   }
 
   /**
--- a/src/test/java/org/ternhinge/controller/FaultyJobsTest.java
+++ b/src/test/java/org/ternhinge/controller/FaultyJobsTest.java
@@ -82,6 +82,29 @@
     cluster.nothingBroken();
   }
 
+  /**
+   * A healthy array that meets several sick machines before a task of it is done looks as one that
+   * fails everywhere. It is not held back for as long as its tasks run.
+   */
+  @ParameterizedTest(name = "{0} sick machines, tasks of {1} s")
+  @CsvSource({"3, 100", "5, 100", "5, 30"})
+  void aHealthyArrayIsNotHeldBack(int sickCount, double runsS) {
+    submitHealthy(4);
+    cluster.run(20);
+    cluster
+        .world
+        .liveWorkers()
+        .subList(0, sickCount)
+        .forEach(cluster.world.machineFaults::makeSick);
+    JobId array = cluster.submit("wk-7", 40, runsS);
+    cluster.run(20);
+    assertTrue(cluster.world.tasks.startsOf(array) > 0);
+    cluster.run(55);
+    int begun = cluster.world.tasks.runningTasks(array) + cluster.world.completedTasks(array);
+    assertTrue(begun >= 40, begun + " tasks run or are done");
+    cluster.nothingBroken();
+  }
+
   /** All retries together cost a bounded part of the state service's changes. */
   @Test
   void retriesHaveABoundedRate() {
--- a/src/test/java/org/ternhinge/sim/JobCatalog.java
+++ b/src/test/java/org/ternhinge/sim/JobCatalog.java
@@ -71,6 +71,14 @@
     return completed.contains(task);
   }
 
+  int completedTasks(JobId id) {
+    int count = 0;
+    for (int i = 0; i < specs.get(id).tasks(); i++) {
+      count += completed.contains(new TaskId(id, i)) ? 1 : 0;
+    }
+    return count;
+  }
+
   boolean allCompleted(JobId id) {
     for (int i = 0; i < specs.get(id).tasks(); i++) {
       if (!completed.contains(new TaskId(id, i))) {
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -350,6 +350,11 @@
     return jobs.dependencies(id);
   }
 
+  /** How many tasks of a job are completed. */
+  public int completedTasks(JobId id) {
+    return jobs.completedTasks(id);
+  }
+
   /** Whether every task of a job is completed. */
   public boolean allCompleted(JobId id) {
     return jobs.allCompleted(id);
