--- a/src/test/java/org/ternhinge/controller/GuestJobsTest.java
+++ b/src/test/java/org/ternhinge/controller/GuestJobsTest.java
@@ -46,4 +46,33 @@
     }
     cluster.nothingBroken();
   }
+
+  /** What one short task of a long array costs, and that it stays within bounds. */
+  @ParameterizedTest(name = "{0} tasks of {1} s")
+  @CsvSource({"2000, 2", "4000, 4"})
+  void aShortTaskCostsLittle(int tasks, double runsS) {
+    submit("wk-0", 40, 2, 20, "normal");
+    cluster.run(25);
+    long changes = cluster.world.counts.stateChanges();
+    long commands = cluster.world.counts.commandCalls();
+    long reports = cluster.world.counts.reports();
+    JobId low = submit("wk-5", tasks, 0.25, runsS, "low");
+    double start = cluster.world.clock.seconds();
+    while (cluster.world.completedTasks(low) < tasks && cluster.world.clock.seconds() < 400) {
+      cluster.run(3);
+    }
+    double seconds = cluster.world.clock.seconds() - start;
+    assertEquals(tasks, cluster.world.completedTasks(low));
+    double changesEach = (cluster.world.counts.stateChanges() - changes) / (double) tasks;
+    double commandsEach = (cluster.world.counts.commandCalls() - commands) / (double) tasks;
+    double reportsEach = (cluster.world.counts.reports() - reports) / (double) tasks;
+    String cost =
+        String.format(
+            "a task costs %.3f changes, %.3f direct messages, %.3f reports; %.0f s for %d",
+            changesEach, commandsEach, reportsEach, seconds, tasks);
+    assertTrue(changesEach < 0.4, cost);
+    assertTrue(commandsEach < 1, cost);
+    assertTrue(reportsEach < 2, cost);
+    cluster.nothingBroken();
+  }
 }
--- a/src/test/java/org/ternhinge/sim/MessageCounts.java
+++ b/src/test/java/org/ternhinge/sim/MessageCounts.java
@@ -11,6 +11,7 @@
   private long commandCallsUnderWay;
   private long mostCommandCallsAtOnce;
   private long stateChanges;
+  private long stateReads;
   private long machineListings;
   private long rentalCalls;
   private long releaseCalls;
@@ -37,6 +38,10 @@
     }
   }
 
+  void stateRead() {
+    stateReads++;
+  }
+
   void stateChanges(int changes) {
     stateChanges += changes;
   }
@@ -62,6 +67,11 @@
     return commandsOfOldTerms;
   }
 
+  /** Reads of single keys from the state service. */
+  public long stateReads() {
+    return stateReads;
+  }
+
   /** Reports that workers sent. */
   public long reports() {
     return reports;
--- a/src/test/java/org/ternhinge/sim/SimStateClient.java
+++ b/src/test/java/org/ternhinge/sim/SimStateClient.java
@@ -30,6 +30,10 @@
   private final StateServiceFaults faults;
   private final TokenBucket changes;
   private final ResponseTimeouts timeouts;
+  private boolean isLeading;
+
+  /** Tokens for requests, or null while they are not counted. */
+  private TokenBucket requests;
 
   SimStateClient(SimCluster cluster, SimController owner) {
     this.cluster = cluster;
@@ -47,7 +51,11 @@
   }
 
   void leads(boolean leading) {
+    isLeading = leading;
     changes.setRate(rate(leading));
+    if (requests != null) {
+      requests.setRate(requestRate());
+    }
   }
 
   private boolean refused() {
@@ -72,8 +80,28 @@
     return owner.guard(call);
   }
 
+  /** Takes a token for a request, where requests are counted. */
+  private boolean mayAsk(RequestPriority priority) {
+    if (service.requestRps() == 0) {
+      return true;
+    }
+    if (requests == null) {
+      requests = new TokenBucket(cluster.clock, requestRate());
+    }
+    return requests.tryTake(priority, 1);
+  }
+
+  private double requestRate() {
+    double follower = (1 - LEADER_SHARE) / Math.max(1, cluster.nodeCount() - 1);
+    return service.requestRps() * (isLeading ? LEADER_SHARE : follower);
+  }
+
   @Override
   public CompletableFuture<Outcome<Read>> get(String key, RequestPriority priority) {
+    if (!mayAsk(priority)) {
+      return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, ""));
+    }
+    cluster.counts.stateRead();
     return timeouts.measure(
         Kind.ofRead(priority),
         limitS -> send(limitS, () -> Outcome.applied(service.contents().get(key))));
@@ -88,7 +116,7 @@
 
   @Override
   public CompletableFuture<Outcome<Revision>> txn(Txn txn, RequestPriority priority) {
-    if (!changes.tryTake(priority, txn.changes().size())) {
+    if (!mayAsk(priority) || !changes.tryTake(priority, txn.changes().size())) {
       return CompletableFuture.completedFuture(Outcome.notApplied(Reason.HELD_BACK, ""));
     }
     cluster.counts.stateChanges(txn.changes().size());
--- a/src/test/java/org/ternhinge/sim/SimStateService.java
+++ b/src/test/java/org/ternhinge/sim/SimStateService.java
@@ -20,6 +20,8 @@
  */
 public final class SimStateService {
   /** Longer than the refusal itself, so that a watch that is woken is no longer refused. */
+  private double requestRps;
+
   private static final double AFTER_S = 0.001;
 
   private static final String LEADER_KEY = "leader";
@@ -122,6 +124,16 @@
     return contents.get(key).entry().map(Entry::value).orElse(null);
   }
 
+  /** Controllers keep to so many requests a second from now on; before they are not counted. */
+  public void limitRequests(double requestsPerS) {
+    requestRps = requestsPerS;
+  }
+
+  /** Requests a second that all controllers together may make; 0 where they are not counted. */
+  double requestRps() {
+    return requestRps;
+  }
+
   /** The highest term that was claimed. */
   Term term() {
     JsonNode term = value(Keys.TERM);
