Stand-ins: one share of the limits, one test of an offer, one count of completed tasks

SimStateClient wrote the leader's and the followers' share twice, SimStock compared type, zone and kind twice, JobCatalog went through a job's tasks in two methods; a new field of SimStateService had taken the comment of the constant below it.

--- a/src/test/java/org/ternhinge/sim/JobCatalog.java
+++ b/src/test/java/org/ternhinge/sim/JobCatalog.java
@@ -80,11 +80,6 @@
   }
 
   boolean allCompleted(JobId id) {
-    for (int i = 0; i < specs.get(id).tasks(); i++) {
-      if (!completed.contains(new TaskId(id, i))) {
-        return false;
-      }
-    }
-    return true;
+    return completedTasks(id) == specs.get(id).tasks();
   }
 }
--- a/src/test/java/org/ternhinge/sim/SimStateClient.java
+++ b/src/test/java/org/ternhinge/sim/SimStateClient.java
@@ -46,8 +46,12 @@
 
   /** The limit is for all controllers together; who leads uses most of it. */
   private double rate(boolean leading) {
+    return cluster.settings.limits().writeRps() * share(leading);
+  }
+
+  private double share(boolean leading) {
     double follower = (1 - LEADER_SHARE) / Math.max(1, cluster.nodeCount() - 1);
-    return cluster.settings.limits().writeRps() * (leading ? LEADER_SHARE : follower);
+    return leading ? LEADER_SHARE : follower;
   }
 
   void leads(boolean leading) {
@@ -92,8 +96,7 @@
   }
 
   private double requestRate() {
-    double follower = (1 - LEADER_SHARE) / Math.max(1, cluster.nodeCount() - 1);
-    return service.requestRps() * (isLeading ? LEADER_SHARE : follower);
+    return service.requestRps() * share(isLeading);
   }
 
   @Override
--- a/src/test/java/org/ternhinge/sim/SimStateService.java
+++ b/src/test/java/org/ternhinge/sim/SimStateService.java
@@ -20,13 +20,15 @@
  */
 public final class SimStateService {
   /** Longer than the refusal itself, so that a watch that is woken is no longer refused. */
-  private double requestRps;
-
   private static final double AFTER_S = 0.001;
 
   private static final String LEADER_KEY = "leader";
+
   private static final String NODE_PREFIX = "node-";
 
+  /** Requests a second that all controllers together may make; 0 where they are not counted. */
+  private double requestRps;
+
   private final SimClock clock;
   private final StoreCore contents;
   private final StateLimits limits;
--- a/src/test/java/org/ternhinge/sim/SimStock.java
+++ b/src/test/java/org/ternhinge/sim/SimStock.java
@@ -36,28 +36,23 @@
     return List.copyOf(booting.keySet());
   }
 
+  /** Machines of the type, zone and kind that a request asks for, up or not. */
   private int rentedNow(RentalRequest request) {
     int count = 0;
     for (Booting machine : booting.values()) {
       RentalRequest other = machine.request;
-      count +=
-          other.type().equals(request.type())
-                  && other.zone().equals(request.zone())
-                  && other.spot() == request.spot()
-              ? 1
-              : 0;
+      count += isOffer(request, other.type(), other.zone(), other.spot()) ? 1 : 0;
     }
     for (SimWorker worker : cluster.workers.values()) {
-      count +=
-          worker.flavor.name().equals(request.type())
-                  && worker.zone.equals(request.zone())
-                  && worker.spot == request.spot()
-              ? 1
-              : 0;
+      count += isOffer(request, worker.flavor.name(), worker.zone, worker.spot) ? 1 : 0;
     }
     return count;
   }
 
+  private static boolean isOffer(RentalRequest request, String type, String zone, boolean spot) {
+    return request.type().equals(type) && request.zone().equals(zone) && request.spot() == spot;
+  }
+
   /** Rents machines; the same request again gives the same answer. */
   List<MachineId> rentNow(RentalRequest request) {
     return rentals.computeIfAbsent(request.name(), name -> rentNew(request));
