--- a/src/main/java/org/ternhinge/cli/Main.java
+++ b/src/main/java/org/ternhinge/cli/Main.java
@@ -7,9 +7,12 @@
 import org.ternhinge.config.SettingsException;
 import org.ternhinge.config.Tuning;
 import org.ternhinge.wire.WireException;
+import org.ternhinge.zone.report.ZoneLog;
+import org.ternhinge.zone.report.ZoneReport;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
 
 /** The command line: runs a controller, or only checks its settings. */
 @Command(
@@ -75,6 +78,30 @@
     return 0;
   }
 
+  @Command(
+      name = "zone-report",
+      description = "Writes a report on the loss and return of zones from the service's log.")
+  int zoneReport(
+      @Parameters(paramLabel = "LOG", description = "A log, or several one after the other.")
+          Path log,
+      @Option(names = "--out", paramLabel = "FILE.html", required = true) Path out) {
+    try {
+      ZoneLog read = ZoneLog.read(log);
+      ZoneReport.Result result = ZoneReport.write(read, out);
+      if (read.leftOut() > 0) {
+        System.err.println("ternhinge: " + read.leftOut() + " lines could not be read");
+      }
+      if (result == ZoneReport.Result.NOTHING_USABLE) {
+        System.err.println("ternhinge: no event of zones in " + log);
+        return 1;
+      }
+      return 0;
+    } catch (IOException e) {
+      System.err.println("ternhinge: " + e);
+      return 1;
+    }
+  }
+
   @Command(
       name = "train-class-data",
       hidden = true,
@@ -93,7 +120,9 @@
         throw new SettingsException("--config FILE is needed");
       }
       Settings settings = Settings.load(config);
-      return new Loaded(settings, tuning == null ? Tuning.DEFAULT : Tuning.load(tuning));
+      Tuning own = tuning == null ? Tuning.DEFAULT : Tuning.load(tuning);
+      own.check(settings);
+      return new Loaded(settings, own);
     } catch (SettingsException e) {
       System.err.println("ternhinge: " + e.getMessage());
       return null;
--- a/src/main/java/org/ternhinge/config/Tuning.java
+++ b/src/main/java/org/ternhinge/config/Tuning.java
@@ -6,8 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.HashMap;
-import java.util.Map;
+import java.util.Optional;
 
 /**
  * The operators' own settings, from an optional HCL file.
@@ -21,6 +20,7 @@
  *     to its wait for silent workers
  * @param idleS how long a machine stays idle before it is returned
  * @param logTimes whether lines of the log carry the time of day
+ * @param zoneFailover how the loss and return of zones is dealt with; empty where it is not
  */
 public record Tuning(
     double roundS,
@@ -30,12 +30,14 @@
     double marginS,
     double graceS,
     double idleS,
-    boolean logTimes) {
+    boolean logTimes,
+    Optional<ZoneFailoverSettings> zoneFailover) {
 
   /** Of the renewal interval, how long an answer is waited for before the next renewal. */
   private static final double OVERDUE_SHARE = 0.7;
 
-  public static final Tuning DEFAULT = new Tuning(1.0, 0.1, 6.0, 2.0, 0.3, 30.0, 40.0, false);
+  public static final Tuning DEFAULT =
+      new Tuning(1.0, 0.1, 6.0, 2.0, 0.3, 30.0, 40.0, false, Optional.empty());
 
   /**
    * For how many seconds a leader may rely on its lease, counted from the sending of the last
@@ -58,61 +60,72 @@
     } catch (IOException e) {
       throw new SettingsException("can't read tuning file " + file + ": " + e.getMessage());
     }
-    return read(text);
+    try {
+      return read(text);
+    } catch (SettingsException e) {
+      throw new SettingsException(file + ": " + e.getMessage());
+    }
+  }
+
+  /** The same, with the loss and return of zones dealt with. */
+  public Tuning withZoneFailover(ZoneFailoverSettings settings) {
+    return new Tuning(
+        roundS,
+        roundGapS,
+        leadershipS,
+        renewS,
+        marginS,
+        graceS,
+        idleS,
+        logTimes,
+        Optional.of(settings));
   }
 
   /** Reads HCL such as {@code round_s = 1.0}; unknown names are errors, to catch slips. */
   public static Tuning read(String hcl) throws SettingsException {
-    Map<String, Object> values;
-    try {
-      values = new HashMap<>(new HCLParser().parse(hcl));
-    } catch (HCLParserException | IOException | RuntimeException e) {
-      throw new SettingsException("tuning: not HCL: " + e.getMessage());
+    if (saysNothing(hcl)) {
+      // The parser's classes would be loaded by every start for a file of comments.
+      return DEFAULT;
     }
+    HclValues values = parse(hcl);
     Tuning defaults = DEFAULT;
+    Object zoneFailover = values.take(ZoneFailoverReader.BLOCK);
     Tuning out =
         new Tuning(
-            take(values, "round_s", defaults.roundS, 0.1, 60),
-            take(values, "round_gap_s", defaults.roundGapS, 0.01, 10),
-            take(values, "leadership_s", defaults.leadershipS, 1, 600),
-            take(values, "renew_s", defaults.renewS, 0.1, 200),
-            take(values, "margin_s", defaults.marginS, 0.05, 10),
-            take(values, "grace_s", defaults.graceS, 0, 600),
-            take(values, "idle_s", defaults.idleS, 1, 86_400),
-            flag(values, "log_times", defaults.logTimes));
-    if (!values.isEmpty()) {
-      throw new SettingsException("tuning: unknown name " + values.keySet().iterator().next());
-    }
+            values.between("round_s", defaults.roundS, 0.1, 60),
+            values.between("round_gap_s", defaults.roundGapS, 0.01, 10),
+            values.between("leadership_s", defaults.leadershipS, 1, 600),
+            values.between("renew_s", defaults.renewS, 0.1, 200),
+            values.between("margin_s", defaults.marginS, 0.05, 10),
+            values.between("grace_s", defaults.graceS, 0, 600),
+            values.between("idle_s", defaults.idleS, 1, 86_400),
+            values.flag("log_times", defaults.logTimes),
+            zoneFailover == null
+                ? Optional.empty()
+                : Optional.of(ZoneFailoverReader.read(zoneFailover)));
+    values.expectNothingElse();
     if (out.renewS * 2 + out.marginS >= out.leadershipS) {
-      throw new SettingsException("tuning: renew_s: two renewals have to fit in leadership_s");
+      throw values.error("renew_s", "two renewals have to fit in leadership_s");
     }
     return out;
   }
 
-  private static boolean flag(Map<String, Object> values, String name, boolean otherwise)
-      throws SettingsException {
-    Object value = values.remove(name);
-    if (value == null) {
-      return otherwise;
-    }
-    if (!(value instanceof Boolean set)) {
-      throw new SettingsException("tuning: " + name + ": true or false is needed");
-    }
-    return set;
+  private static boolean saysNothing(String hcl) {
+    return hcl.lines().allMatch(line -> line.isBlank() || line.stripLeading().startsWith("#"));
   }
 
-  private static double take(
-      Map<String, Object> values, String name, double otherwise, double least, double most)
-      throws SettingsException {
-    Object value = values.remove(name);
-    if (value == null) {
-      return otherwise;
+  private static HclValues parse(String hcl) throws SettingsException {
+    try {
+      return HclValues.file(new HCLParser().parse(hcl));
+    } catch (HCLParserException | IOException | RuntimeException e) {
+      throw new SettingsException("tuning: not HCL: " + e.getMessage());
     }
-    if (!(value instanceof Number number)
-        || !(number.doubleValue() >= least && number.doubleValue() <= most)) {
-      throw new SettingsException(
-          "tuning: " + name + ": a number from " + least + " to " + most + " is needed");
+  }
+
+  /** Checks what these settings name against what the platform's settings know. */
+  public void check(Settings settings) throws SettingsException {
+    if (zoneFailover.isPresent()) {
+      ZoneFailoverReader.check(zoneFailover.get(), settings);
     }
-    return number.doubleValue();
   }
 }
--- /dev/null
+++ b/src/main/java/org/ternhinge/config/ZoneFailoverReader.java
@@ -0,0 +1,212 @@
+package org.ternhinge.config;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import org.ternhinge.wire.JobKind;
+import org.ternhinge.wire.Priority;
+import org.ternhinge.wire.WireException;
+
+/** Reads the block {@code zone_failover} and says what is wrong with it, by key and reason. */
+final class ZoneFailoverReader {
+  static final String BLOCK = "zone_failover";
+  private static final String TIERS = "tiers";
+  private static final double MAX_SECONDS = 3600;
+  private static final int MAX_COUNT = 100_000;
+
+  private final HclValues values;
+
+  private ZoneFailoverReader(HclValues values) {
+    this.values = values;
+  }
+
+  /** Reads the value that the block was parsed to. */
+  static ZoneFailoverSettings read(Object block) throws SettingsException {
+    HclValues values = HclValues.block(BLOCK, block);
+    ZoneFailoverSettings out = new ZoneFailoverReader(values).read();
+    values.expectNothingElse();
+    return out;
+  }
+
+  private ZoneFailoverSettings read() throws SettingsException {
+    ZoneFailoverSettings defaults = ZoneFailoverSettings.DEFAULT;
+    ZoneFailoverSettings out =
+        new ZoneFailoverSettings(
+            detection(defaults.detection()),
+            flaps(defaults.flaps()),
+            release(defaults.release()),
+            pace(defaults.pace()),
+            tiers());
+    checkOrder(out.detection(), out.flaps());
+    return out;
+  }
+
+  private ZoneFailoverSettings.Detection detection(ZoneFailoverSettings.Detection defaults)
+      throws SettingsException {
+    return new ZoneFailoverSettings.Detection(
+        values.above0("suspect_share", defaults.suspectShare(), 1),
+        values.above0("lost_share", defaults.lostShare(), 1),
+        values.above0("clear_share", defaults.clearShare(), 1),
+        values.whole("min_machines", defaults.minMachines(), 1, MAX_COUNT),
+        values.above0("confirm_s", defaults.confirmS(), MAX_SECONDS),
+        values.above0("settle_s", defaults.settleS(), MAX_SECONDS),
+        values.above0("suspect_max_s", defaults.suspectMaxS(), MAX_SECONDS),
+        values.above0("correlation_s", defaults.correlationS(), MAX_SECONDS));
+  }
+
+  private ZoneFailoverSettings.Flaps flaps(ZoneFailoverSettings.Flaps defaults)
+      throws SettingsException {
+    return new ZoneFailoverSettings.Flaps(
+        values.above0("flap_half_life_s", defaults.halfLifeS(), MAX_SECONDS),
+        values.above0("suppress_at", defaults.suppressAt(), MAX_COUNT),
+        values.above0("reuse_at", defaults.reuseAt(), MAX_COUNT),
+        values.above0("flap_max", defaults.max(), MAX_COUNT));
+  }
+
+  private ZoneFailoverSettings.Release release(ZoneFailoverSettings.Release defaults)
+      throws SettingsException {
+    return new ZoneFailoverSettings.Release(
+        values.above0("tier_hold_s", defaults.tierHoldS(), MAX_SECONDS),
+        values.above0("drain_s", defaults.drainS(), MAX_SECONDS));
+  }
+
+  private ZoneFailoverSettings.Pace pace(ZoneFailoverSettings.Pace defaults)
+      throws SettingsException {
+    return new ZoneFailoverSettings.Pace(
+        values.above0("return_starts", defaults.startsPerMachine(), MAX_COUNT),
+        values.above0("step_s", defaults.stepS(), MAX_SECONDS),
+        values.whole("steps", defaults.steps(), 1, 20));
+  }
+
+  // ---- tiers ----------------------------------------------------------------------------------
+
+  private List<ZoneFailoverSettings.Tier> tiers() throws SettingsException {
+    List<Object> listed = values.list(TIERS);
+    if (listed == null) {
+      return ZoneFailoverSettings.DEFAULT.tiers();
+    }
+    List<ZoneFailoverSettings.Tier> tiers = new ArrayList<>();
+    for (int i = 0; i < listed.size(); i++) {
+      HclValues tier = HclValues.block(values.key(TIERS) + "[" + i + "]", listed.get(i));
+      tiers.add(tier(tier));
+      tier.expectNothingElse();
+    }
+    checkReachable(tiers);
+    return tiers;
+  }
+
+  private static ZoneFailoverSettings.Tier tier(HclValues tier) throws SettingsException {
+    return new ZoneFailoverSettings.Tier(
+        tier.name("name"),
+        tier.names("teams"),
+        tier.names("classes"),
+        converted(tier, "types", JobKind::of),
+        converted(tier, "priorities", Priority::of));
+  }
+
+  /** Reads one word of the wire's. */
+  private interface WireWord<T> {
+    T read(String text) throws WireException;
+  }
+
+  private static <T> Set<T> converted(HclValues tier, String name, WireWord<T> word)
+      throws SettingsException {
+    Set<T> out = new LinkedHashSet<>();
+    for (String text : tier.names(name)) {
+      try {
+        out.add(word.read(text));
+      } catch (WireException e) {
+        throw tier.error(name, "unknown: " + text);
+      }
+    }
+    return out;
+  }
+
+  private void checkReachable(List<ZoneFailoverSettings.Tier> tiers) throws SettingsException {
+    for (int i = 0; i < tiers.size(); i++) {
+      for (int k = 0; k < i; k++) {
+        if (tiers.get(k).name().equals(tiers.get(i).name())) {
+          throw values.error(TIERS, tiers.get(i).name() + " appears twice");
+        }
+        if (tiers.get(k).covers(tiers.get(i))) {
+          throw values.error(
+              TIERS,
+              tiers.get(i).name() + " can never match: " + tiers.get(k).name() + " comes first");
+        }
+      }
+    }
+    if (tiers.isEmpty() || !tiers.get(tiers.size() - 1).takesAll()) {
+      throw values.error(TIERS, "the last tier has to take the rest: name it and nothing else");
+    }
+  }
+
+  private void checkOrder(
+      ZoneFailoverSettings.Detection detection, ZoneFailoverSettings.Flaps flaps)
+      throws SettingsException {
+    if (detection.clearShare() >= detection.suspectShare()) {
+      throw values.error("clear_share", "has to be below suspect_share");
+    }
+    if (detection.suspectShare() >= detection.lostShare()) {
+      throw values.error("suspect_share", "has to be below lost_share");
+    }
+    if (flaps.reuseAt() >= flaps.suppressAt()) {
+      throw values.error("reuse_at", "has to be below suppress_at");
+    }
+    if (flaps.suppressAt() >= flaps.max()) {
+      throw values.error("suppress_at", "has to be below flap_max");
+    }
+  }
+
+  // ---- against the platform's settings ----------------------------------------------------------
+
+  /** Checks the names in the tiers against the teams and classes that the settings know. */
+  static void check(ZoneFailoverSettings failover, Settings settings) throws SettingsException {
+    if (settings.zones().size() < 2) {
+      throw new SettingsException("tuning: " + BLOCK + ": a deployment of one zone has no other");
+    }
+    double overdueS = settings.workers().overdueS();
+    if (failover.detection().settleS() <= overdueS) {
+      throw new SettingsException(
+          "tuning: "
+              + BLOCK
+              + ".settle_s: has to be above "
+              + overdueS
+              + " s, in which a silent worker is found out");
+    }
+    Set<String> classes = new LinkedHashSet<>();
+    settings.objectives().forEach(objective -> addIfNamed(classes, objective.jobClass()));
+    for (ZoneFailoverSettings.Tier tier : failover.tiers()) {
+      checkKnown(tier, "teams", tier.teams(), settings.teams().keySet());
+      if (!classes.isEmpty()) {
+        checkKnown(tier, "classes", tier.classes(), classes);
+      }
+    }
+  }
+
+  private static void addIfNamed(Set<String> classes, String name) {
+    if (name != null && !name.isEmpty()) {
+      classes.add(name);
+    }
+  }
+
+  private static void checkKnown(
+      ZoneFailoverSettings.Tier tier, String key, Set<String> named, Set<String> known)
+      throws SettingsException {
+    for (String name : named) {
+      if (!known.contains(name)) {
+        throw new SettingsException(
+            "tuning: "
+                + BLOCK
+                + "."
+                + TIERS
+                + "."
+                + tier.name()
+                + "."
+                + key
+                + ": unknown: "
+                + name);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/config/ZoneFailoverSettings.java
@@ -0,0 +1,121 @@
+package org.ternhinge.config;
+
+import java.util.List;
+import java.util.Set;
+import org.ternhinge.wire.JobKind;
+import org.ternhinge.wire.JobSpec;
+import org.ternhinge.wire.Priority;
+
+/**
+ * What operators set for the loss and return of zones: the block {@code zone_failover} of the
+ * tuning file.
+ *
+ * @param detection when a zone counts as lost and as well again
+ * @param flaps how often repeated losses keep a zone out of use
+ * @param release how fast the work of a lost zone moves
+ * @param pace how fast new work comes to a zone that has returned
+ * @param tiers the order in which work moves, first the most important; the last takes the rest
+ */
+public record ZoneFailoverSettings(
+    Detection detection, Flaps flaps, Release release, Pace pace, List<Tier> tiers) {
+
+  /** What holds where operators name nothing. */
+  public static final ZoneFailoverSettings DEFAULT =
+      new ZoneFailoverSettings(
+          new Detection(0.3, 0.8, 0.1, 2, 4, 10, 10, 5),
+          new Flaps(30, 1.25, 0.75, 2.5),
+          new Release(15, 10),
+          new Pace(0.1, 5, 4),
+          List.of(new Tier("all", Set.of(), Set.of(), Set.of(), Set.of())));
+
+  /**
+   * When a zone counts as lost and as well again.
+   *
+   * @param suspectShare share of impaired machines from which nothing new is placed
+   * @param lostShare share from which the zone is lost
+   * @param clearShare share below which it is well
+   * @param minMachines a zone with fewer machines is never taken for lost
+   * @param confirmS how long the share has to stand before the zone is lost
+   * @param settleS how long a zone has to be well before it returns
+   * @param suspectMaxS how long a zone is suspected that is not lost as a whole
+   * @param correlationS zones impaired within so many seconds may have a common cause
+   */
+  public record Detection(
+      double suspectShare,
+      double lostShare,
+      double clearShare,
+      int minMachines,
+      double confirmS,
+      double settleS,
+      double suspectMaxS,
+      double correlationS) {}
+
+  /**
+   * Penalties of zones that are lost repeatedly; each loss adds one.
+   *
+   * @param halfLifeS time in which a penalty halves
+   * @param suppressAt penalty above which a zone that is well stays out of use
+   * @param reuseAt penalty below which it is used again
+   * @param max the highest penalty
+   */
+  public record Flaps(double halfLifeS, double suppressAt, double reuseAt, double max) {}
+
+  /**
+   * The speed of moves out of a lost zone.
+   *
+   * @param tierHoldS how long a tier may keep the one after it waiting
+   * @param drainS time in which what is owed is to be released
+   */
+  public record Release(double tierHoldS, double drainS) {}
+
+  /**
+   * The speed of starts in a zone that has returned.
+   *
+   * @param startsPerMachine starts a second at first, for each machine of the zone
+   * @param stepS time between two doublings of that rate
+   * @param steps doublings until the zone is available without a limit
+   */
+  public record Pace(double startsPerMachine, double stepS, int steps) {}
+
+  /**
+   * Work that moves together. An empty set permits everything.
+   *
+   * @param name as operators call it
+   */
+  public record Tier(
+      String name,
+      Set<String> teams,
+      Set<String> classes,
+      Set<JobKind> kinds,
+      Set<Priority> priorities) {
+
+    /** Whether a job belongs to this tier, unless an earlier one takes it. */
+    public boolean matches(JobSpec job) {
+      return permits(teams, job.team())
+          && permits(classes, job.jobClass())
+          && permits(kinds, job.kind())
+          && permits(priorities, job.priority());
+    }
+
+    /** Whether it takes every job. */
+    public boolean takesAll() {
+      return teams.isEmpty() && classes.isEmpty() && kinds.isEmpty() && priorities.isEmpty();
+    }
+
+    /** Whether every job that another tier matches is matched by this one too. */
+    boolean covers(Tier other) {
+      return covers(teams, other.teams)
+          && covers(classes, other.classes)
+          && covers(kinds, other.kinds)
+          && covers(priorities, other.priorities);
+    }
+
+    private static <T> boolean permits(Set<T> allowed, T value) {
+      return allowed.isEmpty() || allowed.contains(value);
+    }
+
+    private static <T> boolean covers(Set<T> wide, Set<T> narrow) {
+      return wide.isEmpty() || (!narrow.isEmpty() && wide.containsAll(narrow));
+    }
+  }
+}
--- a/src/main/java/org/ternhinge/controller/AttemptLifecycle.java
+++ b/src/main/java/org/ternhinge/controller/AttemptLifecycle.java
@@ -27,6 +27,7 @@
   private final CommandDispatcher dispatcher;
   private final RoundTrigger rounds;
   private final Clock clock;
+  private final ZoneControl zones;
 
   AttemptLifecycle(
       Ledger ledger,
@@ -34,13 +35,15 @@
       MachineRegistry machines,
       CommandDispatcher dispatcher,
       RoundTrigger rounds,
-      Clock clock) {
+      Clock clock,
+      ZoneControl zones) {
     this.ledger = ledger;
     this.writer = writer;
     this.machines = machines;
     this.dispatcher = dispatcher;
     this.rounds = rounds;
     this.clock = clock;
+    this.zones = zones;
   }
 
   /** Sends the starts of attempts that the state service now holds, unless they are unwanted. */
@@ -77,6 +80,7 @@
       return;
     }
     ledger.close(attempt, done);
+    zones.attemptClosed(attempt, done);
     releaseMachine(attempt);
     LOG.debug(
         "closed {} attempt {} on {}: {}",
--- a/src/main/java/org/ternhinge/controller/FleetParts.java
+++ b/src/main/java/org/ternhinge/controller/FleetParts.java
@@ -14,6 +14,8 @@
 
   final BootTimes bootTimes;
 
+  final ZoneControl zones;
+
   final ShownTasks shownTasks = new ShownTasks();
   final Rentals rentals;
   final AttemptLifecycle attempts;
@@ -26,6 +28,7 @@
   FleetParts(LeadershipContext context) {
     this.context = context;
     this.failures = failures();
+    this.zones = ZoneControl.of(context, failures);
     this.bootTimes =
         new BootTimes(context.machines(), context.machineTypes().byName(), context.electedAt());
     this.rentals = rentals();
@@ -36,14 +39,7 @@
             context.services(),
             context.authority(),
             context.ledger());
-    this.attempts =
-        new AttemptLifecycle(
-            context.ledger(),
-            context.writer(),
-            context.machines(),
-            dispatcher,
-            context.rounds(),
-            context.services().clock());
+    this.attempts = attempts();
     this.reports =
         new ReportProcessor(
             context,
@@ -98,6 +94,17 @@
         context.packedRecords(Keys.RENTALS));
   }
 
+  private AttemptLifecycle attempts() {
+    return new AttemptLifecycle(
+        context.ledger(),
+        context.writer(),
+        context.machines(),
+        dispatcher,
+        context.rounds(),
+        context.services().clock(),
+        zones);
+  }
+
   private AttemptObserver observer() {
     return new AttemptObserver(
         attempts,
--- a/src/main/java/org/ternhinge/controller/JobViews.java
+++ b/src/main/java/org/ternhinge/controller/JobViews.java
@@ -28,7 +28,7 @@
  */
 final class JobViews {
   /** Tasks of one job that a round may start; more come with the next round. */
-  private static final int MAX_PENDING = 400;
+  static final int MAX_PENDING = 400;
 
   private static final double MILLIS_PER_S = 1000.0;
 
--- a/src/main/java/org/ternhinge/controller/Leadership.java
+++ b/src/main/java/org/ternhinge/controller/Leadership.java
@@ -59,6 +59,7 @@
   private final LeadershipRecovery recovery;
   private final SchedulingRounds rounds;
   private final FleetLog fleetLog;
+  private final ZoneControl zones;
 
   /** Requests that came before the ledger was there. */
   private final List<Runnable> waitingForReady = new ArrayList<>();
@@ -89,6 +90,7 @@
     this.inventory = fleet.inventory;
     this.leaseMonitor = fleet.leaseMonitor;
     this.unusableMachines = fleet.unusableMachines;
+    this.zones = fleet.zones;
     PlanningParts planning = new PlanningParts(context, fleet);
     this.rounds = planning.rounds;
     this.fleetLog = planning.fleetLog;
@@ -172,6 +174,7 @@
         ledger.jobs().size(),
         machines.all().size());
     runWaiting();
+    zones.recover();
     jobWatch.follow();
     inventory.list();
     machineTypes.refresh();
@@ -216,6 +219,7 @@
       SteadyTime now = clock.now();
       leaseMonitor.check(now);
       unusableMachines.check(now);
+      zones.check(now);
     }
     executor.later(LEASE_CHECK_S, this::checkLeases);
   }
--- a/src/main/java/org/ternhinge/controller/MachineViews.java
+++ b/src/main/java/org/ternhinge/controller/MachineViews.java
@@ -23,9 +23,6 @@
   /** A machine without a report for so long is not counted on. */
   private static final double SILENT_S = 15;
 
-  /** Nothing is placed on a machine that has missed two reports; the rest is their spread. */
-  private static final double MAX_REPORT_INTERVALS = 2.2;
-
   private final Settings settings;
   private final Authority authority;
   private final Ledger ledger;
@@ -59,8 +56,12 @@
         && machine.session.compareTo(machine.deadSession) > 0
         && (machine.noRoomUntil == null || machine.noRoomUntil.isBefore(now))
         && machine.token.equals(authority.term())
-        && now.secondsSince(machine.lastReport)
-            < settings.workers().reportS() * MAX_REPORT_INTERVALS;
+        && !isOverdue(machine, settings.workers(), now);
+  }
+
+  /** Whether a machine that has reported has missed reports since. */
+  static boolean isOverdue(Machine machine, Settings.Workers workers, SteadyTime now) {
+    return now.secondsSince(machine.lastReport) >= workers.overdueS();
   }
 
   /**
--- a/src/main/java/org/ternhinge/controller/PlanningParts.java
+++ b/src/main/java/org/ternhinge/controller/PlanningParts.java
@@ -27,7 +27,8 @@
             context.executor(),
             context.machineTypes(),
             snapshots,
-            planExecutor(context, fleet, snapshots));
+            planExecutor(context, fleet, snapshots),
+            fleet.zones);
     this.fleetLog =
         new FleetLog(context.services().clock(), context.ledger(), context.machines(), snapshots);
   }
--- a/src/main/java/org/ternhinge/controller/SchedulingRounds.java
+++ b/src/main/java/org/ternhinge/controller/SchedulingRounds.java
@@ -40,6 +40,7 @@
   private final MachineTypes machineTypes;
   private final SnapshotCache snapshots;
   private final PlanExecutor planExecutor;
+  private final ZoneControl zones;
 
   private boolean enabled;
   private boolean requested;
@@ -53,7 +54,8 @@
       LeadershipExecutor executor,
       MachineTypes machineTypes,
       SnapshotCache snapshots,
-      PlanExecutor planExecutor) {
+      PlanExecutor planExecutor,
+      ZoneControl zones) {
     this.tuning = services.tuning();
     this.clock = services.clock();
     this.lock = services.lock();
@@ -64,6 +66,7 @@
     this.machineTypes = machineTypes;
     this.snapshots = snapshots;
     this.planExecutor = planExecutor;
+    this.zones = zones;
     this.lastStart = clock.now();
   }
 
@@ -111,9 +114,9 @@
   }
 
   /** A plan, or null where the planner failed: the next round may fare better. */
-  private static Plan plan(Snapshot snapshot) {
+  private Plan plan(Snapshot snapshot) {
     try {
-      return Planner.plan(snapshot);
+      return Planner.plan(zones.filter(snapshot));
     } catch (RuntimeException e) {
       LOG.error("the planner failed", e);
       return null;
@@ -125,7 +128,7 @@
     try {
       running = false;
       if (!executor.stopped() && plan != null && authority.valid()) {
-        planExecutor.execute(plan);
+        planExecutor.execute(zones.limit(plan));
       }
       lastTookS = clock.now().secondsSince(lastStart);
       metrics.round(lastTookS, plan == null ? 0 : plan.evaluations());
--- a/src/main/java/org/ternhinge/controller/UnusableMachineCheck.java
+++ b/src/main/java/org/ternhinge/controller/UnusableMachineCheck.java
@@ -89,17 +89,17 @@
 
   /** For each zone, whether so many machines are silent that it must be the network. */
   private boolean[] mostlySilentZones(SteadyTime now) {
-    int[] up = new int[settings.zones().size()];
-    int[] silent = new int[up.length];
-    for (Machine machine : machines.all()) {
-      if (machine.reported && !machine.gone && machine.zone >= 0) {
-        up[machine.zone]++;
-        silent[machine.zone] += machine.leaseEnds.isBefore(now) ? 1 : 0;
-      }
-    }
-    boolean[] mostlySilent = new boolean[up.length];
-    for (int zone = 0; zone < up.length; zone++) {
-      mostlySilent[zone] = silent[zone] > Math.max(FEW_SILENT, up[zone] * ZONE_SILENT_SHARE);
+    List<ZoneCensus.Count> census =
+        ZoneCensus.of(
+            machines.all(),
+            settings.zones().size(),
+            machine -> machine.zone,
+            machine -> machine.reported && !machine.gone,
+            machine -> machine.leaseEnds.isBefore(now));
+    boolean[] mostlySilent = new boolean[census.size()];
+    for (int zone = 0; zone < mostlySilent.length; zone++) {
+      double most = Math.max(FEW_SILENT, census.get(zone).counted() * ZONE_SILENT_SHARE);
+      mostlySilent[zone] = census.get(zone).marked() > most;
     }
     return mostlySilent;
   }
--- a/src/main/java/org/ternhinge/schedule/Plan.java
+++ b/src/main/java/org/ternhinge/schedule/Plan.java
@@ -46,7 +46,7 @@
     return releases;
   }
 
-  /** Looks at a machine that this plan took. */
+  /** Evaluations of candidate machines that this plan took. */
   public long evaluations() {
     return evaluations;
   }
--- a/src/main/java/org/ternhinge/schedule/Snapshot.java
+++ b/src/main/java/org/ternhinge/schedule/Snapshot.java
@@ -52,7 +52,25 @@
       SteadyTime idleSince,
       SteadyTime rentedAt,
       List<AttemptView> attempts,
-      List<Reservation> reservations) {}
+      List<Reservation> reservations) {
+
+    /** The same machine as one on which nothing may be placed now, but before long. */
+    public MachineView notReady() {
+      return new MachineView(
+          id,
+          flavor,
+          zone,
+          zoneName,
+          spot,
+          free,
+          false,
+          images,
+          idleSince,
+          rentedAt,
+          attempts,
+          reservations);
+    }
+  }
 
   /** Room kept on a machine for a job, after tasks were stopped for it. */
   public record Reservation(JobId job, Resources room) {}
@@ -89,6 +107,22 @@
       Set<MachineId> avoid,
       int reservedTasks) {
 
+    /** The same job with other tasks to place. */
+    public JobView withTasks(IntList otherPending, int otherWaiting, boolean otherBlocked) {
+      return new JobView(
+          spec,
+          rank,
+          ageS,
+          guaranteed,
+          late,
+          otherPending,
+          otherWaiting,
+          zoneOpen,
+          otherBlocked,
+          avoid,
+          reservedTasks);
+    }
+
     /** A job of which nothing waits yet, to keep or rent room for. */
     public static JobView expected(JobSpec spec, double rank, int zoneCount) {
       IntList open = IntArrayList.wrap(new int[zoneCount]);
--- a/src/main/java/org/ternhinge/wire/JobKind.java
+++ b/src/main/java/org/ternhinge/wire/JobKind.java
@@ -17,7 +17,8 @@
     return word;
   }
 
-  static JobKind of(String word) throws WireException {
+  /** Reads a kind as messages have it. */
+  public static JobKind of(String word) throws WireException {
     for (JobKind kind : values()) {
       if (kind.word.equals(word)) {
         return kind;
--- a/src/main/java/org/ternhinge/wire/Priority.java
+++ b/src/main/java/org/ternhinge/wire/Priority.java
@@ -25,7 +25,8 @@
     return name().toLowerCase(Locale.ROOT);
   }
 
-  static Priority of(String word) throws WireException {
+  /** Reads a priority as messages have it. */
+  public static Priority of(String word) throws WireException {
     for (Priority priority : values()) {
       if (priority.word().equals(word)) {
         return priority;
--- /dev/null
+++ b/src/main/java/org/ternhinge/zone/ReturnPacer.java
@@ -0,0 +1,49 @@
+package org.ternhinge.zone;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.ternhinge.config.ZoneFailoverSettings;
+import org.ternhinge.model.SteadyTime;
+
+/**
+ * How many tasks may start in zones that have returned: few at first, twice as many with each step.
+ * Keeps one budget a zone; guarded by whoever owns it.
+ */
+final class ReturnPacer {
+  private final ZoneFailoverSettings.Pace pace;
+  private final Map<String, RateBudget> budgets = new HashMap<>();
+
+  ReturnPacer(ZoneFailoverSettings.Pace pace) {
+    this.pace = pace;
+  }
+
+  /** Starts a second that a zone with so many machines may take at a step. */
+  double rate(int step, int machines) {
+    return Math.max(1, pace.startsPerMachine() * machines) * Math.pow(2, step);
+  }
+
+  /** Brings the budgets up to date; zones that are not recovering have none. */
+  void refill(ZoneSnapshot zones, SteadyTime now) {
+    budgets.keySet().removeIf(zone -> zones.state(zone) != ZoneState.RECOVERING);
+    zones
+        .zones()
+        .forEach(
+            (name, status) -> {
+              if (status.state() == ZoneState.RECOVERING) {
+                RateBudget budget = budgets.computeIfAbsent(name, key -> RateBudget.starting(now));
+                budgets.put(name, budget.filled(rate(status.step(), status.expected()), now));
+              }
+            });
+  }
+
+  /** Whether a start in a zone is permitted now; always where the zone is not paced. */
+  boolean allows(String zone) {
+    RateBudget budget = budgets.get(zone);
+    return budget == null || budget.allows();
+  }
+
+  /** So many tasks start in a zone. */
+  void take(String zone, int starts) {
+    budgets.computeIfPresent(zone, (name, budget) -> budget.less(starts));
+  }
+}
--- /dev/null
+++ b/src/main/java/org/ternhinge/zone/ZoneState.java
@@ -0,0 +1,36 @@
+package org.ternhinge.zone;
+
+import java.util.Locale;
+import java.util.Optional;
+
+/** What a zone is taken to be. */
+public enum ZoneState {
+  /** It takes new work without a limit. */
+  AVAILABLE,
+  /** A good part of its machines is impaired: nothing new is placed there for now. */
+  SUSPECT,
+  /** It is lost: its work moves elsewhere as its attempts are proved over. */
+  UNAVAILABLE,
+  /** It has returned and takes new work at a limited pace. */
+  RECOVERING;
+
+  /** The state as logs and records have it. */
+  public String word() {
+    return name().toLowerCase(Locale.ROOT);
+  }
+
+  /** Reads a state as logs and records have it. */
+  public static Optional<ZoneState> of(String word) {
+    for (ZoneState state : values()) {
+      if (state.word().equals(word)) {
+        return Optional.of(state);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Whether new work may be placed there at all. */
+  public boolean takesWork() {
+    return this == AVAILABLE || this == RECOVERING;
+  }
+}
--- a/src/test/java/org/ternhinge/api/SubmissionsTest.java
+++ b/src/test/java/org/ternhinge/api/SubmissionsTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimFlavors;
 import org.ternhinge.sim.Specs;
 import org.ternhinge.wire.Flavor;
 
@@ -18,7 +19,7 @@
 
   private static Map<String, Flavor> flavors() {
     Map<String, Flavor> out = new LinkedHashMap<>();
-    SimCluster.FLAVORS.forEach(flavor -> out.put(flavor.name(), flavor));
+    SimFlavors.ALL.forEach(flavor -> out.put(flavor.name(), flavor));
     return out;
   }
 
--- /dev/null
+++ b/src/test/java/org/ternhinge/cli/LoopbackCluster.java
@@ -0,0 +1,237 @@
+package org.ternhinge.cli;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.ternhinge.wire.Json;
+
+/** Three processes of the packaged program on loopback, with stand-ins for what is around them. */
+final class LoopbackCluster implements AutoCloseable {
+  /**
+   * What the deployment's settings say.
+   *
+   * @param teamCpus the limit of the only team
+   */
+  record Site(List<String> zones, double reportS, double leaseS, double cancelS, double teamCpus) {
+    /** Two zones and times as users have them. */
+    static final Site USUAL = new Site(List.of("east", "west"), 3, 24, 44, 8);
+  }
+
+  /** How many controllers there are. */
+  static final int NODES = 3;
+
+  private static final long PATIENCE_S = 60;
+
+  private final Path dir;
+  private final Site site;
+  private final List<String> arguments;
+  private final LoopbackServices services;
+  private final List<Process> processes = new ArrayList<>();
+  private final List<Path> settings = new ArrayList<>();
+  private final int[] ports = new int[2 * NODES];
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+
+  /**
+   * Starts nothing yet.
+   *
+   * @param dir where settings and logs go
+   * @param arguments of each process, beside its settings file
+   */
+  LoopbackCluster(Path dir, Site site, List<String> arguments) throws IOException {
+    this.dir = dir;
+    this.site = site;
+    this.arguments = arguments;
+    this.services = new LoopbackServices(site.zones());
+    for (int i = 0; i < ports.length; i++) {
+      try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+        ports[i] = free.getLocalPort();
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    processes.forEach(Process::destroyForcibly);
+    services.close();
+  }
+
+  LoopbackServices services() {
+    return services;
+  }
+
+  /** The ports at which the controllers serve users and workers. */
+  List<Integer> clientPorts() {
+    return List.of(ports[0], ports[1], ports[2]);
+  }
+
+  // ---- processes --------------------------------------------------------------------------------
+
+  /** Starts all controllers and waits until they are healthy. */
+  void startAll() throws IOException, InterruptedException {
+    for (int i = 0; i < NODES; i++) {
+      settings.add(dir.resolve("node-" + i + ".json"));
+      Files.write(settings.get(i), Json.bytes(settingsOf(i)));
+      processes.add(start(i));
+    }
+    for (int i = 0; i < NODES; i++) {
+      int node = i;
+      until("node " + i + " is healthy", () -> status(node, "GET", "/healthz", null) == 200);
+    }
+  }
+
+  private Process start(int node) throws IOException {
+    List<String> command = new ArrayList<>(List.of("--config", settings.get(node).toString()));
+    command.addAll(arguments);
+    Process process = run(command);
+    InputStream log = process.getErrorStream();
+    OutputStream kept =
+        Files.newOutputStream(logOf(node), StandardOpenOption.CREATE, StandardOpenOption.APPEND);
+    Thread drain =
+        new Thread(
+            () -> {
+              try (kept) {
+                log.transferTo(kept);
+              } catch (IOException e) {
+                Thread.currentThread().interrupt();
+              }
+            });
+    drain.setDaemon(true);
+    drain.start();
+    return process;
+  }
+
+  /** Runs the packaged program. */
+  static Process run(List<String> args) throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(List.of("-Xmx96m", "-jar", "target/ternhinge.jar"));
+    command.addAll(args);
+    return new ProcessBuilder(command).start();
+  }
+
+  void kill(int node) throws InterruptedException {
+    processes.get(node).destroyForcibly().waitFor();
+  }
+
+  void restart(int node) throws IOException {
+    processes.set(node, start(node));
+  }
+
+  boolean isAlive(int node) {
+    return processes.get(node).isAlive();
+  }
+
+  private Path logOf(int node) {
+    return dir.resolve("node-" + node + ".log");
+  }
+
+  /** All that the controllers have logged, one after the other. */
+  String logs() throws IOException {
+    StringBuilder logs = new StringBuilder();
+    for (int i = 0; i < NODES; i++) {
+      logs.append(Files.readString(logOf(i), StandardCharsets.UTF_8));
+    }
+    return logs.toString();
+  }
+
+  private ObjectNode settingsOf(int node) {
+    ObjectNode root = Json.object().put("node", "node-" + node).put("site", site.zones().get(0));
+    root.put("client_listen", "127.0.0.1:" + ports[node]);
+    root.put("peer_listen", "127.0.0.1:" + ports[NODES + node]);
+    ArrayNode peers = root.putArray("peers");
+    for (int k = 0; k < NODES; k++) {
+      if (k != node) {
+        peers.addObject().put("node", "node-" + k).put("endpoint", "127.0.0.1:" + ports[NODES + k]);
+      }
+    }
+    String outside = services.endpoint();
+    root.putObject("external").put("cloud", outside).put("state", outside);
+    ObjectNode deployment = root.putObject("deployment");
+    ArrayNode zones = deployment.putArray("zones");
+    site.zones().forEach(zones::add);
+    deployment
+        .putArray("teams")
+        .addObject()
+        .put("name", "red")
+        .put("cpus", 4)
+        .put("cpus_max", site.teamCpus());
+    ObjectNode workers = deployment.putObject("workers");
+    workers.put("report_s", site.reportS()).put("lease_s", site.leaseS());
+    workers.put("gang_wait_s", 30).put("gang_peer_s", 5).put("cancel_s", site.cancelS());
+    deployment
+        .putObject("state")
+        .put("rps", 200)
+        .put("write_rps", 60)
+        .put("value_kb", 8)
+        .put("txn_ops", 16);
+    deployment.putObject("cloud").put("rps", 4).put("list_lag_s", 10);
+    return root;
+  }
+
+  // ---- requests ---------------------------------------------------------------------------------
+
+  /** Waits until something holds, for a minute at the most. */
+  static void until(String what, BooleanSupplier holds) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(PATIENCE_S);
+    while (!holds.getAsBoolean()) {
+      assertTrue(System.nanoTime() < end, "in vain: " + what);
+      Thread.sleep(100);
+    }
+  }
+
+  private HttpResponse<String> ask(int node, String method, String path, byte[] body) {
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + ports[node] + path))
+            .timeout(Duration.ofSeconds(6))
+            .method(
+                method,
+                body == null
+                    ? HttpRequest.BodyPublishers.noBody()
+                    : HttpRequest.BodyPublishers.ofByteArray(body))
+            .build();
+    try {
+      return client.send(request, HttpResponse.BodyHandlers.ofString());
+    } catch (IOException e) {
+      return null;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  /** The status of an answer; 0 where none came. */
+  int status(int node, String method, String path, byte[] body) {
+    HttpResponse<String> response = ask(node, method, path, body);
+    return response == null ? 0 : response.statusCode();
+  }
+
+  /** The body of an answer; empty where none came. */
+  String body(int node, String path) {
+    HttpResponse<String> response = ask(node, "GET", path, null);
+    return response == null ? "" : response.body();
+  }
+
+  /** The port at which a controller serves users. */
+  int port(int node) {
+    return ports[node];
+  }
+}
--- a/src/test/java/org/ternhinge/cli/LoopbackServices.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackServices.java
@@ -19,10 +19,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.ternhinge.model.Clock;
+import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Revision;
 import org.ternhinge.model.SteadyTime;
-import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimFlavors;
 import org.ternhinge.sim.StoreCore;
 import org.ternhinge.state.Change;
 import org.ternhinge.state.Entry;
@@ -32,7 +33,7 @@
 import org.ternhinge.wire.Json;
 import org.ternhinge.wire.WireException;
 
-/** A state service and a cloud without machines, over HTTP on loopback. */
+/** A state service and a cloud over HTTP on loopback; the cloud rents nothing out. */
 final class LoopbackServices implements AutoCloseable {
   private static final String NODE_PREFIX = "node-";
 
@@ -40,14 +41,24 @@
   private final ExecutorService requests = Executors.newCachedThreadPool();
   private final StoreCore store = new StoreCore(new RealClock());
   private final HttpServer server;
+  private final List<String> zones;
 
-  LoopbackServices() throws IOException {
+  /** The machines that are there, or null. */
+  private volatile LoopbackFleet fleet;
+
+  LoopbackServices(List<String> zones) throws IOException {
+    this.zones = zones;
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
     server.setExecutor(requests);
     server.createContext("/", this::serve);
     server.start();
   }
 
+  /** From now on the cloud lists these machines. */
+  void show(LoopbackFleet machines) {
+    fleet = machines;
+  }
+
   /** Where both services are reached. */
   String endpoint() {
     return "127.0.0.1:" + server.getAddress().getPort();
@@ -130,11 +141,14 @@
     String path = exchange.getRequestURI().getPath();
     Map<String, String> query = query(exchange);
     if (path.equals("/flavors")) {
-      reply(exchange, 200, Flavor.writeAll(SimCluster.FLAVORS));
+      reply(exchange, 200, Flavor.writeAll(SimFlavors.in(zones)));
     } else if (path.equals("/hosts") && exchange.getRequestMethod().equals("GET")) {
       ObjectNode none = Json.object().put("more", false);
       none.putArray("velar");
-      reply(exchange, 200, none);
+      reply(exchange, 200, fleet == null ? none : fleet.list(query.get("from")));
+    } else if (path.equals("/hosts/release")) {
+      release(Json.parse(body));
+      reply(exchange, 200, Json.object());
     } else if (path.equals("/hosts")) {
       reply(exchange, 503, Json.object().put("error", "no capacity"));
     } else if (path.equals("/follow")) {
@@ -146,6 +160,16 @@
     }
   }
 
+  private void release(JsonNode body) throws WireException {
+    List<MachineId> ids = new ArrayList<>();
+    for (JsonNode id : Json.list(body, "velar")) {
+      ids.add(new MachineId(id.asText()));
+    }
+    if (fleet != null) {
+      fleet.release(ids);
+    }
+  }
+
   private void state(HttpExchange exchange, String path, Map<String, String> query, byte[] body)
       throws IOException, WireException {
     if (path.equals("/keys")) {
--- /dev/null
+++ b/src/test/java/org/ternhinge/cli/TaskHistory.java
@@ -0,0 +1,86 @@
+package org.ternhinge.cli;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.TaskId;
+
+/**
+ * What workers ran and what users were told, and which of it breaks a rule. Any thread may add to
+ * it.
+ */
+final class TaskHistory {
+  /** A task came to its machine at a time in seconds. */
+  record Start(double at, TaskId task, String machine, String zone) {}
+
+  private final List<Start> starts = new ArrayList<>();
+  private final Map<TaskId, Set<String>> live = new HashMap<>();
+  private final Set<TaskId> completed = new HashSet<>();
+  private final Map<JobId, String> finalAnswers = new HashMap<>();
+  private final List<String> violations = new ArrayList<>();
+
+  synchronized void started(double at, TaskId task, String machine, String zone) {
+    Set<String> machines = live.computeIfAbsent(task, key -> new HashSet<>());
+    if (!machines.isEmpty()) {
+      violations.add(task + " starts on " + machine + " while it is on " + machines);
+    }
+    machines.add(machine);
+    starts.add(new Start(at, task, machine, zone));
+  }
+
+  /** A task has left its machine, completed or not. */
+  synchronized void left(TaskId task, String machine, boolean done) {
+    live.computeIfAbsent(task, key -> new HashSet<>()).remove(machine);
+    if (done) {
+      completed.add(task);
+    }
+  }
+
+  /** A user was told a job's state. */
+  synchronized void told(JobId job, String state, int tasks) {
+    String before = finalAnswers.get(job);
+    if (before != null && !before.equals(state)) {
+      violations.add(job + " was told " + before + " and then " + state);
+    }
+    if (state.equals("done") || state.equals("cancelled")) {
+      finalAnswers.put(job, state);
+    }
+    for (int i = 0; state.equals("done") && i < tasks; i++) {
+      if (!completed.contains(new TaskId(job, i))) {
+        violations.add(job + " was told done before task " + i + " was");
+      }
+    }
+  }
+
+  synchronized String finalAnswer(JobId job) {
+    return finalAnswers.get(job);
+  }
+
+  synchronized List<String> violations() {
+    return List.copyOf(violations);
+  }
+
+  synchronized List<Start> startsSince(double seconds) {
+    return starts.stream().filter(start -> start.at() >= seconds).toList();
+  }
+
+  /** Tasks that are on machines of a zone now. */
+  synchronized Set<TaskId> liveIn(String zone) {
+    Set<TaskId> tasks = new HashSet<>();
+    for (Start start : starts) {
+      boolean there = live.getOrDefault(start.task(), Set.of()).contains(start.machine());
+      if (there && start.zone().equals(zone)) {
+        tasks.add(start.task());
+      }
+    }
+    return tasks;
+  }
+
+  synchronized int liveTasks() {
+    return live.values().stream().mapToInt(Set::size).sum();
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/cli/TaskHistoryTest.java
@@ -0,0 +1,47 @@
+package org.ternhinge.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.TaskId;
+
+/** The checker finds planted faults, and no others. */
+class TaskHistoryTest {
+  private static final JobId JOB = new JobId("wk-1");
+  private static final TaskId TASK = new TaskId(JOB, 0);
+
+  private final TaskHistory history = new TaskHistory();
+
+  @Test
+  void aCleanHistory() {
+    history.started(1, TASK, "n-1", "west");
+    assertEquals(Set.of(TASK), history.liveIn("west"));
+    history.left(TASK, "n-1", false);
+    history.started(2, TASK, "n-2", "east");
+    history.told(JOB, "running", 1);
+    history.left(TASK, "n-2", true);
+    history.told(JOB, "done", 1);
+    history.told(JOB, "done", 1);
+    assertEquals(List.of(), history.violations());
+    assertEquals(Set.of(), history.liveIn("west"));
+  }
+
+  @Test
+  void twoLiveAttempts() {
+    history.started(1, TASK, "n-1", "west");
+    history.started(2, TASK, "n-2", "east");
+    assertEquals(1, history.violations().size());
+  }
+
+  @Test
+  void doneTooEarlyAndTakenBack() {
+    history.told(JOB, "done", 1);
+    history.left(TASK, "n-1", true);
+    history.told(JOB, "running", 1);
+    history.told(JOB, "cancelled", 1);
+    assertEquals(3, history.violations().size());
+  }
+}
--- a/src/test/java/org/ternhinge/controller/InitialMachineTypesTest.java
+++ b/src/test/java/org/ternhinge/controller/InitialMachineTypesTest.java
@@ -18,7 +18,7 @@
 import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.sim.DirectStore;
 import org.ternhinge.sim.SimClock;
-import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimFlavors;
 import org.ternhinge.sim.StoreCore;
 import org.ternhinge.state.Change;
 import org.ternhinge.state.Txn;
@@ -46,7 +46,7 @@
     public CompletableFuture<Outcome<List<Flavor>>> flavors() {
       calls++;
       return CompletableFuture.completedFuture(
-          down ? Outcome.notApplied(Reason.REFUSED, "503") : Outcome.applied(SimCluster.FLAVORS));
+          down ? Outcome.notApplied(Reason.REFUSED, "503") : Outcome.applied(SimFlavors.ALL));
     }
 
     @Override
@@ -67,8 +67,8 @@
   }
 
   private void assertKnown() {
-    assertEquals(List.of(SimCluster.FLAVORS), learned);
-    assertEquals(SimCluster.FLAVORS, List.copyOf(types.all()));
+    assertEquals(List.of(SimFlavors.ALL), learned);
+    assertEquals(SimFlavors.ALL, List.copyOf(types.all()));
   }
 
   @Test
@@ -78,7 +78,7 @@
     cloud.down = true;
     learned.clear();
     new InitialMachineTypes(store, cloud, clock, new ReentrantLock(), learned::add).load();
-    assertEquals(List.of(SimCluster.FLAVORS), learned);
+    assertEquals(List.of(SimFlavors.ALL), learned);
     assertEquals(1, cloud.calls, "the second node reads the copy");
   }
 
--- a/src/test/java/org/ternhinge/controller/LeadershipParts.java
+++ b/src/test/java/org/ternhinge/controller/LeadershipParts.java
@@ -85,7 +85,8 @@
         new CommandDispatcher(
             executor, (machine, report, isReport, now) -> true, services, authority, ledger);
     attempts =
-        new AttemptLifecycle(ledger, writer, machines, dispatcher, () -> roundsRequested++, clock);
+        new AttemptLifecycle(
+            ledger, writer, machines, dispatcher, () -> roundsRequested++, clock, ZoneControl.NONE);
   }
 
   /** What a leadership is built upon, with a cloud. */
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/ZoneFailoverFixture.java
@@ -0,0 +1,160 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.config.ZoneFailoverSettings;
+import org.ternhinge.config.ZoneFailoverSettings.Tier;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.SimUsers;
+import org.ternhinge.sim.SimWorker;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.sim.TaskObservations.Start;
+import org.ternhinge.wire.Priority;
+
+/**
+ * A simulated cluster of three zones with ordered failover, on virtual time. Machines are rented in
+ * the first zone as long as the cloud has any there, so that is the one to lose.
+ */
+abstract class ZoneFailoverFixture {
+  static final String FIRST = "north";
+  static final List<String> ZONES = List.of(FIRST, "east", "west");
+  static final List<String> TIERS = List.of("warning", "chart", "climate");
+
+  static final ZoneFailoverSettings SETTINGS = settings(ZoneFailoverSettings.DEFAULT.release());
+
+  static final SimCluster.Size SIZE = new SimCluster.Size(3, 20, 400, 60);
+
+  /** Longer than a lease, what a take-over adds to it, and the boot of new machines. */
+  static final double RESTART_S = 90;
+
+  private static final double POLL_S = 3;
+  private static final double JOBS_END_S = 240;
+
+  SimCluster cluster;
+  SimUsers users;
+  private final Map<MachineId, String> zones = new HashMap<>();
+  private int jobs;
+
+  private static Tier tier(String jobClass) {
+    Set<String> classes = jobClass.isEmpty() ? Set.of() : Set.of(jobClass);
+    String name = jobClass.isEmpty() ? "rest" : jobClass;
+    return new Tier(name, Set.of(), classes, Set.of(), Set.<Priority>of());
+  }
+
+  /** The usual settings with another speed of moves. */
+  static ZoneFailoverSettings settings(ZoneFailoverSettings.Release release) {
+    return new ZoneFailoverSettings(
+        ZoneFailoverSettings.DEFAULT.detection(),
+        ZoneFailoverSettings.DEFAULT.flaps(),
+        release,
+        ZoneFailoverSettings.DEFAULT.pace(),
+        List.of(tier("warning"), tier("chart"), tier("")));
+  }
+
+  final void begin(long seed) {
+    begin(seed, SIZE, Tuning.DEFAULT.withZoneFailover(SETTINGS));
+  }
+
+  final void begin(long seed, SimCluster.Size size, Tuning tuning) {
+    cluster = new SimCluster(seed, 0, size, null, new SimCluster.Site(ZONES, tuning));
+    users = new SimUsers(cluster);
+    jobs = 0;
+    cluster.clock.runFor(5);
+  }
+
+  final JobId submit(ObjectNode body) {
+    users.submit(body);
+    return new JobId(body.get("ref").asText());
+  }
+
+  /** A job of a tier, named after it; its tasks take two CPUs each. */
+  final ObjectNode job(int tier, String kind, int tasks, double runS) {
+    String id = String.format("wk-%d%05d", tier + 1, ++jobs);
+    ObjectNode body = Specs.json(id, kind, tasks).put("runflokkur", TIERS.get(tier));
+    body.put("cpus", 2.0).put("aaetlun_s", runS);
+    if (kind.equals("daemon")) {
+      body.put("forgang", "production").put("lanvelar", false);
+    }
+    return body;
+  }
+
+  /** Arrays of every tier, the least important first, that fill most of the first zone. */
+  final void submitAllTiers(int jobsEach, int tasks, double runS) {
+    for (int i = 0; i < jobsEach; i++) {
+      for (int tier = TIERS.size() - 1; tier >= 0; tier--) {
+        submit(job(tier, "batch", tasks, runS));
+      }
+    }
+  }
+
+  static int tierOf(TaskId task) {
+    return task.job().value().charAt(3) - '1';
+  }
+
+  /** Lets time pass, with polls of every job. */
+  final void run(double seconds) {
+    double end = cluster.clock.seconds() + seconds;
+    while (cluster.clock.seconds() < end - 1e-6) {
+      cluster.clock.runFor(Math.min(POLL_S, end - cluster.clock.seconds()));
+      users.pollAll();
+    }
+  }
+
+  /** Tasks that run in the first zone now. */
+  final Set<TaskId> runningInFirst() {
+    for (SimWorker worker : cluster.liveWorkers()) {
+      zones.put(worker.id(), worker.zone());
+    }
+    return cluster.tasks.runningIn(FIRST, zones);
+  }
+
+  final void cutFirst(double seconds) {
+    cluster.machineFaults.cutZone(FIRST, seconds);
+  }
+
+  /** The first start of each of these tasks from a time on, outside the first zone. */
+  final Map<TaskId, Start> restarts(Set<TaskId> tasks, double from) {
+    Map<TaskId, Start> restarts = new HashMap<>();
+    for (Start start : cluster.tasks.startsSince(from)) {
+      if (tasks.contains(start.task()) && !start.zone().equals(FIRST)) {
+        restarts.putIfAbsent(start.task(), start);
+      }
+    }
+    return restarts;
+  }
+
+  /** Tasks that started again although nothing had taken their attempt from them. */
+  final Set<TaskId> startsOf(Set<TaskId> tasks, double from) {
+    Set<TaskId> started = new HashSet<>();
+    for (Start start : cluster.tasks.startsSince(from)) {
+      if (tasks.contains(start.task())) {
+        started.add(start.task());
+      }
+    }
+    return started;
+  }
+
+  /** Lets all come to its end and asserts that each job was answered for and no rule was broken. */
+  final void assertRulesHoldToTheEnd() {
+    run(60);
+    users.cancelServices();
+    users.quiet();
+    run(JOBS_END_S);
+    assertEquals(List.of(), cluster.violations());
+    for (JobId id : users.accepted()) {
+      if (!users.mayBeCancelled(id)) {
+        assertEquals("done", users.lastTold(id), id.value());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/ZoneFailoverSeedsTest.java
@@ -0,0 +1,109 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.List;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.model.JobId;
+import org.ternhinge.sim.SimCluster;
+
+/**
+ * Zones that are lost, return and flap by the seed, together with other troubles, on virtual time.
+ * The rules are checked on what the stand-ins saw and on what users were told; work is bounded by
+ * counts.
+ */
+class ZoneFailoverSeedsTest extends ZoneFailoverFixture {
+  private static final SimCluster.Size SMALL = new SimCluster.Size(3, 3, 60, 40);
+  private static final SimCluster.Size LARGE = new SimCluster.Size(3, 60, 2400, 60);
+  private static final int STEPS = 50;
+  private static final double STEP_S = 3;
+  private static final double WRITES_PER_S = 40;
+
+  /** So many seeds from each of these on. */
+  @ParameterizedTest(name = "{1} seeds from {0} on")
+  @CsvSource({"1000, 50", "2000, 50", "3000, 50", "4000, 50"})
+  void rulesHold(long firstSeed, int count) {
+    for (long seed = firstSeed; seed < firstSeed + count; seed++) {
+      play(seed, SMALL, 20);
+    }
+  }
+
+  /** The same with more than four hundred machines. */
+  @ParameterizedTest(name = "seed {0}")
+  @CsvSource({"1", "2", "3", "4"})
+  void rulesHoldInALargeFleet(long seed) {
+    play(seed, LARGE, 500);
+    assertTrue(cluster.machinesMade() > 300, cluster.machinesMade() + " machines");
+  }
+
+  private void play(long seed, SimCluster.Size size, int mostTasks) {
+    begin(seed, size, Tuning.DEFAULT.withZoneFailover(SETTINGS));
+    long changes = cluster.counts.stateChanges();
+    for (int step = 0; step < STEPS; step++) {
+      if (step < STEPS * 2 / 3 && oneIn(2)) {
+        submitSome(mostTasks);
+      }
+      if (!users.accepted().isEmpty() && oneIn(15)) {
+        users.cancel(users.accepted().get(cluster.nextInt(users.accepted().size())));
+      }
+      if (step >= 8) {
+        trouble();
+      }
+      run(STEP_S);
+    }
+    double allowed = WRITES_PER_S * 1.5 * (STEPS * STEP_S + 1);
+    assertTrue(cluster.counts.stateChanges() - changes <= allowed, "seed " + seed + ": changes");
+    run(60);
+    users.cancelServices();
+    users.quiet();
+    run(200);
+    assertEquals(List.of(), cluster.violations(), "seed " + seed);
+    for (JobId id : users.accepted()) {
+      String told = users.lastTold(id);
+      boolean over = "done".equals(told) || "cancelled".equals(told);
+      assertTrue(over, "seed " + seed + ": " + id + " is " + told);
+    }
+  }
+
+  private boolean oneIn(int many) {
+    return cluster.nextInt(many) == 0;
+  }
+
+  private void submitSome(int mostTasks) {
+    String kind = List.of("batch", "batch", "batch", "group", "daemon").get(cluster.nextInt(5));
+    int tasks = kind.equals("batch") ? 1 + cluster.nextInt(mostTasks) : 2;
+    ObjectNode body = job(cluster.nextInt(3), kind, tasks, 5.0 + cluster.nextInt(40));
+    body.put("scatter", kind.equals("daemon")).put("together", kind.equals("group"));
+    if (!kind.equals("daemon") && oneIn(8)) {
+      body.put("svaedi", ZONES.get(cluster.nextInt(ZONES.size())));
+    }
+    submit(body);
+  }
+
+  private String someZone() {
+    return oneIn(2) ? FIRST : ZONES.get(cluster.nextInt(ZONES.size()));
+  }
+
+  private void trouble() {
+    double seconds = 3 + cluster.nextInt(45);
+    switch (cluster.nextInt(24)) {
+      case 0, 1 -> cluster.machineFaults.cutZone(someZone(), seconds);
+      case 2 -> cluster.machineFaults.cutHalfOfZone(someZone(), seconds);
+      case 3 -> cluster.networkFaults.cutZone(ZONES.get(1 + cluster.nextInt(2)), seconds);
+      case 4 -> cluster.crash(Math.max(0, cluster.leader()), oneIn(2) ? 0.3 : 5);
+      case 5 -> cluster.networkFaults.cutWorkers(cluster.nextInt(3), seconds);
+      case 6 -> cluster.machineFaults.copyReports(0.3, seconds);
+      case 7 -> cluster.stateFaults.lateWrites(0.3, seconds);
+      case 8 -> cluster.stateFaults.slowState(seconds, 0.8);
+      case 9 -> cluster.stateFaults.refuse(Math.max(0, cluster.leader()), seconds);
+      case 10 -> cluster.machineFaults.restartMachines(0.2);
+      default -> {
+        // Nothing new in this step.
+      }
+    }
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/controller/ZoneFailoverTest.java
@@ -0,0 +1,414 @@
+package org.ternhinge.controller;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.config.Tuning;
+import org.ternhinge.config.ZoneFailoverSettings;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.sim.SimCluster;
+import org.ternhinge.sim.TaskObservations.Start;
+
+/** The loss and return of a zone, alone and with other troubles, on virtual time. */
+class ZoneFailoverTest extends ZoneFailoverFixture {
+  /** A restart may be seen so much out of order: the ways of commands differ. */
+  private static final double COMMAND_S = 0.5;
+
+  /** When the first and the last tasks of each tier started again. */
+  private static final class Spans {
+    private final double[] first = {1e9, 1e9, 1e9};
+    private final double[] last = new double[3];
+
+    static Spans of(Map<TaskId, Start> restarts) {
+      Spans spans = new Spans();
+      restarts.forEach(
+          (task, start) -> {
+            int tier = tierOf(task);
+            spans.first[tier] = Math.min(spans.first[tier], start.at());
+            spans.last[tier] = Math.max(spans.last[tier], start.at());
+          });
+      return spans;
+    }
+
+    void assertInOrder() {
+      assertTrue(last[0] <= first[1] + COMMAND_S, last[0] + " before " + first[1]);
+      assertTrue(last[1] <= first[2] + COMMAND_S, last[1] + " before " + first[2]);
+    }
+  }
+
+  /** Work of the first zone that was running when it was cut off for good. */
+  private Set<TaskId> loseTheFirstZone(double seconds) {
+    Set<TaskId> lost = runningInFirst();
+    cluster.networkFaults.cutsLose();
+    cutFirst(seconds);
+    return lost;
+  }
+
+  @ParameterizedTest(name = "seed {0}")
+  @CsvSource({"1", "2", "3", "4", "5", "6"})
+  void workMovesInTheStatedOrder(long seed) {
+    begin(seed);
+    submitAllTiers(3, 8, 150);
+    run(40);
+    double cutAt = cluster.clock.seconds();
+    Set<TaskId> lost = loseTheFirstZone(80);
+    assertTrue(lost.size() > 20, lost.size() + " tasks are lost");
+    run(RESTART_S);
+    Map<TaskId, Start> restarts = restarts(lost, cutAt);
+    assertEquals(lost, restarts.keySet(), "every lost task runs again elsewhere");
+    Spans.of(restarts).assertInOrder();
+    assertRulesHoldToTheEnd();
+  }
+
+  /**
+   * The same while leadership changes: the next leader goes on in that order. It waits longer for
+   * the proof that an attempt is over, so a tier may keep the next one waiting for longer here.
+   */
+  @ParameterizedTest(name = "leader ended {0} s after the cut, back after {1} s")
+  @CsvSource({"8, 0.3", "20, 0.3", "25, 5", "27, 0.3", "27, 5", "30, 5"})
+  void theOrderOutlivesTheLeader(double afterS, double backS) {
+    ZoneFailoverSettings patient = settings(new ZoneFailoverSettings.Release(70, 10));
+    begin(11, SIZE, Tuning.DEFAULT.withZoneFailover(patient));
+    submitAllTiers(3, 8, 200);
+    run(40);
+    double cutAt = cluster.clock.seconds();
+    Set<TaskId> lost = loseTheFirstZone(150);
+    cluster.clock.runFor(afterS);
+    cluster.crash(cluster.leader(), backS);
+    run(130);
+    Map<TaskId, Start> restarts = restarts(lost, cutAt);
+    assertEquals(lost, restarts.keySet());
+    Spans.of(restarts).assertInOrder();
+    assertRulesHoldToTheEnd();
+  }
+
+  /** One warning may run in the lost zone only: it waits for it, and the rest does not. */
+  @Test
+  void pinnedWorkWaitsAndHoldsNothingBack() {
+    begin(21);
+    ObjectNode pinned = job(0, "batch", 4, 60);
+    JobId pinnedId = submit(pinned.put("svaedi", FIRST));
+    ObjectNode large = job(0, "group", 3, 60).put("cpus", 14.0).put("accelerators", 2.0);
+    JobId gang = submit(large.put("together", true).put("lanvelar", false));
+    submitAllTiers(2, 6, 150);
+    run(40);
+    double cutAt = cluster.clock.seconds();
+    Set<TaskId> lost = loseTheFirstZone(100);
+    run(30);
+    assertEquals("queued", told(pinnedId), "it waits and is known");
+    run(60);
+    Set<TaskId> movable = new HashSet<>(lost);
+    movable.removeIf(task -> task.job().equals(pinnedId) || task.job().equals(gang));
+    assertEquals(movable, restarts(movable, cutAt).keySet());
+    assertRulesHoldToTheEnd();
+  }
+
+  private String told(JobId id) {
+    String last = users.lastTold(id);
+    return "running".equals(last) ? "queued" : last;
+  }
+
+  /** Nothing that runs elsewhere by now is moved back, and new work comes at the pacer's rate. */
+  @ParameterizedTest(name = "seed {0}, cut for {1} s")
+  @CsvSource({"31, 30", "32, 40", "33, 60"})
+  void theReturnIsCalm(long seed, double cutS) {
+    begin(seed);
+    submitAllTiers(2, 8, 300);
+    run(40);
+    Set<TaskId> lost = loseTheFirstZone(cutS);
+    run(cutS);
+    double backAt = cluster.clock.seconds();
+    for (int i = 0; i < 6; i++) {
+      submit(job(1, "batch", 30, 20));
+    }
+    Set<TaskId> inPlace = new HashSet<>();
+    cluster.tasks.forEachRunningTask(inPlace::add);
+    run(45);
+    Set<TaskId> again = startsOf(inPlace, backAt);
+    // Tasks that the cut zone's workers had ended are not among those: their leases were over.
+    again.removeIf(task -> lost.contains(task));
+    assertEquals(Set.of(), again, "what runs is not moved back");
+    assertStartsArePaced(backAt);
+    assertRulesHoldToTheEnd();
+  }
+
+  /** Starts in the first zone keep to the pace: in each second and over all. */
+  private void assertStartsArePaced(double from) {
+    double[] perSecond = new double[60];
+    for (Start start : cluster.tasks.startsSince(from)) {
+      if (start.zone().equals(FIRST)) {
+        perSecond[(int) Math.min(59, start.at() - from)]++;
+      }
+    }
+    double pacedFrom = SETTINGS.detection().settleS();
+    double machines = cluster.liveWorkers().stream().filter(w -> w.zone().equals(FIRST)).count();
+    double rate = Math.max(1, SETTINGS.pace().startsPerMachine() * machines);
+    double allowed = 0;
+    double started = 0;
+    for (int second = 0; second < 45; second++) {
+      int step = (int) Math.max(0, (second - pacedFrom) / SETTINGS.pace().stepS());
+      if (step >= SETTINGS.pace().steps()) {
+        break;
+      }
+      allowed += rate * Math.pow(2, step);
+      started += perSecond[second];
+      assertTrue(
+          started <= allowed + rate * Math.pow(2, step + 1),
+          started + " starts by second " + second + ", allowed " + allowed);
+    }
+  }
+
+  /** Cuts shorter than a lease end nothing: no task starts twice, none is moved. */
+  @ParameterizedTest(name = "{0} s, {1} s apart")
+  @CsvSource({"12, 10", "15, 20", "14, 8"})
+  void shortFlapsMoveNothing(double cutS, double gapS) {
+    begin(41);
+    submitAllTiers(2, 8, 250);
+    run(40);
+    Set<TaskId> running = runningInFirst();
+    double cutAt = cluster.clock.seconds();
+    cutFirst(cutS);
+    run(cutS + gapS);
+    cutFirst(cutS);
+    run(cutS + 20);
+    assertEquals(Set.of(), startsOf(running, cutAt), "nothing was proved over");
+    assertRulesHoldToTheEnd();
+  }
+
+  /** Two cuts within a minute, of which one or both outlast a lease. */
+  @ParameterizedTest(name = "{0} s, then {1} s later {2} s")
+  @CsvSource({"30, 5, 30", "12, 10, 40", "40, 12, 15", "26, 3, 26"})
+  void flapsWithinAMinuteKeepTheZoneOutOfUse(double firstS, double gapS, double secondS) {
+    begin(42);
+    submitAllTiers(2, 8, 250);
+    run(40);
+    Set<TaskId> lost = runningInFirst();
+    double cutAt = cluster.clock.seconds();
+    cutFirst(firstS);
+    run(firstS + gapS);
+    cutFirst(secondS);
+    run(secondS);
+    double backAt = cluster.clock.seconds();
+    JobId next = submit(job(1, "batch", 60, 20));
+    run(SETTINGS.detection().settleS() - 1);
+    // An attempt that was opened before the cut may get its start now; new ones are not opened.
+    boolean rushes =
+        cluster.tasks.startsSince(backAt).stream()
+            .anyMatch(start -> start.zone().equals(FIRST) && start.task().job().equals(next));
+    assertFalse(rushes, "nothing rushes back");
+    run(80);
+    assertTrue(startsOf(lost, cutAt).size() <= lost.size());
+    assertRulesHoldToTheEnd();
+  }
+
+  /**
+   * The zone in which the leader stands is lost with its workers, and with the controllers there.
+   */
+  @ParameterizedTest(name = "{0} cut for {1} s")
+  @CsvSource({"east, 15", "east, 50", "west, 50", "east, 90"})
+  void aZoneWithItsControllers(String zone, double seconds) {
+    begin(51);
+    submitAllTiers(4, 10, 120);
+    run(40);
+    cluster.networkFaults.cutZone(zone, seconds);
+    run(seconds);
+    assertRulesHoldToTheEnd();
+  }
+
+  @Test
+  void aSlowStateServiceInTheSameMoment() {
+    begin(52);
+    submitAllTiers(3, 8, 150);
+    run(40);
+    double cutAt = cluster.clock.seconds();
+    Set<TaskId> lost = loseTheFirstZone(90);
+    cluster.stateFaults.slowState(60, 1.0);
+    run(120);
+    assertEquals(lost, startsOf(lost, cutAt));
+    assertRulesHoldToTheEnd();
+  }
+
+  /** Half of the zone is lost: the other half goes on working, and the lost work runs again. */
+  @Test
+  void halfAZone() {
+    begin(56);
+    submitAllTiers(3, 8, 150);
+    run(40);
+    Set<TaskId> before = runningInFirst();
+    double cutAt = cluster.clock.seconds();
+    cluster.networkFaults.cutsLose();
+    cluster.machineFaults.cutHalfOfZone(FIRST, 100);
+    run(SETTINGS.detection().suspectMaxS() + 10);
+    submit(job(1, "batch", 20, 20));
+    run(RESTART_S - 20);
+    Set<TaskId> again = startsOf(before, cutAt);
+    assertTrue(again.size() < before.size(), "the healthy half keeps its work");
+    assertTrue(!again.isEmpty(), "the other half's work runs again");
+    assertRulesHoldToTheEnd();
+  }
+
+  /**
+   * A task ends in the lost zone at any moment around its lease's end: while its copy is not
+   * recorded yet, is recorded, sent, started, or has ended. In each order every user hears the same
+   * one result.
+   */
+  @ParameterizedTest(name = "{0} s after the cut, {1}")
+  @CsvSource({
+    "20, none",
+    "22, none",
+    "23, none",
+    "23.5, none",
+    "24, none",
+    "24.5, none",
+    "25, none",
+    "26, none",
+    "23, leader",
+    "24, leader",
+    "25, leader",
+    "27, leader",
+    "33, leader",
+    "22, copies",
+    "24, copies",
+    "24.5, copies",
+    "26, copies",
+    "24, both",
+    "25, both",
+    "26, both"
+  })
+  void aTaskEndsWhileItsCopyBegins(double endsAfterS, String trouble) {
+    begin(64);
+    JobId[] ids = new JobId[6];
+    for (int i = 0; i < ids.length; i++) {
+      // Tasks begin some two seconds after submission; a spread of ends around the one asked for.
+      ids[i] = submit(job(i % 3, "batch", 3, 40 + endsAfterS - 1 + i * 0.4));
+    }
+    run(40);
+    if (!trouble.equals("leader")) {
+      cluster.machineFaults.copyReports(trouble.equals("none") ? 0 : 0.5, 80);
+    }
+    cutFirst(30);
+    cluster.clock.runFor(endsAfterS);
+    if (trouble.equals("leader") || trouble.equals("both")) {
+      cluster.crash(cluster.leader(), 0.3);
+    }
+    for (int i = 0; i < 40; i++) {
+      run(3);
+      for (JobId id : ids) {
+        users.pollEverywhere(id);
+      }
+    }
+    assertRulesHoldToTheEnd();
+  }
+
+  /** Two zones fall one after the other; their work ends up in the last one. */
+  @Test
+  void twoZonesOneAfterTheOther() {
+    begin(53);
+    submitAllTiers(3, 8, 150);
+    run(40);
+    cutFirst(140);
+    run(20);
+    cluster.machineFaults.cutMachinesOfZone("east", 100);
+    run(140);
+    assertRulesHoldToTheEnd();
+  }
+
+  /** All workers of all zones are silent to the leader: its links, and no failover begins. */
+  @Test
+  void allZonesAtOnceAreTheLeadersOwnLinks() {
+    begin(54);
+    submitAllTiers(2, 8, 200);
+    run(40);
+    Set<TaskId> running = new HashSet<>();
+    cluster.tasks.forEachRunningTask(running::add);
+    double cutAt = cluster.clock.seconds();
+    for (int i = 0; i < cluster.nodeCount(); i++) {
+      cluster.networkFaults.cutWorkers(i, 15);
+    }
+    run(60);
+    assertEquals(Set.of(), startsOf(running, cutAt));
+    assertRulesHoldToTheEnd();
+  }
+
+  /** The survivors are full and the quota is used up: higher tiers still come first. */
+  @Test
+  void fullSurvivorsAndAUsedUpQuota() {
+    begin(55, new SimCluster.Size(3, 4, 120, 60), tuning());
+    submitAllTiers(3, 10, 100);
+    run(40);
+    loseTheFirstZone(60);
+    run(100);
+    assertRulesHoldToTheEnd();
+  }
+
+  private static Tuning tuning() {
+    return Tuning.DEFAULT.withZoneFailover(SETTINGS);
+  }
+
+  /** A cancellation that is confirmed for tasks in the lost zone: gone in time, not copied. */
+  @ParameterizedTest(name = "cancelled {0} s after the cut")
+  @CsvSource({"1", "10", "23", "26", "32"})
+  void cancelledWorkIsNotCopied(double afterS) {
+    begin(61);
+    JobId cancelled = submit(job(0, "batch", 12, 400));
+    submitAllTiers(1, 6, 150);
+    run(40);
+    loseTheFirstZone(70);
+    cluster.clock.runFor(afterS);
+    users.cancel(cancelled);
+    run(1);
+    double cancelledAt = cluster.clock.seconds();
+    boolean told = "cancelled".equals(users.lastTold(cancelled));
+    run(80);
+    if (told) {
+      List<Start> copies = cluster.tasks.startsSince(cancelledAt + COMMAND_S);
+      assertFalse(copies.stream().anyMatch(start -> start.task().job().equals(cancelled)));
+    }
+    assertRulesHoldToTheEnd();
+    assertEquals("cancelled", users.lastTold(cancelled));
+  }
+
+  /**
+   * Lists lag by much, or name machines that are not up: the zone's state is not read from them.
+   */
+  @Test
+  void listsThatLagChangeNothing() {
+    begin(62);
+    cluster.bootFaults.listLags(20);
+    submitAllTiers(3, 8, 150);
+    run(40);
+    double cutAt = cluster.clock.seconds();
+    Set<TaskId> lost = loseTheFirstZone(60);
+    run(RESTART_S + 30);
+    assertEquals(lost, startsOf(lost, cutAt));
+    assertRulesHoldToTheEnd();
+  }
+
+  /** Gangs, services and pipelines move too. */
+  @Test
+  void gangsServicesAndDependentJobs() {
+    begin(63);
+    JobId service = submit(job(0, "daemon", 4, 0).put("scatter", true));
+    JobId gang = submit(job(1, "group", 4, 90).put("together", true).put("lanvelar", false));
+    ObjectNode next = job(2, "batch", 6, 20);
+    JobId first = submit(job(1, "batch", 6, 90));
+    next.putArray("bidur_eftir").add(first.value());
+    users.submitAfterNamed(next);
+    run(40);
+    cutFirst(70);
+    run(RESTART_S + 20);
+    assertEquals(4, cluster.tasks.runningTasks(service));
+    assertRulesHoldToTheEnd();
+    assertEquals("done", users.lastTold(gang));
+  }
+}
--- a/src/test/java/org/ternhinge/sim/ClusterSettings.java
+++ b/src/test/java/org/ternhinge/sim/ClusterSettings.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Team;
+import org.ternhinge.config.Tuning;
 import org.ternhinge.model.Endpoint;
 
 /**
@@ -21,7 +22,7 @@
   /** A cancelled job's tasks have to be gone after so many seconds. */
   static final double CANCEL_S = 44;
 
-  /** The zones in which controllers and machines stand. */
+  /** The zones in which controllers stand, and machines unless a site has more. */
   static final List<String> ZONES = List.of("east", "west");
 
   private static final int FIRST_TEAM_GUARANTEE_MILLI_CPUS = 8000;
@@ -32,6 +33,7 @@
 
   private final SimCluster.Size size;
   private final SimCluster.Limits first;
+  private final SimCluster.Site site;
   private SimCluster.Limits limits;
 
   /**
@@ -40,10 +42,25 @@
    * @param first limits that hold at the beginning
    * @param limits limits that the settings name, no larger
    */
-  ClusterSettings(SimCluster.Size size, SimCluster.Limits first, SimCluster.Limits limits) {
+  ClusterSettings(
+      SimCluster.Size size,
+      SimCluster.Limits first,
+      SimCluster.Limits limits,
+      SimCluster.Site site) {
     this.size = size;
     this.first = first;
     this.limits = limits;
+    this.site = site;
+  }
+
+  /** The zones in which machines stand. */
+  List<String> zones() {
+    return site.zones();
+  }
+
+  /** The operators' own settings. */
+  Tuning tuning() {
+    return site.tuning();
   }
 
   /** Controllers that start from now on have settings that name coming limits. */
@@ -98,7 +115,7 @@
         peers,
         unused,
         unused,
-        ZONES,
+        site.zones(),
         teams(),
         List.of(),
         new Settings.Workers(REPORT_S, LEASE_S, 30, 5, CANCEL_S),
--- a/src/test/java/org/ternhinge/sim/MachineFaults.java
+++ b/src/test/java/org/ternhinge/sim/MachineFaults.java
@@ -22,6 +22,8 @@
   /** Machines whose next report is held back, and for how long. */
   private final Map<MachineId, Double> toHold = new HashMap<>();
 
+  private final Map<String, SteadyTime> zonesCutUntil = new HashMap<>();
+
   MachineFaults(SimCluster cluster, RandomGenerator random) {
     this.cluster = cluster;
     this.random = random;
@@ -47,6 +49,28 @@
     }
   }
 
+  /** Cuts every other machine of a zone off from everything. */
+  public void cutHalfOfZone(String zone, double seconds) {
+    boolean cut = false;
+    for (SimWorker worker : cluster.liveWorkers()) {
+      if (worker.zone.equals(zone)) {
+        cut = !cut;
+        worker.cutUntil = cut ? in(seconds) : worker.cutUntil;
+      }
+    }
+  }
+
+  /** Cuts a zone's machines, and machines that come up there meanwhile are cut off as well. */
+  public void cutZone(String zone, double seconds) {
+    cutMachinesOfZone(zone, seconds);
+    zonesCutUntil.put(zone, in(seconds));
+  }
+
+  /** A machine has come up. */
+  void cameUp(SimWorker worker) {
+    worker.cutUntil = zonesCutUntil.get(worker.zone);
+  }
+
   /** Cuts off a machine that runs a job's task. */
   public void cutSomeWorkerWith(JobId id, double seconds) {
     List<MachineId> machines = cluster.tasks.machinesOf(id);
--- a/src/test/java/org/ternhinge/sim/SimCloud.java
+++ b/src/test/java/org/ternhinge/sim/SimCloud.java
@@ -35,7 +35,7 @@
             null,
             () -> false,
             5,
-            to -> to.accept(Outcome.applied(SimCluster.FLAVORS))));
+            to -> to.accept(Outcome.applied(SimFlavors.in(cluster.settings.zones())))));
   }
 
   @Override
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -9,6 +9,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.ternhinge.config.Settings;
+import org.ternhinge.config.Tuning;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
 import org.ternhinge.metrics.Metrics;
@@ -16,10 +17,8 @@
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
-import org.ternhinge.model.Resources;
 import org.ternhinge.model.TaskId;
 import org.ternhinge.state.Change;
-import org.ternhinge.wire.Flavor;
 import org.ternhinge.wire.JobSpec;
 import org.ternhinge.wire.Json;
 import org.ternhinge.wire.WorkerReport;
@@ -39,6 +38,17 @@
    */
   public record Size(int nodes, int machines, double teamCpus, double writeRps) {}
 
+  /**
+   * What a cluster has beside its size.
+   *
+   * @param zones in which machines stand; controllers stand in the first two
+   * @param tuning the operators' own settings, the same for all controllers
+   */
+  public record Site(List<String> zones, Tuning tuning) {
+    /** Two zones and no settings of the operators'. */
+    static final Site USUAL = new Site(ClusterSettings.ZONES, Tuning.DEFAULT);
+  }
+
   /** Limits of the state service on values, transactions and changes a second. */
   public record Limits(double valueKb, int txnOps, double writeRps) {
     Limits lesser(Limits other) {
@@ -55,34 +65,6 @@
   /** Limits that the state service is to have some day, as the settings name them. */
   public static final Limits COMING = new Limits(2, 5, 21);
 
-  /** The machine types that the cloud offers. */
-  public static final List<Flavor> FLAVORS =
-      List.of(
-          new Flavor(
-              "small",
-              Resources.offer(4, 0, 16),
-              4,
-              0,
-              16,
-              50,
-              1,
-              0.2,
-              0.1,
-              5,
-              ClusterSettings.ZONES),
-          new Flavor(
-              "fast",
-              Resources.offer(16, 2, 64),
-              16,
-              2,
-              64,
-              50,
-              1,
-              3,
-              1,
-              8,
-              ClusterSettings.ZONES));
-
   private static final double INITIAL_VALUE_KB = 8;
   private static final int INITIAL_TXN_OPS = 16;
   private static final double USER_TIMEOUT_S = 5;
@@ -152,9 +134,15 @@
    * @param coming or null
    */
   public SimCluster(long seed, double lossShare, Size size, Limits coming) {
+    this(seed, lossShare, size, coming, Site.USUAL);
+  }
+
+  /** A cluster with zones and operators' settings of its own. */
+  public SimCluster(long seed, double lossShare, Size size, Limits coming, Site site) {
     this.size = size;
     Limits first = new Limits(INITIAL_VALUE_KB, INITIAL_TXN_OPS, size.writeRps);
-    settings = new ClusterSettings(size, first, coming == null ? first : first.lesser(coming));
+    settings =
+        new ClusterSettings(size, first, coming == null ? first : first.lesser(coming), site);
     random = new SplittableRandom(seed);
     network = new SimNetwork(clock, random.split());
     network.lossShare = lossShare;
--- a/src/test/java/org/ternhinge/sim/SimCommandClient.java
+++ b/src/test/java/org/ternhinge/sim/SimCommandClient.java
@@ -66,7 +66,7 @@
           Outcome.notApplied(Reason.WITHDRAWN, "not to be sent any more"));
     }
     cluster.counts.commandsLeave(commands, term, cluster.state.term());
-    MachineId id = SimWorker.idAt(endpoint);
+    MachineId id = MachineEndpoints.machineAt(endpoint);
     SimWorker worker = cluster.workers.get(id);
     cluster.tasks.sent(id, commands);
     cluster.events.commandsLeave(id, commands);
--- a/src/test/java/org/ternhinge/sim/SimController.java
+++ b/src/test/java/org/ternhinge/sim/SimController.java
@@ -4,7 +4,6 @@
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
 import org.ternhinge.config.Settings;
-import org.ternhinge.config.Tuning;
 import org.ternhinge.controller.ControllerNode;
 import org.ternhinge.controller.ControllerServices;
 import org.ternhinge.election.Election;
@@ -48,7 +47,7 @@
     ControllerServices services =
         new ControllerServices(
             settings,
-            Tuning.DEFAULT,
+            cluster.settings.tuning(),
             state,
             new SimCloud(cluster, index, this),
             new SimCommandClient(cluster, this),
@@ -61,8 +60,8 @@
             settings.node(),
             state,
             this,
-            Tuning.DEFAULT,
-            Election.grace(Tuning.DEFAULT, settings.workers()),
+            cluster.settings.tuning(),
+            Election.grace(cluster.settings.tuning(), settings.workers()),
             lock,
             cluster.random.split());
     node =
--- a/src/test/java/org/ternhinge/sim/SimStock.java
+++ b/src/test/java/org/ternhinge/sim/SimStock.java
@@ -69,7 +69,7 @@
 
   private MachineId rentOne(RentalRequest request) {
     MachineId id = new MachineId(String.format("n-%06d", machinesMade++));
-    Flavor flavor = SimCluster.FLAVORS.get(request.type().equals("small") ? 0 : 1);
+    Flavor flavor = SimFlavors.ALL.get(request.type().equals("small") ? 0 : 1);
     booting.put(id, new Booting(request, flavor));
     rentedAt.put(id, cluster.clock.now());
     double usualS = flavor.bootS() * (0.6 + cluster.random.nextDouble());
@@ -84,8 +84,9 @@
     Booting machine = booting.remove(id);
     if (machine != null) {
       RentalRequest request = machine.request;
-      cluster.workers.put(
-          id, new SimWorker(cluster, id, machine.flavor, request.zone(), request.spot()));
+      SimWorker worker = new SimWorker(cluster, id, machine.flavor, request.zone(), request.spot());
+      cluster.workers.put(id, worker);
+      cluster.machineFaults.cameUp(worker);
     }
   }
 
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -7,7 +7,6 @@
 import java.util.function.Consumer;
 import org.ternhinge.http.Response;
 import org.ternhinge.model.AsyncCalls;
-import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Session;
@@ -36,9 +35,6 @@
   /** How long a task runs that fails by itself. */
   private static final double FAILS_AFTER_S = 0.5;
 
-  private static final String HOST = "10.9.0.1";
-  private static final int FIRST_PORT = 1000;
-
   private final SimCluster cluster;
   private final MachineId id;
   final Flavor flavor;
@@ -87,13 +83,13 @@
     return id;
   }
 
-  String endpoint() {
-    return HOST + ":" + (FIRST_PORT + Integer.parseInt(id.value().substring(2)));
+  /** The zone that its machine stands in. */
+  public String zone() {
+    return zone;
   }
 
-  /** The machine at an address. */
-  static MachineId idAt(Endpoint endpoint) {
-    return new MachineId(String.format("n-%06d", endpoint.port() - FIRST_PORT));
+  String endpoint() {
+    return MachineEndpoints.of(id);
   }
 
   // ---- faults ---------------------------------------------------------------------------------
--- a/src/test/java/org/ternhinge/sim/StarvationCheck.java
+++ b/src/test/java/org/ternhinge/sim/StarvationCheck.java
@@ -57,7 +57,7 @@
     if (!spec.together()) {
       return placesIn(null, spec, wanted) >= wanted;
     }
-    for (String zone : ClusterSettings.ZONES) {
+    for (String zone : cluster.settings.zones()) {
       if (placesIn(zone, spec, wanted) >= wanted) {
         return true;
       }
--- a/src/test/java/org/ternhinge/sim/TaskObservations.java
+++ b/src/test/java/org/ternhinge/sim/TaskObservations.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeSet;
 import java.util.function.BiConsumer;
+import java.util.function.Consumer;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.Resources;
@@ -18,6 +19,9 @@
 
 /** Which tasks run where and which have run, as the simulated machines know it. */
 public final class TaskObservations {
+  /** A task starts on a machine of a zone. */
+  public record Start(double at, TaskId task, MachineId machine, String zone) {}
+
   private final SimClock clock;
   private final JobCatalog jobs;
   private final Map<TaskId, Set<MachineId>> running = new HashMap<>();
@@ -26,6 +30,7 @@
   private final Map<JobId, Integer> startsOf = new HashMap<>();
   private final Map<MachineId, Integer> startsSentTo = new HashMap<>();
   private int starts;
+  private final List<Start> history = new ArrayList<>();
 
   TaskObservations(SimClock clock, JobCatalog jobs) {
     this.clock = clock;
@@ -35,6 +40,7 @@
   /** Notes a start and gives the machines on which the task was already. */
   Set<MachineId> started(SimWorker machine, TaskId task) {
     starts++;
+    history.add(new Start(clock.seconds(), task, machine.id(), machine.zone));
     firstStart.putIfAbsent(task, clock.seconds());
     startsOn.merge(machine.id(), 1, Integer::sum);
     startsOf.merge(task.job(), 1, Integer::sum);
@@ -59,6 +65,23 @@
     return starts;
   }
 
+  /** All starts from a time on, in their order. */
+  public List<Start> startsSince(double seconds) {
+    return history.stream().filter(start -> start.at() >= seconds).toList();
+  }
+
+  /** The tasks that run now on machines of a zone. */
+  public Set<TaskId> runningIn(String zone, Map<MachineId, String> zones) {
+    Set<TaskId> tasks = new HashSet<>();
+    running.forEach(
+        (task, where) -> {
+          if (where.stream().anyMatch(machine -> zone.equals(zones.get(machine)))) {
+            tasks.add(task);
+          }
+        });
+    return tasks;
+  }
+
   /** Starts of tasks on one machine so far. */
   public int startsOn(MachineId machine) {
     return startsOn.getOrDefault(machine, 0);
@@ -112,6 +135,11 @@
     return !running.getOrDefault(task, Set.of()).isEmpty();
   }
 
+  /** Shows each task that runs. */
+  public void forEachRunningTask(Consumer<TaskId> action) {
+    forEachRunning((task, machines) -> action.accept(task));
+  }
+
   /** Shows each task that runs, with its machines. */
   void forEachRunning(BiConsumer<TaskId, Set<MachineId>> action) {
     running.forEach(
--- /dev/null
+++ b/src/test/java/org/ternhinge/zone/FailoverQueueTest.java
@@ -0,0 +1,177 @@
+package org.ternhinge.zone;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Test;
+import org.ternhinge.config.ZoneFailoverSettings;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.JobKind;
+import org.ternhinge.wire.JobSpec;
+
+/** The order and the rate in which work of a lost zone is released. */
+class FailoverQueueTest {
+  private static final ZoneFailoverSettings.Release RELEASE =
+      new ZoneFailoverSettings.Release(15, 10);
+  private static final int NO_OPEN_TIER = 9;
+
+  private final FailoverOrder order =
+      new FailoverOrder(
+          List.of(
+              tier("warnings", Set.of("warning"), Set.of()),
+              tier("charts", Set.of("chart"), Set.of()),
+              tier("climate", Set.of(), Set.of())));
+
+  private final Map<JobId, OwedWork.Fate> fates = new HashMap<>();
+  private final Set<JobId> unplaceable = new HashSet<>();
+  private SteadyTime now = new SteadyTime(0);
+  private FailoverQueue queue = new FailoverQueue(RELEASE, order, 1000, now);
+
+  private final OwedWork work =
+      new OwedWork() {
+        @Override
+        public Fate fate(JobId job, int task) {
+          return fates.getOrDefault(job, Fate.WAITING);
+        }
+
+        @Override
+        public boolean isPlaceable(JobId job) {
+          return !unplaceable.contains(job);
+        }
+      };
+
+  private static ZoneFailoverSettings.Tier tier(
+      String name, Set<String> classes, Set<JobKind> kinds) {
+    return new ZoneFailoverSettings.Tier(name, Set.of(), classes, kinds, Set.of());
+  }
+
+  private static JobSpec job(String id, String jobClass, String kind, int tasks, String zone) {
+    return Specs.of(Specs.json(id, kind, tasks).put("runflokkur", jobClass).put("svaedi", zone));
+  }
+
+  private void owe(String id, String jobClass, int tasks) {
+    owe(job(id, jobClass, "batch", tasks, null));
+  }
+
+  private void owe(JobSpec spec) {
+    for (int i = 0; i < spec.tasks(); i++) {
+      queue.owe(spec, i, "west", now);
+    }
+  }
+
+  /** Jobs that are released after so many seconds, once each for each time. */
+  private List<String> releasedAfter(double seconds) {
+    return releasedAfter(seconds, NO_OPEN_TIER);
+  }
+
+  private List<String> releasedAfter(double seconds, int lowestOpenTier) {
+    now = now.plusSeconds(seconds);
+    queue.settle(work);
+    List<String> jobs = new ArrayList<>();
+    queue.release(work, lowestOpenTier, now).forEach(t -> jobs.add(t.job().spec().id().value()));
+    return jobs;
+  }
+
+  @Test
+  void lowerTiersWaitUntilHigherOnesArePlaced() {
+    owe("wk-3", "climate", 2);
+    owe("wk-2", "chart", 2);
+    owe("wk-1", "warning", 2);
+    assertEquals(List.of("wk-1"), releasedAfter(1));
+    assertEquals(List.of(), releasedAfter(1));
+    fates.put(new JobId("wk-1"), OwedWork.Fate.PLACED);
+    assertEquals(List.of("wk-2"), releasedAfter(1));
+    fates.put(new JobId("wk-2"), OwedWork.Fate.OVER);
+    assertEquals(List.of("wk-3"), releasedAfter(1));
+  }
+
+  @Test
+  void aLowerTierWaitsForHigherAttemptsThatAreStillOpen() {
+    owe("wk-3", "climate", 2);
+    assertEquals(List.of(), releasedAfter(1, 0));
+    assertEquals(List.of("wk-3"), releasedAfter(1, 2));
+  }
+
+  @Test
+  void anUnplaceableWarningHoldsTheRestBackForABoundedTime() {
+    owe("wk-1", "warning", 1);
+    owe("wk-2", "chart", 1);
+    owe("wk-3", "climate", 1);
+    assertEquals(List.of("wk-1"), releasedAfter(1));
+    assertEquals(List.of(), releasedAfter(13));
+    assertEquals(List.of("wk-2"), releasedAfter(1));
+    assertEquals(List.of("wk-3"), releasedAfter(15));
+    assertEquals(List.of("wk-9"), laterWaveIsNotHeldByIt());
+  }
+
+  /** What is unplaceable still does not hold back the work of the next lost zone. */
+  private List<String> laterWaveIsNotHeldByIt() {
+    owe("wk-9", "climate", 1);
+    return releasedAfter(1);
+  }
+
+  @Test
+  void jobsThatCanNotBePlacedBlockNothing() {
+    owe("wk-1", "warning", 1);
+    unplaceable.add(new JobId("wk-1"));
+    owe(job("wk-4", "warning", "batch", 1, "west"));
+    owe("wk-3", "climate", 1);
+    assertEquals(List.of("wk-1", "wk-4", "wk-3"), releasedAfter(1));
+  }
+
+  @Test
+  void releaseKeepsToARateAndGangsGoWhole() {
+    queue = new FailoverQueue(RELEASE, order, 4, now);
+    owe("wk-1", "warning", 40);
+    owe(job("wk-2", "warning", "group", 6, null));
+    int most = 0;
+    for (int i = 0; i < 12; i++) {
+      now = now.plusSeconds(1);
+      for (FailoverQueue.Tasks tasks : queue.release(work, NO_OPEN_TIER, now)) {
+        boolean gang = tasks.job().spec().isGang();
+        assertTrue(!gang || tasks.tasks().size() == 6, "a gang goes whole");
+        most = Math.max(most, gang ? 0 : tasks.tasks().size());
+      }
+    }
+    assertEquals(5, most, "46 tasks in 10 s are some 5 a second");
+    assertTrue(queue.held().isEmpty());
+  }
+
+  @Test
+  void theRateGrowsWithWhatIsOwed() {
+    queue = new FailoverQueue(RELEASE, order, 30, now);
+    for (int i = 0; i < 40; i++) {
+      owe("wk-" + i, "warning", 100);
+    }
+    for (int i = 0; i < 60; i++) {
+      releasedAfter(1);
+    }
+    assertTrue(queue.held().isEmpty(), "4,000 tasks are released within a minute");
+  }
+
+  @Test
+  void aTaskIsOwedOnceAndForgottenOnceItIsOver() {
+    JobSpec spec = job("wk-1", "warning", "batch", 1, null);
+    queue.owe(spec, 0, "west", now);
+    queue.owe(spec, 0, "west", now);
+    assertEquals(List.of("wk-1"), releasedAfter(1));
+    queue.owe(spec, 0, "west", now);
+    assertTrue(queue.held().isEmpty(), "what is released is not held again");
+    fates.put(spec.id(), OwedWork.Fate.OVER);
+    assertTrue(queue.settle(work).isEmpty(), "a cancelled job is not moved");
+    assertTrue(queue.isEmpty());
+    queue.owe(spec, 0, "west", now);
+    fates.put(spec.id(), OwedWork.Fate.PLACED);
+    assertEquals(1, queue.settle(work).size());
+    assertFalse(queue.held().containsKey(spec.id()));
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/zone/PlanLimiterTest.java
@@ -0,0 +1,280 @@
+package org.ternhinge.zone;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertSame;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import it.unimi.dsi.fastutil.ints.IntList;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.config.ZoneFailoverSettings;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.MachineId;
+import org.ternhinge.model.Resources;
+import org.ternhinge.model.SteadyTime;
+import org.ternhinge.schedule.Plan;
+import org.ternhinge.schedule.Snapshot;
+import org.ternhinge.sim.SimFlavors;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.JobSpec;
+
+/** What zones that are lost or returning leave of the planner's snapshot and of its plan. */
+class PlanLimiterTest {
+  private static final List<String> ZONES = List.of("north", "east", "west");
+  private static final JobId ARRAY = new JobId("wk-1");
+  private static final JobId GANG = new JobId("wk-2");
+  private static final int MACHINES = 40;
+
+  private SteadyTime now = new SteadyTime(0);
+  private ZoneFailover failover;
+
+  /** Machines n-0 to n-39 lie in the first zone, n-40 to n-79 in the second, and so on. */
+  private final PlacementFacts facts =
+      new PlacementFacts() {
+        @Override
+        public String zoneOf(MachineId machine) {
+          return ZONES.get(Integer.parseInt(machine.value().substring(2)) / MACHINES);
+        }
+
+        @Override
+        public boolean isGang(JobId job) {
+          return job.equals(GANG);
+        }
+      };
+
+  private static ZoneFailover.Observations observations(List<ZoneObservation> zones) {
+    return new ZoneFailover.Observations() {
+      @Override
+      public List<ZoneObservation> zones() {
+        return zones;
+      }
+
+      @Override
+      public Set<Integer> openTiers(String zone) {
+        return Set.of();
+      }
+
+      @Override
+      public Fate fate(JobId job, int task) {
+        return Fate.WAITING;
+      }
+
+      @Override
+      public boolean isPlaceable(JobId job) {
+        return true;
+      }
+    };
+  }
+
+  @BeforeEach
+  void allAvailable() {
+    failover = new ZoneFailover(ZoneFailoverSettings.DEFAULT, ZONES, 24, 30, now);
+    observe(1, 0);
+  }
+
+  /** Lets time pass with so many impaired machines in the first zone. */
+  private void observe(double seconds, int impaired) {
+    List<ZoneObservation> seen =
+        List.of(
+            new ZoneObservation(MACHINES, impaired),
+            new ZoneObservation(MACHINES, 0),
+            new ZoneObservation(MACHINES, 0));
+    for (double t = 0; t < seconds; t += 0.5) {
+      now = now.plusSeconds(0.5);
+      failover.observe(observations(seen), now);
+    }
+  }
+
+  private void loseAndReturn() {
+    observe(6, MACHINES);
+    assertEquals(ZoneState.UNAVAILABLE, failover.board().read().state("north"));
+    observe(10.5, 0);
+    assertEquals(ZoneState.RECOVERING, failover.board().read().state("north"));
+  }
+
+  private static Plan.Place place(JobId job, int firstMachine, int count) {
+    return new Plan.Place(
+        job,
+        IntStream.range(0, count).boxed().toList(),
+        IntStream.range(firstMachine, firstMachine + count)
+            .mapToObj(i -> new MachineId("n-" + i))
+            .toList());
+  }
+
+  private Plan limit(Plan plan) {
+    return failover.limit(plan, facts, new ArrayList<>(), now);
+  }
+
+  private static int starts(Plan plan) {
+    return plan.places().stream().mapToInt(place -> place.tasks().size()).sum();
+  }
+
+  // ---- plans ------------------------------------------------------------------------------------
+
+  @Test
+  void aPlanPassesUnchangedWhileAllIsWell() {
+    Plan plan = new Plan();
+    plan.places().add(place(ARRAY, 0, 30));
+    assertSame(plan, limit(plan));
+  }
+
+  @Test
+  void startsInAReturningZoneKeepToItsPace() {
+    loseAndReturn();
+    int started = 0;
+    int steps = ZoneFailoverSettings.DEFAULT.pace().steps();
+    for (int round = 0; round < 200; round++) {
+      Plan plan = new Plan();
+      plan.places().add(place(ARRAY, 0, 30));
+      started += starts(limit(plan));
+      now = now.plusSeconds(0.1);
+    }
+    // At the first step the zone may start a tenth of its 40 machines a second, and one at once.
+    assertTrue(started >= 60 && started <= 4 * 20 + 5 * steps, started + " starts in 20 s");
+    Plan elsewhere = new Plan();
+    elsewhere.places().add(place(ARRAY, MACHINES, 30));
+    assertEquals(30, starts(limit(elsewhere)));
+  }
+
+  @Test
+  void theRateDoublesWithEachStep() {
+    ReturnPacer pacer = new ReturnPacer(ZoneFailoverSettings.DEFAULT.pace());
+    assertEquals(4, pacer.rate(0, 40));
+    assertEquals(32, pacer.rate(3, 40));
+    assertEquals(1, pacer.rate(0, 3), "one a second at least");
+    assertEquals(133, pacer.rate(0, 1333), 1, "it grows with the zone");
+  }
+
+  @Test
+  void gangsGoWholeAndMayOverdraw() {
+    loseAndReturn();
+    Plan plan = new Plan();
+    plan.places().add(place(GANG, 0, 16));
+    plan.places().add(place(ARRAY, 20, 4));
+    Plan limited = limit(plan);
+    assertEquals(1, limited.places().size());
+    assertEquals(16, limited.places().get(0).tasks().size());
+    now = now.plusSeconds(1);
+    assertEquals(0, starts(limit(plan)), "what it overdrew has to come in first");
+  }
+
+  @Test
+  void runningReplicasStayAndMachinesAreReturnedAFewAtATime() {
+    loseAndReturn();
+    Plan plan = new Plan();
+    MachineId machine = new MachineId("n-50");
+    Resources room = Resources.need(1, 0, 1);
+    plan.stops().add(new Plan.Stop(machine, ARRAY, room, List.of(new Plan.Victim(ARRAY, 0))));
+    Plan.Stop forAnother = new Plan.Stop(machine, ARRAY, room, List.of(new Plan.Victim(GANG, 0)));
+    plan.stops().add(forAnother);
+    plan.rents().add(new Plan.Rent("small", "east", true, 3));
+    IntStream.range(40, 80).forEach(i -> plan.releases().add(new MachineId("n-" + i)));
+    Plan limited = limit(plan);
+    assertEquals(List.of(forAnother), limited.stops());
+    assertEquals(plan.rents(), limited.rents());
+    assertTrue(limited.releases().size() <= 4, limited.releases().size() + " returned at once");
+  }
+
+  // ---- snapshots --------------------------------------------------------------------------------
+
+  private static Snapshot snapshot(JobSpec... jobs) {
+    List<Snapshot.MachineView> machines = new ArrayList<>();
+    List<Snapshot.Offer> offers = new ArrayList<>();
+    for (int zone = 0; zone < ZONES.size(); zone++) {
+      machines.add(machine(zone));
+      offers.add(new Snapshot.Offer(SimFlavors.ALL.get(0), zone, ZONES.get(zone), false, 10));
+    }
+    List<Snapshot.JobView> views = new ArrayList<>();
+    for (JobSpec job : jobs) {
+      IntList pending = IntList.of(IntStream.range(0, job.tasks()).toArray());
+      views.add(
+          Snapshot.JobView.expected(job, 0, ZONES.size()).withTasks(pending, job.tasks(), false));
+    }
+    return new Snapshot(
+        machines,
+        views,
+        List.of(),
+        Map.of(),
+        Map.of(),
+        offers,
+        List.of(new Snapshot.Coming(offers.get(0), 2)),
+        Set.of(),
+        true,
+        40,
+        new SteadyTime(0));
+  }
+
+  private static Snapshot.MachineView machine(int zone) {
+    return new Snapshot.MachineView(
+        new MachineId("n-" + zone * MACHINES),
+        SimFlavors.ALL.get(0),
+        zone,
+        ZONES.get(zone),
+        false,
+        SimFlavors.ALL.get(0).capacity(),
+        true,
+        Set.of(),
+        new SteadyTime(0),
+        new SteadyTime(0),
+        List.of(),
+        List.of());
+  }
+
+  /** What is left of the first zone's machine, offer and coming machines, by its state. */
+  @ParameterizedTest(name = "{0}")
+  @CsvSource({
+    "available, true, true, 3, 1",
+    "suspect, true, false, 2, 1",
+    "unavailable, false, false, 2, 0",
+    "recovering, true, true, 3, 1"
+  })
+  void whatThePlannerSeesOfAZone(
+      String state, boolean shown, boolean ready, int offers, int coming) {
+    switch (state) {
+      case "suspect" -> observe(1, MACHINES);
+      case "unavailable" -> observe(6, MACHINES);
+      case "recovering" -> loseAndReturn();
+      default -> assertTrue(failover.board().read().isCalm());
+    }
+    Snapshot seen = failover.filter(snapshot());
+    assertEquals(shown ? 3 : 2, seen.machines().size());
+    assertEquals(ready, shown && seen.machines().get(0).ready());
+    assertEquals(offers, seen.offers().size());
+    assertEquals(coming, seen.coming().size());
+  }
+
+  @Test
+  void aReturningZoneThatMayStartNothingCountsAsComing() {
+    loseAndReturn();
+    Plan plan = new Plan();
+    plan.places().add(place(ARRAY, 0, 30));
+    limit(plan);
+    Snapshot seen = failover.filter(snapshot());
+    assertEquals(3, seen.machines().size());
+    assertEquals(false, seen.machines().get(0).ready());
+  }
+
+  @Test
+  void heldTasksAreNotShown() {
+    JobSpec array = Specs.of(Specs.json("wk-1", "batch", 5));
+    JobSpec gang = Specs.of(Specs.json("wk-2", "group", 3));
+    JobSpec other = Specs.of(Specs.json("wk-3", "batch", 4));
+    observe(6, MACHINES);
+    failover.attemptLost(array, 1, 1, "north", now);
+    failover.attemptLost(array, 3, 1, "north", now);
+    failover.attemptLost(gang, 0, 1, "north", now);
+    failover.attemptLost(other, 0, 1, "east", now);
+    List<Snapshot.JobView> jobs = failover.filter(snapshot(array, gang, other)).jobs();
+    assertEquals(IntList.of(0, 2, 4), jobs.get(0).pending());
+    assertEquals(3, jobs.get(0).waiting());
+    assertTrue(jobs.get(1).blocked(), "a gang waits whole");
+    assertEquals(4, jobs.get(2).waiting(), "what was lost in a zone that is well is not held");
+  }
+}
--- /dev/null
+++ b/src/test/java/org/ternhinge/zone/report/ZoneReportTest.java
@@ -0,0 +1,137 @@
+package org.ternhinge.zone.report;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.ternhinge.zone.ZoneEvent;
+import org.ternhinge.zone.ZoneState;
+
+/** What the report says of logs: whole ones, damaged ones, and such with planted faults. */
+class ZoneReportTest {
+  private static final String PREFIX = "[main] INFO ZoneCoordinator - ";
+
+  @TempDir Path dir;
+
+  private static String line(ZoneEvent event, long second) {
+    return PREFIX + event.line() + " term=3 at=" + (1_700_000_000_000L + second * 1000);
+  }
+
+  private static ZoneEvent state(ZoneState from, ZoneState to) {
+    return new ZoneEvent.StateChanged("west", from, to, 18, 20, 1.25, true);
+  }
+
+  private static ZoneEvent work(ZoneEvent.WorkStep step, String tasks) {
+    return new ZoneEvent.WorkChanged(step, "wk-1", tasks, "2", "warnings", "west", 7.5, "turn");
+  }
+
+  private static List<String> lossAndReturn() {
+    return List.of(
+        line(state(ZoneState.AVAILABLE, ZoneState.SUSPECT), 0),
+        line(state(ZoneState.SUSPECT, ZoneState.UNAVAILABLE), 4),
+        line(work(ZoneEvent.WorkStep.OWED, "0-3"), 20),
+        line(work(ZoneEvent.WorkStep.RELEASED, "0-3"), 20),
+        line(work(ZoneEvent.WorkStep.MOVED, "0-2"), 24),
+        line(work(ZoneEvent.WorkStep.WAITS, "3"), 50),
+        line(state(ZoneState.UNAVAILABLE, ZoneState.RECOVERING), 60),
+        line(new ZoneEvent.ReturnStarts("west", 1, 4), 66),
+        line(state(ZoneState.RECOVERING, ZoneState.AVAILABLE), 80));
+  }
+
+  @Test
+  void everyEventIsReadAsItWasWritten() {
+    List<ZoneEvent> events =
+        List.of(
+            state(ZoneState.RECOVERING, ZoneState.AVAILABLE),
+            work(ZoneEvent.WorkStep.WAITS, "1,4-9"),
+            new ZoneEvent.ReturnStarts("west", 2, 17));
+    ZoneLog log = ZoneLog.read(events.stream().map(event -> line(event, 1)));
+    assertEquals(events, log.events().stream().map(ZoneLog.Entry::event).toList());
+    assertEquals(0, log.leftOut());
+  }
+
+  @Test
+  void statesMovesAndStartsArePutTogether() {
+    ZoneHistory history = new ZoneHistory(ZoneLog.read(lossAndReturn().stream()).events());
+    assertEquals(
+        List.of(ZoneState.SUSPECT, ZoneState.UNAVAILABLE, ZoneState.RECOVERING),
+        history.intervals().stream().map(ZoneHistory.Interval::state).toList());
+    assertEquals(4, history.tiers().get("warnings").owed());
+    assertEquals(3, history.tiers().get("warnings").moved());
+    assertEquals(List.of(), history.doubled());
+  }
+
+  /** Logs of two controllers, one after the other, come into the order of their times. */
+  @Test
+  void logsOfSeveralControllersAreMerged() {
+    List<String> lines = lossAndReturn();
+    Stream<String> turned = Stream.concat(lines.subList(5, 9).stream(), lines.stream().limit(5));
+    ZoneHistory history = new ZoneHistory(ZoneLog.read(turned).events());
+    assertEquals(3, history.intervals().size());
+    assertEquals(List.of(), history.doubled());
+  }
+
+  @Test
+  void aPlantedDoubledAttemptIsFound() {
+    Stream<String> lines =
+        Stream.concat(
+            lossAndReturn().stream(), Stream.of(line(work(ZoneEvent.WorkStep.MOVED, "2"), 90)));
+    ZoneHistory history = new ZoneHistory(ZoneLog.read(lines).events());
+    assertEquals(List.of("wk-1/2"), history.doubled().stream().map(d -> d.task()).toList());
+  }
+
+  @Test
+  void theReportIsOneFileWithItsPlots() throws IOException {
+    Path log = dir.resolve("log");
+    Path out = dir.resolve("out.html");
+    Files.write(log, lossAndReturn());
+    assertEquals(ZoneReport.Result.WHOLE, ZoneReport.write(ZoneLog.read(log), out));
+    String page = Files.readString(out);
+    assertEquals(3, page.split("data:image/png;base64,", -1).length - 1, "three plots");
+    assertTrue(page.contains("<td>warnings</td><td>4</td><td>3</td>"), "totals by tier");
+    assertFalse(page.contains("src=\"http"), "it needs nothing else");
+  }
+
+  @Test
+  void damagedLinesAreCountedAndTheRestIsReported() throws IOException {
+    Path log = dir.resolve("log");
+    String cut = lossAndReturn().get(3).substring(0, 70);
+    Files.writeString(
+        log,
+        String.join("\n", lossAndReturn())
+            + "\nsome other line\n"
+            + cut
+            + "\n"
+            + PREFIX
+            + "zone-event state zone=west from=lost to=found\n"
+            + PREFIX
+            + "zone-event moved job=wk-1 tasks=9-1 attempts=- tier=a zone=w waited_s=1 reason=x"
+            + " term=1 at=1\n");
+    byte[] bytes = Files.readAllBytes(log);
+    bytes[bytes.length - 2] = (byte) 0xff;
+    Files.write(log, bytes);
+    ZoneLog read = ZoneLog.read(log);
+    assertEquals(9, read.events().size());
+    assertEquals(3, read.leftOut());
+    Path out = dir.resolve("out.html");
+    assertEquals(ZoneReport.Result.PARTIAL, ZoneReport.write(read, out));
+    assertTrue(Files.readString(out).contains("3 lines left out"));
+  }
+
+  @Test
+  void aLogWithoutEventsGivesNoReport() throws IOException {
+    Path log = dir.resolve("log");
+    Files.write(log, "nothing here\nzone-event\n".getBytes(StandardCharsets.UTF_8));
+    Path out = dir.resolve("out.html");
+    assertEquals(ZoneReport.Result.NOTHING_USABLE, ZoneReport.write(ZoneLog.read(log), out));
+    assertFalse(Files.exists(out));
+  }
+}
