Loopback test: three controllers, three groups of workers behind relays, one cut and returned

One group is cut off, its work runs elsewhere in the order of the tiers, it returns at the pacer's rate, is cut twice within a minute; then the same while the leader is killed.

--- /dev/null
+++ b/src/test/java/org/ternhinge/cli/ZoneFailoverIT.java
@@ -0,0 +1,311 @@
+package org.ternhinge.cli;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.http.HttpClient;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.ternhinge.model.JobId;
+import org.ternhinge.model.TaskId;
+import org.ternhinge.sim.Specs;
+import org.ternhinge.wire.Json;
+import org.ternhinge.wire.WireException;
+import org.ternhinge.zone.report.ZoneLog;
+import org.ternhinge.zone.report.ZoneReport;
+
+/**
+ * Three controllers as processes and three groups of workers, each behind a relay, over real
+ * sockets. One group is cut off, returns, and is cut twice within a minute; then the same while the
+ * leader is ended.
+ */
+class ZoneFailoverIT {
+  private static final List<String> ZONES = List.of("north", "east", "west");
+  private static final String LOST = "north";
+  private static final List<String> TIERS = List.of("warning", "chart", "climate");
+  private static final int MACHINES_EACH = 12;
+  private static final int TASKS = 9;
+  private static final double REPORT_S = 1;
+  private static final double LEASE_S = 8;
+  private static final double CANCEL_S = 18;
+  private static final double RUN_S = 30;
+  private static final double SETTLE_S = 4;
+  private static final double STEP_S = 2;
+
+  /** Commands and images take so long that restarts may be seen in another order. */
+  private static final double SPREAD_S = 1.0;
+
+  private static final String TUNING =
+      """
+      idle_s = 86400
+      grace_s = 4
+      leadership_s = 3
+      renew_s = 1
+      zone_failover {
+        confirm_s = 2
+        settle_s = 4
+        step_s = 2
+        steps = 3
+        flap_half_life_s = 30
+        tier_hold_s = 30
+        tiers = [
+          { name = "warnings", classes = ["warning"] },
+          { name = "charts", classes = ["chart"] },
+          { name = "climate" }
+        ]
+      }
+      """;
+
+  @TempDir Path dir;
+
+  private final TaskHistory history = new TaskHistory();
+  private final Map<JobId, Integer> jobs = new HashMap<>();
+  private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(16);
+  private LoopbackCluster cluster;
+  private LoopbackFleet fleet;
+  private int jobCount;
+
+  @AfterEach
+  void end() {
+    if (fleet != null) {
+      fleet.close();
+    }
+    if (cluster != null) {
+      cluster.close();
+    }
+    timers.shutdownNow();
+  }
+
+  private void begin() throws Exception {
+    Path tuning = dir.resolve("tuning.hcl");
+    Files.writeString(tuning, TUNING);
+    LoopbackCluster.Site site = new LoopbackCluster.Site(ZONES, REPORT_S, LEASE_S, CANCEL_S, 400);
+    cluster = new LoopbackCluster(dir, site, List.of("--tuning", tuning.toString()));
+    LoopbackWorker.Site workers =
+        new LoopbackWorker.Site(
+            HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build(),
+            timers,
+            history,
+            List.of(),
+            REPORT_S,
+            LEASE_S,
+            RUN_S);
+    cluster.startAll();
+    fleet = new LoopbackFleet(ZONES, MACHINES_EACH, cluster.clientPorts(), workers);
+    cluster.services().show(fleet);
+  }
+
+  private static double now() {
+    return System.nanoTime() / 1e9;
+  }
+
+  // ---- jobs -------------------------------------------------------------------------------------
+
+  private void submitAllTiers(int each) throws InterruptedException {
+    for (int i = 0; i < each; i++) {
+      for (int tier = TIERS.size() - 1; tier >= 0; tier--) {
+        submit(tier);
+      }
+    }
+  }
+
+  private JobId submit(int tier) throws InterruptedException {
+    String id = String.format("wk-%d%05d", tier + 1, ++jobCount);
+    ObjectNode body = Specs.json(id, "batch", TASKS).put("runflokkur", TIERS.get(tier));
+    byte[] bytes = Json.bytes(body.put("aaetlun_s", RUN_S));
+    int node = jobCount % LoopbackCluster.NODES;
+    LoopbackCluster.until(
+        "accepted",
+        () -> {
+          int status = cluster.status(node, "POST", "/submissions", bytes);
+          return status == 201 || status == 200;
+        });
+    jobs.put(new JobId(id), TASKS);
+    return new JobId(id);
+  }
+
+  /** Asks every controller about every job. */
+  private void poll() {
+    for (Map.Entry<JobId, Integer> job : jobs.entrySet()) {
+      for (int node = 0; node < LoopbackCluster.NODES; node++) {
+        String state = state(cluster.body(node, "/submissions/" + job.getKey()));
+        if (!state.isEmpty()) {
+          history.told(job.getKey(), state, job.getValue());
+        }
+      }
+    }
+  }
+
+  /** The state that an answer tells; empty where it tells none. */
+  private static String state(String answer) {
+    try {
+      return Json.parse(answer.getBytes(StandardCharsets.UTF_8)).path("astand").asText("");
+    } catch (WireException e) {
+      return "";
+    }
+  }
+
+  private void run(double seconds) throws InterruptedException {
+    double end = now() + seconds;
+    while (now() < end) {
+      Thread.sleep(500);
+    }
+  }
+
+  private static int tierOf(TaskId task) {
+    return task.job().value().charAt(3) - '1';
+  }
+
+  private void awaitRunning(int tasks) throws InterruptedException {
+    LoopbackCluster.until(tasks + " tasks run", () -> history.liveTasks() >= tasks);
+  }
+
+  private void awaitAllDone() throws InterruptedException {
+    for (int i = 0; i < 3; i++) {
+      try {
+        awaitDoneForAMinute();
+        return;
+      } catch (AssertionError e) {
+        // Lost tasks run anew from their start: up to three times in these tests.
+        assertTrue(i < 2, e.getMessage());
+      }
+    }
+  }
+
+  private void awaitDoneForAMinute() throws InterruptedException {
+    LoopbackCluster.until(
+        "all jobs are done",
+        () -> {
+          poll();
+          return jobs.keySet().stream().allMatch(id -> "done".equals(history.finalAnswer(id)));
+        });
+  }
+
+  // ---- assertions -------------------------------------------------------------------------------
+
+  private Map<TaskId, TaskHistory.Start> restarts(Set<TaskId> tasks, double from) {
+    Map<TaskId, TaskHistory.Start> restarts = new HashMap<>();
+    for (TaskHistory.Start start : history.startsSince(from)) {
+      if (tasks.contains(start.task()) && !start.zone().equals(LOST)) {
+        restarts.putIfAbsent(start.task(), start);
+      }
+    }
+    return restarts;
+  }
+
+  private void assertRestartedInOrder(Set<TaskId> lost, double cutAt, double withinS)
+      throws InterruptedException {
+    while (restarts(lost, cutAt).size() < lost.size() && now() < cutAt + withinS) {
+      Thread.sleep(200);
+    }
+    Map<TaskId, TaskHistory.Start> restarts = restarts(lost, cutAt);
+    assertEquals(lost, restarts.keySet(), "all that was lost runs elsewhere within " + withinS);
+    double[] first = {1e9, 1e9, 1e9};
+    double[] last = new double[TIERS.size()];
+    restarts.forEach(
+        (task, start) -> {
+          int tier = tierOf(task);
+          first[tier] = Math.min(first[tier], start.at() - cutAt);
+          last[tier] = Math.max(last[tier], start.at() - cutAt);
+        });
+    assertTrue(last[0] <= first[1] + SPREAD_S, "warnings by " + last[0] + ", charts " + first[1]);
+    assertTrue(last[1] <= first[2] + SPREAD_S, "charts by " + last[1] + ", climate " + first[2]);
+  }
+
+  /** Starts in the zone that has returned keep to the pacer's bound, counted from its return. */
+  private void assertPaced(double backAt, double untilAt) {
+    double rate = 0.1 * MACHINES_EACH;
+    int started = 0;
+    for (TaskHistory.Start start : history.startsSince(backAt)) {
+      if (start.zone().equals(LOST) && start.at() < untilAt) {
+        started++;
+        double since = Math.max(0, start.at() - backAt - SETTLE_S);
+        double allowed = 1;
+        for (int step = 0; step * STEP_S <= since; step++) {
+          allowed += rate * Math.pow(2, step) * Math.min(STEP_S, since - step * STEP_S) + 1;
+        }
+        // Attempts that were open before the cut may get their starts now.
+        assertTrue(started <= allowed + 2, started + " starts, allowed " + allowed);
+      }
+    }
+  }
+
+  private void assertRulesHold() throws Exception {
+    awaitAllDone();
+    poll();
+    assertEquals(List.of(), history.violations());
+    Path log = dir.resolve("all.log");
+    Files.writeString(log, cluster.logs());
+    ZoneLog events = ZoneLog.read(log);
+    assertTrue(events.events().size() > 5, "the log tells what happened");
+    assertEquals(0, events.leftOut());
+    Path page = dir.resolve("zones.html");
+    assertEquals(ZoneReport.Result.WHOLE, ZoneReport.write(events, page));
+    String text = Files.readString(page);
+    assertTrue(text.contains("<h2>Doubled attempts</h2><p>None.</p>"), "no doubled attempt");
+  }
+
+  // ---- the tests --------------------------------------------------------------------------------
+
+  @Test
+  void aGroupIsCutReturnsAndFlaps() throws Exception {
+    begin();
+    submitAllTiers(3);
+    awaitRunning(3 * TIERS.size() * TASKS);
+    Set<TaskId> lost = history.liveIn(LOST);
+    assertTrue(lost.size() >= 9, lost.size() + " tasks are lost");
+    double cutAt = now();
+    fleet.cut(LOST);
+    assertRestartedInOrder(lost, cutAt, 25);
+    Set<TaskId> moved = new HashSet<>(restarts(lost, cutAt).keySet());
+    double backAt = now();
+    fleet.heal(LOST);
+    List<JobId> next = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      next.add(submit(1));
+    }
+    run(SETTLE_S + 4);
+    assertPaced(backAt, now());
+    for (TaskHistory.Start start : history.startsSince(backAt)) {
+      assertTrue(!moved.contains(start.task()), start.task() + " is moved back");
+    }
+    for (int i = 0; i < 2; i++) {
+      fleet.cut(LOST);
+      run(5);
+      fleet.heal(LOST);
+      run(4);
+    }
+    assertRulesHold();
+    assertTrue(history.startsSince(0).stream().anyMatch(s -> next.contains(s.task().job())));
+  }
+
+  @Test
+  void theLeaderEndsWhileAGroupIsCut() throws Exception {
+    begin();
+    submitAllTiers(2);
+    awaitRunning(2 * TIERS.size() * TASKS);
+    Set<TaskId> lost = history.liveIn(LOST);
+    double cutAt = now();
+    fleet.cut(LOST);
+    run(6);
+    int leader = cluster.services().leader();
+    cluster.kill(leader);
+    cluster.restart(leader);
+    assertRestartedInOrder(lost, cutAt, 60);
+    fleet.heal(LOST);
+    assertRulesHold();
+  }
+}
