--- a/src/test/java/org/ternhinge/controller/ZoneFailoverMeasurement.java
+++ b/src/test/java/org/ternhinge/controller/ZoneFailoverMeasurement.java
@@ -38,7 +38,9 @@
     "300, 45, 1, false",
     "300, 45, 1, true",
     "300, 45, 2, false",
-    "300, 45, 2, true"
+    "300, 45, 2, true",
+    "900, 140, 1, false",
+    "900, 140, 1, true"
   })
   void aZoneIsLostAndReturns(int machines, int jobs, long seed, boolean failover) {
     SimCluster.Size size = new SimCluster.Size(3, machines, 100_000, 60);
--- a/src/test/java/org/ternhinge/controller/ZoneFailoverTest.java
+++ b/src/test/java/org/ternhinge/controller/ZoneFailoverTest.java
@@ -92,6 +92,28 @@
     assertRulesHoldToTheEnd();
   }
 
+  /** The next leader waits for the record of zones, however slowly it is read. */
+  @ParameterizedTest(name = "leader ended {0} s after the cut")
+  @CsvSource({"25", "27", "29"})
+  void theOrderOutlivesTheLeaderWhileTheStateServiceIsSlow(double afterS) {
+    ZoneFailoverSettings patient = settings(new ZoneFailoverSettings.Release(70, 10));
+    begin(12, SIZE, Tuning.DEFAULT.withZoneFailover(patient));
+    // Leaves idle machines, on which lower tiers would find room at once.
+    submit(job(1, "batch", 40, 30).put("svaedi", "east"));
+    submitAllTiers(3, 8, 200);
+    run(40);
+    double cutAt = cluster.clock.seconds();
+    Set<TaskId> lost = loseTheFirstZone(150);
+    cluster.clock.runFor(afterS);
+    cluster.stateFaults.slowState(20, 0.8);
+    cluster.crash(cluster.leader(), 0.3);
+    run(130);
+    Map<TaskId, Start> restarts = restarts(lost, cutAt);
+    assertEquals(lost, restarts.keySet());
+    Spans.of(restarts).assertInOrder();
+    assertRulesHoldToTheEnd();
+  }
+
   /** One warning may run in the lost zone only: it waits for it, and the rest does not. */
   @Test
   void pinnedWorkWaitsAndHoldsNothingBack() {
--- a/src/test/java/org/ternhinge/zone/FailoverQueueTest.java
+++ b/src/test/java/org/ternhinge/zone/FailoverQueueTest.java
@@ -101,6 +101,17 @@
     assertEquals(List.of("wk-3"), releasedAfter(1, 2));
   }
 
+  /** Attempts of a higher tier that nobody can prove over hold the rest back for a bounded time. */
+  @Test
+  void openAttemptsHoldNothingBackForEver() {
+    owe("wk-2", "chart", 1);
+    owe("wk-3", "climate", 1);
+    assertEquals(List.of(), releasedAfter(14, 0));
+    assertEquals(List.of("wk-2"), releasedAfter(1, 0));
+    assertEquals(List.of(), releasedAfter(14, 0));
+    assertEquals(List.of("wk-3"), releasedAfter(1, 0));
+  }
+
   @Test
   void anUnplaceableWarningHoldsTheRestBackForABoundedTime() {
     owe("wk-1", "warning", 1);
--- a/src/test/java/org/ternhinge/zone/ZoneHealthTest.java
+++ b/src/test/java/org/ternhinge/zone/ZoneHealthTest.java
@@ -166,6 +166,22 @@
     assertEquals(0, zones.get(0).step());
   }
 
+  /** A new leader has not heard of any machine yet: the zone is neither well nor lost by that. */
+  @Test
+  void aNewLeaderJudgesNothingThatItHasNotHeardOf() {
+    begin(3);
+    run(15, 20);
+    List<ZoneObservation> unheard =
+        List.of(
+            new ZoneObservation(0, 0, MACHINES),
+            new ZoneObservation(MACHINES, 0),
+            new ZoneObservation(MACHINES, 0));
+    run(120, unheard);
+    assertEquals(ZoneState.UNAVAILABLE, state(0));
+    run(SETTINGS.detection().settleS() + 1);
+    assertEquals(ZoneState.RECOVERING, state(0));
+  }
+
   /** Lists that lag or name nothing only change how many machines are expected. */
   @Test
   void aZoneWithoutMachinesIsTriedAgainAfterAWhile() {
