The time a zone has to be well follows the report interval; a bad tuning file is named at the start

One file has to serve both deployments, so the time is raised to 1.5 times that where it is shorter, instead of refused. Errors against the platform's settings did not name the file; they do, at the start and in check (LoopbackIT).

--- a/deploy/zone-failover.hcl
+++ b/deploy/zone-failover.hcl
@@ -7,7 +7,7 @@
   clear_share = 0.1
   min_machines = 2
   confirm_s = 4
-  settle_s = 10
+  settle_s = 10   # 3.3 report intervals at least
   suspect_max_s = 10
   correlation_s = 5
 
--- a/src/main/java/org/ternhinge/cli/Main.java
+++ b/src/main/java/org/ternhinge/cli/Main.java
@@ -114,15 +114,23 @@
 
   private record Loaded(Settings settings, Tuning tuning) {}
 
+  private static Tuning load(Path tuning, Settings settings) throws SettingsException {
+    Tuning own = Tuning.load(tuning);
+    try {
+      own.check(settings);
+    } catch (SettingsException e) {
+      throw new SettingsException(tuning + ": " + e.getMessage());
+    }
+    return own;
+  }
+
   private static Loaded load(Path config, Path tuning) {
     try {
       if (config == null) {
         throw new SettingsException("--config FILE is needed");
       }
       Settings settings = Settings.load(config);
-      Tuning own = tuning == null ? Tuning.DEFAULT : Tuning.load(tuning);
-      own.check(settings);
-      return new Loaded(settings, own);
+      return new Loaded(settings, tuning == null ? Tuning.DEFAULT : load(tuning, settings));
     } catch (SettingsException e) {
       System.err.println("ternhinge: " + e.getMessage());
       return null;
--- a/src/main/java/org/ternhinge/config/ZoneFailoverReader.java
+++ b/src/main/java/org/ternhinge/config/ZoneFailoverReader.java
@@ -165,15 +165,6 @@
     if (settings.zones().size() < 2) {
       throw new SettingsException("tuning: " + BLOCK + ": a deployment of one zone has no other");
     }
-    double overdueS = settings.workers().overdueS();
-    if (failover.detection().settleS() <= overdueS) {
-      throw new SettingsException(
-          "tuning: "
-              + BLOCK
-              + ".settle_s: has to be above "
-              + overdueS
-              + " s, in which a silent worker is found out");
-    }
     Set<String> classes = new LinkedHashSet<>();
     settings.objectives().forEach(objective -> addIfNamed(classes, objective.jobClass()));
     for (ZoneFailoverSettings.Tier tier : failover.tiers()) {
--- a/src/main/java/org/ternhinge/config/ZoneFailoverSettings.java
+++ b/src/main/java/org/ternhinge/config/ZoneFailoverSettings.java
@@ -28,6 +28,18 @@
           new Pace(0.1, 5, 4),
           List.of(new Tier("all", Set.of(), Set.of(), Set.of(), Set.of())));
 
+  /** Of the time in which silent workers are found out, how long a zone has to be well at least. */
+  private static final double SETTLE_FACTOR = 1.5;
+
+  /**
+   * The same for workers that are found out to be silent after so many seconds: a zone that settles
+   * sooner would be taken for well before the next loss could show.
+   */
+  public ZoneFailoverSettings forReports(double overdueS) {
+    double settleS = Math.max(detection.settleS(), SETTLE_FACTOR * overdueS);
+    return new ZoneFailoverSettings(detection.withSettleS(settleS), flaps, release, pace, tiers);
+  }
+
   /**
    * When a zone counts as lost and as well again.
    *
@@ -48,7 +60,19 @@
       double confirmS,
       double settleS,
       double suspectMaxS,
-      double correlationS) {}
+      double correlationS) {
+    private Detection withSettleS(double seconds) {
+      return new Detection(
+          suspectShare,
+          lostShare,
+          clearShare,
+          minMachines,
+          confirmS,
+          seconds,
+          suspectMaxS,
+          correlationS);
+    }
+  }
 
   /**
    * Penalties of zones that are lost repeatedly; each loss adds one.
--- a/src/main/java/org/ternhinge/controller/ZoneCoordinator.java
+++ b/src/main/java/org/ternhinge/controller/ZoneCoordinator.java
@@ -78,7 +78,7 @@
     this.metricsLogged = clock.now();
     this.failover =
         new ZoneFailover(
-            failoverSettings,
+            failoverSettings.forReports(settings.workers().overdueS()),
             settings.zones(),
             settings.workers().leaseS(),
             settings.stateLimits().writeRps(),
--- a/src/test/java/org/ternhinge/cli/LoopbackIT.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackIT.java
@@ -10,6 +10,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -33,6 +34,7 @@
   void threeProcessesKeepAJobThroughKills() throws Exception {
     cluster = new LoopbackCluster(dir, LoopbackCluster.Site.USUAL, List.of());
     cluster.startAll();
+    badTuningIsNamedWithItsFile();
     invalidRequestsAreRefused();
     byte[] job = Json.bytes(Specs.json("wk-000001", "batch", 3));
     LoopbackCluster.until(
@@ -53,6 +55,22 @@
     assertTrue(cluster.isAlive(leader));
   }
 
+  private void badTuningIsNamedWithItsFile() throws Exception {
+    Path tuning = dir.resolve("bad.hcl");
+    Files.writeString(
+        tuning,
+        "zone_failover {\n tiers = [{ name = \"a\", teams = [\"x\"] }, { name = \"b\" }]\n}");
+    String settings = dir.resolve("node-0.json").toString();
+    for (List<String> start : List.of(List.of("check"), List.<String>of())) {
+      List<String> args = new ArrayList<>(start);
+      args.addAll(List.of("--config", settings, "--tuning", tuning.toString()));
+      Process process = LoopbackCluster.run(args);
+      String said = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
+      assertEquals(2, process.waitFor());
+      assertTrue(said.contains("bad.hcl: tuning: zone_failover.tiers.a.teams: unknown: x"), said);
+    }
+  }
+
   private void invalidRequestsAreRefused() throws Exception {
     ObjectNode stranger = Specs.json("wk-000002", "batch", 3).put("eigandi", "nobody");
     assertEquals(
