--- a/src/main/java/org/ternhinge/zone/FailoverQueue.java
+++ b/src/main/java/org/ternhinge/zone/FailoverQueue.java
@@ -207,6 +207,11 @@
     return held;
   }
 
+  /** The tasks of an owed job that are not to be placed yet. */
+  PSet<Integer> held(JobId job) {
+    return owed.get(job).held;
+  }
+
   /** Everything that is owed. */
   List<OwedJob> jobs() {
     return List.copyOf(owed.values());
--- a/src/main/java/org/ternhinge/zone/ZoneFailover.java
+++ b/src/main/java/org/ternhinge/zone/ZoneFailover.java
@@ -145,19 +145,19 @@
     }
     queue.owe(job, task, zone, now);
     newlyOwed.computeIfAbsent(job.id(), id -> new NewlyOwed(job, zone)).add(task, attempt);
-    publish(now);
+    // Hundreds may be lost in one moment: only what has changed is published.
+    board.update(present -> present.withHeld(job.id(), queue.held(job.id())));
   }
 
   /** Looks at everything; called every so often. Says what to log, state changes first. */
   public List<ZoneEvent> observe(Observations observed, SteadyTime now) {
     List<ZoneEvent> events = new ArrayList<>();
-    if (isIdle(observed.zones())) {
+    seen = observed.zones();
+    if (isIdle()) {
       // All is well and stays so: nothing is to be decided or published.
-      seen = observed.zones();
       return events;
     }
     List<ZoneHealth> before = zones;
-    seen = observed.zones();
     zones = assessment.next(before, seen, now);
     for (int i = 0; i < names.size(); i++) {
       if (before.get(i).state() != zones.get(i).state()) {
@@ -174,12 +174,12 @@
     return events;
   }
 
-  private boolean isIdle(List<ZoneObservation> present) {
+  private boolean isIdle() {
     if (!queue.isEmpty() || !newlyOwed.isEmpty()) {
       return false;
     }
     for (int i = 0; i < zones.size(); i++) {
-      if (zones.get(i).state() != ZoneState.AVAILABLE || present.get(i).impaired() > 0) {
+      if (zones.get(i).state() != ZoneState.AVAILABLE || seen.get(i).impaired() > 0) {
         return false;
       }
     }
--- a/src/main/java/org/ternhinge/zone/ZoneHealth.java
+++ b/src/main/java/org/ternhinge/zone/ZoneHealth.java
@@ -84,7 +84,7 @@
   }
 
   private ZoneHealth suspected(SteadyTime now) {
-    return to(ZoneState.SUSPECT, penalty, false, 0, tolerated, now);
+    return to(ZoneState.SUSPECT, tolerated, now);
   }
 
   private ZoneHealth afterSuspicion(
@@ -94,15 +94,15 @@
       return lost(settings.flaps(), now);
     }
     if (wellSince != null) {
-      return to(ZoneState.AVAILABLE, penalty, false, 0, tolerated, now);
+      return to(ZoneState.AVAILABLE, tolerated, now);
     }
     boolean partOfIt = lostSince == null && lasts(since, detection.suspectMaxS(), now);
     // What is impaired now is left to the rules for single machines; the rest takes work again.
-    return partOfIt ? to(ZoneState.AVAILABLE, penalty, false, 0, seen.impaired(), now) : this;
+    return partOfIt ? to(ZoneState.AVAILABLE, seen.impaired(), now) : this;
   }
 
   private ZoneHealth lost(ZoneFailoverSettings.Flaps flaps, SteadyTime now) {
-    return to(ZoneState.UNAVAILABLE, penalty, false, 0, 0, now).penalized(flaps, now);
+    return to(ZoneState.UNAVAILABLE, 0, now).penalized(flaps, now);
   }
 
   private ZoneHealth penalized(ZoneFailoverSettings.Flaps flaps, SteadyTime now) {
@@ -123,7 +123,7 @@
     // A zone without machines shows nothing; after a while it may be tried again, at a pace.
     boolean nothingSeen = seen.expected() == 0;
     boolean tryAgain = !nothingSeen || lasts(since, settings.release().tierHoldS(), now);
-    return tryAgain ? to(ZoneState.RECOVERING, penalty, false, 0, 0, now) : current;
+    return tryAgain ? to(ZoneState.RECOVERING, 0, now) : current;
   }
 
   private ZoneHealth afterReturn(ZoneFailoverSettings settings, SteadyTime now) {
@@ -132,7 +132,7 @@
     }
     int reached = (int) (now.secondsSince(since) / settings.pace().stepS());
     if (reached >= settings.pace().steps()) {
-      return to(ZoneState.AVAILABLE, penalty, false, 0, tolerated, now);
+      return to(ZoneState.AVAILABLE, tolerated, now);
     }
     return reached == step ? this : withStep(reached);
   }
@@ -141,23 +141,10 @@
     return from != null && now.secondsSince(from) >= seconds;
   }
 
-  private ZoneHealth to(
-      ZoneState other,
-      FlapPenalty otherPenalty,
-      boolean suppress,
-      int otherStep,
-      int otherTolerated,
-      SteadyTime now) {
+  /** The zone in another state, in which it begins unsuppressed and at the first step. */
+  private ZoneHealth to(ZoneState other, int otherTolerated, SteadyTime now) {
     return new ZoneHealth(
-        other,
-        now,
-        impairedSince,
-        lostSince,
-        wellSince,
-        otherPenalty,
-        suppress,
-        otherStep,
-        otherTolerated);
+        other, now, impairedSince, lostSince, wellSince, penalty, false, 0, otherTolerated);
   }
 
   private ZoneHealth withStep(int other) {
--- a/src/main/java/org/ternhinge/zone/ZoneSnapshot.java
+++ b/src/main/java/org/ternhinge/zone/ZoneSnapshot.java
@@ -17,6 +17,11 @@
   public static final ZoneSnapshot EMPTY =
       new ZoneSnapshot(HashTreePMap.empty(), HashTreePMap.empty());
 
+  /** The same with other tasks of a job held. */
+  ZoneSnapshot withHeld(JobId job, PSet<Integer> tasks) {
+    return new ZoneSnapshot(zones, tasks.isEmpty() ? held.minus(job) : held.plus(job, tasks));
+  }
+
   /** The state of a zone; one that is not known is available. */
   public ZoneState state(String zone) {
     ZoneStatus status = zones.get(zone);
