--- a/src/main/java/org/ternhinge/attempt/AttemptLifecycle.java
+++ b/src/main/java/org/ternhinge/attempt/AttemptLifecycle.java
@@ -6,12 +6,14 @@
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.ternhinge.ledger.Attempt;
+import org.ternhinge.ledger.Authority;
 import org.ternhinge.ledger.Job;
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.ledger.LedgerWriter;
 import org.ternhinge.machine.Machine;
 import org.ternhinge.machine.MachineRegistry;
 import org.ternhinge.model.Clock;
+import org.ternhinge.model.EventLine;
 import org.ternhinge.term.LeadershipContext;
 import org.ternhinge.term.RoundTrigger;
 import org.ternhinge.wire.Command;
@@ -27,6 +29,7 @@
 
   private final Ledger ledger;
   private final LedgerWriter writer;
+  private final Authority authority;
   private final MachineRegistry machines;
   private final CommandDispatcher dispatcher;
   private final RoundTrigger rounds;
@@ -45,6 +48,7 @@
       AttemptListener listener) {
     this.ledger = context.ledger();
     this.writer = context.writer();
+    this.authority = context.authority();
     this.machines = machines;
     this.dispatcher = dispatcher;
     this.rounds = context.rounds();
@@ -66,6 +70,7 @@
       if (attempt.isStopRequested() || attempt.job().isCancelled()) {
         stopBeforeStart(attempt, machine);
       } else {
+        logAllowed("start", attempt, "durable");
         machine.outbox().add(new Command(Command.Op.START, attempt.task(), attempt.number(), 0));
         recipients.add(machine);
       }
@@ -73,6 +78,21 @@
     recipients.forEach(dispatcher::dispatch);
   }
 
+  private void logAllowed(String command, Attempt attempt, String reason) {
+    if (LOG.isDebugEnabled()) {
+      LOG.debug(
+          "{}",
+          EventLine.of("command-allowed", command)
+              .with("task", attempt.task())
+              .with("attempt", attempt.number())
+              .with("machine", attempt.machine())
+              .with("epoch", attempt.epoch())
+              .with("term", authority.term())
+              .with("valid", authority.isValid())
+              .with("reason", reason));
+    }
+  }
+
   private void stopBeforeStart(Attempt attempt, Machine machine) {
     attempt.requestStop(0, clock.now());
     machine.invalidateView();
@@ -139,6 +159,7 @@
       return;
     }
     attempt.requestStop(graceS, clock.now());
+    logAllowed("stop", attempt, attempt.job().isCancelled() ? "cancelled" : "planned");
     Machine machine = machines.find(attempt.machine()).orElse(null);
     if (machine == null) {
       return;
--- a/src/main/java/org/ternhinge/cli/Service.java
+++ b/src/main/java/org/ternhinge/cli/Service.java
@@ -104,7 +104,7 @@
         new HttpWorkerClient(http),
         clock,
         lock,
-        Executors.newSingleThreadExecutor(),
+        Executors.newSingleThreadExecutor(action -> new Thread(action, "scheduler")),
         new Metrics());
   }
 
--- a/src/main/java/org/ternhinge/controller/ControllerNode.java
+++ b/src/main/java/org/ternhinge/controller/ControllerNode.java
@@ -13,6 +13,7 @@
 import org.ternhinge.ledger.LeadershipLoss;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.LockedExecutor;
+import org.ternhinge.model.MonotonicTime;
 import org.ternhinge.request.BootstrapMachineTypes;
 import org.ternhinge.request.ConnectivityProbe;
 import org.ternhinge.request.NodeConnectivity;
@@ -37,6 +38,9 @@
 
   private static final double METRICS_INTERVAL_S = 60;
 
+  /** Interval at which the delay of the event loop's timers is measured. */
+  private static final double TIMER_CHECK_S = 1;
+
   private final ControllerServices services;
   private final LockedExecutor lockedExecutor;
   private final Election election;
@@ -90,6 +94,7 @@
     connectivityProbe.start();
     election.start(new ElectionOutcome());
     scheduleMetricsLog();
+    measureTimerDelay();
   }
 
   private final class ElectionOutcome implements Election.Listener {
@@ -113,10 +118,22 @@
   }
 
   private void logMetrics() {
-    services.metrics().logSummary();
+    services.metrics().logSummary(services.clock().now());
     scheduleMetricsLog();
   }
 
+  private void measureTimerDelay() {
+    MonotonicTime due = services.clock().now().plusSeconds(TIMER_CHECK_S);
+    services
+        .clock()
+        .schedule(
+            TIMER_CHECK_S,
+            () -> {
+              services.metrics().recordTimerDelay(services.clock().now().secondsSince(due));
+              measureTimerDelay();
+            });
+  }
+
   /** Answers users, workers and health checks; may be called on any thread, without the lock. */
   public void handle(Request request, Consumer<Response> answer) {
     lockedExecutor.execute(() -> clientRouter.route(request, RequestOrigin.CLIENT, answer));
--- a/src/main/java/org/ternhinge/controller/RouteTable.java
+++ b/src/main/java/org/ternhinge/controller/RouteTable.java
@@ -4,11 +4,15 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.locks.Lock;
+import java.util.function.Consumer;
 import java.util.function.Function;
 import org.ternhinge.http.Response;
 import org.ternhinge.leadership.LeadershipRole;
+import org.ternhinge.metrics.JobRequestMetrics;
+import org.ternhinge.metrics.JobRequestMetrics.Event;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
+import org.ternhinge.model.MonotonicTime;
 import org.ternhinge.request.BootstrapMachineTypes;
 import org.ternhinge.request.DependencyCheck;
 import org.ternhinge.request.DependentSubmissionPath;
@@ -20,6 +24,7 @@
 import org.ternhinge.request.LeaderSearch;
 import org.ternhinge.request.NodeConnectivity;
 import org.ternhinge.request.PeerClient;
+import org.ternhinge.request.RequestOrigin;
 import org.ternhinge.request.ResponseDeadline;
 import org.ternhinge.request.Responses;
 import org.ternhinge.request.SubmissionForwarder;
@@ -35,6 +40,7 @@
   private final Clock clock;
   private final NodeConnectivity connectivity;
   private final BootstrapMachineTypes machineTypes;
+  private final JobRequestMetrics metrics;
   private final HeartbeatHandler heartbeats;
   private final SubmissionHandler submissions;
   private final JobRequestRouter queries;
@@ -55,7 +61,8 @@
     this.clock = services.clock();
     this.connectivity = connectivity;
     this.machineTypes = machineTypes;
-    JobLookup lookup = new JobLookup(services.store());
+    this.metrics = services.metrics().jobRequests();
+    JobLookup lookup = new JobLookup(services.store(), metrics);
     SubmissionWriter writer = createWriter(services, role, lookup);
     SubmissionForwarder forwarder = new SubmissionForwarder(peers, otherNodes, clock);
     LeaderSearch search =
@@ -64,9 +71,10 @@
     submissions =
         new SubmissionHandler(
             services.settings(), role, machineTypes, writer, forwarder, connectivity);
-    queries = new JobRequestRouter(new JobQueryHandler(lookup), role, peers, search);
+    queries = new JobRequestRouter(new JobQueryHandler(lookup), role, peers, search, metrics);
     cancellations =
-        new JobRequestRouter(new JobCancellationHandler(lookup, clock), role, peers, search);
+        new JobRequestRouter(
+            new JobCancellationHandler(lookup, clock), role, peers, search, metrics);
   }
 
   private static SubmissionWriter createWriter(
@@ -109,14 +117,37 @@
       Function<String, Optional<JobId>> parseJob,
       double deadlineS,
       JobRequestRouter router) {
-    return new Route(
-        method,
-        path -> parseJob.apply(path).isPresent(),
+    Route.Handler handler =
         withDeadline(
             deadlineS,
             (request, origin, answer) ->
                 router.handle(
-                    parseJob.apply(request.path()).orElseThrow(), request, origin, answer)));
+                    parseJob.apply(request.path()).orElseThrow(), request, origin, answer));
+    return new Route(
+        method,
+        path -> parseJob.apply(path).isPresent(),
+        (request, origin, answer) ->
+            handler.handle(
+                request,
+                origin,
+                origin == RequestOrigin.CLIENT
+                    ? observed(parseJob.apply(request.path()).orElseThrow(), deadlineS, answer)
+                    : answer));
+  }
+
+  /** Returns a callback that records whether the user's request was answered, and passes it on. */
+  private Consumer<Response> observed(JobId id, double deadlineS, Consumer<Response> answer) {
+    MonotonicTime received = clock.now();
+    return response -> {
+      if (response.status() != Responses.UNAVAILABLE) {
+        metrics.recordAnswer(id);
+      } else {
+        boolean late = clock.now().secondsSince(received) >= deadlineS;
+        metrics.count(late ? Event.REFUSED_AT_DEADLINE : Event.REFUSED);
+        metrics.recordRefusal(id, clock.now());
+      }
+      answer.accept(response);
+    };
   }
 
   private Route.Handler withDeadline(double deadlineS, Route.Handler handler) {
--- a/src/main/java/org/ternhinge/election/Election.java
+++ b/src/main/java/org/ternhinge/election/Election.java
@@ -12,6 +12,7 @@
 import org.ternhinge.ledger.LeadershipLoss;
 import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Clock;
+import org.ternhinge.model.EventLine;
 import org.ternhinge.model.LockedExecutor;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Revision;
@@ -35,6 +36,9 @@
   private static final Logger LOG = LoggerFactory.getLogger(Election.class);
   private static final double DRIFT = Settings.MAX_CLOCK_DRIFT;
 
+  /** Marker of the log lines on who leads, under which term and for how long. */
+  static final String LEADERSHIP_EVENT = "leadership-event";
+
   /** Delay in seconds before the next attempt after a failed call. */
   private static final double RETRY_S = 0.5;
 
@@ -267,6 +271,13 @@
       localLeadership =
           new LocalLeadership(term, termRevision, lease, clock, Election.this::handleLoss);
       LOG.info("leading with term {}", term);
+      LOG.info(
+          "{}",
+          EventLine.of(LEADERSHIP_EVENT, "begun")
+              .with("node", candidate.node())
+              .with("term", term)
+              .with("term_revision", termRevision)
+              .withSeconds("valid_s", lease.validUntil().secondsSince(clock.now())));
       listener.elected(localLeadership);
     }
 
@@ -286,6 +297,13 @@
   private void handleLoss(LeadershipLoss loss) {
     LocalLeadership ended = localLeadership;
     LOG.info("leadership with term {} ended: {}", ended.term(), loss.description());
+    LOG.info(
+        "{}",
+        EventLine.of(LEADERSHIP_EVENT, "ended")
+            .with("node", candidate.node())
+            .with("term", ended.term())
+            .with("reason", loss.description())
+            .withSeconds("valid_s", ended.validUntil().secondsSince(clock.now())));
     localLeadership = null;
     otherLeader = null;
     ended.releaseLease();
--- a/src/main/java/org/ternhinge/election/LeadershipLease.java
+++ b/src/main/java/org/ternhinge/election/LeadershipLease.java
@@ -1,8 +1,11 @@
 package org.ternhinge.election;
 
+import org.slf4j.Logger;
+import org.slf4j.LoggerFactory;
 import org.ternhinge.config.Tuning;
 import org.ternhinge.model.AsyncCalls;
 import org.ternhinge.model.Clock;
+import org.ternhinge.model.EventLine;
 import org.ternhinge.model.LockedExecutor;
 import org.ternhinge.model.MonotonicTime;
 import org.ternhinge.model.Outcome;
@@ -20,6 +23,8 @@
  * of order never shortens it.
  */
 final class LeadershipLease {
+  private static final Logger LOG = LoggerFactory.getLogger(LeadershipLease.class);
+
   /** Delay in seconds before the next renewal after one has failed. */
   private static final double RETRY_S = 0.4;
 
@@ -118,12 +123,29 @@
         outcome -> handleRenewalResponse(renewalNumber, now, outcome));
   }
 
+  /** Logs a renewal that failed or was answered after the next one had been sent. */
+  private void logIfLate(MonotonicTime requestSent, Outcome<Long> outcome) {
+    MonotonicTime now = clock.now();
+    double tookS = now.secondsSince(requestSent);
+    boolean applied = outcome instanceof Outcome.Applied;
+    if (!applied || tookS > tuning.renewalOverdueS()) {
+      LOG.info(
+          "{}",
+          EventLine.of(Election.LEADERSHIP_EVENT, applied ? "renewed-late" : "renewal-failed")
+              .with("lease", id)
+              .withSeconds("took_s", tookS)
+              .withSeconds("valid_s", validUntil.secondsSince(now))
+              .with("outcome", applied ? "applied" : outcome));
+    }
+  }
+
   private void handleRenewalResponse(
       long renewalNumber, MonotonicTime requestSent, Outcome<Long> outcome) {
     if (released || expired) {
       return;
     }
     boolean newest = renewalNumber == sentRenewals;
+    logIfLate(requestSent, outcome);
     if (outcome instanceof Outcome.Applied<Long>) {
       validUntil = validUntil.max(validityEnd(requestSent));
       if (newest) {
--- a/src/main/java/org/ternhinge/ledger/LedgerLoader.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerLoader.java
@@ -13,6 +13,7 @@
 import org.slf4j.LoggerFactory;
 import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Clock;
+import org.ternhinge.model.EventLine;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.LockedExecutor;
 import org.ternhinge.model.MonotonicTime;
@@ -85,9 +86,28 @@
       return;
     }
     Range range = unreadRanges.peek();
+    MonotonicTime sent = clock.now();
     locked.whenComplete(
         store.list(range.prefix(), range.lastKey(), PAGE_KEYS, RequestPriority.RENEWAL),
-        outcome -> handlePage(range, outcome, onLoaded));
+        outcome -> {
+          logRead(range, sent, outcome);
+          handlePage(range, outcome, onLoaded);
+        });
+  }
+
+  private void logRead(Range range, MonotonicTime sent, Outcome<KeyValueStore.Page> outcome) {
+    EventLine line =
+        EventLine.of("store-read", "recovery")
+            .with("prefix", range.prefix())
+            .with("after", range.lastKey())
+            .withSeconds("took_s", clock.now().secondsSince(sent));
+    if (outcome instanceof Outcome.Applied<KeyValueStore.Page> applied) {
+      line.with("entries", applied.value().entries().size());
+      line.with("revision", applied.value().revision());
+    } else {
+      line.with("failure", outcome);
+    }
+    LOG.info("{}", line);
   }
 
   private void handlePage(
--- a/src/main/java/org/ternhinge/metrics/Metrics.java
+++ b/src/main/java/org/ternhinge/metrics/Metrics.java
@@ -3,6 +3,7 @@
 import org.HdrHistogram.Histogram;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
+import org.ternhinge.model.MonotonicTime;
 
 /**
  * Latency histograms of this process, which are logged periodically. Safe for use by several
@@ -23,6 +24,13 @@
   private final Histogram roundTimes = new Histogram(MAX_MS, SIGNIFICANT_DIGITS);
   private final Histogram evaluations = new Histogram(MAX_EVALUATIONS, SIGNIFICANT_DIGITS);
   private final Histogram failoverTimes = new Histogram(MAX_MS, SIGNIFICANT_DIGITS);
+  private final Histogram timerDelays = new Histogram(MAX_MS, SIGNIFICANT_DIGITS);
+  private final JobRequestMetrics jobRequests = new JobRequestMetrics();
+
+  /** How users' requests about jobs end at this node. */
+  public JobRequestMetrics jobRequests() {
+    return jobRequests;
+  }
 
   /**
    * Records the start of a task.
@@ -63,12 +71,23 @@
     record(failoverTimes, seconds);
   }
 
+  /** Records how late a timer of the event loop ran, in seconds. */
+  public synchronized void recordTimerDelay(double seconds) {
+    record(timerDelays, seconds);
+  }
+
   private static void record(Histogram histogram, double seconds) {
     histogram.recordValue(Math.max(0, Math.min(MAX_MS, (long) (seconds * MILLIS_PER_S))));
   }
 
-  /** Logs a summary of all histograms, unless no start or failover has been recorded yet. */
-  public synchronized void logSummary() {
+  /**
+   * Logs a summary of users' requests about jobs and of delays of the event loop, both since the
+   * last summary, and of the other histograms, unless no start or failover has been recorded yet.
+   */
+  public synchronized void logSummary(MonotonicTime now) {
+    jobRequests.drainSummary(now).ifPresent(LOG::info);
+    LOG.info("timer delay ms: {}", summary(timerDelays));
+    timerDelays.reset();
     if (LOG.isInfoEnabled() && startTimes.getTotalCount() + failoverTimes.getTotalCount() > 0) {
       LOG.info("open to running ms: {}", summary(startTimes));
       LOG.info("direct command ms: {}", summary(commandTimes));
--- a/src/main/java/org/ternhinge/request/JobLookup.java
+++ b/src/main/java/org/ternhinge/request/JobLookup.java
@@ -11,6 +11,7 @@
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.ledger.RecordCodec;
 import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.metrics.JobRequestMetrics;
 import org.ternhinge.model.AsyncCalls;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.Outcome;
@@ -59,11 +60,17 @@
   private record StoredJob(Found found, List<JobId> dependencies) {}
 
   private final KeyValueStore store;
+  private final JobRequestMetrics metrics;
   private final CoalescedLookups coalescedLookups = new CoalescedLookups(this::startSearch);
 
-  /** Creates a lookup that reads from the given store. */
-  public JobLookup(KeyValueStore store) {
+  /**
+   * Creates a lookup that reads from the given store.
+   *
+   * @param metrics counts the reads that failed, by reason
+   */
+  public JobLookup(KeyValueStore store, JobRequestMetrics metrics) {
     this.store = store;
+    this.metrics = metrics;
   }
 
   /**
@@ -163,11 +170,21 @@
         read.value().entry().ifPresentOrElse(present, absent);
       } else {
         LOG.debug("lookup of job {} failed: {}", job, outcome);
+        metrics.count(failureOf(outcome));
         callback.accept(UNAVAILABLE);
       }
     }
   }
 
+  private static JobRequestMetrics.Event failureOf(Outcome<?> outcome) {
+    if (outcome.isNotApplied(Outcome.Reason.RATE_LIMITED)) {
+      return JobRequestMetrics.Event.STORE_NO_TOKEN;
+    }
+    return outcome instanceof Outcome.NotApplied
+        ? JobRequestMetrics.Event.STORE_REFUSED
+        : JobRequestMetrics.Event.STORE_NO_RESPONSE;
+  }
+
   private static StoredJob fromRecord(JobId id, Entry entry) {
     JobState state = RecordCodec.decodeState(id, entry.value());
     boolean service = RecordCodec.isService(entry.value());
--- a/src/main/java/org/ternhinge/request/JobRequestRouter.java
+++ b/src/main/java/org/ternhinge/request/JobRequestRouter.java
@@ -6,6 +6,8 @@
 import org.ternhinge.http.Response;
 import org.ternhinge.leadership.Leadership;
 import org.ternhinge.leadership.LeadershipRole;
+import org.ternhinge.metrics.JobRequestMetrics;
+import org.ternhinge.metrics.JobRequestMetrics.Event;
 import org.ternhinge.model.JobId;
 
 /**
@@ -18,18 +20,25 @@
   private final LeadershipRole role;
   private final PeerClient peers;
   private final LeaderSearch search;
+  private final JobRequestMetrics metrics;
 
   /**
    * Creates the router for one kind of request.
    *
    * @param handler responds as the leader or from the key-value store
+   * @param metrics counts how requests end
    */
   public JobRequestRouter(
-      JobRequestHandler handler, LeadershipRole role, PeerClient peers, LeaderSearch search) {
+      JobRequestHandler handler,
+      LeadershipRole role,
+      PeerClient peers,
+      LeaderSearch search,
+      JobRequestMetrics metrics) {
     this.handler = handler;
     this.role = role;
     this.peers = peers;
     this.search = search;
+    this.metrics = metrics;
   }
 
   /** Handles a request about a job; the callback is called exactly once, immediately or later. */
@@ -37,7 +46,8 @@
       JobId id, Request request, RequestOrigin origin, Consumer<Response> responseCallback) {
     Optional<Leadership> leadership = role.valid();
     if (leadership.isPresent()) {
-      handler.respondAsLeader(id, leadership.get(), responseCallback);
+      handler.respondAsLeader(
+          id, leadership.get(), counted(Event.ANSWERED_AS_LEADER, responseCallback));
     } else if (origin == RequestOrigin.PEER) {
       responseCallback.accept(Responses.busy());
     } else {
@@ -48,16 +58,40 @@
   private void forwardToLeader(JobId id, Request request, Consumer<Response> responseCallback) {
     Optional<String> leader = search.leader();
     if (leader.isEmpty()) {
+      metrics.count(Event.NO_LEADER);
       respondWithoutLeader(id, request, leader, responseCallback);
     } else {
-      peers.sendOrBusy(
+      peers.send(
           leader.get(),
           request,
           handler.leaderTimeoutS(),
-          Responses.divertBusy(
-              responseCallback,
-              busy -> respondWithoutLeader(id, request, leader, responseCallback)));
+          response -> handleLeaderResponse(id, request, leader, response, responseCallback));
+    }
+  }
+
+  private void handleLeaderResponse(
+      JobId id,
+      Request request,
+      Optional<String> leader,
+      Optional<Response> response,
+      Consumer<Response> responseCallback) {
+    if (response.isPresent() && !Responses.isBusy(response.get())) {
+      metrics.count(Event.ANSWERED_BY_PEER);
+      responseCallback.accept(response.get());
+      return;
     }
+    metrics.count(response.isPresent() ? Event.LEADER_BUSY : Event.LEADER_NO_RESPONSE);
+    respondWithoutLeader(id, request, leader, responseCallback);
+  }
+
+  /** Returns a callback that counts final responses and passes on all. */
+  private Consumer<Response> counted(Event event, Consumer<Response> responseCallback) {
+    return response -> {
+      if (!Responses.isBusy(response)) {
+        metrics.count(event);
+      }
+      responseCallback.accept(response);
+    };
   }
 
   /**
@@ -71,21 +105,20 @@
       Request request,
       Optional<String> alreadyAsked,
       Consumer<Response> responseCallback) {
+    Consumer<Response> fromStore = counted(Event.ANSWERED_FROM_STORE, responseCallback);
+    Consumer<Response> fromPeer = counted(Event.ANSWERED_BY_PEER, responseCallback);
     if (search.isStoreUnresponsive()) {
       search.sendToAll(
           request,
           alreadyAsked,
           handler.leaderTimeoutS(),
-          Responses.divertBusy(
-              responseCallback, busy -> handler.respondFromStore(id, responseCallback)));
+          Responses.divertBusy(fromPeer, busy -> handler.respondFromStore(id, fromStore)));
     } else {
       handler.respondFromStore(
           id,
           Responses.divertBusy(
-              responseCallback,
-              busy ->
-                  search.sendToAll(
-                      request, alreadyAsked, handler.leaderTimeoutS(), responseCallback)));
+              fromStore,
+              busy -> search.sendToAll(request, alreadyAsked, handler.leaderTimeoutS(), fromPeer)));
     }
   }
 }
--- a/src/main/java/org/ternhinge/zone/ZoneEvent.java
+++ b/src/main/java/org/ternhinge/zone/ZoneEvent.java
@@ -2,6 +2,7 @@
 
 import java.util.LinkedHashMap;
 import java.util.Map;
+import org.ternhinge.model.EventLine;
 
 /**
  * A logged event about a zone or about displaced tasks. {@link ZoneEventParser} parses the format
@@ -19,8 +20,8 @@
 
   /** Returns the event as a log line, without timestamp and level. */
   default String line() {
-    StringBuilder line = new StringBuilder(MARKER).append(' ').append(kind());
-    fields().forEach((name, value) -> line.append(' ').append(name).append('=').append(value));
+    EventLine line = EventLine.of(MARKER, kind());
+    fields().forEach(line::with);
     return line.toString();
   }
 
--- a/src/test/java/org/ternhinge/PackageRulesTest.java
+++ b/src/test/java/org/ternhinge/PackageRulesTest.java
@@ -36,7 +36,7 @@
       limit: model
       peer: http model
       wire: model
-      metrics:
+      metrics: model
       config: model wire
       cloud: http limit model wire
       store: config http limit model wire
@@ -56,7 +56,7 @@
       round: attempt config failover ledger machine metrics model scaling schedule term wire
       leadership: attempt config election failover heartbeat ledger limit machine metrics model \
       round scaling store term wire
-      request: api cloud config http leadership ledger limit machine model store wire
+      request: api cloud config http leadership ledger limit machine metrics model store wire
       controller: config election http leadership ledger metrics model request store term
       cli: cloud config controller election http limit metrics model peer request store term wire \
       worker zone.report
--- a/src/test/java/org/ternhinge/controller/JobRequestsTest.java
+++ b/src/test/java/org/ternhinge/controller/JobRequestsTest.java
@@ -20,6 +20,7 @@
 import org.ternhinge.ledger.LeadershipLoss;
 import org.ternhinge.ledger.RecordCodec;
 import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.metrics.JobRequestMetrics;
 import org.ternhinge.model.AsyncCalls;
 import org.ternhinge.model.JobId;
 import org.ternhinge.request.JobCancellationHandler;
@@ -71,7 +72,7 @@
   private final PeerClient client = new PeerClient(peers, lock, connectivity);
   private final LeaderSearch search =
       new LeaderSearch(role, client, connectivity, List.of("node-1"), clock, lock);
-  private final JobLookup lookup = new JobLookup(store);
+  private final JobLookup lookup = new JobLookup(store, new JobRequestMetrics());
 
   private void put(Change change) {
     AsyncCalls.logExceptions(
@@ -123,7 +124,8 @@
   }
 
   private void handle(JobRequestHandler handler, String method, boolean fromPeer) {
-    JobRequestRouter router = new JobRequestRouter(handler, role, client, search);
+    JobRequestRouter router =
+        new JobRequestRouter(handler, role, client, search, new JobRequestMetrics());
     RequestOrigin origin = fromPeer ? RequestOrigin.PEER : RequestOrigin.CLIENT;
     router.handle(JOB, new Request(method, "/", new byte[0]), origin, r -> answer = r);
   }
--- a/src/test/java/org/ternhinge/request/JobLookupTest.java
+++ b/src/test/java/org/ternhinge/request/JobLookupTest.java
@@ -16,6 +16,7 @@
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.ledger.RecordCodec;
 import org.ternhinge.limit.RequestPriority;
+import org.ternhinge.metrics.JobRequestMetrics;
 import org.ternhinge.model.AsyncCalls;
 import org.ternhinge.model.JobId;
 import org.ternhinge.sim.DirectStore;
@@ -32,7 +33,7 @@
 
   private final SimClock clock = new SimClock();
   private final DirectStore store = new DirectStore(new InMemoryStore(clock));
-  private final JobLookup lookup = new JobLookup(store);
+  private final JobLookup lookup = new JobLookup(store, new JobRequestMetrics());
   private JobLookup.Result result;
   private DependencyCheck.Result checked;
 
