--- a/src/test/java/org/ternhinge/sim/SimClock.java
+++ b/src/test/java/org/ternhinge/sim/SimClock.java
@@ -45,6 +45,6 @@
       nanos = Math.max(nanos, event.at);
       event.action.run();
     }
-    nanos = end;
+    nanos = Math.max(nanos, end);
   }
 }
--- a/src/test/java/org/ternhinge/sim/SimControllers.java
+++ b/src/test/java/org/ternhinge/sim/SimControllers.java
@@ -22,12 +22,16 @@
   /** The process of each controller, or null while it is down. */
   private final SimController[] processes;
 
+  /** How late each controller handles requests of the others, in seconds. */
+  private final double[] peerDelayS;
+
   /** Whether each controller runs the version before dependent jobs. */
   private final boolean[] oldVersion;
 
   SimControllers(SimCluster cluster, int count) {
     this.cluster = cluster;
     this.processes = new SimController[count];
+    this.peerDelayS = new double[count];
     this.oldVersion = new boolean[count];
   }
 
@@ -141,9 +145,21 @@
 
   private void deliverFromPeer(int index, Request request, Consumer<Outcome<Response>> back) {
     SimController process = processes[index];
-    if (process != null) {
-      process.handlePeer(request, response -> back.accept(Outcome.applied(response)));
+    if (process == null) {
+      return;
     }
+    Runnable handling =
+        () -> process.handlePeer(request, response -> back.accept(Outcome.applied(response)));
+    if (peerDelayS[index] > 0) {
+      cluster.clock.schedule(peerDelayS[index], handling);
+    } else {
+      handling.run();
+    }
+  }
+
+  /** Makes a controller handle requests of the others late from now on, as an overloaded one. */
+  public void delayPeerRequests(int index, double seconds) {
+    peerDelayS[index] = seconds;
   }
 
   private static Optional<Response> responseOf(Outcome<Response> outcome) {
