Peer link: one late response no longer discards the responses to all other requests

Callers saw 503 for minutes from every node but the leader, though the leader was alive, answered each request within a second and had been in office for minutes. Nodes forward requests about jobs over one shared link. Cause, one class: work that others still wait for was thrown away on the time-out of one. - PeerClient closed the link when a single request had no response after 0.8 s, and with it went the responses to all others under way, which then timed out in turn and closed the next link. - PeerLink opened a connection for each request while none was open; each one that came up closed the one before. - JobRequestRouter dropped a leader's response after 0.8 s and went to the key-value store, of whose rate a follower has a small share, though the user still waited for a second.

Now the link is closed only when nothing has been received for 2 s while requests were outstanding; requests wait for the connection that is being established; LeaderCall still starts the fallback after 0.8 s, but passes the leader's response on if it comes by the user's deadline. A busy fallback ends the request only when the leader has ended too. Each request still gets exactly one response, by its deadline at the latest.

--- a/src/main/java/org/ternhinge/controller/ControllerNode.java
+++ b/src/main/java/org/ternhinge/controller/ControllerNode.java
@@ -73,7 +73,7 @@
     lockedExecutor = new LockedExecutor(lock);
     role = new LeadershipRole(settings.node(), election);
     NodeConnectivity connectivity = new NodeConnectivity(clock, !otherNodes.isEmpty());
-    PeerClient peers = new PeerClient(transport, lock, connectivity);
+    PeerClient peers = new PeerClient(transport, lock, connectivity, clock);
     connectivityProbe = new ConnectivityProbe(store, peers, otherNodes, connectivity, clock, lock);
     machineTypes =
         new BootstrapMachineTypes(
--- a/src/main/java/org/ternhinge/controller/RouteTable.java
+++ b/src/main/java/org/ternhinge/controller/RouteTable.java
@@ -20,6 +20,7 @@
 import org.ternhinge.request.JobCancellationHandler;
 import org.ternhinge.request.JobLookup;
 import org.ternhinge.request.JobQueryHandler;
+import org.ternhinge.request.JobRequestHandler;
 import org.ternhinge.request.JobRequestRouter;
 import org.ternhinge.request.LeaderSearch;
 import org.ternhinge.request.NodeConnectivity;
@@ -71,10 +72,25 @@
     submissions =
         new SubmissionHandler(
             services.settings(), role, machineTypes, writer, forwarder, connectivity);
-    queries = new JobRequestRouter(new JobQueryHandler(lookup), role, peers, search, metrics);
+    queries = router(new JobQueryHandler(lookup), services, role, peers, search);
     cancellations =
-        new JobRequestRouter(
-            new JobCancellationHandler(lookup, clock), role, peers, search, metrics);
+        router(new JobCancellationHandler(lookup, clock), services, role, peers, search);
+  }
+
+  private static JobRequestRouter router(
+      JobRequestHandler handler,
+      ControllerServices services,
+      LeadershipRole role,
+      PeerClient peers,
+      LeaderSearch search) {
+    return new JobRequestRouter(
+        handler,
+        role,
+        peers,
+        search,
+        services.clock(),
+        services.lock(),
+        services.metrics().jobRequests());
   }
 
   private static SubmissionWriter createWriter(
--- a/src/main/java/org/ternhinge/metrics/JobRequestMetrics.java
+++ b/src/main/java/org/ternhinge/metrics/JobRequestMetrics.java
@@ -35,6 +35,8 @@
     NO_LEADER,
     /** The leader could not answer now. */
     LEADER_BUSY,
+    /** The leader took so long that the request was also tried elsewhere. */
+    LEADER_SLOW,
     /** The leader did not respond in time. */
     LEADER_NO_RESPONSE,
     /** The key-value store was not read, since no token was left. */
--- a/src/main/java/org/ternhinge/peer/PeerLink.java
+++ b/src/main/java/org/ternhinge/peer/PeerLink.java
@@ -16,7 +16,9 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LengthFieldBasedFrameDecoder;
 import it.unimi.dsi.fastutil.longs.Long2ObjectOpenHashMap;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
@@ -42,6 +44,10 @@
   private final EventLoop loop;
   private final Map<String, Endpoint> peers;
   private final Map<String, Channel> channelByNode = new HashMap<>();
+
+  /** Requests that wait for the connection to a node, while one is being established. */
+  private final Map<String, List<Frame.RequestFrame>> waitingByNode = new HashMap<>();
+
   private final Long2ObjectOpenHashMap<Consumer<Optional<Response>>> pendingById =
       new Long2ObjectOpenHashMap<>();
   private HttpServer.Handler handler;
@@ -109,16 +115,20 @@
     var unused = Channels.schedule(loop, timeoutS, () -> complete(frame.id(), Optional.empty()));
     Channel open = channelByNode.get(node);
     Endpoint endpoint = peers.get(node);
-    if (open != null && open.isActive()) {
+    List<Frame.RequestFrame> waiting = waitingByNode.get(node);
+    if (waiting != null) {
+      waiting.add(frame);
+    } else if (open != null && open.isActive()) {
       write(open, frame);
     } else if (endpoint == null) {
       complete(frame.id(), Optional.empty());
     } else {
-      connect(node, endpoint, frame);
+      waitingByNode.put(node, new ArrayList<>(List.of(frame)));
+      connect(node, endpoint);
     }
   }
 
-  private void connect(String node, Endpoint endpoint, Frame firstFrame) {
+  private void connect(String node, Endpoint endpoint) {
     new Bootstrap()
         .group(loop)
         .channel(NioSocketChannel.class)
@@ -126,21 +136,21 @@
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(initializer())
         .connect(endpoint.host(), endpoint.port())
-        .addListener((ChannelFuture connectFuture) -> onConnected(node, connectFuture, firstFrame));
+        .addListener((ChannelFuture connectFuture) -> onConnected(node, connectFuture));
   }
 
-  private void onConnected(String node, ChannelFuture connectFuture, Frame firstFrame) {
+  private void onConnected(String node, ChannelFuture connectFuture) {
+    List<Frame.RequestFrame> waiting = waitingByNode.remove(node);
     if (!connectFuture.isSuccess()) {
-      complete(firstFrame.id(), Optional.empty());
+      waiting.forEach(frame -> complete(frame.id(), Optional.empty()));
       return;
     }
     Channel channel = connectFuture.channel();
-    Channel previous = channelByNode.put(node, channel);
-    if (previous != null && previous != channel) {
-      Channels.close(previous);
-    }
+    channelByNode.put(node, channel);
     Channels.onClose(channel, () -> channelByNode.remove(node, channel));
-    write(channel, firstFrame);
+    waiting.stream()
+        .filter(frame -> pendingById.containsKey(frame.id()))
+        .forEach(frame -> write(channel, frame));
   }
 
   /** Completes a request unless it has already completed. */
--- a/src/main/java/org/ternhinge/request/JobCancellationHandler.java
+++ b/src/main/java/org/ternhinge/request/JobCancellationHandler.java
@@ -33,10 +33,15 @@
   }
 
   @Override
-  public double leaderTimeoutS() {
+  public double fallbackDelayS() {
     return LEADER_TIMEOUT_S;
   }
 
+  @Override
+  public double deadlineS() {
+    return ResponseDeadline.WRITE_S;
+  }
+
   @Override
   public void respondAsLeader(
       JobId id, Leadership leadership, Consumer<Response> responseCallback) {
--- a/src/main/java/org/ternhinge/request/JobQueryHandler.java
+++ b/src/main/java/org/ternhinge/request/JobQueryHandler.java
@@ -11,7 +11,7 @@
 /** Handles users' queries for the state of a job. */
 public final class JobQueryHandler implements JobRequestHandler {
   /** Leaves time to read the key-value store within the 2 s for which users wait. */
-  private static final double LEADER_TIMEOUT_S = 0.8;
+  private static final double FALLBACK_DELAY_S = 0.8;
 
   private final JobLookup lookup;
 
@@ -21,8 +21,13 @@
   }
 
   @Override
-  public double leaderTimeoutS() {
-    return LEADER_TIMEOUT_S;
+  public double fallbackDelayS() {
+    return FALLBACK_DELAY_S;
+  }
+
+  @Override
+  public double deadlineS() {
+    return ResponseDeadline.POLL_S;
   }
 
   @Override
--- a/src/main/java/org/ternhinge/request/JobRequestHandler.java
+++ b/src/main/java/org/ternhinge/request/JobRequestHandler.java
@@ -11,8 +11,14 @@
  * immediately or later.
  */
 public interface JobRequestHandler {
-  /** Time-out in seconds of a request that is forwarded to the leader. */
-  double leaderTimeoutS();
+  /**
+   * Seconds after which a request that was forwarded to the leader is also tried elsewhere; the
+   * leader's response is still awaited.
+   */
+  double fallbackDelayS();
+
+  /** Seconds after which the user no longer waits for a response. */
+  double deadlineS();
 
   /** Responds from the state of this node's leadership; called under the controller's lock. */
   void respondAsLeader(JobId id, Leadership leadership, Consumer<Response> responseCallback);
--- a/src/main/java/org/ternhinge/request/JobRequestRouter.java
+++ b/src/main/java/org/ternhinge/request/JobRequestRouter.java
@@ -1,6 +1,7 @@
 package org.ternhinge.request;
 
 import java.util.Optional;
+import java.util.concurrent.locks.Lock;
 import java.util.function.Consumer;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
@@ -8,7 +9,9 @@
 import org.ternhinge.leadership.LeadershipRole;
 import org.ternhinge.metrics.JobRequestMetrics;
 import org.ternhinge.metrics.JobRequestMetrics.Event;
+import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
+import org.ternhinge.model.LockedExecutor;
 
 /**
  * Routes requests about a job to the leader, on this or another node, and otherwise to the
@@ -20,12 +23,15 @@
   private final LeadershipRole role;
   private final PeerClient peers;
   private final LeaderSearch search;
+  private final Clock clock;
+  private final LockedExecutor lockedExecutor;
   private final JobRequestMetrics metrics;
 
   /**
    * Creates the router for one kind of request.
    *
    * @param handler responds as the leader or from the key-value store
+   * @param lock the controller's lock
    * @param metrics counts how requests end
    */
   public JobRequestRouter(
@@ -33,11 +39,15 @@
       LeadershipRole role,
       PeerClient peers,
       LeaderSearch search,
+      Clock clock,
+      Lock lock,
       JobRequestMetrics metrics) {
     this.handler = handler;
     this.role = role;
     this.peers = peers;
     this.search = search;
+    this.clock = clock;
+    this.lockedExecutor = new LockedExecutor(lock);
     this.metrics = metrics;
   }
 
@@ -61,27 +71,41 @@
       metrics.count(Event.NO_LEADER);
       respondWithoutLeader(id, request, leader, responseCallback);
     } else {
-      peers.send(
-          leader.get(),
-          request,
-          handler.leaderTimeoutS(),
-          response -> handleLeaderResponse(id, request, leader, response, responseCallback));
+      callLeader(id, request, leader, responseCallback);
     }
   }
 
-  private void handleLeaderResponse(
-      JobId id,
-      Request request,
-      Optional<String> leader,
-      Optional<Response> response,
-      Consumer<Response> responseCallback) {
-    if (response.isPresent() && !Responses.isBusy(response.get())) {
-      metrics.count(Event.ANSWERED_BY_PEER);
-      responseCallback.accept(response.get());
-      return;
+  private void callLeader(
+      JobId id, Request request, Optional<String> leader, Consumer<Response> responseCallback) {
+    LeaderCall call =
+        new LeaderCall(
+            lockedExecutor,
+            fallbackCallback -> respondWithoutLeader(id, request, leader, fallbackCallback),
+            responseCallback);
+    peers.send(
+        leader.orElseThrow(),
+        request,
+        handler.deadlineS(),
+        response -> {
+          metrics.count(eventOf(response));
+          call.handleLeaderResponse(response);
+        });
+    clock.schedule(
+        handler.fallbackDelayS(), lockedExecutor.guarded(() -> startFallbackIfPending(call)));
+  }
+
+  private void startFallbackIfPending(LeaderCall call) {
+    if (call.isPending()) {
+      metrics.count(Event.LEADER_SLOW);
+      call.startFallback();
+    }
+  }
+
+  private static Event eventOf(Optional<Response> response) {
+    if (response.isEmpty()) {
+      return Event.LEADER_NO_RESPONSE;
     }
-    metrics.count(response.isPresent() ? Event.LEADER_BUSY : Event.LEADER_NO_RESPONSE);
-    respondWithoutLeader(id, request, leader, responseCallback);
+    return Responses.isBusy(response.get()) ? Event.LEADER_BUSY : Event.ANSWERED_BY_PEER;
   }
 
   /** Returns a callback that counts final responses and passes on all. */
@@ -111,14 +135,14 @@
       search.sendToAll(
           request,
           alreadyAsked,
-          handler.leaderTimeoutS(),
+          handler.fallbackDelayS(),
           Responses.divertBusy(fromPeer, busy -> handler.respondFromStore(id, fromStore)));
     } else {
       handler.respondFromStore(
           id,
           Responses.divertBusy(
               fromStore,
-              busy -> search.sendToAll(request, alreadyAsked, handler.leaderTimeoutS(), fromPeer)));
+              busy -> search.sendToAll(request, alreadyAsked, handler.fallbackDelayS(), fromPeer)));
     }
   }
 }
