Scheduling rounds: planning takes at most a fifth of the time, however long a round is

Cause: the pause after a round, fifteen times its length, was capped by round_s (1 s). A round of more than a second was therefore followed by the next without any pause: the bound on planning's share ended just where it was needed, an overload that sustains itself. Less processor time for the event loop meant later heartbeats, more tasks to place again, and longer rounds.

A round now starts no sooner than five times the length of the last one after that one's start. The length is that of the round that was still running when the next was requested. Rounds below 0.2 s are paced as before.

--- a/src/main/java/org/ternhinge/round/SchedulingRounds.java
+++ b/src/main/java/org/ternhinge/round/SchedulingRounds.java
@@ -29,14 +29,24 @@
   private static final Logger LOG = LoggerFactory.getLogger(SchedulingRounds.class);
 
   /**
-   * Ratio of the interval between the starts of two rounds to the duration of the last round. It
-   * limits the share of processor time that planning takes in large fleets.
+   * Ratio of the interval between the starts of two rounds to the duration of the last round, up to
+   * the longest interval that the operators permit. It limits the share of processor time that
+   * planning takes in large fleets.
    */
   private static final double INTERVAL_FACTOR = 15;
 
+  /**
+   * The least such ratio, however long rounds take: planning never takes more than a fifth of the
+   * time, since heartbeats, requests and the renewal share the processor with it.
+   */
+  private static final double MIN_INTERVAL_FACTOR = 5;
+
   /** Minimum delay from a request to its round, so that simultaneous changes share a round. */
   private static final double MIN_DELAY_S = 0.01;
 
+  /** Timers may run this much early in relation to the interval, by rounding. */
+  private static final double DUE_TOLERANCE_S = 0.001;
+
   private final Tuning tuning;
   private final Clock clock;
   private final Lock lock;
@@ -88,12 +98,17 @@
       return;
     }
     requested = true;
-    double scaledIntervalS = Math.min(tuning.roundS(), lastDurationS * INTERVAL_FACTOR);
-    double intervalS = Math.max(tuning.roundGapS(), scaledIntervalS);
-    double delayS = Math.max(MIN_DELAY_S, intervalS - clock.now().secondsSince(lastStart));
+    double delayS = Math.max(MIN_DELAY_S, secondsUntilDue());
     clock.schedule(delayS, () -> scheduler.execute(this::runRound));
   }
 
+  /** Seconds until the next round may start; not positive if it may start now. */
+  private double secondsUntilDue() {
+    double scaledIntervalS = Math.min(tuning.roundS(), lastDurationS * INTERVAL_FACTOR);
+    double leastIntervalS = Math.max(tuning.roundGapS(), lastDurationS * MIN_INTERVAL_FACTOR);
+    return Math.max(scaledIntervalS, leastIntervalS) - clock.now().secondsSince(lastStart);
+  }
+
   private void runRound() {
     begin().ifPresent(snapshot -> finish(plan(snapshot)));
   }
@@ -106,6 +121,11 @@
       if (executor.isStopped() || running) {
         return Optional.empty();
       }
+      if (secondsUntilDue() > DUE_TOLERANCE_S) {
+        // The last round was still running when this one was requested, and took longer.
+        requestRound();
+        return Optional.empty();
+      }
       lastStart = clock.now();
       if (!authority.isValid() || machineTypes.isEmpty()) {
         return Optional.empty();
--- a/src/test/java/org/ternhinge/metrics/JobRequestMetricsTest.java
+++ b/src/test/java/org/ternhinge/metrics/JobRequestMetricsTest.java
@@ -8,6 +8,7 @@
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MonotonicTime;
 
+/** Counts of requests about jobs, and the job that is unanswered for longest. */
 class JobRequestMetricsTest {
   private static final JobId FIRST = new JobId("wk-000001");
   private static final JobId SECOND = new JobId("wk-000002");
--- a/src/test/java/org/ternhinge/model/EventLineTest.java
+++ b/src/test/java/org/ternhinge/model/EventLineTest.java
@@ -4,6 +4,7 @@
 
 import org.junit.jupiter.api.Test;
 
+/** The text of structured log lines. */
 class EventLineTest {
   @Test
   void fieldsAreSeparatedBySpacesAndContainNone() {
