--- a/src/test/java/org/ternhinge/cli/LoopbackCluster.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackCluster.java
@@ -7,8 +7,6 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.io.OutputStream;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -20,6 +18,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.ternhinge.wire.Json;
@@ -53,6 +52,7 @@
   private final Options options;
   private final List<String> arguments;
   private final LoopbackServices services;
+  private final Optional<LoopbackLinks> links;
   private final List<Process> processes = new ArrayList<>();
   private final List<Path> settings = new ArrayList<>();
   private final int[] ports = new int[2 * NODES];
@@ -66,14 +66,23 @@
    * @param arguments additional command-line arguments of each process
    */
   LoopbackCluster(Path dir, Options options, List<String> arguments) throws IOException {
+    this(dir, options, arguments, Optional.empty());
+  }
+
+  /**
+   * Prepares a cluster whose controllers use relays.
+   *
+   * @param links the relays between the controllers, and to the key-value store and the cloud
+   */
+  LoopbackCluster(Path dir, Options options, List<String> arguments, Optional<LoopbackLinks> links)
+      throws IOException {
     this.dir = dir;
     this.options = options;
     this.arguments = arguments;
-    this.services = new LoopbackServices(options.zones());
+    this.links = links;
+    this.services = new LoopbackServices(options.zones(), NODES);
     for (int i = 0; i < ports.length; i++) {
-      try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-        ports[i] = free.getLocalPort();
-      }
+      ports[i] = FreePorts.next();
     }
   }
 
@@ -145,6 +154,21 @@
     processes.set(node, start(node));
   }
 
+  /** Suspends a process; its clocks keep running. */
+  void suspend(int node) throws IOException, InterruptedException {
+    signal(node, "STOP");
+  }
+
+  /** Resumes a suspended process. */
+  void resume(int node) throws IOException, InterruptedException {
+    signal(node, "CONT");
+  }
+
+  private void signal(int node, String name) throws IOException, InterruptedException {
+    String pid = Long.toString(processes.get(node).pid());
+    new ProcessBuilder("kill", "-" + name, pid).start().waitFor();
+  }
+
   boolean isAlive(int node) {
     return processes.get(node).isAlive();
   }
@@ -162,18 +186,34 @@
     return logs.toString();
   }
 
-  private ObjectNode settingsJson(int node) {
+  /** The port by which one controller reaches another. */
+  private int peerPort(int from, int to) throws IOException {
+    int port = ports[NODES + to];
+    return links.isPresent() ? links.get().peerPort(from, to, port) : port;
+  }
+
+  private ObjectNode settingsJson(int node) throws IOException {
     ObjectNode root = Json.object().put("node", "node-" + node).put("site", options.zones().get(0));
     root.put("client_listen", "127.0.0.1:" + ports[node]);
     root.put("peer_listen", "127.0.0.1:" + ports[NODES + node]);
     ArrayNode peers = root.putArray("peers");
     for (int k = 0; k < NODES; k++) {
       if (k != node) {
-        peers.addObject().put("node", "node-" + k).put("endpoint", "127.0.0.1:" + ports[NODES + k]);
+        peers
+            .addObject()
+            .put("node", "node-" + k)
+            .put("endpoint", "127.0.0.1:" + peerPort(node, k));
       }
     }
-    String outside = services.endpoint();
-    root.putObject("external").put("cloud", outside).put("state", outside);
+    int cloud = services.port(node);
+    int store = services.port(node);
+    if (links.isPresent()) {
+      cloud = links.get().cloudPort(node, cloud);
+      store = links.get().storePort(node, store);
+    }
+    root.putObject("external")
+        .put("cloud", "127.0.0.1:" + cloud)
+        .put("state", "127.0.0.1:" + store);
     ObjectNode deployment = root.putObject("deployment");
     ArrayNode zones = deployment.putArray("zones");
     options.zones().forEach(zones::add);
--- a/src/test/java/org/ternhinge/cli/LoopbackServices.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackServices.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.MonotonicTime;
@@ -44,18 +45,31 @@
   private final ScheduledExecutorService timers = Executors.newScheduledThreadPool(1);
   private final ExecutorService requests = Executors.newCachedThreadPool();
   private final InMemoryStore store = new InMemoryStore(new RealClock());
-  private final HttpServer server;
+  private final List<HttpServer> servers = new ArrayList<>();
   private final List<String> zones;
+  private final LoopbackStoreFaults faults;
 
   /** The machines that the cloud lists, or null if it has none. */
   private volatile LoopbackFleet fleet;
 
-  LoopbackServices(List<String> zones) throws IOException {
+  /** Starts the services; each controller has its own port, by which it is told from the others. */
+  LoopbackServices(List<String> zones, int controllers) throws IOException {
     this.zones = zones;
-    server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
-    server.setExecutor(requests);
-    server.createContext("/", this::serve);
-    server.start();
+    this.faults = new LoopbackStoreFaults(store, timers, this);
+    for (int i = 0; i < controllers; i++) {
+      int controller = i;
+      HttpServer server =
+          HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+      server.setExecutor(requests);
+      server.createContext("/", exchange -> serve(exchange, controller));
+      server.start();
+      servers.add(server);
+    }
+  }
+
+  /** Faults of the key-value store. */
+  LoopbackStoreFaults faults() {
+    return faults;
   }
 
   /** Sets the machines that the cloud lists. */
@@ -63,9 +77,9 @@
     fleet = machines;
   }
 
-  /** Address of both services. */
-  String endpoint() {
-    return "127.0.0.1:" + server.getAddress().getPort();
+  /** The port of both services for a controller. */
+  int port(int controller) {
+    return servers.get(controller).getAddress().getPort();
   }
 
   /** Returns the number of the leading node, or -1 if there is none. */
@@ -80,7 +94,7 @@
 
   @Override
   public void close() {
-    server.stop(0);
+    servers.forEach(server -> server.stop(0));
     requests.shutdownNow();
     timers.shutdownNow();
   }
@@ -108,10 +122,10 @@
     action.run();
   }
 
-  private void serve(HttpExchange exchange) throws IOException {
+  private void serve(HttpExchange exchange, int controller) throws IOException {
     byte[] body = exchange.getRequestBody().readAllBytes();
     try {
-      answer(exchange, body);
+      answer(exchange, controller, body);
     } catch (WireException e) {
       reply(exchange, 400, Json.object());
     }
@@ -141,7 +155,8 @@
     return out.put("utgafunumer", entry.revision().value());
   }
 
-  private void answer(HttpExchange exchange, byte[] body) throws IOException, WireException {
+  private void answer(HttpExchange exchange, int controller, byte[] body)
+      throws IOException, WireException {
     String path = exchange.getRequestURI().getPath();
     Map<String, String> query = query(exchange);
     if (path.equals("/flavors")) {
@@ -155,8 +170,12 @@
       reply(exchange, 200, Json.object());
     } else if (path.equals("/hosts")) {
       reply(exchange, 503, Json.object().put("error", "no capacity"));
+    } else if (faults.refuses(controller)) {
+      reply(exchange, 503, Json.object());
     } else if (path.equals("/follow")) {
-      watch(exchange, query);
+      watch(exchange, query, () -> faults.refuses(controller));
+    } else if (path.equals("/txn") && faults.withholdsAnswer(exchange, readCompareAndSwap(body))) {
+      return;
     } else {
       synchronized (this) {
         serveStore(exchange, path, query, body);
@@ -193,7 +212,7 @@
     } else if (path.equals("/txn")) {
       replyWithOutcome(
           exchange,
-          store.compareAndSwap(readCompareAndSwap(Json.parse(body))).map(Revision::value),
+          store.compareAndSwap(readCompareAndSwap(body)).map(Revision::value),
           "breytingatal");
     } else if (path.equals("/holds")) {
       long life = Json.count(Json.parse(body), "life_ms");
@@ -219,7 +238,8 @@
     }
   }
 
-  private static CompareAndSwap readCompareAndSwap(JsonNode json) throws WireException {
+  private static CompareAndSwap readCompareAndSwap(byte[] body) throws WireException {
+    JsonNode json = Json.parse(body);
     List<KeyCondition> conditions = new ArrayList<>();
     for (JsonNode c : json.path("if")) {
       Revision expected = new Revision(Json.count(c, "utgafunumer"));
@@ -236,7 +256,8 @@
     return new CompareAndSwap(conditions, changes);
   }
 
-  private void watch(HttpExchange exchange, Map<String, String> query) throws IOException {
+  private void watch(HttpExchange exchange, Map<String, String> query, BooleanSupplier suspended)
+      throws IOException {
     List<KeyValueStore.WatchResult> results = new ArrayList<>();
     Object resultLock = new Object();
     synchronized (this) {
@@ -244,6 +265,7 @@
           query.get("prefix"),
           Long.parseLong(query.get("from")),
           Integer.parseInt(query.get("wait_ms")) / 1000.0,
+          suspended,
           c -> {
             synchronized (resultLock) {
               results.add(c);
--- a/src/test/java/org/ternhinge/cli/TaskHistory.java
+++ b/src/test/java/org/ternhinge/cli/TaskHistory.java
@@ -21,6 +21,16 @@
    */
   record Start(double at, TaskId task, String machine, String zone) {}
 
+  /**
+   * A task's time on a machine.
+   *
+   * @param to time of its removal in seconds; infinite while it is there
+   */
+  record Run(TaskId task, String machine, double from, double to) {}
+
+  private final List<Run> ended = new ArrayList<>();
+  private final Map<TaskId, Map<String, Double>> startTimes = new HashMap<>();
+  private int maxLiveTasks;
   private final List<Start> starts = new ArrayList<>();
   private final Map<TaskId, Set<String>> machinesByTask = new HashMap<>();
   private final Set<TaskId> completed = new HashSet<>();
@@ -34,11 +44,17 @@
     }
     machines.add(machine);
     starts.add(new Start(at, task, machine, zone));
+    startTimes.computeIfAbsent(task, key -> new HashMap<>()).put(machine, at);
+    maxLiveTasks = Math.max(maxLiveTasks, liveTasks());
   }
 
   /** Records that a task is no longer on its machine, completed or not. */
   synchronized void recordRemoval(TaskId task, String machine, boolean done) {
     machinesByTask.computeIfAbsent(task, key -> new HashSet<>()).remove(machine);
+    Double from = startTimes.computeIfAbsent(task, key -> new HashMap<>()).remove(machine);
+    if (from != null) {
+      ended.add(new Run(task, machine, from, System.nanoTime() / 1e9));
+    }
     if (done) {
       completed.add(task);
     }
@@ -84,6 +100,27 @@
     return tasks;
   }
 
+  /** Returns all times of tasks on machines so far. */
+  synchronized List<Run> runs() {
+    List<Run> runs = new ArrayList<>(ended);
+    startTimes.forEach(
+        (task, starts) ->
+            starts.forEach(
+                (machine, from) ->
+                    runs.add(new Run(task, machine, from, Double.POSITIVE_INFINITY))));
+    return runs;
+  }
+
+  /** Returns the largest number of tasks that were on machines at the same time. */
+  synchronized int maxLiveTasks() {
+    return maxLiveTasks;
+  }
+
+  /** Returns whether a task has completed on some machine. */
+  synchronized boolean isCompleted(TaskId task) {
+    return completed.contains(task);
+  }
+
   synchronized int liveTasks() {
     return machinesByTask.values().stream().mapToInt(Set::size).sum();
   }
