--- a/src/test/java/org/ternhinge/cli/LoopbackCluster.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackCluster.java
@@ -173,6 +173,11 @@
     return processes.get(node).isAlive();
   }
 
+  /** The exit status of a process that has ended. */
+  int exitStatus(int node) {
+    return processes.get(node).exitValue();
+  }
+
   private Path logOf(int node) {
     return dir.resolve("node-" + node + ".log");
   }
--- a/src/test/java/org/ternhinge/cli/SoakRun.java
+++ b/src/test/java/org/ternhinge/cli/SoakRun.java
@@ -6,8 +6,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
@@ -76,6 +78,8 @@
   private final Path dir;
   private final ScheduledExecutorService timers =
       Executors.newScheduledThreadPool(TIMER_THREADS, SoakRun::daemonThread);
+  private final Set<Integer> endedByThemselves = new HashSet<>();
+  private double faultsStartedAt;
   private final AtomicLong maxTimerDelayNanos = new AtomicLong();
   private final TaskHistory tasks = new TaskHistory();
   private final SoakHistory history = new SoakHistory(tasks, CANCEL_S);
@@ -144,7 +148,8 @@
     SoakUsers users = new SoakUsers(cluster.clientPorts(), history, RUN_S, timers, random.split());
     writeSchedule(faults);
     users.start();
-    double faultsEnd = now() + faults.start();
+    faultsStartedAt = now();
+    double faultsEnd = faultsStartedAt + faults.start();
     watchUntil(faultsEnd, cluster, faults, () -> false);
     faults.end();
     users.stopSubmitting();
@@ -171,12 +176,13 @@
   private void watchUntil(
       double end, LoopbackCluster cluster, SoakFaults faults, BooleanSupplier condition)
       throws InterruptedException {
-    boolean[] reported = new boolean[LoopbackCluster.NODES];
     while (now() < end && !condition.getAsBoolean()) {
       for (int i = 0; i < LoopbackCluster.NODES; i++) {
-        if (!reported[i] && !faults.isDown(i) && !cluster.isAlive(i)) {
-          reported[i] = true;
-          history.recordViolation("controller ended by itself: node-" + i);
+        if (!faults.isDown(i) && !cluster.isAlive(i) && endedByThemselves.add(i)) {
+          history.recordViolation(
+              String.format(
+                  "controller ended by itself: node-%d with status %d after %.1f s",
+                  i, cluster.exitStatus(i), now() - faultsStartedAt));
         }
       }
       Thread.sleep(100);
