Check the pause between rounds at run time; count responses that come after the deadline

InvariantChecks logs a violation with its facts and counts it; it changes no answer and ends nothing. The pause after a round is checked where a round begins. The stand-in world takes its violations for broken rules. discarded_response of job-requests counts final responses that came when the user had been answered 503: the loss that went unseen in the incident.

--- a/src/main/java/org/ternhinge/controller/RouteTable.java
+++ b/src/main/java/org/ternhinge/controller/RouteTable.java
@@ -166,9 +166,18 @@
     };
   }
 
+  private void countDiscarded(Response response) {
+    if (response.status() != Responses.UNAVAILABLE) {
+      metrics.count(Event.DISCARDED_RESPONSE);
+    }
+  }
+
   private Route.Handler withDeadline(double deadlineS, Route.Handler handler) {
     return (request, origin, answer) ->
-        handler.handle(request, origin, ResponseDeadline.within(deadlineS, clock, answer));
+        handler.handle(
+            request,
+            origin,
+            ResponseDeadline.within(deadlineS, clock, answer, this::countDiscarded));
   }
 
   /**
--- a/src/main/java/org/ternhinge/metrics/JobRequestMetrics.java
+++ b/src/main/java/org/ternhinge/metrics/JobRequestMetrics.java
@@ -45,6 +45,8 @@
     STORE_REFUSED,
     /** The key-value store did not respond to the read in time. */
     STORE_NO_RESPONSE,
+    /** A final response came after the deadline, when the user had been answered. */
+    DISCARDED_RESPONSE,
     /** The user got 503. */
     REFUSED,
     /** The user got 503 because no answer was found by the deadline. */
--- a/src/main/java/org/ternhinge/metrics/Metrics.java
+++ b/src/main/java/org/ternhinge/metrics/Metrics.java
@@ -25,8 +25,14 @@
   private final Histogram evaluations = new Histogram(MAX_EVALUATIONS, SIGNIFICANT_DIGITS);
   private final Histogram failoverTimes = new Histogram(MAX_MS, SIGNIFICANT_DIGITS);
   private final Histogram timerDelays = new Histogram(MAX_MS, SIGNIFICANT_DIGITS);
+  private final InvariantChecks invariants = new InvariantChecks();
   private final JobRequestMetrics jobRequests = new JobRequestMetrics();
 
+  /** Invariants that are checked at run time. */
+  public InvariantChecks invariants() {
+    return invariants;
+  }
+
   /** How users' requests about jobs end at this node. */
   public JobRequestMetrics jobRequests() {
     return jobRequests;
--- a/src/main/java/org/ternhinge/request/ResponseDeadline.java
+++ b/src/main/java/org/ternhinge/request/ResponseDeadline.java
@@ -28,12 +28,27 @@
    */
   public static Consumer<Response> within(
       double seconds, Clock clock, Consumer<Response> responseCallback) {
+    return within(seconds, clock, responseCallback, late -> {});
+  }
+
+  /**
+   * Wraps a response callback with a deadline.
+   *
+   * @param lateCallback receives the responses after the first one, which the user does not get
+   */
+  public static Consumer<Response> within(
+      double seconds,
+      Clock clock,
+      Consumer<Response> responseCallback,
+      Consumer<Response> lateCallback) {
     AtomicReference<Consumer<Response>> pending = new AtomicReference<>(responseCallback);
     Consumer<Response> first =
         response -> {
           Consumer<Response> pendingCallback = pending.getAndSet(null);
           if (pendingCallback != null) {
             pendingCallback.accept(response);
+          } else {
+            lateCallback.accept(response);
           }
         };
     clock.schedule(seconds, () -> first.accept(Responses.busy()));
--- a/src/main/java/org/ternhinge/round/SchedulingRounds.java
+++ b/src/main/java/org/ternhinge/round/SchedulingRounds.java
@@ -9,6 +9,7 @@
 import org.ternhinge.failover.ZoneControl;
 import org.ternhinge.ledger.Authority;
 import org.ternhinge.machine.MachineTypeCatalog;
+import org.ternhinge.metrics.InvariantChecks;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.MonotonicTime;
@@ -126,6 +127,7 @@
         requestRound();
         return Optional.empty();
       }
+      checkPause();
       lastStart = clock.now();
       if (!authority.isValid() || machineTypes.isEmpty()) {
         return Optional.empty();
@@ -137,6 +139,19 @@
     }
   }
 
+  /** Checks that the last round was followed by its pause. */
+  private void checkPause() {
+    double sinceStartS = clock.now().secondsSince(lastStart);
+    if (sinceStartS < lastDurationS * MIN_INTERVAL_FACTOR - DUE_TOLERANCE_S) {
+      metrics
+          .invariants()
+          .violated(
+              InvariantChecks.line("round-pause")
+                  .withSeconds("last_round_s", lastDurationS)
+                  .withSeconds("since_its_start_s", sinceStartS));
+    }
+  }
+
   /** Plans a round; empty if the planner failed, in which case the next round tries again. */
   private Optional<Plan> plan(Snapshot snapshot) {
     try {
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -210,7 +210,9 @@
 
   /** Protocol violations detected so far. */
   public List<String> violations() {
-    return violations.all();
+    List<String> all = new ArrayList<>(violations.all());
+    all.addAll(metrics.invariants().violations());
+    return all;
   }
 
   /** Number of task starts after the cancellation of the job was confirmed to its user. */
