--- a/src/test/java/org/ternhinge/cli/SoakFaults.java
+++ b/src/test/java/org/ternhinge/cli/SoakFaults.java
@@ -174,36 +174,51 @@
   private void begin(Fault fault) {
     int any = fault.controller();
     int leader = leaderOr(any);
-    double seconds = fault.seconds();
     switch (fault.kind()) {
       case KILL_LEADER -> kill(leader, restartDelayS(fault));
       case KILL_ANY -> kill(any, restartDelayS(fault));
       case KILL_ALL -> killAll(restartDelayS(fault));
       case KILL_LEADERS_IN_SERIES -> killLeaders(LEADERS_IN_SERIES, any);
-      case PAUSE_LEADER -> pause(leader, seconds);
-      case PAUSE_ANY -> pause(any, seconds);
-      case CUT_STORE -> cut(List.of(links.toStore(any)), directions(fault), seconds);
-      case CUT_PEERS -> cut(links.withPeers(any), directions(fault), seconds);
-      case CUT_WORKERS -> cut(List.of(links.fromWorkers(any)), directions(fault), seconds);
+      case PAUSE_LEADER -> pause(leader, fault.seconds());
+      case PAUSE_ANY -> pause(any, fault.seconds());
+      default -> beginLinkFault(fault, leader);
+    }
+  }
+
+  private void beginLinkFault(Fault fault, int leader) {
+    int any = fault.controller();
+    Set<LinkRelay.Direction> directions = directions(fault);
+    double seconds = fault.seconds();
+    switch (fault.kind()) {
+      case CUT_STORE -> cut(List.of(links.toStore(any)), directions, seconds);
+      case CUT_PEERS -> cut(links.withPeers(any), directions, seconds);
+      case CUT_WORKERS -> cut(List.of(links.fromWorkers(any)), directions, seconds);
       case CUT_STORE_AND_PEERS -> {
-        cut(List.of(links.toStore(leader)), directions(fault), seconds);
-        cut(links.withPeers(leader), directions(fault), seconds);
+        cut(List.of(links.toStore(leader)), directions, seconds);
+        cut(links.withPeers(leader), directions, seconds);
       }
       case CUT_ZONE -> cutZone(zones.get(any % zones.size()), seconds);
       case SLOW_STORE -> slow(List.of(links.toStore(any)), fault);
       case SLOW_PEERS -> slow(links.withPeers(leader), fault);
       case RESET_PEERS -> links.withPeers(any).forEach(LinkRelay::reset);
       case RESET_WORKERS -> links.fromWorkers(any).reset();
-      case REFUSE_LEADER -> cluster.services().faults().refuse(leader, seconds);
+      default -> beginStoreFault(fault, leader);
+    }
+  }
+
+  private void beginStoreFault(Fault fault, int leader) {
+    LoopbackStoreFaults store = cluster.services().faults();
+    double seconds = fault.seconds();
+    switch (fault.kind()) {
+      case REFUSE_LEADER -> store.refuse(leader, seconds);
       case REFUSE_LEADER_THEN_ALL -> {
-        cluster.services().faults().refuse(leader, seconds);
-        after(MIN_S, () -> cluster.services().faults().refuseAll(2 * seconds - MIN_S));
+        store.refuse(leader, seconds);
+        after(MIN_S, () -> store.refuseAll(2 * seconds - MIN_S));
       }
-      case REFUSE_ALL -> cluster.services().faults().refuseAll(seconds);
-      case LATE_WRITES ->
-          cluster.services().faults().withholdAnswers(WITHHELD_SHARE, true, seconds);
-      case LOST_ANSWERS ->
-          cluster.services().faults().withholdAnswers(WITHHELD_SHARE, false, seconds);
+      case REFUSE_ALL -> store.refuseAll(seconds);
+      case LATE_WRITES -> store.withholdAnswers(WITHHELD_SHARE, true, seconds);
+      case LOST_ANSWERS -> store.withholdAnswers(WITHHELD_SHARE, false, seconds);
+      default -> throw new IllegalArgumentException(fault.toString());
     }
   }
 
