--- a/src/test/java/org/ternhinge/request/JobLookupTest.java
+++ b/src/test/java/org/ternhinge/request/JobLookupTest.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.locks.ReentrantLock;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.ternhinge.config.Tuning;
@@ -145,4 +146,13 @@
     }
     return checked instanceof DependencyCheck.Rejected rejected ? rejected.reason() : "unavailable";
   }
+
+  @Test
+  void unreadableRecordDoesNotKeepLaterLookupsOfTheJobWaiting() {
+    JobId id = new JobId("wk-1");
+    put(Keys.job(id), Json.object().put("d", "not a range"));
+    lookup.find(id, RequestPriority.QUERY, found -> {});
+    lookup.find(id, RequestPriority.QUERY, found -> result = found);
+    assertEquals(JobLookup.UNAVAILABLE, result);
+  }
 }
