Lookups of jobs: a record that can't be decoded, or a callback that throws, no longer takes others' answers

Callers saw 503 at the deadline for a job for as long as the process lived: one query, repeat or cancellation that met an unreadable record was never answered, and every later one of that job at that node waited behind it, also after the record was readable again.

Cause, a shared entry whose removal depends on somebody else's callback being called: the record was decoded inside the completion handler of the read, so an exception ended the chain without a result, and CoalescedLookups starts the next lookup of a job only from that result. The same hole for a lookup that throws before it returns, and for a requester's callback that throws.

An unreadable record is `unavailable` (503, never 404), logged once with its key and counted as record_unreadable instead of as a failure of the store. RecordCodec names the field that is wrong, and rejects tasks and segments that the job does not have. The time limit of a read stays with the store's client.

--- a/src/main/java/org/ternhinge/leadership/DependencyResolver.java
+++ b/src/main/java/org/ternhinge/leadership/DependencyResolver.java
@@ -4,7 +4,8 @@
 import org.ternhinge.ledger.DependencyGraph;
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.ledger.Ledger;
-import org.ternhinge.ledger.RecordCodec;
+import org.ternhinge.ledger.StoredJobState;
+import org.ternhinge.ledger.UnreadableRecordLog;
 import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.Outcome;
@@ -12,6 +13,7 @@
 import org.ternhinge.store.KeyValueStore;
 import org.ternhinge.term.LeadershipContext;
 import org.ternhinge.term.LeadershipExecutor;
+import org.ternhinge.wire.JobState;
 
 /**
  * Reads the final states of dependencies that are not in the ledger because they ended before this
@@ -25,8 +27,8 @@
   private static final int MAX_READS = 8;
 
   /**
-   * Seconds until the final state of a job is read again if none is stored: the job has just been
-   * accepted by another node, and the watch will report it.
+   * Seconds until the final state of a job is read again if none is stored, since the job has just
+   * been accepted by another node and the watch will report it, or if its record can't be decoded.
    */
   private static final double RETRY_S = 0.5;
 
@@ -35,6 +37,7 @@
   private final DependencyGraph dependencies;
   private final LeadershipExecutor executor;
   private final Runnable onResolved;
+  private final UnreadableRecordLog unreadableRecords = new UnreadableRecordLog();
   private int runningReads;
 
   /**
@@ -66,13 +69,13 @@
   }
 
   private void handleReadResult(JobId id, Outcome<KeyValueStore.ReadResult> outcome) {
-    Optional<Entry> end =
+    Optional<JobState> finalState =
         outcome instanceof Outcome.Applied<KeyValueStore.ReadResult> read
-            ? read.value().entry()
+            ? read.value().entry().flatMap(entry -> decode(id, entry))
             : Optional.empty();
-    if (end.isPresent()) {
+    if (finalState.isPresent()) {
       runningReads--;
-      ledger.resolveEnd(RecordCodec.decodeFinalRecord(id, end.get().value()));
+      ledger.resolveEnd(finalState.get());
       onResolved.run();
       resolvePending();
     } else {
@@ -80,6 +83,16 @@
     }
   }
 
+  /** Decodes a final record; empty if it is unreadable, so that jobs continue to wait for it. */
+  private Optional<JobState> decode(JobId id, Entry entry) {
+    StoredJobState state = StoredJobState.ofFinalRecord(id, entry.value());
+    if (state instanceof StoredJobState.Decoded decoded) {
+      return Optional.of(decoded.state());
+    }
+    unreadableRecords.report(entry.key(), ((StoredJobState.Unreadable) state).reason());
+    return Optional.empty();
+  }
+
   private void retry(JobId id) {
     runningReads--;
     dependencies.retryUnresolved(id);
--- a/src/main/java/org/ternhinge/ledger/RecordCodec.java
+++ b/src/main/java/org/ternhinge/ledger/RecordCodec.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import it.unimi.dsi.fastutil.ints.IntList;
 import java.util.BitSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -167,7 +168,8 @@
     if (value.path(CANCELLED).asBoolean()) {
       job.markCancellationDurable();
     }
-    for (int segment : TaskRanges.decode(value.path(MERGED).asText(""))) {
+    int segments = job.record().segments();
+    for (int segment : decodeRanges(MERGED, value.path(MERGED).asText(""), segments)) {
       job.record().merged().set(segment);
       if (!job.isCancelled()) {
         // Which tasks of merged segments were done is unknown if the job is cancelled.
@@ -186,7 +188,7 @@
     if (job.record().merged().get(segment)) {
       return;
     }
-    for (int i : TaskRanges.decode(Json.text(value, DONE))) {
+    for (int i : decodeRanges(DONE, Json.text(value, DONE), job.spec().tasks())) {
       job.doneTasks().set(i);
     }
     for (JsonNode item : Json.list(value, OPEN)) {
@@ -199,12 +201,36 @@
     if (fields.length != ATTEMPT_FIELDS) {
       throw new WireException(OPEN + ": malformed attempt: " + text);
     }
-    AttemptNumber number = new AttemptNumber(Long.parseLong(fields[0]));
-    MachineId machine = new MachineId(fields[1]);
-    AgentEpoch epoch = new AgentEpoch(Long.parseLong(fields[2]));
-    int zone = Integer.parseInt(fields[3]);
-    for (int i : TaskRanges.decode(fields[4])) {
-      job.openAttemptsByTask().put(i, new Attempt(job, i, number, machine, epoch, zone, true, now));
+    try {
+      AttemptNumber number = new AttemptNumber(Long.parseLong(fields[0]));
+      MachineId machine = new MachineId(fields[1]);
+      AgentEpoch epoch = new AgentEpoch(Long.parseLong(fields[2]));
+      int zone = Integer.parseInt(fields[3]);
+      for (int i : decodeRanges(OPEN, fields[4], job.spec().tasks())) {
+        Attempt attempt = new Attempt(job, i, number, machine, epoch, zone, true, now);
+        job.openAttemptsByTask().put(i, attempt);
+      }
+    } catch (NumberFormatException e) {
+      throw new WireException(OPEN + ": malformed attempt: " + text);
+    }
+  }
+
+  /** Decodes ranges of indexes from 0, inclusive, to a bound, exclusive. */
+  private static IntList decodeRanges(String field, String text, int bound) throws WireException {
+    IntList indexes = decodeRanges(field, text);
+    for (int i = 0; i < indexes.size(); i++) {
+      if (indexes.getInt(i) >= bound) {
+        throw new WireException(field + ": out of range: " + indexes.getInt(i));
+      }
+    }
+    return indexes;
+  }
+
+  private static IntList decodeRanges(String field, String text) throws WireException {
+    try {
+      return TaskRanges.decode(text);
+    } catch (IllegalArgumentException e) {
+      throw new WireException(field + ": " + e.getMessage());
     }
   }
 
@@ -214,25 +240,37 @@
     return Json.object().put(END_STATE, state).put(END_DONE, job.doneCount());
   }
 
-  /** Decodes a job's final record. */
-  public static JobState decodeFinalRecord(JobId id, JsonNode value) {
-    boolean cancelled = value.path(END_STATE).asText().equals(END_STATE_CANCELLED);
-    JobState.Phase phase = cancelled ? JobState.Phase.CANCELLED : JobState.Phase.DONE;
+  /**
+   * Decodes a job's final record.
+   *
+   * @throws WireException when the record does not say how the job ended
+   */
+  public static JobState decodeFinalRecord(JobId id, JsonNode value) throws WireException {
+    JobState.Phase phase =
+        switch (Json.text(value, END_STATE)) {
+          case END_STATE_CANCELLED -> JobState.Phase.CANCELLED;
+          case END_STATE_DONE -> JobState.Phase.DONE;
+          default -> throw new WireException(END_STATE + ": unknown end state");
+        };
     return new JobState(id, phase, value.path(END_DONE).asInt(), 0);
   }
 
-  /** Decodes the state that is visible to users from the first segment alone. */
-  public static JobState decodeState(JobId id, JsonNode value) {
+  /**
+   * Decodes the state that is visible to users from the first segment alone.
+   *
+   * @throws WireException when the ranges of done or open tasks are malformed
+   */
+  public static JobState decodeState(JobId id, JsonNode value) throws WireException {
     if (value.path(CANCELLED).asBoolean()) {
       return new JobState(id, JobState.Phase.CANCELLED, 0, 0);
     }
     int segmentSize = value.path(SEGMENT_SIZE).asInt();
-    int done = TaskRanges.decode(value.path(DONE).asText("")).size();
-    done += TaskRanges.decode(value.path(MERGED).asText("")).size() * segmentSize;
+    int done = decodeRanges(DONE, value.path(DONE).asText("")).size();
+    done += decodeRanges(MERGED, value.path(MERGED).asText("")).size() * segmentSize;
     int open = 0;
     for (JsonNode item : value.path(OPEN)) {
       String text = item.asText();
-      open += TaskRanges.decode(text.substring(text.lastIndexOf(':') + 1)).size();
+      open += decodeRanges(OPEN, text.substring(text.lastIndexOf(':') + 1)).size();
     }
     JobState.Phase phase = open > 0 ? JobState.Phase.RUNNING : JobState.Phase.QUEUED;
     return new JobState(id, phase, done, open);
--- a/src/main/java/org/ternhinge/metrics/JobRequestMetrics.java
+++ b/src/main/java/org/ternhinge/metrics/JobRequestMetrics.java
@@ -45,6 +45,8 @@
     STORE_REFUSED,
     /** The key-value store did not respond to the read in time. */
     STORE_NO_RESPONSE,
+    /** A record of the job or of one of its dependencies can't be decoded. */
+    RECORD_UNREADABLE,
     /** A final response came after the deadline, when the user had been answered. */
     DISCARDED_RESPONSE,
     /** The user got 503. */
--- a/src/main/java/org/ternhinge/model/AsyncCalls.java
+++ b/src/main/java/org/ternhinge/model/AsyncCalls.java
@@ -43,6 +43,17 @@
     };
   }
 
+  /**
+   * Runs an action whose exception must not affect the actions after it; the exception is logged.
+   */
+  public static void runIsolated(Runnable action) {
+    try {
+      action.run();
+    } catch (RuntimeException e) {
+      LOG.error("asynchronous action failed", e);
+    }
+  }
+
   /** Logs the exception of a call whose result is not needed. */
   public static void logExceptions(CompletionStage<?> call) {
     var unused = call.whenComplete((result, error) -> logFailure(error));
--- a/src/main/java/org/ternhinge/request/JobLookup.java
+++ b/src/main/java/org/ternhinge/request/JobLookup.java
@@ -1,18 +1,21 @@
 package org.ternhinge.request;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.Consumer;
 import org.slf4j.Logger;
 import org.slf4j.LoggerFactory;
 import org.ternhinge.ledger.Keys;
-import org.ternhinge.ledger.RecordCodec;
+import org.ternhinge.ledger.StoredJobState;
+import org.ternhinge.ledger.UnreadableRecordLog;
 import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.metrics.JobRequestMetrics;
-import org.ternhinge.model.AsyncCalls;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.store.Entry;
@@ -48,25 +51,36 @@
   /** The job was never accepted. */
   record Absent() implements Result {}
 
-  /** The key-value store can't be read now, or the chain of dependencies is too long. */
+  /**
+   * The key-value store can't be read now, a record can't be decoded, or the chain of dependencies
+   * is too long.
+   */
   record Unavailable() implements Result {}
 
   static final Result ABSENT = new Absent();
   static final Result UNAVAILABLE = new Unavailable();
 
-  /**
-   * A job according to its record or its end record, regardless of the state of its dependencies.
-   */
-  private record StoredJob(Found found, List<JobId> dependencies) {}
+  /** What was read of one job; its dependencies are not considered. */
+  private sealed interface ReadResult {
+    /** A record of the job was decoded. */
+    record Present(StoredJobState.Decoded job) implements ReadResult {}
+
+    /** The store contains no record of the job. */
+    record Missing() implements ReadResult {}
+
+    /** The record can't be read or decoded. */
+    record Failed() implements ReadResult {}
+  }
 
   private final KeyValueStore store;
   private final JobRequestMetrics metrics;
+  private final UnreadableRecordLog unreadableRecords = new UnreadableRecordLog();
   private final CoalescedLookups coalescedLookups = new CoalescedLookups(this::startSearch);
 
   /**
    * Creates a lookup that reads from the given store.
    *
-   * @param metrics counts the reads that failed, by reason
+   * @param metrics counts the reads that gave no state, by reason
    */
   public JobLookup(KeyValueStore store, JobRequestMetrics metrics) {
     this.store = store;
@@ -82,32 +96,43 @@
   }
 
   private void startSearch(JobId id, RequestPriority priority, Consumer<Result> callback) {
-    new Search(id, priority, callback).start();
+    var unused =
+        new Search(id, priority)
+            .run()
+            .exceptionally(error -> logAsUnavailable(id, error))
+            .thenAccept(callback);
+  }
+
+  private static Result logAsUnavailable(JobId id, Throwable error) {
+    LOG.error("lookup of job {} failed", id, error);
+    return UNAVAILABLE;
   }
 
   /** One lookup: reads the job itself, then its dependencies sequentially. */
   private final class Search {
     private final JobId id;
     private final RequestPriority priority;
-    private final Consumer<Result> callback;
     private final Deque<JobId> unread = new ArrayDeque<>();
     private final Set<JobId> seen = new HashSet<>();
     private Found found;
 
-    Search(JobId id, RequestPriority priority, Consumer<Result> callback) {
+    Search(JobId id, RequestPriority priority) {
       this.id = id;
       this.priority = priority;
-      this.callback = callback;
     }
 
-    void start() {
-      read(id, this::handleJob, () -> callback.accept(ABSENT));
+    CompletableFuture<Result> run() {
+      return read(id).thenCompose(this::handleJob);
     }
 
-    private void handleJob(StoredJob job) {
-      found = job.found();
-      addUnread(job.dependencies());
-      readNextDependency();
+    private CompletableFuture<Result> handleJob(ReadResult read) {
+      if (read instanceof ReadResult.Present present) {
+        StoredJobState.Decoded job = present.job();
+        found = new Found(job.state(), job.service());
+        addUnread(job.dependencies());
+        return readNextDependency();
+      }
+      return completed(read instanceof ReadResult.Missing ? ABSENT : UNAVAILABLE);
     }
 
     private void addUnread(List<JobId> ids) {
@@ -118,62 +143,79 @@
       }
     }
 
-    private void readNextDependency() {
+    private CompletableFuture<Result> readNextDependency() {
       if (unread.isEmpty()) {
-        callback.accept(found);
-      } else if (seen.size() > MAX_DEPENDENCY_READS) {
-        callback.accept(UNAVAILABLE);
-      } else {
-        // A dependency was accepted before the job, so a read that finds none is not conclusive.
-        read(unread.poll(), this::handleDependency, () -> callback.accept(UNAVAILABLE));
+        return completed(found);
+      }
+      if (seen.size() > MAX_DEPENDENCY_READS) {
+        return completed(UNAVAILABLE);
       }
+      return read(unread.poll()).thenCompose(this::handleDependency);
     }
 
-    private void handleDependency(StoredJob dependency) {
-      if (dependency.found().state().phase() == JobState.Phase.CANCELLED) {
+    private CompletableFuture<Result> handleDependency(ReadResult read) {
+      if (!(read instanceof ReadResult.Present present)) {
+        // A dependency was accepted before the job, so a read that finds none is not conclusive.
+        return completed(UNAVAILABLE);
+      }
+      StoredJobState.Decoded dependency = present.job();
+      if (dependency.state().phase() == JobState.Phase.CANCELLED) {
         JobState cancelled = new JobState(id, JobState.Phase.CANCELLED, 0, 0);
-        callback.accept(new Found(cancelled, found.service()));
-        return;
+        return completed(new Found(cancelled, found.service()));
       }
       addUnread(dependency.dependencies());
-      readNextDependency();
+      return readNextDependency();
     }
 
     /**
      * Reads the record of a job, then its end record. When a job ends, one transaction replaces the
      * former by the latter, so reading in this order can't miss the job.
      */
-    private void read(JobId job, Consumer<StoredJob> present, Runnable absent) {
-      readEntry(
-          job,
-          Keys.job(job),
-          entry -> present.accept(fromRecord(job, entry)),
-          () ->
-              readEntry(
-                  job,
-                  Keys.finalRecord(job),
-                  entry -> present.accept(fromEnd(job, entry)),
-                  absent));
+    private CompletableFuture<ReadResult> read(JobId job) {
+      return readEntry(job, Keys.job(job), StoredJobState::ofRecord)
+          .thenCompose(
+              read ->
+                  read instanceof ReadResult.Missing
+                      ? readEntry(job, Keys.finalRecord(job), StoredJobState::ofFinalRecord)
+                      : completed(read));
     }
 
-    private void readEntry(JobId job, String key, Consumer<Entry> present, Runnable absent) {
-      AsyncCalls.whenComplete(
-          store.get(key, priority), outcome -> handleReadOutcome(job, outcome, present, absent));
+    private CompletableFuture<ReadResult> readEntry(JobId job, String key, Decoder decoder) {
+      return store
+          .get(key, priority)
+          .thenApply(
+              outcome -> {
+                if (outcome instanceof Outcome.Applied<KeyValueStore.ReadResult> applied) {
+                  return decode(job, key, applied.value().entry(), decoder);
+                }
+                LOG.debug("lookup of job {} failed: {}", job, outcome);
+                metrics.count(failureOf(outcome));
+                return new ReadResult.Failed();
+              });
     }
+  }
 
-    private void handleReadOutcome(
-        JobId job,
-        Outcome<KeyValueStore.ReadResult> outcome,
-        Consumer<Entry> present,
-        Runnable absent) {
-      if (outcome instanceof Outcome.Applied<KeyValueStore.ReadResult> read) {
-        read.value().entry().ifPresentOrElse(present, absent);
-      } else {
-        LOG.debug("lookup of job {} failed: {}", job, outcome);
-        metrics.count(failureOf(outcome));
-        callback.accept(UNAVAILABLE);
-      }
+  /** Decodes a kind of record. */
+  @FunctionalInterface
+  private interface Decoder {
+    StoredJobState decode(JobId id, JsonNode value);
+  }
+
+  private ReadResult decode(JobId job, String key, Optional<Entry> entry, Decoder decoder) {
+    if (entry.isEmpty()) {
+      return new ReadResult.Missing();
+    }
+    StoredJobState state = decoder.decode(job, entry.get().value());
+    if (state instanceof StoredJobState.Decoded decoded) {
+      return new ReadResult.Present(decoded);
     }
+    metrics.count(JobRequestMetrics.Event.RECORD_UNREADABLE);
+    unreadableRecords.report(key, ((StoredJobState.Unreadable) state).reason());
+    return new ReadResult.Failed();
+  }
+
+  private static <T> CompletableFuture<T> completed(T result) {
+    return CompletableFuture.completedFuture(result);
   }
 
   private static JobRequestMetrics.Event failureOf(Outcome<?> outcome) {
@@ -184,16 +226,4 @@
         ? JobRequestMetrics.Event.STORE_REFUSED
         : JobRequestMetrics.Event.STORE_NO_RESPONSE;
   }
-
-  private static StoredJob fromRecord(JobId id, Entry entry) {
-    JobState state = RecordCodec.decodeState(id, entry.value());
-    boolean service = RecordCodec.isService(entry.value());
-    return new StoredJob(
-        new Found(state, service), RecordCodec.unstartedDependencies(entry.value()));
-  }
-
-  private static StoredJob fromEnd(JobId id, Entry entry) {
-    return new StoredJob(
-        new Found(RecordCodec.decodeFinalRecord(id, entry.value()), false), List.of());
-  }
 }
