Recovery: a job with one unreadable segment is skipped whole, so its tasks are not started again

Callers would have seen a task run twice, or a done task run again, after a change of leader. Cause, a check in one path and not in another: an unreadable first segment skips the job, but an unreadable later segment was skipped alone, and the tasks it covers then looked as if they had never been started.

The job is now left out as a whole and logged, as with its first segment.

--- a/src/main/java/org/ternhinge/ledger/LedgerLoader.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerLoader.java
@@ -25,8 +25,8 @@
 
 /**
  * Loads the state for a new leader: all unfinished jobs, and the provision requests and machine
- * releases in progress. Unreadable records are logged and skipped, so that they do not prevent the
- * others from being loaded.
+ * releases in progress. A job with an unreadable segment is logged and skipped as a whole, so that
+ * it does not prevent the others from being loaded.
  */
 public final class LedgerLoader {
   private static final Logger LOG = LoggerFactory.getLogger(LedgerLoader.class);
@@ -138,6 +138,8 @@
         read(entry, jobsById, now);
       } catch (WireException | RuntimeException e) {
         LOG.error("skipping unreadable job record {}: {}", entry.key(), e.toString());
+        // Without one of its segments, tasks that run or are done would look as if never started.
+        jobsById.remove(jobOf(entry));
       }
     }
     return new LoadedState(
@@ -146,21 +148,27 @@
 
   private static void read(Entry entry, Map<JobId, Job> jobsById, MonotonicTime now)
       throws WireException {
-    String name = entry.key().substring(Keys.JOBS.length());
-    int slash = name.indexOf('/');
+    int slash = entry.key().indexOf('/', Keys.JOBS.length());
     if (slash < 0) {
       Job job = RecordCodec.decodeFirst(entry.value(), entry.revision(), now);
       jobsById.put(job.spec().id(), job);
       return;
     }
     // Keys are listed in order, so the first segment has been read already.
-    Job job = jobsById.get(new JobId(name.substring(0, slash)));
+    Job job = jobsById.get(jobOf(entry));
     if (job != null) {
-      int segment = Integer.parseInt(name.substring(slash + 1));
+      int segment = Integer.parseInt(entry.key().substring(slash + 1));
       RecordCodec.decodeTasks(job, segment, entry.value(), entry.revision(), now);
     }
   }
 
+  /** The job to whose record an entry belongs. */
+  private static JobId jobOf(Entry entry) {
+    int slash = entry.key().indexOf('/', Keys.JOBS.length());
+    int end = slash < 0 ? entry.key().length() : slash;
+    return new JobId(entry.key().substring(Keys.JOBS.length(), end));
+  }
+
   /** Reads the record of a newly accepted job. */
   public static Job read(JsonNode value, Revision revision, MonotonicTime now)
       throws WireException {
