Job watch: one change that can't be processed no longer ends the watch

Callers would have seen jobs accepted at other nodes never start, for as long as the leader led: the next request of the watch is sent from the handler of the last, and an exception other than the two that were caught ended the chain.

Evidence: UnreadableJobRecordTest#jobsAcceptedByOtherNodesAreStarted failed before for a record whose merged segments lie outside the job (IndexOutOfBoundsException): the next job was accepted with 201 and never started.

Each change is processed in isolation; an exception is logged, and the watch goes on from the next revision.

--- a/src/main/java/org/ternhinge/leadership/JobWatch.java
+++ b/src/main/java/org/ternhinge/leadership/JobWatch.java
@@ -7,6 +7,7 @@
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.ledger.LeadershipLoss;
 import org.ternhinge.ledger.LedgerLoader;
+import org.ternhinge.model.AsyncCalls;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.Outcome;
@@ -72,7 +73,8 @@
 
   private void process(KeyValueStore.WatchResult changes) {
     for (Change.Observed change : changes.changes()) {
-      process(change);
+      // A change whose processing fails must end neither the watch nor the processing of others.
+      AsyncCalls.runIsolated(() -> process(change));
     }
     if (changes.revision().value() > watchedTo.value()) {
       watchedTo = changes.revision();
@@ -93,7 +95,7 @@
   private void decodeAndAdmit(String key, JsonNode record, Revision created) {
     try {
       admission.admit(LedgerLoader.read(record, created, clock.now()), created);
-    } catch (WireException | IllegalArgumentException e) {
+    } catch (WireException e) {
       LOG.error("job record {} is unreadable: {}", key, e.getMessage());
     }
   }
