Recovery gate: a deferred action that throws no longer takes the turn of those after it

Workers whose heartbeats wait for the end of a recovery would have got no response. Cause: one loop over the deferred actions, ended by the first exception. RecoveryGateTest#actionThatThrowsDoesNotAffectOthers failed before.

--- a/src/main/java/org/ternhinge/leadership/RecoveryGate.java
+++ b/src/main/java/org/ternhinge/leadership/RecoveryGate.java
@@ -2,8 +2,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.ternhinge.model.AsyncCalls;
 
-/** Defers actions until the ledger has been recovered. Guarded by the controller's lock. */
+/**
+ * Defers actions until the ledger has been recovered. An action that throws does not affect the
+ * others. Guarded by the controller's lock.
+ */
 final class RecoveryGate {
   private final List<Runnable> deferred = new ArrayList<>();
   private boolean open;
@@ -32,6 +36,6 @@
   private void runDeferred() {
     List<Runnable> actions = List.copyOf(deferred);
     deferred.clear();
-    actions.forEach(Runnable::run);
+    actions.forEach(AsyncCalls::runIsolated);
   }
 }
--- a/src/test/java/org/ternhinge/leadership/RecoveryGateTest.java
+++ b/src/test/java/org/ternhinge/leadership/RecoveryGateTest.java
@@ -40,4 +40,17 @@
     gate.open();
     assertEquals(List.of("again"), executed);
   }
+
+  /** Guards against a heartbeat whose exception takes the responses to all others. */
+  @Test
+  void actionThatThrowsDoesNotAffectOthers() {
+    gate.defer(() -> executed.add("first"));
+    gate.defer(
+        () -> {
+          throw new IllegalStateException("planned: a deferred action fails");
+        });
+    gate.defer(() -> executed.add("last"));
+    gate.open();
+    assertEquals(List.of("first", "last"), executed);
+  }
 }
