Tests on real processes: logs of a failed test are kept, and the failure names them

ProcessLogs gives LoopbackIT and ZoneFailoverIT a directory below target/process-logs, deletes it after a test that passed and otherwise names it in the failure. The soak test kept its logs already. No check is changed.

--- a/src/test/java/org/ternhinge/cli/LoopbackIT.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackIT.java
@@ -15,7 +15,7 @@
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.ternhinge.model.JobId;
 import org.ternhinge.sim.SubmissionBuilder;
 
@@ -23,7 +23,7 @@
  * Runs three processes of the packaged program on loopback, with fakes of the external services.
  */
 class LoopbackIT {
-  @TempDir Path dir;
+  @RegisterExtension final ProcessLogs processLogs = new ProcessLogs();
   private LoopbackCluster cluster;
 
   @AfterEach
@@ -35,7 +35,8 @@
 
   @Test
   void jobsSurviveKillOfAllControllers() throws Exception {
-    cluster = new LoopbackCluster(dir, LoopbackCluster.Options.DEFAULT, List.of());
+    cluster =
+        new LoopbackCluster(processLogs.directory(), LoopbackCluster.Options.DEFAULT, List.of());
     cluster.startAll();
     assertTuningErrorNamesFile();
     assertInvalidRequestsAreRejected();
@@ -60,11 +61,11 @@
   }
 
   private void assertTuningErrorNamesFile() throws Exception {
-    Path tuning = dir.resolve("bad.hcl");
+    Path tuning = processLogs.directory().resolve("bad.hcl");
     Files.writeString(
         tuning,
         "zone_failover {\n tiers = [{ name = \"a\", teams = [\"x\"] }, { name = \"b\" }]\n}");
-    String settings = dir.resolve("node-0.json").toString();
+    String settings = processLogs.directory().resolve("node-0.json").toString();
     for (List<String> start : List.of(List.of("check"), List.<String>of())) {
       List<String> args = new ArrayList<>(start);
       args.addAll(List.of("--config", settings, "--tuning", tuning.toString()));
@@ -166,7 +167,7 @@
 
   @Test
   void invalidSettingsExitWithErrorMessage() throws Exception {
-    Path bad = dir.resolve("bad.json");
+    Path bad = processLogs.directory().resolve("bad.json");
     Files.writeString(bad, "{\"node\":\"a\"}");
     Process process = LoopbackCluster.run(List.of("--config", bad.toString()));
     String stderr = new String(process.getErrorStream().readAllBytes(), StandardCharsets.UTF_8);
--- a/src/test/java/org/ternhinge/cli/ZoneFailoverIT.java
+++ b/src/test/java/org/ternhinge/cli/ZoneFailoverIT.java
@@ -17,7 +17,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.api.extension.RegisterExtension;
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.TaskId;
 import org.ternhinge.sim.SubmissionBuilder;
@@ -68,7 +68,7 @@
       }
       """;
 
-  @TempDir Path dir;
+  @RegisterExtension final ProcessLogs processLogs = new ProcessLogs();
 
   private final TaskHistory history = new TaskHistory();
   private final Map<JobId, Integer> jobs = new HashMap<>();
@@ -89,11 +89,13 @@
   }
 
   private void startCluster() throws Exception {
-    Path tuning = dir.resolve("tuning.hcl");
+    Path tuning = processLogs.directory().resolve("tuning.hcl");
     Files.writeString(tuning, TUNING);
     LoopbackCluster.Options options =
         new LoopbackCluster.Options(ZONES, HEARTBEAT_S, LEASE_S, CANCEL_S, 400);
-    cluster = new LoopbackCluster(dir, options, List.of("--tuning", tuning.toString()));
+    cluster =
+        new LoopbackCluster(
+            processLogs.directory(), options, List.of("--tuning", tuning.toString()));
     LoopbackWorker.Context workers =
         new LoopbackWorker.Context(
             HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build(),
@@ -252,12 +254,12 @@
     awaitAllDone();
     pollJobStates();
     assertEquals(List.of(), history.violations());
-    Path log = dir.resolve("all.log");
+    Path log = processLogs.directory().resolve("all.log");
     Files.writeString(log, cluster.logs());
     ZoneLog events = ZoneLog.read(log);
     assertTrue(events.events().size() > 5, "the log contains the zone events");
     assertEquals(0, events.malformed());
-    Path page = dir.resolve("zones.html");
+    Path page = processLogs.directory().resolve("zones.html");
     assertEquals(ZoneReport.Result.COMPLETE, ZoneReport.write(events, page));
     String text = Files.readString(page);
     assertTrue(text.contains("<h2>Doubled attempts</h2><p>None.</p>"), "no duplicate attempts");
