--- a/src/test/java/org/ternhinge/controller/UnreadableJobRecordTest.java
+++ b/src/test/java/org/ternhinge/controller/UnreadableJobRecordTest.java
@@ -8,9 +8,11 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
 import org.ternhinge.ledger.Keys;
 import org.ternhinge.model.JobId;
@@ -26,6 +28,12 @@
   private static final JobId JOB = new JobId("wk-1");
   private static final int TASKS = 4;
 
+  /** Less than the deadlines at which a node responds 503 to a request that is still pending. */
+  private static final double TIMEOUT_S = 1;
+
+  /** Seconds after which users abandon a cancellation. */
+  private static final double CANCELLATION_TIMEOUT_S = 5;
+
   private final ClusterFixture cluster = new ClusterFixture(611);
 
   /** Overwrites a field of the job's record. */
@@ -48,12 +56,16 @@
     }
   }
 
-  private Response answer(int node, String method, String path, byte[] body) {
-    Response response = cluster.simulation.controllers.answerTo(node, method, path, body);
-    for (int i = 0; response == null && i < 4; i++) {
-      cluster.simulation.clock.runFor(1);
+  /** The response to a request that is sent to one node; null if none arrives in time. */
+  private Response respond(double timeoutS, int node, String method, String path) {
+    AtomicReference<Response> received = new AtomicReference<>();
+    Request request = new Request(method, path, new byte[0]);
+    cluster.simulation.controllers.deliver(node, request, received::set);
+    double end = cluster.simulation.clock.seconds() + timeoutS;
+    while (received.get() == null && cluster.simulation.clock.seconds() < end) {
+      cluster.simulation.clock.runFor(0.05);
     }
-    return response;
+    return received.get();
   }
 
   /**
@@ -66,7 +78,7 @@
     runJobWithUnreadableRecord(leaderChanges);
     Set<Integer> known = Set.of(200, 503);
     for (int i = 0; i < 3; i++) {
-      Response polled = answer(node, "GET", "/submissions/" + JOB, new byte[0]);
+      Response polled = respond(TIMEOUT_S, node, "GET", "/submissions/" + JOB);
       assertNotNull(polled, "poll " + i + " is answered");
       assertTrue(known.contains(polled.status()), "poll: " + polled.status());
     }
@@ -81,6 +93,23 @@
     assertTrue(Set.of(201, 503).contains(status), "dependent submission: " + status);
   }
 
+  /**
+   * Guards against a cancellation that is never answered, or answered as for an unknown job. A
+   * leader that has the job in memory loses its leadership by the write, since the record changed.
+   */
+  @ParameterizedTest(name = "node {0}, leader changes: {1}")
+  @CsvSource({"0, false", "1, false", "2, false", "0, true", "1, true", "2, true"})
+  void cancellationIsAnswered(int node, boolean leaderChanges) {
+    runJobWithUnreadableRecord(leaderChanges);
+    String path = "/submissions/" + JOB + "/cancel";
+    for (int i = 0; i < 2; i++) {
+      double timeoutS = leaderChanges ? TIMEOUT_S : CANCELLATION_TIMEOUT_S;
+      Response response = respond(timeoutS, node, "POST", path);
+      assertNotNull(response, "cancellation " + i + " is answered");
+      assertTrue(Set.of(200, 503).contains(response.status()), "status " + response.status());
+    }
+  }
+
   /** Guards against a second start of a task whose first attempt a new leader can't read. */
   @Test
   void tasksAreNotStartedAgain() {
