--- a/src/test/java/org/ternhinge/cli/LoopbackCluster.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackCluster.java
@@ -113,6 +113,7 @@
     for (int i = 0; i < NODES; i++) {
       int node = i;
       waitUntil("node " + i + " is healthy", () -> status(node, "GET", "/healthz", null) == 200);
+      assertTrue(isAlive(node), "another process answers on the port of node " + node);
     }
   }
 
