Sockets: the open ones are counted by owner and logged each minute and at the limit

A leader of 4,000 machines gets Too_many_open_files although SocketBudget adds up to less than its limit, and no log said who holds the sockets. SocketUsage counts them by owner; the line comes each minute at info, and at warn, at most once a second, when a connection failed for want of a socket.

--- a/src/main/java/org/ternhinge/cli/Service.java
+++ b/src/main/java/org/ternhinge/cli/Service.java
@@ -23,10 +23,12 @@
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
 import org.ternhinge.http.SocketBudget;
+import org.ternhinge.http.SocketUsage;
 import org.ternhinge.limit.KeyValueStoreBudget;
 import org.ternhinge.limit.TokenBucket;
 import org.ternhinge.metrics.Metrics;
 import org.ternhinge.model.Clock;
+import org.ternhinge.model.Endpoint;
 import org.ternhinge.peer.PeerLink;
 import org.ternhinge.request.PeerTransport;
 import org.ternhinge.store.HttpKeyValueStore;
@@ -44,6 +46,9 @@
    */
   private static final double CLOUD_SHARE = 0.8;
 
+  /** Seconds between two log lines with the number of open sockets. */
+  private static final double SOCKETS_LOG_INTERVAL_S = 60;
+
   private final Settings settings;
   private final Tuning tuning;
   private final EventLoopGroup group =
@@ -60,7 +65,7 @@
     this.settings = settings;
     this.tuning = tuning;
     this.sockets = SocketBudget.of(settings.maxSockets());
-    this.http = new PooledHttpClient(loop, sockets);
+    this.http = new PooledHttpClient(loop, sockets, this::ownerOf);
     this.budget =
         new KeyValueStoreBudget(
             clock,
@@ -108,14 +113,30 @@
         new Metrics());
   }
 
+  /** What the connections to an endpoint are used for. */
+  private SocketUsage.Owner ownerOf(Endpoint endpoint) {
+    if (endpoint.equals(settings.state())) {
+      return SocketUsage.Owner.TO_STORE;
+    }
+    return endpoint.equals(settings.cloud())
+        ? SocketUsage.Owner.TO_CLOUD
+        : SocketUsage.Owner.TO_WORKERS;
+  }
+
+  private void logSocketUsage() {
+    LOG.info("{}", http.usage().summary());
+    clock.schedule(SOCKETS_LOG_INTERVAL_S, this::logSocketUsage);
+  }
+
   private void serve() throws InterruptedException {
-    PeerLink link = new PeerLink(loop, settings.peers());
+    PeerLink link = new PeerLink(loop, settings.peers(), http.usage());
     ControllerNode node =
         new ControllerNode(services, election(), new LinkTransport(link), budget::setLeading);
     new HttpServer(group, node::handle, sockets, ControllerNode.HEARTBEAT_PATH, http)
         .listen(settings.clientListen());
     link.listen(settings.peerListen(), node::handlePeer);
     node.start();
+    clock.schedule(SOCKETS_LOG_INTERVAL_S, this::logSocketUsage);
     LOG.info("{} serves users and workers on {}", settings.node(), settings.clientListen());
   }
 
--- a/src/main/java/org/ternhinge/http/HttpServer.java
+++ b/src/main/java/org/ternhinge/http/HttpServer.java
@@ -50,11 +50,11 @@
    * @param workersPath path that only workers request; used to recognize their connections
    */
   public HttpServer(EventLoopGroup loop, Handler handler, SocketBudget budget, String workersPath) {
-    this(loop, handler, budget, workersPath, inbound -> {});
+    this(loop, handler, budget, workersPath, inbound -> {}, new SocketUsage());
   }
 
   /**
-   * Creates a server that shares its socket budget with a client.
+   * Creates a server that shares its socket budget and the count of open sockets with a client.
    *
    * @param workersPath path that only workers request; used to recognize their connections
    * @param client reduces its idle connections as the number of inbound connections grows
@@ -65,7 +65,7 @@
       SocketBudget budget,
       String workersPath,
       PooledHttpClient client) {
-    this(loop, handler, budget, workersPath, client::inboundConnectionsChanged);
+    this(loop, handler, budget, workersPath, client::inboundConnectionsChanged, client.usage());
   }
 
   private HttpServer(
@@ -73,11 +73,12 @@
       Handler handler,
       SocketBudget budget,
       String workersPath,
-      IntConsumer connectionListener) {
+      IntConsumer connectionListener,
+      SocketUsage usage) {
     this.loop = loop;
     this.handler = handler;
     this.workersPath = workersPath;
-    this.connections = new InboundConnections(budget, connectionListener);
+    this.connections = new InboundConnections(budget, connectionListener, usage);
   }
 
   /**
--- a/src/main/java/org/ternhinge/http/PooledHttpClient.java
+++ b/src/main/java/org/ternhinge/http/PooledHttpClient.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
+import java.util.function.Function;
 import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
@@ -37,6 +38,8 @@
   private final EventLoop loop;
   private final SocketBudget budget;
   private final ConnectionPool pool;
+  private final SocketUsage usage = new SocketUsage();
+  private final Function<Endpoint, SocketUsage.Owner> ownerOf;
 
   /**
    * Creates a client without connections.
@@ -45,11 +48,27 @@
    *     of workers, the process would come close to its socket limit
    */
   public PooledHttpClient(EventLoop loop, SocketBudget budget) {
+    this(loop, budget, endpoint -> SocketUsage.Owner.TO_WORKERS);
+  }
+
+  /**
+   * Creates a client without connections.
+   *
+   * @param ownerOf what the connections to an endpoint are used for
+   */
+  public PooledHttpClient(
+      EventLoop loop, SocketBudget budget, Function<Endpoint, SocketUsage.Owner> ownerOf) {
     this.loop = loop;
+    this.ownerOf = ownerOf;
     this.budget = budget;
     this.pool = new ConnectionPool(budget.minIdleOutbound());
   }
 
+  /** The count of open sockets of this process; used on the event loop. */
+  public SocketUsage usage() {
+    return usage;
+  }
+
   /** Adjusts the limit of idle connections to the number of inbound ones; on the event loop. */
   void inboundConnectionsChanged(int inbound) {
     pool.setMaxIdle(budget.maxIdleOutbound(inbound));
@@ -95,11 +114,12 @@
             .channel(NioSocketChannel.class)
             .option(ChannelOption.TCP_NODELAY, true)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) (connectTimeoutS * MILLIS_PER_S))
-            .handler(initializer())
+            .handler(initializer(ownerOf.apply(call.endpoint())))
             .connect(call.endpoint().host(), call.endpoint().port());
     connectFuture.addListener(
         done -> {
           if (!done.isSuccess()) {
+            usage.logIfExhausted(done.cause(), call.endpoint());
             call.complete(Outcome.notApplied(Reason.NO_CONNECTION, String.valueOf(done.cause())));
           } else if (call.isDone()) {
             pool.release(call.endpoint(), connectFuture.channel());
@@ -109,10 +129,11 @@
         });
   }
 
-  private ChannelInitializer<SocketChannel> initializer() {
+  private ChannelInitializer<SocketChannel> initializer(SocketUsage.Owner owner) {
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
+        usage.track(channel, owner);
         channel
             .pipeline()
             .addLast(new HttpClientCodec())
--- a/src/main/java/org/ternhinge/peer/PeerLink.java
+++ b/src/main/java/org/ternhinge/peer/PeerLink.java
@@ -28,6 +28,7 @@
 import org.ternhinge.http.HttpServer;
 import org.ternhinge.http.Request;
 import org.ternhinge.http.Response;
+import org.ternhinge.http.SocketUsage;
 import org.ternhinge.model.Endpoint;
 
 /**
@@ -43,6 +44,7 @@
 
   private final EventLoop loop;
   private final Map<String, Endpoint> peers;
+  private final SocketUsage usage;
   private final Map<String, Channel> channelByNode = new HashMap<>();
 
   /** Requests that wait for the connection to a node, while one is being established. */
@@ -59,8 +61,19 @@
    * @param peers addresses of the other controllers by node name
    */
   public PeerLink(EventLoop loop, Map<String, Endpoint> peers) {
+    this(loop, peers, new SocketUsage());
+  }
+
+  /**
+   * Creates a link without connections.
+   *
+   * @param peers addresses of the other controllers by node name
+   * @param usage counts the connections; used on the event loop
+   */
+  public PeerLink(EventLoop loop, Map<String, Endpoint> peers, SocketUsage usage) {
     this.loop = loop;
     this.peers = peers;
+    this.usage = usage;
   }
 
   /**
@@ -86,6 +99,7 @@
     return new ChannelInitializer<>() {
       @Override
       protected void initChannel(SocketChannel channel) {
+        usage.track(channel, SocketUsage.Owner.PEERS);
         channel
             .pipeline()
             .addLast(
