Connections to the key-value store and the cloud are kept apart from those to workers

Idle connections to the store were closed like any other, least recently used first, when workers' connections exceeded the limit, and never more than four were kept, fewer than the calls that a leader has under way.

The pool exempts endpoints other than workers from that limit and keeps up to a quarter of the idle share to each (46 of 2,219 sockets), which fits the twentieth that the budget sets aside.

--- a/src/main/java/org/ternhinge/http/ConnectionPool.java
+++ b/src/main/java/org/ternhinge/http/ConnectionPool.java
@@ -8,11 +8,14 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.function.Predicate;
 import org.ternhinge.model.Endpoint;
 
 /**
  * Pool of idle connections for reuse by later requests to the same endpoint. Above its limit, the
- * pool closes the least recently used connections. Confined to the event loop.
+ * pool closes the least recently used connections. Reserved endpoints are exempt: their connections
+ * are kept however many others there are, up to a limit for each endpoint. Confined to the event
+ * loop.
  */
 final class ConnectionPool {
   private static final int MAX_IDLE_PER_ENDPOINT = 4;
@@ -22,10 +25,25 @@
   /** All idle connections in LRU order, the least recently used one first. */
   private final Map<Channel, Endpoint> leastRecentlyUsed = new LinkedHashMap<>();
 
+  private final Predicate<Endpoint> isReserved;
+  private final int maxIdleOfReserved;
   private int maxIdle;
 
+  /** Creates an empty pool without reserved endpoints. */
   ConnectionPool(int maxIdle) {
+    this(maxIdle, endpoint -> false, MAX_IDLE_PER_ENDPOINT);
+  }
+
+  /**
+   * Creates an empty pool.
+   *
+   * @param maxIdle limit of all idle connections to endpoints that are not reserved
+   * @param maxIdleOfReserved limit of the idle connections to each reserved endpoint
+   */
+  ConnectionPool(int maxIdle, Predicate<Endpoint> isReserved, int maxIdleOfReserved) {
     this.maxIdle = maxIdle;
+    this.isReserved = isReserved;
+    this.maxIdleOfReserved = maxIdleOfReserved;
   }
 
   /** Changes the limit and closes the connections above it. */
@@ -50,13 +68,16 @@
   /** Adds an idle connection. */
   void release(Endpoint endpoint, Channel channel) {
     Deque<Channel> idle = idleByEndpoint.computeIfAbsent(endpoint, key -> new ArrayDeque<>());
-    if (idle.size() >= MAX_IDLE_PER_ENDPOINT) {
+    boolean reserved = isReserved.test(endpoint);
+    if (idle.size() >= (reserved ? maxIdleOfReserved : MAX_IDLE_PER_ENDPOINT)) {
       Channels.close(channel);
       return;
     }
     idle.addLast(channel);
-    leastRecentlyUsed.put(channel, endpoint);
-    closeExcess();
+    if (!reserved) {
+      leastRecentlyUsed.put(channel, endpoint);
+      closeExcess();
+    }
   }
 
   /** Closes all idle connections to an endpoint. */
--- a/src/main/java/org/ternhinge/http/PooledHttpClient.java
+++ b/src/main/java/org/ternhinge/http/PooledHttpClient.java
@@ -54,14 +54,19 @@
   /**
    * Creates a client without connections.
    *
-   * @param ownerOf what the connections to an endpoint are used for
+   * @param ownerOf what the connections to an endpoint are used for; idle ones to other endpoints
+   *     than workers are kept however many workers there are
    */
   public PooledHttpClient(
       EventLoop loop, SocketBudget budget, Function<Endpoint, SocketUsage.Owner> ownerOf) {
     this.loop = loop;
     this.ownerOf = ownerOf;
     this.budget = budget;
-    this.pool = new ConnectionPool(budget.minIdleOutbound());
+    this.pool =
+        new ConnectionPool(
+            budget.minIdleOutbound(),
+            endpoint -> ownerOf.apply(endpoint) != SocketUsage.Owner.TO_WORKERS,
+            budget.maxIdleToService());
   }
 
   /** The count of open sockets of this process; used on the event loop. */
--- a/src/main/java/org/ternhinge/http/SocketBudget.java
+++ b/src/main/java/org/ternhinge/http/SocketBudget.java
@@ -25,6 +25,12 @@
   /** Divisor for the share of the inbound connections reserved for users and health probes. */
   private static final int USERS_DIVISOR = 10;
 
+  /**
+   * Divisor for the idle connections that are kept to the key-value store and to the cloud each, in
+   * the share of idle outbound connections. Both fit the reserve of the budget.
+   */
+  private static final int SERVICE_DIVISOR = 4;
+
   /** Creates the budget for a socket limit. */
   public static SocketBudget of(int maxSockets) {
     int idle = Math.max(1, maxSockets / OUTBOUND_DIVISOR);
@@ -33,6 +39,14 @@
     return new SocketBudget(idle, calls, inbound - Math.max(1, inbound / USERS_DIVISOR), inbound);
   }
 
+  /**
+   * The number of idle connections that are kept to each system other than workers. Renewals of the
+   * leadership lease use them, which must not have to wait for a socket.
+   */
+  int maxIdleToService() {
+    return Math.max(1, minIdleOutbound / SERVICE_DIVISOR);
+  }
+
   /**
    * The limit of idle outbound connections for a number of open inbound ones. Idle connections may
    * use the persistent connections that workers leave unused, since a new connection for each
