Request routes: the handler alone names the deadline, and busy responses are recognized in one place

RouteTable repeated the deadlines that the handlers of queries and cancellations have, and compared the status where Responses.isBusy does. No behaviour is changed.

--- a/src/main/java/org/ternhinge/controller/RouteTable.java
+++ b/src/main/java/org/ternhinge/controller/RouteTable.java
@@ -115,8 +115,8 @@
             "POST",
             JobPath.SUBMISSIONS::equals,
             withDeadline(ResponseDeadline.WRITE_S, submissions::handle)),
-        jobRoute("POST", JobPath::cancelledJob, ResponseDeadline.WRITE_S, cancellations),
-        jobRoute("GET", JobPath::queriedJob, ResponseDeadline.POLL_S, queries),
+        jobRoute("POST", JobPath::cancelledJob, cancellations),
+        jobRoute("GET", JobPath::queriedJob, queries),
         new Route(
             "GET", HEALTH_PATH::equals, (request, origin, answer) -> answer.accept(health())));
   }
@@ -129,10 +129,8 @@
   }
 
   private Route jobRoute(
-      String method,
-      Function<String, Optional<JobId>> parseJob,
-      double deadlineS,
-      JobRequestRouter router) {
+      String method, Function<String, Optional<JobId>> parseJob, JobRequestRouter router) {
+    double deadlineS = router.deadlineS();
     Route.Handler handler =
         withDeadline(
             deadlineS,
@@ -155,7 +153,7 @@
   private Consumer<Response> observed(JobId id, double deadlineS, Consumer<Response> answer) {
     MonotonicTime received = clock.now();
     return response -> {
-      if (response.status() != Responses.UNAVAILABLE) {
+      if (!Responses.isBusy(response)) {
         metrics.recordAnswer(id);
       } else {
         boolean late = clock.now().secondsSince(received) >= deadlineS;
@@ -167,7 +165,7 @@
   }
 
   private void countDiscarded(Response response) {
-    if (response.status() != Responses.UNAVAILABLE) {
+    if (!Responses.isBusy(response)) {
       metrics.count(Event.DISCARDED_RESPONSE);
     }
   }
--- a/src/main/java/org/ternhinge/request/JobRequestRouter.java
+++ b/src/main/java/org/ternhinge/request/JobRequestRouter.java
@@ -51,6 +51,11 @@
     this.metrics = metrics;
   }
 
+  /** Seconds after which the user no longer waits for a response. */
+  public double deadlineS() {
+    return handler.deadlineS();
+  }
+
   /** Handles a request about a job; the callback is called exactly once, immediately or later. */
   public void handle(
       JobId id, Request request, RequestOrigin origin, Consumer<Response> responseCallback) {
--- a/src/main/java/org/ternhinge/request/Responses.java
+++ b/src/main/java/org/ternhinge/request/Responses.java
@@ -16,7 +16,7 @@
   public static final int METHOD_NOT_ALLOWED = 405;
   static final int MISDIRECTED = 421;
   static final int UNPROCESSABLE = 422;
-  public static final int UNAVAILABLE = 503;
+  static final int UNAVAILABLE = 503;
 
   /** The shortest pause in seconds that users observe between repeated requests in any case. */
   private static final int RETRY_AFTER_S = 1;
@@ -40,7 +40,7 @@
   }
 
   /** Whether a response is not final, so that the request may be sent to another node. */
-  static boolean isBusy(Response response) {
+  public static boolean isBusy(Response response) {
     return response.status() == UNAVAILABLE;
   }
 
