Zone failover test: a machine counts as ready when the leader places tasks on it, not when it has been answered once

Cause, the same precondition, half established: the leader places tasks on a machine only when a heartbeat has shown it the term (MachineViews.isReady), so after the worker's second heartbeat, a second later. The workers that were redirected had been answered once.

--- a/src/test/java/org/ternhinge/cli/LoopbackFleet.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackFleet.java
@@ -59,12 +59,12 @@
   }
 
   /**
-   * Waits until the leader knows all machines. A worker that begins with another controller is
-   * known later, so tasks of a job submitted before may all be placed in one zone.
+   * Waits until the leader places tasks on all machines. A worker that begins with another
+   * controller is ready later, so tasks of a job submitted before may all be placed in one zone.
    */
   void awaitRegistered() throws InterruptedException {
     LoopbackCluster.waitUntil(
-        "the leader knows all machines",
+        "the leader places tasks on all machines",
         () -> workers.values().stream().allMatch(LoopbackWorker::isRegistered));
   }
 
--- a/src/test/java/org/ternhinge/cli/LoopbackWorker.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackWorker.java
@@ -70,6 +70,7 @@
   private int epoch = 1;
   private long sequence;
   private long fencingToken;
+  private boolean registered;
   private double leaseRenewedAt;
   private int controller;
   private boolean closed;
@@ -101,9 +102,12 @@
     return "127.0.0.1:" + port;
   }
 
-  /** Whether a leader has answered a heartbeat, so that it knows this machine. */
+  /**
+   * Whether a leader has answered a heartbeat that carried its own fencing token; only then does it
+   * place tasks on this machine.
+   */
   synchronized boolean isRegistered() {
-    return fencingToken > 0;
+    return registered;
   }
 
   @Override
@@ -154,12 +158,14 @@
 
   private void heartbeat() {
     int startEpoch;
+    long sentToken;
     byte[] body;
     synchronized (this) {
       if (closed) {
         return;
       }
       startEpoch = epoch;
+      sentToken = fencingToken;
       body = Json.bytes(nextHeartbeat().write());
     }
     double sent = context.now();
@@ -173,16 +179,18 @@
         context
             .client
             .sendAsync(request, HttpResponse.BodyHandlers.ofByteArray())
-            .whenComplete((response, failure) -> handleResponse(response, startEpoch, sent));
+            .whenComplete(
+                (response, failure) -> handleResponse(response, startEpoch, sentToken, sent));
   }
 
   private synchronized void handleResponse(
-      HttpResponse<byte[]> response, int startEpoch, double sent) {
+      HttpResponse<byte[]> response, int startEpoch, long sentToken, double sent) {
     double next = context.heartbeatIntervalS;
     try {
       if (response != null && response.statusCode() == 200) {
         if (startEpoch == epoch) {
           applyAnswer(Json.parse(response.body()), sent);
+          registered |= sentToken == fencingToken;
         }
       } else {
         next = nextControllerDelayS(response);
