--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -17,8 +17,8 @@
   private final Fleet fleet;
   private final Set<String> started = ConcurrentHashMap.newKeySet();
 
-  private Case1() throws Exception {
-    super("review/1");
+  private Case1(boolean trouble) throws Exception {
+    super("review/1", trouble);
     controllers = new Controllers(record, dir, NODES);
     store = new Store(record, 80, 30, 8, 16);
     fleet =
@@ -32,7 +32,8 @@
   }
 
   public static void main(String[] args) throws Exception {
-    new Case1().run();
+    // The argument is TROUBLE: 0 leaves the disruption out.
+    new Case1(!args[0].equals("0")).run();
   }
 
   @Override
--- a/review/common/Case.java
+++ b/review/common/Case.java
@@ -22,11 +22,13 @@
     }
   }
 
-  final boolean trouble = !"0".equals(System.getenv("TROUBLE"));
+  /** Whether the case is played with its disruption. */
+  final boolean trouble;
   final Record record;
   final Path dir;
 
-  Case(String folder) throws IOException {
+  Case(String folder, boolean trouble) throws IOException {
+    this.trouble = trouble;
     record = new Record(Path.of(folder, "record.txt"));
     dir = Files.createTempDirectory("review-case");
   }
