Review: ports of the cases lie outside the range of outgoing connections

One run of case 3 beside five others couldn't run: a controller was not healthy. Not traced, its log was not kept; the record has the end of the log since.

--- a/review/common/Controllers.java
+++ b/review/common/Controllers.java
@@ -2,6 +2,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.nio.charset.StandardCharsets;
@@ -9,6 +10,7 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -38,16 +40,29 @@
     Runtime.getRuntime().addShutdownHook(new Thread(this::endAll));
   }
 
+  /**
+   * Free ports below those that the system gives to outgoing connections: one of these could take a
+   * port between the look and the start of its controller.
+   */
   private static int[] freePorts(int n) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
     int[] out = new int[n];
-    for (int i = 0; i < n; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-      sockets.add(socket);
-      out[i] = socket.getLocalPort();
+    int found = 0;
+    for (int tries = 0; found < n && tries < 1000; tries++) {
+      int port = ThreadLocalRandom.current().nextInt(20_000, 32_000);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"))) {
+        boolean taken = false;
+        for (int i = 0; i < found; i++) {
+          taken |= out[i] == port;
+        }
+        if (!taken) {
+          out[found++] = socket.getLocalPort();
+        }
+      } catch (BindException e) {
+        // In use; another one is tried.
+      }
     }
-    for (ServerSocket socket : sockets) {
-      socket.close();
+    if (found < n) {
+      throw new IOException("no free ports");
     }
     return out;
   }
@@ -134,7 +149,7 @@
     record.line("signal " + name + " to " + name(node));
   }
 
-  boolean awaitHealthy(int node, double seconds) throws InterruptedException {
+  boolean awaitHealthy(int node, double seconds) throws IOException, InterruptedException {
     long end = System.nanoTime() + (long) (seconds * 1e9);
     while (System.nanoTime() < end) {
       if (Http.call("GET", ports[node], "/healthz", null, 1).status() == 200) {
@@ -142,6 +157,10 @@
       }
       Thread.sleep(50);
     }
+    String log = logText(node);
+    record.line(
+        name(node) + (isAlive(node) ? " runs" : " has ended") + " and is not healthy; its log ends: "
+            + log.substring(Math.max(0, log.length() - 500)));
     return false;
   }
 
