--- a/review/stand-ins-2/CaseCancelledGpuJob.java
+++ b/review/stand-ins-2/CaseCancelledGpuJob.java
@@ -1,4 +1,4 @@
-import java.nio.file.Path;
+import java.io.IOException;
 import java.util.List;
 import java.util.Map;
 
@@ -9,9 +9,8 @@
 
   private CaseCancelledGpuJob() {}
 
-  public static void main(String[] args) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Record record = new Record(Path.of(args[0], "record.txt"));
+  /** Plays the case; 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+  static int play(Record record, boolean trouble) throws IOException, InterruptedException {
     Map<String, Object> site = Sites.reykjavik();
     Fleet fleet =
         Sites.fleet(
@@ -47,9 +46,7 @@
         status = wait > MAX_WAIT_S ? 1 : started ? 0 : 2;
       }
     }
-    record.line(
-        status == 0 ? "the rule held" : status == 1 ? "RULE BROKEN: left waiting" : "could not run");
-    System.exit(status);
+    return status;
   }
 
   private static boolean runs(Fleet fleet, String job) {
--- a/review/stand-ins-2/CaseGang.java
+++ b/review/stand-ins-2/CaseGang.java
@@ -1,4 +1,4 @@
-import java.nio.file.Path;
+import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -14,9 +14,8 @@
 
   private CaseGang() {}
 
-  public static void main(String[] args) throws Exception {
-    boolean trouble = !"0".equals(System.getenv("TROUBLE"));
-    Record record = new Record(Path.of(args[0], "record.txt"));
+  /** Plays the case; 1 if the rule was broken, 0 if it held, 2 if the case could not run. */
+  static int play(Record record, boolean trouble) throws IOException, InterruptedException {
     Map<String, Object> site = Sites.tallinn();
     Fleet fleet =
         Sites.fleet(
@@ -51,9 +50,7 @@
         status = wait > MAX_WAIT_S ? 1 : started(fleet, "wk-000008") ? 0 : 2;
       }
     }
-    record.line(
-        status == 0 ? "the rule held" : status == 1 ? "RULE BROKEN: left waiting" : "could not run");
-    System.exit(status);
+    return status;
   }
 
   /** A small job that runs on and keeps a machine of the other type from being returned. */
--- a/review/stand-ins-2/Cluster.java
+++ b/review/stand-ins-2/Cluster.java
@@ -10,6 +10,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 
@@ -17,6 +18,8 @@
 final class Cluster implements AutoCloseable {
   static final int NODES = 3;
 
+  private static final Random RANDOM = new Random();
+
   final Record record;
   private final Map<String, Object> deployment;
   private final StateService state;
@@ -25,8 +28,10 @@
   private final List<String> run;
   private final List<String> clients = new ArrayList<>();
   private final List<String> peers = new ArrayList<>();
+  private final List<String> states = new ArrayList<>();
   private final List<Path> settings = new ArrayList<>();
   private final Process[] processes = new Process[NODES];
+  private String cloud;
   private int nextNode;
 
   Cluster(Record record, Map<String, Object> deployment, StateService state, Fleet fleet)
@@ -51,16 +56,14 @@
   }
 
   void start() throws IOException, InterruptedException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    for (int i = 0; i < 2 * NODES; i++) {
-      ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
-      sockets.add(socket);
-      (i < NODES ? clients : peers).add("127.0.0.1:" + socket.getLocalPort());
+    for (int i = 0; i < NODES; i++) {
+      clients.add("127.0.0.1:" + freePort());
+      peers.add("127.0.0.1:" + freePort());
     }
-    for (ServerSocket socket : sockets) {
-      socket.close();
+    cloud = fleet.listen();
+    for (int i = 0; i < NODES; i++) {
+      states.add(state.listen(i));
     }
-    String cloud = fleet.listen();
     Map<String, String> addresses = new LinkedHashMap<>();
     for (int i = 0; i < NODES; i++) {
       addresses.put("hjortur-" + i, clients.get(i));
@@ -68,19 +71,47 @@
     fleet.setControllers(addresses);
     for (int i = 0; i < NODES; i++) {
       settings.add(dir.resolve("node-" + i + ".json"));
-      Files.writeString(settings.get(i), Json.write(settingsOf(i, cloud)));
+      Files.writeString(settings.get(i), Json.write(settingsOf(i, deployment)));
       startNode(i);
     }
     for (int i = 0; i < NODES; i++) {
-      int node = i;
-      if (!await(30, () -> call(node, "GET", "/healthz", null, 1).status() == 200)) {
-        throw new IOException("controller " + node + " is not healthy after 30 s");
-      }
+      awaitHealthy(i);
     }
     record.line("all controllers are healthy");
   }
 
-  private Map<String, Object> settingsOf(int node, String cloud) throws IOException {
+  /** A free port below the range from which the system takes those of outgoing connections. */
+  private int freePort() {
+    while (true) {
+      int port = 11_000 + RANDOM.nextInt(20_000);
+      try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+        if (!clients.contains("127.0.0.1:" + port)) {
+          return socket.getLocalPort();
+        }
+      } catch (IOException e) {
+        record.line("port %d is taken", port);
+      }
+    }
+  }
+
+  private void awaitHealthy(int node) throws IOException, InterruptedException {
+    if (!await(30, () -> call(node, "GET", "/healthz", null, 1).status() == 200)) {
+      throw new IOException("controller " + node + " is not healthy after 30 s");
+    }
+  }
+
+  /** Replaces all controllers one after the other, with settings of the deployment given here. */
+  void roll(Map<String, Object> next) throws IOException, InterruptedException {
+    for (int i = 0; i < NODES; i++) {
+      kill(i);
+      Files.writeString(settings.get(i), Json.write(settingsOf(i, next)));
+      startNode(i);
+      awaitHealthy(i);
+    }
+    record.line("all controllers were replaced; state: %s", Json.write(next.get("state")));
+  }
+
+  private Map<String, Object> settingsOf(int node, Map<String, Object> settled) {
     List<Object> others = new ArrayList<>();
     for (int i = 0; i < NODES; i++) {
       if (i != node) {
@@ -91,8 +122,8 @@
     out.put("client_listen", clients.get(node));
     out.put("peer_listen", peers.get(node));
     out.put("peers", others);
-    out.put("external", Json.of("cloud", cloud, "state", state.listen(node)));
-    out.put("deployment", deployment);
+    out.put("external", Json.of("cloud", cloud, "state", states.get(node)));
+    out.put("deployment", settled);
     return out;
   }
 
--- a/review/stand-ins-2/Sites.java
+++ b/review/stand-ins-2/Sites.java
@@ -20,6 +20,16 @@
     return out;
   }
 
+  /** Tallinn as in kit/change, with three of its five controllers: larger teams, reports each 4 s. */
+  static Map<String, Object> tallinnNext() {
+    Map<String, Object> out = tallinn();
+    out.put("teams", teams("prognoos", Json.of("cpus", 600.0, "cpus_max", 3500.0, "gpus", 60.0, "gpus_max", 150.0)));
+    Map<String, Object> workers = workers(30.0, 5.0);
+    workers.put("report_s", 4.0);
+    out.put("workers", workers);
+    return out;
+  }
+
   /** Reykjavik: 16 teams, 24 CPUs guaranteed and 150 at most. */
   static Map<String, Object> reykjavik() {
     Map<String, Object> out = Json.of("count", 3, "zones", List.of("akureyri", "grandi"));
--- a/review/stand-ins-2/StateService.java
+++ b/review/stand-ins-2/StateService.java
@@ -24,10 +24,10 @@
   private final Map<Long, Lease> leases = new HashMap<>();
   private final Deque<Change> log = new ArrayDeque<>();
   private final Map<Integer, Boolean> refused = new HashMap<>();
-  private final int valueBytes;
-  private final int txnOps;
+  private int valueBytes;
+  private int txnOps;
   private final Limit requests;
-  private final Limit writes;
+  private Limit writes;
   private long revision = 1;
   private long lastLease;
 
@@ -38,6 +38,13 @@
     this.txnOps = txnOps;
   }
 
+  /** Lowers the limits from now on; what is stored stays. */
+  synchronized void lower(double writeRps, double valueKb, int ops) {
+    writes = new Limit(writeRps);
+    valueBytes = (int) (valueKb * 1024);
+    txnOps = ops;
+  }
+
   /** A token bucket with bursts of one second's worth. */
   static final class Limit {
     private final double rate;
--- a/review/stand-ins-2/Worker.java
+++ b/review/stand-ins-2/Worker.java
@@ -78,6 +78,15 @@
     return startedAt.keySet().stream().anyMatch(task -> task.name.startsWith(job + "/"));
   }
 
+  /** A running task of a job fails on this machine. */
+  synchronized void fail(String name) {
+    for (Task task : tasks.values()) {
+      if (task.name.equals(name)) {
+        exit(task, "error");
+      }
+    }
+  }
+
   synchronized void end(String why) {
     ended = true;
     for (Task task : tasks.values()) {
@@ -251,7 +260,7 @@
           changed = true;
         }
       }
-      sleep(0.02);
+      sleep(0.05);
     }
   }
 
