Log: why an attempt was closed, and reports of running tasks without an open attempt

The records of the incident could not tell by the controllers' own output why a machine ran an attempt that was over: a worker that reports a running task without an open attempt was told to stop it without a line, and a closed attempt's evidence stood in free text. Both are events with task, attempt, machine, epoch and term now; unexpected tasks are counted and summed up each minute. The counters of requests about jobs and of commands share one class. No behaviour changes.

--- a/src/main/java/org/ternhinge/attempt/AttemptLifecycle.java
+++ b/src/main/java/org/ternhinge/attempt/AttemptLifecycle.java
@@ -113,12 +113,7 @@
     ledger.close(attempt, done);
     listener.attemptClosed(attempt, done);
     releaseMachine(attempt);
-    LOG.debug(
-        "closed task {} attempt {} on {}: {}",
-        attempt.task(),
-        attempt.number(),
-        attempt.machine(),
-        evidence.text());
+    logClosed(attempt, evidence);
     if (!done && job.spec().isGang() && !job.isCancelled()) {
       stopRestOfGang(job);
     }
@@ -126,6 +121,20 @@
     rounds.requestRound();
   }
 
+  private void logClosed(Attempt attempt, ClosingEvidence evidence) {
+    if (LOG.isDebugEnabled()) {
+      LOG.debug(
+          "{}",
+          EventLine.of("attempt-event", "closed")
+              .with("task", attempt.task())
+              .with("attempt", attempt.number())
+              .with("machine", attempt.machine())
+              .with("epoch", attempt.epoch())
+              .with("term", authority.term())
+              .with("evidence", evidence.text()));
+    }
+  }
+
   private void releaseMachine(Attempt attempt) {
     Machine machine = machines.find(attempt.machine()).orElse(null);
     if (machine == null) {
--- a/src/main/java/org/ternhinge/heartbeat/HeartbeatCommands.java
+++ b/src/main/java/org/ternhinge/heartbeat/HeartbeatCommands.java
@@ -1,11 +1,13 @@
 package org.ternhinge.heartbeat;
 
 import java.util.List;
+import org.ternhinge.attempt.UnexpectedTaskLog;
 import org.ternhinge.ledger.Attempt;
 import org.ternhinge.ledger.AttemptState;
 import org.ternhinge.ledger.Job;
 import org.ternhinge.ledger.Ledger;
 import org.ternhinge.machine.Machine;
+import org.ternhinge.term.LeadershipContext;
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.Heartbeat;
 import org.ternhinge.wire.TaskStatus;
@@ -33,9 +35,11 @@
  */
 final class HeartbeatCommands {
   private final Ledger ledger;
+  private final UnexpectedTaskLog unexpectedTasks;
 
-  HeartbeatCommands(Ledger ledger) {
-    this.ledger = ledger;
+  HeartbeatCommands(LeadershipContext context) {
+    this.ledger = context.ledger();
+    this.unexpectedTasks = new UnexpectedTaskLog(context);
   }
 
   /** Returns the commands for the response to a worker's latest heartbeat. */
@@ -67,6 +71,7 @@
 
   private void addForTaskWithoutAttempt(Machine machine, TaskStatus task, CommandList commands) {
     if (!task.ended()) {
+      unexpectedTasks.record(machine, task);
       commands.addStop(task.task(), task.attempt(), 0);
     } else if (isEndDurable(task)
         && !machine.outstandingStarts().mayArrive(task.task(), task.attempt())) {
--- a/src/main/java/org/ternhinge/heartbeat/HeartbeatProcessor.java
+++ b/src/main/java/org/ternhinge/heartbeat/HeartbeatProcessor.java
@@ -63,7 +63,7 @@
     this.statusUpdater = statusUpdater;
     this.reachability = reachability;
     this.leases = new LeaseRenewal(context.services());
-    this.commands = new HeartbeatCommands(context.ledger());
+    this.commands = new HeartbeatCommands(context);
   }
 
   /**
--- a/src/main/java/org/ternhinge/metrics/JobRequestMetrics.java
+++ b/src/main/java/org/ternhinge/metrics/JobRequestMetrics.java
@@ -1,8 +1,6 @@
 package org.ternhinge.metrics;
 
-import java.util.EnumMap;
 import java.util.HashMap;
-import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import org.ternhinge.model.EventLine;
@@ -52,22 +50,18 @@
     /** The user got 503. */
     REFUSED,
     /** The user got 503 because no answer was found by the deadline. */
-    REFUSED_AT_DEADLINE;
-
-    private String label() {
-      return name().toLowerCase(Locale.ROOT);
-    }
+    REFUSED_AT_DEADLINE
   }
 
   /** The first and the last refusal of a job since it was last answered. */
   private record Unanswered(MonotonicTime since, MonotonicTime lastAskedAt) {}
 
-  private final Map<Event, Long> counts = new EnumMap<>(Event.class);
+  private final EventCounts<Event> counts = new EventCounts<>(Event.class);
   private final Map<JobId, Unanswered> unanswered = new HashMap<>();
 
   /** Counts an event. */
   public synchronized void count(Event event) {
-    counts.merge(event, 1L, Long::sum);
+    counts.count(event);
   }
 
   /** Records that a user's request about a job was answered. */
@@ -83,7 +77,7 @@
 
   /** Returns the number of events of a kind since the last summary. */
   public synchronized long countOf(Event event) {
-    return counts.getOrDefault(event, 0L);
+    return counts.countOf(event);
   }
 
   /** Returns the log line of the events since the last summary; empty if there were none. */
@@ -93,10 +87,7 @@
       return Optional.empty();
     }
     EventLine line = EventLine.of(MARKER, "counts");
-    for (Event event : Event.values()) {
-      line.with(event.label(), countOf(event));
-    }
-    counts.clear();
+    counts.drainTo(line);
     line.with("unanswered_jobs", unanswered.size());
     longestUnanswered()
         .ifPresent(
--- a/src/main/java/org/ternhinge/metrics/Metrics.java
+++ b/src/main/java/org/ternhinge/metrics/Metrics.java
@@ -27,6 +27,7 @@
   private final Histogram timerDelays = new Histogram(MAX_MS, SIGNIFICANT_DIGITS);
   private final InvariantChecks invariants = new InvariantChecks();
   private final JobRequestMetrics jobRequests = new JobRequestMetrics();
+  private final WorkerCommandMetrics workerCommands = new WorkerCommandMetrics();
 
   /** Invariants that are checked at run time. */
   public InvariantChecks invariants() {
@@ -38,6 +39,11 @@
     return jobRequests;
   }
 
+  /** Commands to workers that concern tasks without an open attempt. */
+  public WorkerCommandMetrics workerCommands() {
+    return workerCommands;
+  }
+
   /**
    * Records the start of a task.
    *
@@ -87,11 +93,13 @@
   }
 
   /**
-   * Logs a summary of users' requests about jobs and of delays of the event loop, both since the
-   * last summary, and of the other histograms, unless no start or failover has been recorded yet.
+   * Logs a summary of users' requests about jobs, of commands to workers and of delays of the event
+   * loop, all since the last summary, and of the other histograms, unless no start or failover has
+   * been recorded yet.
    */
   public synchronized void logSummary(MonotonicTime now) {
     jobRequests.drainSummary(now).ifPresent(LOG::info);
+    workerCommands.drainSummary().ifPresent(LOG::info);
     LOG.info("timer delay ms: {}", summary(timerDelays));
     timerDelays.reset();
     if (LOG.isInfoEnabled() && startTimes.getTotalCount() + failoverTimes.getTotalCount() > 0) {
--- a/src/test/java/org/ternhinge/heartbeat/HeartbeatCommandsTest.java
+++ b/src/test/java/org/ternhinge/heartbeat/HeartbeatCommandsTest.java
@@ -24,7 +24,7 @@
   private static final AttemptNumber FIRST = new AttemptNumber(1);
 
   private final LeadershipFixture fixture = new LeadershipFixture();
-  private final HeartbeatCommands commands = new HeartbeatCommands(fixture.ledger);
+  private final HeartbeatCommands commands = new HeartbeatCommands(fixture.context);
   private final Machine machine = fixture.addMachine("n-1");
   private final Job job = fixture.addJob(SubmissionJson.smallJob("wk-1", "batch", 2));
   private final TaskId unknown = new TaskId(new JobId("wk-9"), 0);
