--- a/src/main/java/org/ternhinge/attempt/AbsentAttemptReconciler.java
+++ b/src/main/java/org/ternhinge/attempt/AbsentAttemptReconciler.java
@@ -11,7 +11,8 @@
 
 /**
  * Reconciles the open attempts that are absent from a worker's latest status report. An attempt is
- * closed only if none of its start commands can still arrive; otherwise its task could run twice.
+ * closed only if none of its start commands can be executed any more; otherwise its task could run
+ * twice.
  *
  * <pre>
  * absent attempt                  closed if                              evidence
--- a/src/main/java/org/ternhinge/attempt/AttemptLifecycle.java
+++ b/src/main/java/org/ternhinge/attempt/AttemptLifecycle.java
@@ -12,6 +12,7 @@
 import org.ternhinge.ledger.LedgerWriter;
 import org.ternhinge.machine.Machine;
 import org.ternhinge.machine.MachineRegistry;
+import org.ternhinge.metrics.InvariantChecks;
 import org.ternhinge.model.Clock;
 import org.ternhinge.model.EventLine;
 import org.ternhinge.term.LeadershipContext;
@@ -35,6 +36,7 @@
   private final RoundTrigger rounds;
   private final Clock clock;
   private final AttemptListener listener;
+  private final InvariantChecks invariants;
 
   /**
    * Creates the lifecycle manager for the attempts of one leadership term.
@@ -54,6 +56,7 @@
     this.rounds = context.rounds();
     this.clock = context.services().clock();
     this.listener = listener;
+    this.invariants = context.services().metrics().invariants();
   }
 
   /**
@@ -110,6 +113,7 @@
     if (job.openAttempt(attempt.task().index()) != attempt) {
       return;
     }
+    verifyCannotStart(attempt, evidence);
     ledger.close(attempt, done);
     listener.attemptClosed(attempt, done);
     releaseMachine(attempt);
@@ -121,20 +125,29 @@
     rounds.requestRound();
   }
 
+  /** Reports a violation if an attempt is closed as never started although it may still start. */
+  private void verifyCannotStart(Attempt attempt, ClosingEvidence evidence) {
+    if (evidence.isStartExcluded() && isDirectStartOutstanding(attempt)) {
+      invariants.violated(
+          withFacts(InvariantChecks.line("closed-before-fence"), attempt, evidence));
+    }
+  }
+
   private void logClosed(Attempt attempt, ClosingEvidence evidence) {
     if (LOG.isDebugEnabled()) {
-      LOG.debug(
-          "{}",
-          EventLine.of("attempt-event", "closed")
-              .with("task", attempt.task())
-              .with("attempt", attempt.number())
-              .with("machine", attempt.machine())
-              .with("epoch", attempt.epoch())
-              .with("term", authority.term())
-              .with("evidence", evidence.text()));
+      LOG.debug("{}", withFacts(EventLine.of("attempt-event", "closed"), attempt, evidence));
     }
   }
 
+  private EventLine withFacts(EventLine line, Attempt attempt, ClosingEvidence evidence) {
+    return line.with("task", attempt.task())
+        .with("attempt", attempt.number())
+        .with("machine", attempt.machine())
+        .with("epoch", attempt.epoch())
+        .with("term", authority.term())
+        .with("evidence", evidence.text());
+  }
+
   private void releaseMachine(Attempt attempt) {
     Machine machine = machines.find(attempt.machine()).orElse(null);
     if (machine == null) {
--- a/src/main/java/org/ternhinge/attempt/ClosingEvidence.java
+++ b/src/main/java/org/ternhinge/attempt/ClosingEvidence.java
@@ -72,6 +72,11 @@
     return this == REPORTED_DONE;
   }
 
+  /** Whether the attempt never started and no start of it can be executed any more. */
+  public boolean isStartExcluded() {
+    return this == STOPPED_BEFORE_START || this == NEVER_SENT;
+  }
+
   /** Returns the description for the log. */
   public String text() {
     return text;
--- a/src/main/java/org/ternhinge/attempt/CommandDispatcher.java
+++ b/src/main/java/org/ternhinge/attempt/CommandDispatcher.java
@@ -15,6 +15,7 @@
 import org.ternhinge.model.MonotonicTime;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Outcome.Reason;
+import org.ternhinge.model.Term;
 import org.ternhinge.term.LeadershipContext;
 import org.ternhinge.wire.Command;
 import org.ternhinge.wire.Heartbeat;
@@ -23,8 +24,8 @@
 /**
  * Sends commands directly to workers. At most one message per machine is in flight, so that
  * commands arrive in order, and machines are queued while the limit on messages in flight is
- * reached. A start whose response is lost stays outstanding until the start can no longer arrive.
- * Guarded by the controller's lock.
+ * reached. A start stays outstanding until the worker can no longer execute it: its response does
+ * not settle it, since the network may deliver it once more. Guarded by the controller's lock.
  */
 public final class CommandDispatcher {
   /** Maximum number of commands per message. */
@@ -39,6 +40,7 @@
   private final Metrics metrics;
   private final Authority authority;
   private final HigherTermCheck higherTermCheck;
+  private final FencingTokens tokens;
   private final CommandSender sender;
   private final CommandSelector selector;
 
@@ -48,9 +50,11 @@
   /**
    * Creates a dispatcher with no messages in flight.
    *
+   * @param tokens the fencing tokens of the messages
    * @param statusSink receives the status report in each response
    */
-  public CommandDispatcher(LeadershipContext context, AgentStatusSink statusSink) {
+  public CommandDispatcher(
+      LeadershipContext context, FencingTokens tokens, AgentStatusSink statusSink) {
     this.statusSink = statusSink;
     this.workerSettings = context.services().settings().workers();
     this.clock = context.services().clock();
@@ -58,7 +62,8 @@
     this.authority = context.authority();
     this.higherTermCheck = new HigherTermCheck(authority);
     this.sender = new CommandSender(context);
-    this.selector = new CommandSelector(context.ledger());
+    this.tokens = tokens;
+    this.selector = new CommandSelector(context.ledger(), tokens);
   }
 
   /** Returns how many more messages may be sent now. */
@@ -127,24 +132,32 @@
    *
    * @param handler receives the outcome
    */
-  void announceTerm(Endpoint worker, AgentEpoch epoch, Consumer<Outcome<Answer>> handler) {
-    send(worker, epoch, List.of(), handler);
+  void announceTerm(
+      Machine machine, Endpoint worker, AgentEpoch epoch, Consumer<Outcome<Answer>> handler) {
+    send(worker, tokens.tokenOf(machine), epoch, List.of(), handler);
   }
 
   private void sendCommands(Machine machine, List<Command> commands, MonotonicTime now) {
     machine.outbox().markInFlight();
     CommandMessage message = new CommandMessage(machine, machine.agent().epoch(), commands, now);
     Endpoint worker = machine.agent().endpoint().orElseThrow();
-    send(worker, message.epoch(), commands, outcome -> handleOutcome(message, outcome));
+    send(
+        worker,
+        tokens.tokenOf(machine),
+        message.epoch(),
+        commands,
+        outcome -> handleOutcome(message, outcome));
   }
 
   private void send(
       Endpoint worker,
+      Term token,
       AgentEpoch epoch,
       List<Command> commands,
       Consumer<Outcome<Answer>> handler) {
     sender.send(
         worker,
+        token,
         epoch,
         commands,
         outcome -> {
@@ -162,19 +175,22 @@
       if (higherTermCheck.endsLeadership(status)) {
         return;
       }
-      handleResponse(message, status);
+      handleResponse(message, applied.value());
     } else {
       handleFailure(message, outcome);
     }
     dispatch(message.machine());
   }
 
-  private void handleResponse(CommandMessage message, Heartbeat status) {
+  private void handleResponse(CommandMessage message, Answer answer) {
     MonotonicTime now = clock.now();
-    message.settleStarts();
+    if (answer instanceof Answer.Refused) {
+      // The worker refuses duplicates of the message, too. Executed starts stay outstanding.
+      message.settleStarts();
+    }
     message.machine().health().reachability().recordProbeAnswer();
     metrics.recordCommand(now.secondsSince(message.sentAt()));
-    statusSink.apply(message.machine(), status, MessageOrigin.COMMAND_RESPONSE, now);
+    statusSink.apply(message.machine(), answer.heartbeat(), MessageOrigin.COMMAND_RESPONSE, now);
   }
 
   private void handleFailure(CommandMessage message, Outcome<Answer> outcome) {
--- a/src/main/java/org/ternhinge/attempt/CommandMessage.java
+++ b/src/main/java/org/ternhinge/attempt/CommandMessage.java
@@ -16,8 +16,9 @@
     Machine machine, AgentEpoch epoch, List<Command> commands, MonotonicTime sentAt) {
 
   /**
-   * Marks the starts in this message as settled: each was executed or never will be. Does nothing
-   * if the worker has begun another epoch, in which these starts are not accepted.
+   * Marks the starts in this message as settled: the worker refused them, or they were not
+   * delivered and never will be. Does nothing if the worker has begun another epoch, in which these
+   * starts are not accepted.
    */
   void settleStarts() {
     if (!epoch.equals(machine.agent().epoch())) {
--- a/src/main/java/org/ternhinge/attempt/CommandSelector.java
+++ b/src/main/java/org/ternhinge/attempt/CommandSelector.java
@@ -14,9 +14,11 @@
  */
 final class CommandSelector {
   private final Ledger ledger;
+  private final FencingTokens tokens;
 
-  CommandSelector(Ledger ledger) {
+  CommandSelector(Ledger ledger, FencingTokens tokens) {
     this.ledger = ledger;
+    this.tokens = tokens;
   }
 
   /**
@@ -32,7 +34,9 @@
         if (!isStartCurrent(command, machine)) {
           continue;
         }
-        machine.outstandingStarts().recordSent(command.task(), command.attempt());
+        machine
+            .outstandingStarts()
+            .recordSent(command.task(), command.attempt(), tokens.tokenOf(machine));
       }
       commands.add(command);
     }
--- a/src/main/java/org/ternhinge/attempt/CommandSender.java
+++ b/src/main/java/org/ternhinge/attempt/CommandSender.java
@@ -8,6 +8,7 @@
 import org.ternhinge.model.AgentEpoch;
 import org.ternhinge.model.Endpoint;
 import org.ternhinge.model.Outcome;
+import org.ternhinge.model.Term;
 import org.ternhinge.term.ControllerServices;
 import org.ternhinge.term.LeadershipContext;
 import org.ternhinge.term.LeadershipExecutor;
@@ -49,16 +50,18 @@
   /**
    * Sends a message, even if there is no free slot.
    *
+   * @param token the fencing token of the message
    * @param handler receives the outcome under the lock
    */
   void send(
       Endpoint worker,
+      Term token,
       AgentEpoch epoch,
       List<Command> commands,
       Consumer<Outcome<Answer>> handler) {
     inFlight++;
     executor.whenAnswered(
-        workers.command(worker, authority.term(), epoch, commands, this::maySend),
+        workers.command(worker, token, epoch, commands, this::maySend),
         outcome -> {
           inFlight--;
           handler.accept(outcome);
--- a/src/main/java/org/ternhinge/attempt/HigherTermCheck.java
+++ b/src/main/java/org/ternhinge/attempt/HigherTermCheck.java
@@ -5,13 +5,14 @@
 import org.ternhinge.wire.Heartbeat;
 
 /**
- * Ends the leadership when a worker reports a fencing token above the current term, which means
- * that another leader has been elected. Guarded by the controller's lock.
+ * Ends the leadership when a worker reports a higher fencing token than any that is reserved for
+ * this leadership, which means that another leader has been elected. Guarded by the controller's
+ * lock.
  */
 public final class HigherTermCheck {
   private final Authority authority;
 
-  /** Creates a check against the term of an authority. */
+  /** Creates a check against the tokens of an authority. */
   public HigherTermCheck(Authority authority) {
     this.authority = authority;
   }
@@ -22,7 +23,7 @@
    * @return whether the leadership has ended, in which case the status must not be applied
    */
   public boolean endsLeadership(Heartbeat status) {
-    if (status.fencingToken().compareTo(authority.term()) <= 0) {
+    if (status.fencingToken().compareTo(authority.lastToken()) <= 0) {
       return false;
     }
     authority.onLost(new LeadershipLoss.HigherTermSeen(status.fencingToken()));
--- a/src/main/java/org/ternhinge/attempt/TermAnnouncer.java
+++ b/src/main/java/org/ternhinge/attempt/TermAnnouncer.java
@@ -72,7 +72,10 @@
   private void send(Machine machine, Endpoint endpoint, AgentEpoch epoch, int attemptsLeft) {
     if (authority.isValid()) {
       dispatcher.announceTerm(
-          endpoint, epoch, outcome -> handleResponse(machine, endpoint, outcome, attemptsLeft));
+          machine,
+          endpoint,
+          epoch,
+          outcome -> handleResponse(machine, endpoint, outcome, attemptsLeft));
     }
   }
 
@@ -90,6 +93,6 @@
 
   private boolean isRefusedForEpoch(WorkerClient.Answer answer) {
     return answer instanceof WorkerClient.Answer.Refused
-        && answer.heartbeat().fencingToken().compareTo(authority.term()) <= 0;
+        && answer.heartbeat().fencingToken().compareTo(authority.lastToken()) <= 0;
   }
 }
--- a/src/main/java/org/ternhinge/election/LocalLeadership.java
+++ b/src/main/java/org/ternhinge/election/LocalLeadership.java
@@ -13,7 +13,8 @@
   private final Clock clock;
   private final LeadershipLease lease;
   private final Consumer<LeadershipLoss> onLost;
-  private Term term;
+  private final Term term;
+  private Term lastToken;
   private Revision termRevision;
   private boolean ended;
 
@@ -29,6 +30,7 @@
       Clock clock,
       Consumer<LeadershipLoss> onLost) {
     this.term = term;
+    this.lastToken = term;
     this.termRevision = termRevision;
     this.lease = lease;
     this.clock = clock;
@@ -40,14 +42,19 @@
     return term;
   }
 
+  @Override
+  public Term lastToken() {
+    return lastToken;
+  }
+
   @Override
   public Revision termRevision() {
     return termRevision;
   }
 
   @Override
-  public void onTermRaised(Term to, Revision revision) {
-    term = to;
+  public void onTokensReserved(Term last, Revision revision) {
+    lastToken = last;
     termRevision = revision;
   }
 
--- a/src/main/java/org/ternhinge/heartbeat/HeartbeatCommands.java
+++ b/src/main/java/org/ternhinge/heartbeat/HeartbeatCommands.java
@@ -1,6 +1,7 @@
 package org.ternhinge.heartbeat;
 
 import java.util.List;
+import org.ternhinge.attempt.StartFence;
 import org.ternhinge.attempt.UnexpectedTaskLog;
 import org.ternhinge.ledger.Attempt;
 import org.ternhinge.ledger.AttemptState;
@@ -19,7 +20,7 @@
  * reported task without open attempt    command
  * ------------------------------------  --------------------------------------------------
  * not ended                             stop without grace period
- * ended, and its end is durable         forget, unless a direct start of it may still arrive
+ * ended, and its end is durable         forget, unless a direct start of it may be executed again
  * ended, and its end is not durable     none: the task is forgotten once it is
  *
  * open attempt of the worker's epoch    command
@@ -30,15 +31,17 @@
  * other                                 none
  * </pre>
  *
- * <p>A worker that has forgotten a task would run it again if a late start of it arrived. Guarded
- * by the controller's lock.
+ * <p>A worker that has forgotten a task would run it again if a start of it arrived late or twice;
+ * {@link StartFence} prevents that. Guarded by the controller's lock.
  */
 final class HeartbeatCommands {
   private final Ledger ledger;
+  private final StartFence startFence;
   private final UnexpectedTaskLog unexpectedTasks;
 
-  HeartbeatCommands(LeadershipContext context) {
+  HeartbeatCommands(LeadershipContext context, StartFence startFence) {
     this.ledger = context.ledger();
+    this.startFence = startFence;
     this.unexpectedTasks = new UnexpectedTaskLog(context);
   }
 
@@ -74,7 +77,7 @@
       unexpectedTasks.record(machine, task);
       commands.addStop(task.task(), task.attempt(), 0);
     } else if (isEndDurable(task)
-        && !machine.outstandingStarts().mayArrive(task.task(), task.attempt())) {
+        && startFence.allowsForget(machine, task.task(), task.attempt())) {
       commands.addForget(task.task(), task.attempt());
     }
   }
--- a/src/main/java/org/ternhinge/heartbeat/HeartbeatProcessor.java
+++ b/src/main/java/org/ternhinge/heartbeat/HeartbeatProcessor.java
@@ -2,11 +2,14 @@
 
 import java.util.List;
 import org.ternhinge.attempt.AgentStatusSink;
+import org.ternhinge.attempt.FencingTokens;
 import org.ternhinge.attempt.HigherTermCheck;
 import org.ternhinge.attempt.MessageOrigin;
+import org.ternhinge.attempt.StartFence;
 import org.ternhinge.heartbeat.HeartbeatResult.Accepted;
 import org.ternhinge.heartbeat.HeartbeatResult.Rejected;
 import org.ternhinge.ledger.Authority;
+import org.ternhinge.ledger.Ledger;
 import org.ternhinge.machine.Machine;
 import org.ternhinge.machine.MachineRegistry;
 import org.ternhinge.model.Clock;
@@ -35,8 +38,6 @@
  * lease. Guarded by the controller's lock.
  */
 public final class HeartbeatProcessor {
-  private static final Accepted WITHOUT_COMMANDS = new Accepted(List.of());
-
   private final Clock clock;
   private final Authority authority;
   private final HigherTermCheck higherTermCheck;
@@ -44,18 +45,25 @@
   private final AgentStatusSink statusUpdater;
   private final ReachabilityMonitor reachability;
   private final LeaseRenewal leases;
+  private final FencingTokens tokens;
+  private final StartFence startFence;
+  private final Ledger ledger;
   private final HeartbeatCommands commands;
 
   /**
    * Creates a processor.
    *
    * @param statusUpdater applies the status report in a heartbeat
+   * @param tokens the fencing tokens of the responses
+   * @param startFence decides which attempts a worker may forget
    */
   public HeartbeatProcessor(
       LeadershipContext context,
       MachineRegistry machines,
       AgentStatusSink statusUpdater,
-      ReachabilityMonitor reachability) {
+      ReachabilityMonitor reachability,
+      FencingTokens tokens,
+      StartFence startFence) {
     this.clock = context.services().clock();
     this.authority = context.authority();
     this.higherTermCheck = new HigherTermCheck(authority);
@@ -63,7 +71,10 @@
     this.statusUpdater = statusUpdater;
     this.reachability = reachability;
     this.leases = new LeaseRenewal(context.services());
-    this.commands = new HeartbeatCommands(context);
+    this.tokens = tokens;
+    this.startFence = startFence;
+    this.ledger = context.ledger();
+    this.commands = new HeartbeatCommands(context, startFence);
   }
 
   /**
@@ -108,7 +119,7 @@
    */
   private HeartbeatResult respondToOutdated(Machine machine, boolean mayCommand) {
     leases.renewFrom(machine, machine.agent().lastMessageAt());
-    return mayCommand ? accepted(commands.stops(machine)) : WITHOUT_COMMANDS;
+    return accepted(machine, mayCommand ? commands.stops(machine) : List.of());
   }
 
   private HeartbeatResult respondToCurrent(
@@ -119,7 +130,12 @@
     machine.agent().recordAnswer(authority.term());
     // The worker counts its lease from when it sent the heartbeat, so this one ends no earlier.
     leases.renewFrom(machine, now);
-    return mayCommand ? accepted(commands.commands(machine, heartbeat)) : WITHOUT_COMMANDS;
+    return accepted(machine, mayCommand ? nextCommands(machine, heartbeat, now) : List.of());
+  }
+
+  private List<Command> nextCommands(Machine machine, Heartbeat heartbeat, MonotonicTime now) {
+    startFence.fenceStopped(machine, ledger.attemptsOn(machine.id()), now);
+    return commands.commands(machine, heartbeat);
   }
 
   /** Whether the worker was sent a response in this term but does not report the term. */
@@ -128,7 +144,8 @@
         && machine.agent().wasAnsweredIn(authority.term());
   }
 
-  private static HeartbeatResult accepted(List<Command> commands) {
-    return commands.isEmpty() ? WITHOUT_COMMANDS : new Accepted(commands);
+  private HeartbeatResult accepted(Machine machine, List<Command> selected) {
+    startFence.verify(machine, selected);
+    return new Accepted(tokens.tokenOf(machine), selected);
   }
 }
--- a/src/main/java/org/ternhinge/heartbeat/HeartbeatResult.java
+++ b/src/main/java/org/ternhinge/heartbeat/HeartbeatResult.java
@@ -1,6 +1,7 @@
 package org.ternhinge.heartbeat;
 
 import java.util.List;
+import org.ternhinge.model.Term;
 import org.ternhinge.wire.Command;
 
 /** The result of processing a heartbeat. */
@@ -9,9 +10,10 @@
   /**
    * A response is to be sent, which renews the worker's lease.
    *
+   * @param token the fencing token of the response
    * @param commands the commands for the worker, most urgent first
    */
-  record Accepted(List<Command> commands) implements HeartbeatResult {}
+  record Accepted(Term token, List<Command> commands) implements HeartbeatResult {}
 
   /** No response may be sent, because it would renew the worker's lease. */
   enum Rejected implements HeartbeatResult {
--- a/src/main/java/org/ternhinge/heartbeat/LeaseMonitor.java
+++ b/src/main/java/org/ternhinge/heartbeat/LeaseMonitor.java
@@ -8,7 +8,7 @@
 import org.ternhinge.attempt.AttemptLifecycle;
 import org.ternhinge.attempt.ClosingEvidence;
 import org.ternhinge.attempt.CommandDispatcher;
-import org.ternhinge.attempt.TermFence;
+import org.ternhinge.attempt.StartFence;
 import org.ternhinge.config.Settings;
 import org.ternhinge.ledger.Attempt;
 import org.ternhinge.ledger.Ledger;
@@ -36,13 +36,14 @@
   private final AttemptLifecycle attempts;
   private final ReportedTasks reportedTasks;
   private final CommandDispatcher dispatcher;
-  private final TermFence termFence;
+  private final StartFence startFence;
   private final RoundTrigger rounds;
 
   /**
    * Creates a monitor for a set of machines.
    *
    * @param dispatcher probes workers that may be unreachable for commands
+   * @param startFence raises the fencing tokens of probes if an attempt can then be closed
    */
   public LeaseMonitor(
       LeadershipContext context,
@@ -50,14 +51,14 @@
       AttemptLifecycle attempts,
       ReportedTasks reportedTasks,
       CommandDispatcher dispatcher,
-      TermFence termFence) {
+      StartFence startFence) {
     this.workerSettings = context.services().settings().workers();
     this.ledger = context.ledger();
     this.machines = machines;
     this.attempts = attempts;
     this.reportedTasks = reportedTasks;
     this.dispatcher = dispatcher;
-    this.termFence = termFence;
+    this.startFence = startFence;
     this.rounds = context.rounds();
   }
 
@@ -90,7 +91,6 @@
 
   /** Checks all machines. Called periodically while the leadership is valid. */
   public void check(MonotonicTime now) {
-    boolean fenceNeeded = false;
     for (Machine machine : List.copyOf(machines.all())) {
       expireReservations(machine, now);
       probeIfUnreachable(machine, now);
@@ -103,14 +103,9 @@
         // are not started elsewhere while they are reported.
         expireLease(machine, List.copyOf(open));
       } else {
-        List<Attempt> stopping = stoppingAttempts(open);
-        repeatOverdueStops(stopping, now);
-        fenceNeeded |= termFence.isNeededForAny(machine, stopping, now);
+        repeatOverdueStops(stoppingAttempts(open), now);
       }
     }
-    if (fenceNeeded) {
-      termFence.raise(now);
-    }
   }
 
   private void expireReservations(Machine machine, MonotonicTime now) {
@@ -125,6 +120,7 @@
         && !machine.outbox().isInFlight()
         && dispatcher.hasFreeSlot()
         && machine.health().reachability().isProbeDue(now)) {
+      startFence.fenceStopped(machine, ledger.attemptsOn(machine.id()), now);
       dispatcher.probe(machine, now);
     }
   }
--- a/src/main/java/org/ternhinge/leadership/Leadership.java
+++ b/src/main/java/org/ternhinge/leadership/Leadership.java
@@ -218,15 +218,15 @@
   }
 
   /**
-   * Processes a heartbeat and returns the commands for the worker, or empty if no response may be
+   * Processes a heartbeat and returns the body of the response, or empty if no response may be
    * sent.
    *
    * @param mayCommand whether commands may be sent, which requires a valid leadership
    */
-  public Optional<List<Command>> processHeartbeat(Heartbeat heartbeat, boolean mayCommand) {
+  public Optional<byte[]> processHeartbeat(Heartbeat heartbeat, boolean mayCommand) {
     return workers.heartbeats.process(heartbeat, mayCommand)
-            instanceof HeartbeatResult.Accepted answered
-        ? Optional.of(answered.commands())
+            instanceof HeartbeatResult.Accepted accepted
+        ? Optional.of(Command.heartbeatResponse(accepted.token(), accepted.commands()))
         : Optional.empty();
   }
 }
--- a/src/main/java/org/ternhinge/leadership/WorkerComponents.java
+++ b/src/main/java/org/ternhinge/leadership/WorkerComponents.java
@@ -4,8 +4,9 @@
 import org.ternhinge.attempt.AttemptLifecycle;
 import org.ternhinge.attempt.AttemptStatusUpdater;
 import org.ternhinge.attempt.CommandDispatcher;
+import org.ternhinge.attempt.FencingTokens;
 import org.ternhinge.attempt.MessageOrigin;
-import org.ternhinge.attempt.TermFence;
+import org.ternhinge.attempt.StartFence;
 import org.ternhinge.heartbeat.AgentStatusUpdater;
 import org.ternhinge.heartbeat.FirstHeartbeatHandler;
 import org.ternhinge.heartbeat.HeartbeatProcessor;
@@ -28,19 +29,18 @@
   final LeaseMonitor leaseMonitor;
 
   WorkerComponents(LeadershipContext context, MachineComponents fleet) {
-    dispatcher = new CommandDispatcher(context, this::applyStatus);
+    FencingTokens tokens = new FencingTokens(context.authority(), context.writer());
+    StartFence startFence = new StartFence(tokens, context.services().metrics());
+    dispatcher = new CommandDispatcher(context, tokens, this::applyStatus);
     attempts = new AttemptLifecycle(context, fleet.machines, dispatcher, fleet.zones);
     ReachabilityMonitor reachability = new ReachabilityMonitor(fleet.machines, context.rounds());
     statusUpdater = createStatusUpdater(context, fleet, attempts, reachability);
-    heartbeats = new HeartbeatProcessor(context, fleet.machines, statusUpdater, reachability);
+    heartbeats =
+        new HeartbeatProcessor(
+            context, fleet.machines, statusUpdater, reachability, tokens, startFence);
     leaseMonitor =
         new LeaseMonitor(
-            context,
-            fleet.machines,
-            attempts,
-            fleet.reportedTaskCounts,
-            dispatcher,
-            new TermFence(context.authority(), context.writer(), fleet.machines));
+            context, fleet.machines, attempts, fleet.reportedTaskCounts, dispatcher, startFence);
   }
 
   private static AgentStatusUpdater createStatusUpdater(
--- a/src/main/java/org/ternhinge/ledger/AuxiliaryWrites.java
+++ b/src/main/java/org/ternhinge/ledger/AuxiliaryWrites.java
@@ -9,6 +9,7 @@
 import java.util.Map;
 import java.util.function.Supplier;
 import org.ternhinge.model.Revision;
+import org.ternhinge.model.Term;
 import org.ternhinge.wire.Json;
 
 /** Pending writes and known revisions of keys other than the jobs' records. */
@@ -39,6 +40,19 @@
     write.onDurable().add(onDurable);
   }
 
+  /**
+   * Requests the reservation of the next fencing tokens.
+   *
+   * @param onDurable runs once they are reserved
+   */
+  void requestTokens(Runnable onDurable) {
+    request(Keys.TERM, () -> Json.object().put("n", nextReservation().value()), onDurable);
+  }
+
+  private Term nextReservation() {
+    return authority.lastToken().plus(LedgerWriter.RESERVED_TOKENS);
+  }
+
   boolean isEmpty() {
     return pending.isEmpty();
   }
@@ -75,7 +89,7 @@
   void onApplied(List<AuxiliaryWrite> writes, Revision revision) {
     for (AuxiliaryWrite write : writes) {
       if (write.key().equals(Keys.TERM)) {
-        authority.onTermRaised(authority.term().next(), revision);
+        authority.onTokensReserved(nextReservation(), revision);
       }
       revisions.put(write.key(), revision);
     }
--- a/src/main/java/org/ternhinge/ledger/LedgerWriter.java
+++ b/src/main/java/org/ternhinge/ledger/LedgerWriter.java
@@ -14,7 +14,6 @@
 import org.ternhinge.model.Outcome.Reason;
 import org.ternhinge.model.Revision;
 import org.ternhinge.store.KeyValueStore;
-import org.ternhinge.wire.Json;
 
 /**
  * Writes the ledger's changes to the key-value store, batching many records in a transaction.
@@ -34,6 +33,9 @@
  * updates the ledger after a transaction was applied. All methods are called under the lock.
  */
 public final class LedgerWriter {
+  /** Number of fencing tokens that are reserved at a time. */
+  public static final long RESERVED_TOKENS = 1L << 20;
+
   private static final Logger LOG = LoggerFactory.getLogger(LedgerWriter.class);
 
   /** Seconds before a transaction is sent again that was rejected or received no response. */
@@ -133,11 +135,14 @@
   }
 
   /**
-   * Raises the term, so that workers that have received the new term reject commands sent under the
-   * old one, no matter how late these arrive.
+   * Reserves the next {@link #RESERVED_TOKENS} fencing tokens for this leadership by raising the
+   * number in the term's key; the next leadership claims a higher one.
+   *
+   * @param onDurable runs once the tokens may be used
    */
-  public void raiseTerm(Runnable onDurable) {
-    write(Keys.TERM, () -> Json.object().put("n", authority.term().next().value()), onDurable);
+  public void reserveTokens(Runnable onDurable) {
+    auxiliaryWrites.requestTokens(onDurable);
+    sendNext();
   }
 
   /** Whether no write is pending or in progress. */
--- a/src/main/java/org/ternhinge/ledger/TransactionVerifier.java
+++ b/src/main/java/org/ternhinge/ledger/TransactionVerifier.java
@@ -59,7 +59,7 @@
   private void handleTerm(
       LedgerTransaction transaction, Optional<Entry> term, Consumer<Verdict> onVerdict) {
     if (transaction.changesKey(Keys.TERM)) {
-      // A raised term differs from every claimed term, which includes the claiming process.
+      // A reservation differs from every claimed term, which includes the claiming process.
       onVerdict.accept(compare(transaction.changeOf(Keys.TERM), term));
     } else if (term.map(Entry::revision).filter(authority.termRevision()::equals).isPresent()) {
       Change probe = transaction.probe();
--- a/src/main/java/org/ternhinge/machine/AgentState.java
+++ b/src/main/java/org/ternhinge/machine/AgentState.java
@@ -17,6 +17,7 @@
   private AgentEpoch lastEndedEpoch = AgentEpoch.NONE;
   private long sequence = -1;
   private Term fencingToken = Term.NONE;
+  private Term issuedToken = Term.NONE;
   private Term answeredTerm = Term.NONE;
   private MonotonicTime lastMessageAt;
   private MonotonicTime leaseExpiry;
@@ -142,6 +143,16 @@
     }
   }
 
+  /** Returns the fencing token to which the messages to the agent were last raised. */
+  public Term issuedToken() {
+    return issuedToken;
+  }
+
+  /** Sets the fencing token of all later messages to the agent. */
+  public void setIssuedToken(Term token) {
+    issuedToken = token;
+  }
+
   /** Records the term in which a heartbeat was answered. */
   public void recordAnswer(Term term) {
     answeredTerm = term;
--- a/src/main/java/org/ternhinge/machine/Machine.java
+++ b/src/main/java/org/ternhinge/machine/Machine.java
@@ -86,7 +86,7 @@
     return outbox;
   }
 
-  /** Returns the direct start commands that may still arrive at the worker. */
+  /** Returns the direct start commands that the worker may still execute. */
   public OutstandingStarts outstandingStarts() {
     return outstandingStarts;
   }
--- a/src/main/java/org/ternhinge/machine/OutstandingStarts.java
+++ b/src/main/java/org/ternhinge/machine/OutstandingStarts.java
@@ -1,16 +1,16 @@
 package org.ternhinge.machine;
 
-import it.unimi.dsi.fastutil.objects.Object2IntMap;
-import it.unimi.dsi.fastutil.objects.Object2IntOpenHashMap;
+import java.util.HashMap;
+import java.util.Map;
 import org.ternhinge.model.AttemptNumber;
 import org.ternhinge.model.TaskId;
 import org.ternhinge.model.Term;
 
 /**
- * Direct start commands to one worker that are unanswered or whose answers were lost. Such a start
- * may still arrive, so its attempt must not be presumed gone. Raising the term fences them: a
- * worker rejects starts with a lower term once it has seen the higher one. Guarded by the
- * controller's lock.
+ * Direct start commands to one worker that it may still execute, for the first time or again. The
+ * network may deliver a message more than once, so a response does not settle the starts in it.
+ * They are settled when the worker has seen a higher fencing token than they carry, or when its
+ * epoch ends. Guarded by the controller's lock.
  */
 public final class OutstandingStarts {
   private record Start(TaskId task, AttemptNumber attempt) {
@@ -28,62 +28,48 @@
     }
   }
 
-  /** Number of outstanding starts by attempt. */
-  private final Object2IntOpenHashMap<Start> counts = new Object2IntOpenHashMap<>();
+  /** The number of messages that contain a start, and the highest fencing token among them. */
+  private record Messages(int count, Term highestToken) {
+    Messages plus(Messages other) {
+      return new Messages(count + other.count, highestToken.max(other.highestToken));
+    }
 
-  /** Number of outstanding starts by attempt, restricted to terms below the fence. */
-  private final Object2IntOpenHashMap<Start> fencedCounts = new Object2IntOpenHashMap<>();
+    Messages withoutOne() {
+      return count == 1 ? null : new Messages(count - 1, highestToken);
+    }
+  }
 
-  private Term fence = Term.NONE;
+  private final Map<Start, Messages> starts = new HashMap<>();
+  private Term observedToken = Term.NONE;
 
-  /** Records that a start was sent. */
-  public void recordSent(TaskId task, AttemptNumber attempt) {
-    counts.addTo(new Start(task, attempt), 1);
+  /** Records that a start was sent with a fencing token. */
+  public void recordSent(TaskId task, AttemptNumber attempt, Term token) {
+    starts.merge(new Start(task, attempt), new Messages(1, token), Messages::plus);
   }
 
-  /** Records that a start was applied or can no longer be applied. */
+  /** Records that a message with a start was refused, or was not delivered and never will be. */
   public void settle(TaskId task, AttemptNumber attempt) {
-    subtract(new Start(task, attempt), 1);
+    starts.computeIfPresent(new Start(task, attempt), (start, sent) -> sent.withoutOne());
   }
 
-  /** Returns whether a start of an attempt may still arrive. */
+  /** Returns whether the worker may still execute a start of an attempt. */
   public boolean mayArrive(TaskId task, AttemptNumber attempt) {
-    return counts.containsKey(new Start(task, attempt));
-  }
-
-  /**
-   * Returns whether an outstanding start of an attempt will be rejected once the worker has seen
-   * the fence.
-   */
-  public boolean isFenced(TaskId task, AttemptNumber attempt) {
-    return fencedCounts.containsKey(new Start(task, attempt));
+    return starts.containsKey(new Start(task, attempt));
   }
 
-  /** Fences all outstanding starts after the term was raised above theirs. */
-  public void fence(Term newTerm) {
-    fencedCounts.clear();
-    fencedCounts.putAll(counts);
-    fence = newTerm;
+  /** Returns whether a worker that has seen a fencing token rejects all starts of an attempt. */
+  public boolean isFencedBy(Term token, TaskId task, AttemptNumber attempt) {
+    Messages sent = starts.get(new Start(task, attempt));
+    return sent == null || sent.highestToken().compareTo(token) < 0;
   }
 
-  /**
-   * Records a fencing token that the worker has seen; it rejects starts with lower terms from now
-   * on.
-   */
+  /** Records a fencing token that the worker has seen; it rejects starts with lower ones. */
   public void observeFencingToken(Term token) {
-    if (fencedCounts.isEmpty() || token.compareTo(fence) < 0) {
+    if (token.compareTo(observedToken) <= 0) {
       return;
     }
-    for (Object2IntMap.Entry<Start> entry : fencedCounts.object2IntEntrySet()) {
-      subtract(entry.getKey(), entry.getIntValue());
-    }
-    fencedCounts.clear();
-  }
-
-  private void subtract(Start start, int count) {
-    if (counts.addTo(start, -count) <= count) {
-      counts.removeInt(start);
-    }
+    observedToken = token;
+    starts.values().removeIf(sent -> sent.highestToken().compareTo(token) < 0);
   }
 
   /**
@@ -91,7 +77,6 @@
    * effect.
    */
   public void clear() {
-    counts.clear();
-    fencedCounts.clear();
+    starts.clear();
   }
 }
--- a/src/main/java/org/ternhinge/metrics/WorkerCommandMetrics.java
+++ b/src/main/java/org/ternhinge/metrics/WorkerCommandMetrics.java
@@ -17,6 +17,8 @@
     FORGET,
     /** A worker was not yet told, since a direct start of the task might still be executed. */
     FORGET_DELAYED,
+    /** The fencing token of a worker was raised. */
+    TOKEN_RAISED,
     /** A task without an open attempt had not ended and was stopped. */
     UNEXPECTED_TASK
   }
--- a/src/main/java/org/ternhinge/model/Term.java
+++ b/src/main/java/org/ternhinge/model/Term.java
@@ -1,8 +1,9 @@
 package org.ternhinge.model;
 
 /**
- * The term of a leader. It increases with every election and serves as the fencing token: workers
- * reject commands with a lower term than the highest one they have seen.
+ * The term of a leader or one of its fencing tokens. A leadership owns a range of tokens that
+ * begins with its term and ends below the term of the next leadership. Workers reject commands with
+ * a lower token than the highest one they have seen.
  */
 public final class Term extends SequenceNumber<Term> {
   /** No term; lower than the term of any leader. */
@@ -15,6 +16,16 @@
 
   /** The term after this one. */
   public Term next() {
-    return new Term(value() + 1);
+    return plus(1);
+  }
+
+  /** The term that is higher by the given number. */
+  public Term plus(long count) {
+    return new Term(value() + count);
+  }
+
+  /** The higher one of two terms. */
+  public Term max(Term other) {
+    return compareTo(other) >= 0 ? this : other;
   }
 }
--- a/src/main/java/org/ternhinge/request/HeartbeatHandler.java
+++ b/src/main/java/org/ternhinge/request/HeartbeatHandler.java
@@ -1,6 +1,5 @@
 package org.ternhinge.request;
 
-import java.util.List;
 import java.util.Optional;
 import java.util.function.Consumer;
 import org.ternhinge.http.Request;
@@ -8,7 +7,6 @@
 import org.ternhinge.leadership.Leadership;
 import org.ternhinge.leadership.LeadershipRole;
 import org.ternhinge.model.Clock;
-import org.ternhinge.wire.Command;
 import org.ternhinge.wire.Heartbeat;
 import org.ternhinge.wire.Redirect;
 import org.ternhinge.wire.WireException;
@@ -70,16 +68,13 @@
     if (!role.mayAnswerHeartbeats() || !(valid || leadership.mayRenewLease(heartbeat))) {
       return false;
     }
-    Optional<List<Command>> commands = leadership.processHeartbeat(heartbeat, valid);
+    Optional<byte[]> response = leadership.processHeartbeat(heartbeat, valid);
     if (role.current().isEmpty()) {
       // The heartbeat carried a higher term, which ended the leadership.
       return false;
     }
     responseCallback.accept(
-        commands
-            .map(list -> Command.heartbeatResponse(leadership.authority().term(), list))
-            .map(body -> Response.of(Responses.OK, body))
-            .orElse(Responses.busy()));
+        response.map(body -> Response.of(Responses.OK, body)).orElse(Responses.busy()));
     return true;
   }
 
--- a/src/main/java/org/ternhinge/round/MachineViews.java
+++ b/src/main/java/org/ternhinge/round/MachineViews.java
@@ -54,7 +54,7 @@
         && machine.agent().hasEndpoint()
         && machine.agent().isEpochOpen()
         && machine.health().acceptsTasks(now)
-        && machine.agent().fencingToken().equals(authority.term())
+        && machine.agent().fencingToken().compareTo(authority.term()) >= 0
         && !machine.agent().isOverdue(settings.workers(), now);
   }
 
--- a/src/test/java/org/ternhinge/attempt/AttemptLifecycleTest.java
+++ b/src/test/java/org/ternhinge/attempt/AttemptLifecycleTest.java
@@ -55,6 +55,24 @@
     assertEquals(expected, attempt.stopGraceS());
   }
 
+  /** The task might be started elsewhere while the first start is still executed. */
+  @ParameterizedTest(name = "{0}, start outstanding: {1}")
+  @CsvSource({
+    "STOPPED_BEFORE_START, true,  1",
+    "STOPPED_BEFORE_START, false, 0",
+    "NEVER_SENT,           true,  1",
+    "REPORTED_STOPPED,     true,  0"
+  })
+  void closingAttemptThatMayStillStartIsReportedAsViolation(
+      ClosingEvidence evidence, boolean startOutstanding, long violations) {
+    Attempt attempt = fixture.openAttempt(job, 0, machine);
+    if (!startOutstanding) {
+      machine.outstandingStarts().clear();
+    }
+    fixture.attempts.close(attempt, evidence);
+    assertEquals(violations, fixture.context.services().metrics().invariants().count());
+  }
+
   /** Closing an attempt twice must not close the next attempt of the same task. */
   @Test
   void closingTwiceKeepsNextAttemptOpen() {
--- a/src/test/java/org/ternhinge/attempt/CommandDispatcherTest.java
+++ b/src/test/java/org/ternhinge/attempt/CommandDispatcherTest.java
@@ -8,6 +8,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.ternhinge.leadership.LeadershipFixture;
 import org.ternhinge.leadership.RecordingWorkers.Message;
@@ -110,16 +111,33 @@
   /** Handling of the outcome of a message. */
   @Nested
   class Outcomes {
-    @Test
-    void responseSettlesStartsAndDeliversStatus() {
+    /** The network may deliver the message again; the worker rejects it if it refused it once. */
+    @ParameterizedTest(name = "executed: {0}")
+    @CsvSource({"true", "false"})
+    void responseDeliversStatusAndSettlesOnlyRefusedStarts(boolean executed) {
       Attempt attempt = fixture.openAttempt(job, 0, machine);
       assertTrue(isOutstanding(attempt));
       Heartbeat status = status();
-      messages().get(0).execute(status);
-      assertFalse(isOutstanding(attempt));
+      if (executed) {
+        messages().get(0).execute(status);
+      } else {
+        messages().get(0).refuse(status);
+      }
+      assertEquals(executed, isOutstanding(attempt));
       assertEquals(List.of(status), fixture.reportedStatuses);
     }
 
+    @Test
+    void messageCarriesTokenOfItsWorker() {
+      fixture.tokens.reserve();
+      fixture.clock.runFor(0.1);
+      fixture.tokens.raise(machine);
+      fixture.openAttempt(job, 0, machine);
+      fixture.dispatcher.probe(fixture.addMachine("n-2"), fixture.now());
+      assertEquals(new Term(2), messages().get(0).term());
+      assertEquals(new Term(1), messages().get(1).term());
+    }
+
     /** A connection failure does not prove that the message was not delivered. */
     @ParameterizedTest
     @EnumSource(Outcome.Reason.class)
--- a/src/test/java/org/ternhinge/controller/SeededFaultTest.java
+++ b/src/test/java/org/ternhinge/controller/SeededFaultTest.java
@@ -16,6 +16,9 @@
  * tasks that the simulated workers ran and the answers that users got.
  */
 class SeededFaultTest {
+  /** How long messages are duplicated: as long as other faults are injected. */
+  private static final double DUPLICATES_S = 240;
+
   private SimCluster cluster;
   private SimUsers users;
   private int submittedJobs;
@@ -70,7 +73,62 @@
     "50, 0.02, COMBINED"
   })
   void invariantsHold(long seed, double loss, FaultKind kind) {
+    play(seed, loss, kind, 0);
+  }
+
+  /** A worker that has forgotten a task would run it again if its start arrived once more. */
+  @ParameterizedTest(name = "seed {0}, share {1}, {2}")
+  @CsvSource({
+    "8101, 0.3, NONE",
+    "8102, 0.3, CONTROLLER_CRASHES",
+    "8103, 0.3, CONNECTION_CUTS",
+    "8104, 0.3, STORE_OUTAGES",
+    "8105, 0.3, LOST_COMMANDS",
+    "8106, 0.3, DUPLICATE_HEARTBEATS",
+    "8107, 0.3, ISOLATED_CONTROLLERS",
+    "8108, 0.3, BASIC",
+    "8109, 0.3, LATE_WRITES",
+    "8110, 0.3, LOST_HEARTBEATS",
+    "8111, 0.3, MACHINE_HANGS",
+    "8112, 0.3, SLOW_STORE",
+    "8113, 0.3, DELAYED_HEARTBEATS",
+    "8114, 0.3, ZONE_CUTS",
+    "8115, 0.3, REFUSED_LEADERS",
+    "8116, 0.3, INVALID_REQUESTS",
+    "8117, 0.3, COMBINED",
+    "8118, 0.3, PARTITIONED_ZONES",
+    "8119, 1, NONE",
+    "8120, 1, CONTROLLER_CRASHES",
+    "8121, 1, CONNECTION_CUTS",
+    "8122, 1, STORE_OUTAGES",
+    "8123, 1, LOST_COMMANDS",
+    "8124, 1, DUPLICATE_HEARTBEATS",
+    "8125, 1, ISOLATED_CONTROLLERS",
+    "8126, 1, BASIC",
+    "8127, 1, LATE_WRITES",
+    "8128, 1, LOST_HEARTBEATS",
+    "8129, 1, MACHINE_HANGS",
+    "8130, 1, SLOW_STORE",
+    "8131, 1, DELAYED_HEARTBEATS",
+    "8132, 1, ZONE_CUTS",
+    "8133, 1, REFUSED_LEADERS",
+    "8134, 1, INVALID_REQUESTS",
+    "8135, 1, COMBINED",
+    "8136, 1, PARTITIONED_ZONES"
+  })
+  void duplicateCommandsBreakNoInvariant(long seed, double share, FaultKind kind) {
+    play(seed, 0.01, kind, share);
+    assertTrue(cluster.machineFaults.duplicateCommands() > 0, "no message was duplicated");
+  }
+
+  /**
+   * Plays a run and asserts that no invariant was violated and that all jobs have ended.
+   *
+   * @param duplicateShare share of the direct messages that reach their worker twice
+   */
+  private void play(long seed, double loss, FaultKind kind, double duplicateShare) {
     cluster = new SimCluster(seed, loss);
+    cluster.machineFaults.duplicateCommands(duplicateShare, DUPLICATES_S);
     users = new SimUsers(cluster);
     SeededFaults faults = new SeededFaults(cluster, users, kind);
     boolean invalidRequests = kind.includes(FaultKind.INVALID_REQUESTS);
--- a/src/test/java/org/ternhinge/election/LeadershipClaimTest.java
+++ b/src/test/java/org/ternhinge/election/LeadershipClaimTest.java
@@ -111,9 +111,11 @@
     }
 
     @Test
-    void adoptsRaisedTerm() {
-      won.onTermRaised(new Term(2), new Revision(99));
-      assertEquals(new Term(2), won.term());
+    void keepsItsTermWhenTokensAreReserved() {
+      assertEquals(new Term(1), won.lastToken());
+      won.onTokensReserved(new Term(20), new Revision(99));
+      assertEquals(new Term(1), won.term());
+      assertEquals(new Term(20), won.lastToken());
       assertEquals(new Revision(99), won.termRevision());
       assertTrue(won.isValid());
     }
--- a/src/test/java/org/ternhinge/heartbeat/HeartbeatCommandsTest.java
+++ b/src/test/java/org/ternhinge/heartbeat/HeartbeatCommandsTest.java
@@ -24,7 +24,8 @@
   private static final AttemptNumber FIRST = new AttemptNumber(1);
 
   private final LeadershipFixture fixture = new LeadershipFixture();
-  private final HeartbeatCommands commands = new HeartbeatCommands(fixture.context);
+  private final HeartbeatCommands commands =
+      new HeartbeatCommands(fixture.context, fixture.startFence);
   private final Machine machine = fixture.addMachine("n-1");
   private final Job job = fixture.addJob(SubmissionJson.smallJob("wk-1", "batch", 2));
   private final TaskId unknown = new TaskId(new JobId("wk-9"), 0);
@@ -42,15 +43,21 @@
             fixture.heartbeat(machine).withTask(unknown, FIRST, TaskState.RUNNING).build()));
   }
 
-  /** After the worker has forgotten the task, a start that arrives late would run it again. */
-  @ParameterizedTest(name = "start outstanding: {0}")
-  @CsvSource({"false", "true"})
-  void endedTaskIsForgottenUnlessStartMayArrive(boolean startOutstanding) {
+  /** After the worker has forgotten the task, a start that arrives again would run it again. */
+  @ParameterizedTest(name = "start outstanding: {0}, tokens reserved: {1}")
+  @CsvSource({"false, false, true", "true, false, false", "true, true, true"})
+  void endedTaskIsForgottenUnlessStartMayArrive(
+      boolean startOutstanding, boolean tokensReserved, boolean forgotten) {
     if (startOutstanding) {
-      machine.outstandingStarts().recordSent(unknown, FIRST);
+      machine.outstandingStarts().recordSent(unknown, FIRST, fixture.tokens.tokenOf(machine));
     }
+    if (!tokensReserved) {
+      fixture.store.pauseWrites();
+    }
+    fixture.tokens.reserve();
+    fixture.clock.runFor(0.1);
     assertEquals(
-        startOutstanding ? List.of() : command(Command.Op.FORGET, unknown, FIRST),
+        forgotten ? command(Command.Op.FORGET, unknown, FIRST) : List.of(),
         commands.commands(
             machine,
             fixture.heartbeat(machine).withEndedTask(unknown, FIRST, EndReason.DONE).build()));
--- a/src/test/java/org/ternhinge/heartbeat/HeartbeatProcessorTest.java
+++ b/src/test/java/org/ternhinge/heartbeat/HeartbeatProcessorTest.java
@@ -61,7 +61,13 @@
             attemptUpdater(),
             fixture.attempts,
             firstHeartbeats());
-    return new HeartbeatProcessor(fixture.context, fixture.machines, updater, reachability);
+    return new HeartbeatProcessor(
+        fixture.context,
+        fixture.machines,
+        updater,
+        reachability,
+        fixture.tokens,
+        fixture.startFence);
   }
 
   private AttemptStatusUpdater attemptUpdater() {
--- a/src/test/java/org/ternhinge/heartbeat/LeaseMonitorTest.java
+++ b/src/test/java/org/ternhinge/heartbeat/LeaseMonitorTest.java
@@ -8,7 +8,6 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
-import org.ternhinge.attempt.TermFence;
 import org.ternhinge.leadership.LeadershipFixture;
 import org.ternhinge.ledger.Attempt;
 import org.ternhinge.ledger.AttemptState;
@@ -36,7 +35,7 @@
           fixture.attempts,
           reportedTasks,
           fixture.dispatcher,
-          new TermFence(fixture.authority, fixture.writer, fixture.machines));
+          fixture.startFence);
   private final Machine machine = fixture.addMachine("n-1");
   private final Job job = fixture.addJob(SubmissionJson.smallJob("wk-1", "batch", 2));
 
--- a/src/test/java/org/ternhinge/leadership/LeadershipFixture.java
+++ b/src/test/java/org/ternhinge/leadership/LeadershipFixture.java
@@ -8,7 +8,9 @@
 import org.ternhinge.attempt.AgentStatusSink;
 import org.ternhinge.attempt.AttemptLifecycle;
 import org.ternhinge.attempt.CommandDispatcher;
+import org.ternhinge.attempt.FencingTokens;
 import org.ternhinge.attempt.MessageOrigin;
+import org.ternhinge.attempt.StartFence;
 import org.ternhinge.cloud.Cloud;
 import org.ternhinge.config.Settings;
 import org.ternhinge.config.Team;
@@ -71,6 +73,8 @@
   public final LedgerWriter writer;
   public final MachineRegistry machines;
   public final LeadershipContext context;
+  public final FencingTokens tokens;
+  public final StartFence startFence;
   public final CommandDispatcher dispatcher;
   public final AttemptLifecycle attempts;
 
@@ -101,7 +105,9 @@
             writer,
             () -> roundsRequested++,
             clock.now());
-    dispatcher = new CommandDispatcher(context, this::recordStatus);
+    tokens = new FencingTokens(authority, writer);
+    startFence = new StartFence(tokens, context.services().metrics());
+    dispatcher = new CommandDispatcher(context, tokens, this::recordStatus);
     attempts = new AttemptLifecycle(context, machines, dispatcher, ZoneControl.NONE);
   }
 
--- a/src/test/java/org/ternhinge/leadership/TestAuthority.java
+++ b/src/test/java/org/ternhinge/leadership/TestAuthority.java
@@ -8,7 +8,9 @@
 
 /** A valid authority. Losing the leadership fails the test unless it is expected. */
 public final class TestAuthority implements Authority {
-  private Term term = new Term(1);
+  private static final Term TERM = new Term(1);
+
+  private Term lastToken = TERM;
   private Revision revision;
   private boolean lossExpected;
   private LeadershipLoss lossReason;
@@ -19,7 +21,12 @@
 
   @Override
   public Term term() {
-    return term;
+    return TERM;
+  }
+
+  @Override
+  public Term lastToken() {
+    return lastToken;
   }
 
   @Override
@@ -33,8 +40,8 @@
   }
 
   @Override
-  public void onTermRaised(Term to, Revision at) {
-    term = to;
+  public void onTokensReserved(Term last, Revision at) {
+    lastToken = last;
     revision = at;
   }
 
--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -66,14 +66,19 @@
       return knownTermRevision != null ? knownTermRevision : currentTermRevision();
     }
 
+    @Override
+    public Term lastToken() {
+      return term();
+    }
+
     @Override
     public boolean isValid() {
       return true;
     }
 
     @Override
-    public void onTermRaised(Term term, Revision revision) {
-      throw new AssertionError("unexpected raise of the term");
+    public void onTokensReserved(Term last, Revision revision) {
+      throw new AssertionError("unexpected reservation of tokens");
     }
 
     @Override
--- a/src/test/java/org/ternhinge/ledger/ProductionLeadershipTest.java
+++ b/src/test/java/org/ternhinge/ledger/ProductionLeadershipTest.java
@@ -64,11 +64,16 @@
     return text(core.get(key).entry().orElseThrow().value());
   }
 
-  /** A claimed term includes the claiming process; a term raised by its leader does not. */
+  /** A claimed term includes the claiming process; a reservation of its leader does not. */
   @ParameterizedTest(name = "{0}")
   @CsvSource(
       delimiter = '|',
-      value = {"| 1", "{\"n\":41,\"inc\":\"5c0ffee\"} | 42", "{\"n\":7} | 8"})
+      value = {
+        "| 1",
+        "{\"n\":41,\"inc\":\"5c0ffee\"} | 42",
+        "{\"n\":7} | 8",
+        "{\"n\":1048577} | 1048578"
+      })
   void termIsIncrementedByElection(String before, long term) throws WireException {
     if (before != null) {
       put("term", before, 0);
@@ -103,8 +108,9 @@
     assertEquals(supported, election.leaderSupportsDependencies());
   }
 
+  /** The version in production writes this format when it raises its term, and claims the next. */
   @Test
-  void raisedTermIsWrittenUnchanged() throws WireException {
+  void tokensAreReservedInTheFormatOfRaisedTerm() throws WireException {
     List<Authority> elected = new ArrayList<>();
     election(elected);
     LedgerWriter writer =
@@ -116,8 +122,10 @@
             new ReentrantLock(),
             16,
             opened -> {});
-    writer.raiseTerm(null);
-    assertEquals("{\"n\":2}", value("term"));
+    writer.reserveTokens(() -> {});
+    assertEquals("{\"n\":1048577}", value("term"));
+    assertEquals(new Term(1), elected.get(0).term());
+    assertEquals(new Term(1048577), elected.get(0).lastToken());
   }
 
   /** The leadership of another node is detected, whichever version that node runs. */
--- a/src/test/java/org/ternhinge/ledger/TransactionVerifierTest.java
+++ b/src/test/java/org/ternhinge/ledger/TransactionVerifierTest.java
@@ -55,13 +55,18 @@
       return new Term(1);
     }
 
+    @Override
+    public Term lastToken() {
+      return term();
+    }
+
     @Override
     public boolean isValid() {
       return true;
     }
 
     @Override
-    public void onTermRaised(Term term, Revision revision) {
+    public void onTokensReserved(Term last, Revision revision) {
       throw new AssertionError("verifier must only read");
     }
 
--- a/src/test/java/org/ternhinge/machine/OutstandingStartsTest.java
+++ b/src/test/java/org/ternhinge/machine/OutstandingStartsTest.java
@@ -13,18 +13,21 @@
 import org.ternhinge.model.TaskId;
 import org.ternhinge.model.Term;
 
-/** Direct start commands that may still arrive at a worker. */
+/** Direct start commands that a worker may still execute. */
 class OutstandingStartsTest {
   private static final TaskId TASK = new TaskId(new JobId("wk-1"), 0);
   private static final AttemptNumber FIRST = new AttemptNumber(1);
   private static final AttemptNumber SECOND = new AttemptNumber(2);
 
+  private static final Term FOUR = new Term(4);
+  private static final Term FIVE = new Term(5);
+
   private final OutstandingStarts starts = new OutstandingStarts();
 
   @Test
   void startMayArriveUntilSettled() {
     assertFalse(starts.mayArrive(TASK, FIRST));
-    starts.recordSent(TASK, FIRST);
+    starts.recordSent(TASK, FIRST, FOUR);
     assertTrue(starts.mayArrive(TASK, FIRST));
     assertFalse(starts.mayArrive(TASK, SECOND));
     starts.settle(TASK, FIRST);
@@ -33,8 +36,8 @@
 
   @Test
   void startSentTwiceIsSettledTwice() {
-    starts.recordSent(TASK, FIRST);
-    starts.recordSent(TASK, FIRST);
+    starts.recordSent(TASK, FIRST, FOUR);
+    starts.recordSent(TASK, FIRST, FOUR);
     starts.settle(TASK, FIRST);
     assertTrue(starts.mayArrive(TASK, FIRST));
     starts.settle(TASK, FIRST);
@@ -43,45 +46,42 @@
 
   @Test
   void endOfEpochDiscardsAllStarts() {
-    starts.recordSent(TASK, FIRST);
-    starts.fence(new Term(5));
+    starts.recordSent(TASK, FIRST, FOUR);
     starts.clear();
     assertFalse(starts.mayArrive(TASK, FIRST));
-    assertFalse(starts.isFenced(TASK, FIRST));
+    assertTrue(starts.isFencedBy(FOUR, TASK, FIRST));
   }
 
-  /** Fencing of earlier starts by a raised term. */
+  /** Fencing of starts by a higher token than they carry. */
   @Nested
   class Fence {
-    @ParameterizedTest(name = "token {0} against fence 5")
-    @CsvSource({"4, true", "5, false", "6, false"})
-    void settlesEarlierStartsOnceWorkerHasSeenIt(long token, boolean mayArrive) {
-      starts.recordSent(TASK, FIRST);
-      starts.fence(new Term(5));
-      assertTrue(starts.isFenced(TASK, FIRST));
+    @ParameterizedTest(name = "token {0} against a start with token 4")
+    @CsvSource({"3, true", "4, true", "5, false", "6, false"})
+    void settlesStartsOnceWorkerHasSeenHigherToken(long token, boolean mayArrive) {
+      starts.recordSent(TASK, FIRST, FOUR);
+      assertEquals(mayArrive, !starts.isFencedBy(new Term(token), TASK, FIRST));
       starts.observeFencingToken(new Term(token));
       assertEquals(mayArrive, starts.mayArrive(TASK, FIRST));
-      assertEquals(mayArrive, starts.isFenced(TASK, FIRST));
     }
 
     @Test
     void doesNotAffectLaterStarts() {
-      starts.fence(new Term(5));
-      starts.recordSent(TASK, SECOND);
-      starts.observeFencingToken(new Term(5));
-      assertFalse(starts.isFenced(TASK, SECOND));
+      starts.observeFencingToken(FIVE);
+      starts.recordSent(TASK, SECOND, FIVE);
+      starts.observeFencingToken(FIVE);
+      assertFalse(starts.isFencedBy(FIVE, TASK, SECOND));
       assertTrue(starts.mayArrive(TASK, SECOND));
     }
 
-    /** An attempt may be sent again after the fence; only the earlier copies are fenced. */
+    /** An attempt may be sent again with a higher token, which only fences the earlier message. */
     @Test
-    void settlesOnlyCopiesSentBefore() {
-      starts.recordSent(TASK, FIRST);
-      starts.fence(new Term(5));
-      starts.recordSent(TASK, FIRST);
-      starts.observeFencingToken(new Term(5));
+    void highestTokenOfSeveralMessagesCounts() {
+      starts.recordSent(TASK, FIRST, FOUR);
+      starts.recordSent(TASK, FIRST, FIVE);
+      starts.observeFencingToken(FIVE);
+      assertFalse(starts.isFencedBy(FIVE, TASK, FIRST));
       assertTrue(starts.mayArrive(TASK, FIRST));
-      starts.settle(TASK, FIRST);
+      starts.observeFencingToken(FIVE.next());
       assertFalse(starts.mayArrive(TASK, FIRST));
     }
   }
--- a/src/test/java/org/ternhinge/sim/MachineFaults.java
+++ b/src/test/java/org/ternhinge/sim/MachineFaults.java
@@ -9,10 +9,11 @@
 import org.ternhinge.model.JobId;
 import org.ternhinge.model.MachineId;
 import org.ternhinge.model.MonotonicTime;
+import org.ternhinge.model.TaskId;
 
 /**
  * Faults of machines and of their links: network partitions, lost commands, lost heartbeats, hangs,
- * restarts, and delayed or duplicated heartbeats.
+ * restarts, delayed or duplicated heartbeats, and duplicated commands.
  */
 public final class MachineFaults {
   private final SimCluster cluster;
@@ -28,9 +29,12 @@
 
   private final Map<String, MonotonicTime> zonesIsolatedUntil = new HashMap<>();
 
+  private final CommandHistory commandHistory;
+
   MachineFaults(SimCluster cluster, RandomGenerator random) {
     this.cluster = cluster;
     this.random = random;
+    this.commandHistory = new CommandHistory(cluster, random);
   }
 
   private MonotonicTime fromNow(double seconds) {
@@ -113,6 +117,11 @@
     }
   }
 
+  /** Makes the tasks that run on a machine fail now. */
+  public void failTasksOn(SimWorker worker) {
+    worker.failRunningTasks();
+  }
+
   /** Makes every task that starts on a machine fail from now on. */
   public void failAllTasksOn(SimWorker worker) {
     worker.failEveryTask();
@@ -160,6 +169,11 @@
     randomWorker(random).ifPresent(worker -> worker.hang(seconds));
   }
 
+  /** Hangs a machine for a while; arriving messages are queued. */
+  public void hang(SimWorker worker, double seconds) {
+    worker.hang(seconds);
+  }
+
   /** Hangs machines that run tasks of a job, up to a limit, and returns them. */
   public List<SimWorker> hangWorkersOf(JobId id, int limit, double seconds) {
     List<SimWorker> hung = new ArrayList<>();
@@ -212,4 +226,29 @@
   public void resendHeartbeat(MachineId id) {
     cluster.machines.heartbeatHistory().resendLast(id);
   }
+
+  // ---- duplicate commands ---------------------------------------------------------------------
+
+  /** The direct messages that workers have executed. */
+  CommandHistory commandHistory() {
+    return commandHistory;
+  }
+
+  /**
+   * Duplicates a share of all direct messages that are executed during a period; duplicates arrive
+   * from a fraction of a second to several leases late.
+   */
+  public void duplicateCommands(double share, double seconds) {
+    commandHistory.duplicate(share, seconds);
+  }
+
+  /** Delivers a duplicate of each executed direct message that contains a start of a task. */
+  public void resendStarts(TaskId task) {
+    commandHistory.resendStarts(task);
+  }
+
+  /** Number of duplicate direct messages that have reached a running worker. */
+  public int duplicateCommands() {
+    return commandHistory.duplicates();
+  }
 }
--- a/src/test/java/org/ternhinge/sim/MessageCounts.java
+++ b/src/test/java/org/ternhinge/sim/MessageCounts.java
@@ -32,8 +32,8 @@
     concurrentCommandCalls--;
   }
 
-  void commandsSent(List<Command> commands, Term term, Term highest) {
-    if (term.compareTo(highest) < 0) {
+  void commandsSent(List<Command> commands, Term token, Term claimed) {
+    if (token.compareTo(claimed) < 0) {
       commandsOfStaleTerms += commands.size();
     }
   }
--- a/src/test/java/org/ternhinge/sim/PermanentAuthority.java
+++ b/src/test/java/org/ternhinge/sim/PermanentAuthority.java
@@ -12,13 +12,18 @@
     return new Term(1);
   }
 
+  @Override
+  public Term lastToken() {
+    return term();
+  }
+
   @Override
   public boolean isValid() {
     return true;
   }
 
   @Override
-  public void onTermRaised(Term term, Revision revision) {}
+  public void onTokensReserved(Term last, Revision revision) {}
 
   @Override
   public void onLost(LeadershipLoss loss) {
--- a/src/test/java/org/ternhinge/sim/SimCluster.java
+++ b/src/test/java/org/ternhinge/sim/SimCluster.java
@@ -55,6 +55,7 @@
 
   private static final double INITIAL_VALUE_KB = 8;
   private static final int INITIAL_CHANGES_PER_SWAP = 16;
+  private static final double DEFAULT_IMAGE_FETCH_S = 1;
 
   public final SimClock clock = new SimClock();
   public final Metrics metrics = new Metrics();
@@ -102,6 +103,9 @@
   /** Time to establish a connection to a worker, in seconds. */
   public double connectDelayS;
 
+  /** Duration of an image fetch, in seconds; 0 if all machines have all images. */
+  public double imageFetchS = DEFAULT_IMAGE_FETCH_S;
+
   /** Creates a small cluster in which a share of the messages is lost. */
   public SimCluster(long seed, double lossShare) {
     this(seed, lossShare, SMALL);
--- a/src/test/java/org/ternhinge/sim/SimCommandClient.java
+++ b/src/test/java/org/ternhinge/sim/SimCommandClient.java
@@ -65,7 +65,7 @@
       return CompletableFuture.completedFuture(
           Outcome.notApplied(Reason.WITHDRAWN, "withdrawn before sending"));
     }
-    cluster.counts.commandsSent(commands, term, cluster.store.highestTerm());
+    cluster.counts.commandsSent(commands, term, cluster.store.claimedTerm());
     MachineId id = MachineEndpoints.machineAt(endpoint);
     SimWorker worker = cluster.machines.worker(id);
     cluster.tasks.recordSentCommands(id, commands);
@@ -77,11 +77,28 @@
         TIMEOUT_S,
         to -> {
           if (worker != null) {
-            worker.command(term, epoch, commands, to);
+            worker.command(
+                term,
+                epoch,
+                commands,
+                outcome -> {
+                  if (isExecuted(outcome)) {
+                    cluster
+                        .machineFaults
+                        .commandHistory()
+                        .recordExecuted(id, term, epoch, commands);
+                  }
+                  to.accept(outcome);
+                });
           }
         });
   }
 
+  private static boolean isExecuted(Outcome<Answer> outcome) {
+    return outcome instanceof Outcome.Applied<Answer> applied
+        && applied.value() instanceof Answer.Executed;
+  }
+
   private boolean canReach(SimWorker worker) {
     return worker != null
         && !worker.links().isIsolated()
--- a/src/test/java/org/ternhinge/sim/SimKeyValueStore.java
+++ b/src/test/java/org/ternhinge/sim/SimKeyValueStore.java
@@ -28,6 +28,9 @@
 
   private static final String NODE_PREFIX = "node-";
 
+  /** Field of the term's record that only a claim writes. */
+  private static final String CLAIMING_PROCESS = "inc";
+
   /** Limit on requests per second of all controllers together; 0 if requests are not limited. */
   private double requestRps;
 
@@ -37,6 +40,7 @@
   private final MonotonicTime[] refusedUntil;
   private MonotonicTime outageUntil;
   private Consumer<Change> changeListener = change -> {};
+  private Term claimedTerm = Term.NONE;
 
   SimKeyValueStore(SimClock clock, int controllers, SimCluster.Limits limits) {
     this.clock = clock;
@@ -115,11 +119,20 @@
   private Outcome<Revision> apply(CompareAndSwap swap) {
     Outcome<Revision> outcome = contents.compareAndSwap(swap);
     if (outcome instanceof Outcome.Applied) {
+      swap.changes().forEach(this::recordClaim);
       swap.changes().forEach(changeListener);
     }
     return outcome;
   }
 
+  private void recordClaim(Change change) {
+    if (change instanceof Change.Put put
+        && put.key().equals(Keys.TERM)
+        && put.value().has(CLAIMING_PROCESS)) {
+      claimedTerm = new Term(put.value().path("n").asLong());
+    }
+  }
+
   /** Writes regardless of the current limits, as if written under earlier ones. */
   public void put(List<Change> changes) {
     contents.compareAndSwap(new CompareAndSwap(List.of(), changes));
@@ -143,10 +156,9 @@
     return requestRps;
   }
 
-  /** The highest term claimed so far. */
-  Term highestTerm() {
-    JsonNode term = value(Keys.TERM);
-    return new Term(term == null ? 0 : term.path("n").asLong());
+  /** The term of the latest claim; tokens that its leader reserves later are not claims. */
+  Term claimedTerm() {
+    return claimedTerm;
   }
 
   /** The index of the controller in the leader record, or -1. */
--- a/src/test/java/org/ternhinge/sim/SimTaskRunner.java
+++ b/src/test/java/org/ternhinge/sim/SimTaskRunner.java
@@ -10,9 +10,6 @@
 
 /** Executes commands and runs the tasks of one simulated machine. */
 final class SimTaskRunner {
-  /** Duration of an image fetch, in seconds. */
-  private static final double FETCH_S = 1;
-
   /** Run time of a task that fails by itself, in seconds. */
   private static final double FAILURE_DELAY_S = 0.5;
 
@@ -43,6 +40,15 @@
     failsEveryTask = true;
   }
 
+  /** Makes the running tasks fail. */
+  void failRunning() {
+    for (SimTask task : List.copyOf(tasks.values())) {
+      if (task.isRunning()) {
+        end(task, EndReason.ERROR);
+      }
+    }
+  }
+
   /** The states of all attempts that are not cleared. */
   List<TaskStatus> statuses() {
     return tasks.values().stream().map(SimTask::status).toList();
@@ -99,7 +105,7 @@
     }
     onChange.run();
     JobSpec spec = cluster.jobs.spec(task.id().job());
-    hang.runAfterActiveTime(FETCH_S, () -> run(key, task, spec));
+    hang.runAfterActiveTime(cluster.imageFetchS, () -> run(key, task, spec));
   }
 
   // ---- task lifecycle -------------------------------------------------------------------------
--- a/src/test/java/org/ternhinge/sim/SimWorker.java
+++ b/src/test/java/org/ternhinge/sim/SimWorker.java
@@ -44,6 +44,9 @@
   private Term fencingToken = Term.NONE;
   private MonotonicTime leaseStart;
 
+  /** When a heartbeat was last sent early because of a higher token; null if never. */
+  private MonotonicTime tokenReportedAt;
+
   /** Number of heartbeats sent. */
   private int heartbeats;
 
@@ -96,6 +99,11 @@
     tasks.failEveryTask();
   }
 
+  /** Makes the running tasks fail. */
+  void failRunningTasks() {
+    tasks.failRunning();
+  }
+
   /** Hangs for a while, or extends a hang in progress. */
   void hang(double seconds) {
     hang.begin(seconds);
@@ -240,12 +248,23 @@
     }
     if (answered.compareTo(fencingToken) > 0) {
       fencingToken = answered;
-      heartbeatSoon();
+      reportHigherToken();
     }
     leaseStart = sent;
     HeartbeatResponses.commands(body).forEach(tasks::execute);
   }
 
+  /** A higher token is reported at once, but at most once per half of the lease. */
+  private void reportHigherToken() {
+    MonotonicTime now = cluster.clock.now();
+    boolean isRecent =
+        tokenReportedAt != null && now.secondsSince(tokenReportedAt) < ClusterSettings.LEASE_S / 2;
+    if (!isRecent) {
+      tokenReportedAt = now;
+      heartbeatSoon();
+    }
+  }
+
   // ---- direct commands ------------------------------------------------------------------------
 
   /** Executes a direct command, which may arrive long after it was sent. */
