Soak: a share of the executed direct messages reaches its worker once more

Three of ten messages that a worker executed and answered are delivered again, in their bytes, 0.2 s to two and a half leases later, also after their sender has ended. The history, which knows only what users saw and machines ran, reports a task that starts after its job was answered done.

--- a/src/test/java/org/ternhinge/cli/LoopbackFleet.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackFleet.java
@@ -49,7 +49,8 @@
               ports,
               template.heartbeatIntervalS(),
               template.leaseS(),
-              template.runS()));
+              template.runS(),
+              template.duplicates()));
     }
     for (int i = 0; i < machinesPerZone * zones.size(); i++) {
       String zone = zones.get(i % zones.size());
--- a/src/test/java/org/ternhinge/cli/LoopbackWorker.java
+++ b/src/test/java/org/ternhinge/cli/LoopbackWorker.java
@@ -39,6 +39,7 @@
    *
    * @param controllers ports of the zone's relay that lead to the controllers
    * @param runS how long each task runs, in seconds
+   * @param duplicates delivers direct messages once more
    */
   record Context(
       HttpClient client,
@@ -47,7 +48,8 @@
       List<Integer> controllers,
       double heartbeatIntervalS,
       double leaseS,
-      double runS) {
+      double runS,
+      DuplicateCommands duplicates) {
     double now() {
       return System.nanoTime() / 1e9;
     }
@@ -239,6 +241,17 @@
     try (OutputStream out = exchange.getResponseBody()) {
       out.write(answer);
     }
+    if (status == 200) {
+      context.duplicates.executed(body, this::receiveDuplicate);
+    }
+  }
+
+  private void receiveDuplicate(byte[] message) {
+    try {
+      executeIfCurrent(Json.parse(message));
+    } catch (WireException e) {
+      throw new IllegalStateException(e);
+    }
   }
 
   private synchronized boolean executeIfCurrent(JsonNode message) throws WireException {
--- a/src/test/java/org/ternhinge/cli/SoakHistory.java
+++ b/src/test/java/org/ternhinge/cli/SoakHistory.java
@@ -149,12 +149,23 @@
       }
     }
     addCancelledRuns(all, now);
+    addRunsAfterEnd(all);
     if (tasks.maxLiveTasks() > maxTasks) {
       all.add("quota: " + tasks.maxLiveTasks() + " tasks of a team at once, limit " + maxTasks);
     }
     return all;
   }
 
+  /** Adds the runs of jobs that a user knew to be done; each task had completed before. */
+  private void addRunsAfterEnd(List<String> all) {
+    for (TaskHistory.Run run : tasks.runs()) {
+      FinalState end = finalStates.get(run.task().job());
+      if (end != null && end.state().equals(DONE) && run.from() > end.knownAt()) {
+        all.add("ran_after_end: " + run + " although done at " + end.knownAt());
+      }
+    }
+  }
+
   private void addCancelledRuns(List<String> all, double now) {
     for (TaskHistory.Run run : tasks.runs()) {
       FinalState end = finalStates.get(run.task().job());
--- a/src/test/java/org/ternhinge/cli/SoakHistoryTest.java
+++ b/src/test/java/org/ternhinge/cli/SoakHistoryTest.java
@@ -71,6 +71,17 @@
     assertOnly("went_back", 60);
   }
 
+  /** A start command that arrived twice would run the task again. */
+  @Test
+  void startAfterJobWasDoneIsReported() {
+    submit();
+    runTask();
+    answer(200, "done", 4, 5);
+    tasks.recordStart(start + 6, TASK, "n-1", "east");
+    tasks.recordRemoval(TASK, "n-1", true);
+    assertOnly("ran_after_end", 60);
+  }
+
   @Test
   void doneBeforeAllTasksAreIsReported() {
     submit();
--- a/src/test/java/org/ternhinge/cli/SoakRun.java
+++ b/src/test/java/org/ternhinge/cli/SoakRun.java
@@ -55,6 +55,9 @@
   private static final double TEAM_CPUS = 24;
   private static final double TASK_CPUS = 2;
 
+  /** Share of the direct messages that reach their worker twice. */
+  private static final double DUPLICATE_SHARE = 0.3;
+
   /** PROTOCOL: how long a job may wait beside room once all faults are over. */
   private static final double MAX_WAIT_S = 90;
 
@@ -83,6 +86,7 @@
   private final AtomicLong maxTimerDelayNanos = new AtomicLong();
   private final TaskHistory tasks = new TaskHistory();
   private final SoakHistory history = new SoakHistory(tasks, CANCEL_S);
+  private final DuplicateCommands duplicates;
 
   /**
    * Creates a run.
@@ -93,6 +97,9 @@
     this.seed = seed;
     this.workersPerZone = workersPerZone;
     this.dir = dir;
+    // A source of its own, so that a seed draws the same faults whatever is duplicated.
+    SplittableRandom random = new SplittableRandom(~seed);
+    this.duplicates = new DuplicateCommands(DUPLICATE_SHARE, LEASE_S, random, timers);
   }
 
   private static Thread daemonThread(Runnable action) {
@@ -137,7 +144,8 @@
         List.of(),
         HEARTBEAT_S,
         LEASE_S,
-        RUN_S);
+        RUN_S,
+        duplicates);
   }
 
   private Result play(
@@ -200,6 +208,9 @@
     if (tasks.startsSince(0).isEmpty() || history.answers() == 0) {
       history.recordViolation("stand-in failed: no task was started or nothing was answered");
     }
+    if (duplicates.delivered() == 0) {
+      history.recordViolation("stand-in failed: no direct message was duplicated");
+    }
   }
 
   private void measureTimerDelay() {
--- a/src/test/java/org/ternhinge/cli/ZoneFailoverIT.java
+++ b/src/test/java/org/ternhinge/cli/ZoneFailoverIT.java
@@ -104,7 +104,8 @@
             List.of(),
             HEARTBEAT_S,
             LEASE_S,
-            RUN_S);
+            RUN_S,
+            DuplicateCommands.none(timers));
     cluster.startAll();
     fleet = new LoopbackFleet(ZONES, MACHINES_PER_ZONE, cluster.clientPorts(), workers);
     cluster.services().setFleet(fleet);
