--- a/src/main/java/org/ternhinge/attempt/AbsentAttemptReconciler.java
+++ b/src/main/java/org/ternhinge/attempt/AbsentAttemptReconciler.java
@@ -97,7 +97,7 @@
         && attempt.isStopRequested()
         && (!wasStartInHeartbeatResponse(attempt)
             || isHeartbeatResponseSettled(attempt, status, origin))
-        && !machine.outstandingStarts().mayArrive(attempt.task(), attempt.number());
+        && !machine.outstandingStarts().mayBeExecuted(attempt.task(), attempt.number());
   }
 
   private static boolean hasMissedResponse(
--- a/src/main/java/org/ternhinge/attempt/AttemptLifecycle.java
+++ b/src/main/java/org/ternhinge/attempt/AttemptLifecycle.java
@@ -234,7 +234,8 @@
   private boolean isDirectStartOutstanding(Attempt attempt) {
     return machines
         .find(attempt.machine())
-        .filter(machine -> machine.outstandingStarts().mayArrive(attempt.task(), attempt.number()))
+        .filter(
+            machine -> machine.outstandingStarts().mayBeExecuted(attempt.task(), attempt.number()))
         .isPresent();
   }
 }
--- a/src/main/java/org/ternhinge/attempt/StartFence.java
+++ b/src/main/java/org/ternhinge/attempt/StartFence.java
@@ -84,7 +84,7 @@
     return attempt.isStopRequested()
         && !attempt.isReported()
         && now.secondsSince(attempt.stopRequest().orElseThrow().requestedAt()) > FENCE_AFTER_S
-        && starts.mayArrive(attempt.task(), attempt.number())
+        && starts.mayBeExecuted(attempt.task(), attempt.number())
         && !isFenced(machine, attempt.task(), attempt.number());
   }
 
--- a/src/main/java/org/ternhinge/machine/OutstandingStarts.java
+++ b/src/main/java/org/ternhinge/machine/OutstandingStarts.java
@@ -53,7 +53,7 @@
   }
 
   /** Returns whether the worker may still execute a start of an attempt. */
-  public boolean mayArrive(TaskId task, AttemptNumber attempt) {
+  public boolean mayBeExecuted(TaskId task, AttemptNumber attempt) {
     return starts.containsKey(new Start(task, attempt));
   }
 
--- a/src/test/java/org/ternhinge/attempt/CommandDispatcherTest.java
+++ b/src/test/java/org/ternhinge/attempt/CommandDispatcherTest.java
@@ -39,7 +39,7 @@
   }
 
   private boolean isOutstanding(Attempt attempt) {
-    return machine.outstandingStarts().mayArrive(attempt.task(), attempt.number());
+    return machine.outstandingStarts().mayBeExecuted(attempt.task(), attempt.number());
   }
 
   /** Limits on messages in flight. */
--- a/src/test/java/org/ternhinge/attempt/StartFenceTest.java
+++ b/src/test/java/org/ternhinge/attempt/StartFenceTest.java
@@ -97,7 +97,7 @@
       fence.fenceStopped(machine, List.of(attempt), fixture.now());
       machine.outstandingStarts().observeFencingToken(new Term(reported));
       assertEquals(
-          outstanding, machine.outstandingStarts().mayArrive(attempt.task(), attempt.number()));
+          outstanding, machine.outstandingStarts().mayBeExecuted(attempt.task(), attempt.number()));
     }
   }
 
--- a/src/test/java/org/ternhinge/controller/DuplicateCommandsTest.java
+++ b/src/test/java/org/ternhinge/controller/DuplicateCommandsTest.java
@@ -117,30 +117,27 @@
   @ParameterizedTest(name = "{0}, {1} s")
   @MethodSource("interruptions")
   void cancelledTaskIsNotStartedAgain(Interruption interruption, double delayS) {
-    startIdleMachines(302, SimCluster.SMALL);
-    JobId job = submit(job("wk-1", "batch", 1, 300));
-    run(10);
-    SimWorker first = workerOf(job);
-    users.cancel(job);
-    run(1);
-    assertCancelled(job);
-    resendAfter(interruption, delayS, first);
-    assertNoViolationsAtEnd();
-    assertEquals(0, cluster.startsAfterCancel());
-    assertCancelled(job);
+    resendAfterCancellation(1, interruption, delayS);
   }
 
   /** The duplicate arrives when the time has passed in which the tasks must be gone. */
   @ParameterizedTest(name = "{0}, {1} s")
   @MethodSource("interruptions")
   void cancelledTaskIsNotStartedAfterItsCancellationTime(Interruption interruption, double delayS) {
-    startIdleMachines(306, SimCluster.SMALL);
+    resendAfterCancellation(ClusterFixture.CANCEL_TIMEOUT_S, interruption, delayS);
+  }
+
+  private void resendAfterCancellation(
+      double cancelledForS, Interruption interruption, double delayS) {
+    startIdleMachines(302, SimCluster.SMALL);
     JobId job = submit(job("wk-1", "batch", 1, 300));
+    // Keeps the machines in use.
     submit(job("wk-8", "batch", 8, 300));
     run(10);
     SimWorker first = workerOf(job);
     users.cancel(job);
-    run(ClusterFixture.CANCEL_TIMEOUT_S);
+    run(cancelledForS);
+    assertCancelled(job);
     resendAfter(interruption, delayS, first);
     assertNoViolationsAtEnd();
     assertEquals(0, cluster.startsAfterCancel());
--- a/src/test/java/org/ternhinge/heartbeat/HeartbeatProcessorTest.java
+++ b/src/test/java/org/ternhinge/heartbeat/HeartbeatProcessorTest.java
@@ -174,11 +174,11 @@
     @Test
     void newerEpochClosesAttemptsOfEarlierEpochs() {
       Attempt attempt = fixture.openAttempt(job, 0, machine);
-      assertTrue(machine.outstandingStarts().mayArrive(attempt.task(), attempt.number()));
+      assertTrue(machine.outstandingStarts().mayBeExecuted(attempt.task(), attempt.number()));
       process(fixture.heartbeat(machine).epoch(2).build());
       assertNull(job.openAttempt(0));
       assertEquals(new AgentEpoch(2), machine.agent().epoch());
-      assertFalse(machine.outstandingStarts().mayArrive(attempt.task(), attempt.number()));
+      assertFalse(machine.outstandingStarts().mayBeExecuted(attempt.task(), attempt.number()));
     }
   }
 
--- a/src/test/java/org/ternhinge/machine/OutstandingStartsTest.java
+++ b/src/test/java/org/ternhinge/machine/OutstandingStartsTest.java
@@ -26,12 +26,12 @@
 
   @Test
   void startMayArriveUntilSettled() {
-    assertFalse(starts.mayArrive(TASK, FIRST));
+    assertFalse(starts.mayBeExecuted(TASK, FIRST));
     starts.recordSent(TASK, FIRST, FOUR);
-    assertTrue(starts.mayArrive(TASK, FIRST));
-    assertFalse(starts.mayArrive(TASK, SECOND));
+    assertTrue(starts.mayBeExecuted(TASK, FIRST));
+    assertFalse(starts.mayBeExecuted(TASK, SECOND));
     starts.settle(TASK, FIRST);
-    assertFalse(starts.mayArrive(TASK, FIRST));
+    assertFalse(starts.mayBeExecuted(TASK, FIRST));
   }
 
   @Test
@@ -39,16 +39,16 @@
     starts.recordSent(TASK, FIRST, FOUR);
     starts.recordSent(TASK, FIRST, FOUR);
     starts.settle(TASK, FIRST);
-    assertTrue(starts.mayArrive(TASK, FIRST));
+    assertTrue(starts.mayBeExecuted(TASK, FIRST));
     starts.settle(TASK, FIRST);
-    assertFalse(starts.mayArrive(TASK, FIRST));
+    assertFalse(starts.mayBeExecuted(TASK, FIRST));
   }
 
   @Test
   void endOfEpochDiscardsAllStarts() {
     starts.recordSent(TASK, FIRST, FOUR);
     starts.clear();
-    assertFalse(starts.mayArrive(TASK, FIRST));
+    assertFalse(starts.mayBeExecuted(TASK, FIRST));
     assertTrue(starts.isFencedBy(FOUR, TASK, FIRST));
   }
 
@@ -57,11 +57,11 @@
   class Fence {
     @ParameterizedTest(name = "token {0} against a start with token 4")
     @CsvSource({"3, true", "4, true", "5, false", "6, false"})
-    void settlesStartsOnceWorkerHasSeenHigherToken(long token, boolean mayArrive) {
+    void settlesStartsOnceWorkerHasSeenHigherToken(long token, boolean mayBeExecuted) {
       starts.recordSent(TASK, FIRST, FOUR);
-      assertEquals(mayArrive, !starts.isFencedBy(new Term(token), TASK, FIRST));
+      assertEquals(mayBeExecuted, !starts.isFencedBy(new Term(token), TASK, FIRST));
       starts.observeFencingToken(new Term(token));
-      assertEquals(mayArrive, starts.mayArrive(TASK, FIRST));
+      assertEquals(mayBeExecuted, starts.mayBeExecuted(TASK, FIRST));
     }
 
     @Test
@@ -70,7 +70,7 @@
       starts.recordSent(TASK, SECOND, FIVE);
       starts.observeFencingToken(FIVE);
       assertFalse(starts.isFencedBy(FIVE, TASK, SECOND));
-      assertTrue(starts.mayArrive(TASK, SECOND));
+      assertTrue(starts.mayBeExecuted(TASK, SECOND));
     }
 
     /** An attempt may be sent again with a higher token, which only fences the earlier message. */
@@ -80,9 +80,9 @@
       starts.recordSent(TASK, FIRST, FIVE);
       starts.observeFencingToken(FIVE);
       assertFalse(starts.isFencedBy(FIVE, TASK, FIRST));
-      assertTrue(starts.mayArrive(TASK, FIRST));
+      assertTrue(starts.mayBeExecuted(TASK, FIRST));
       starts.observeFencingToken(FIVE.next());
-      assertFalse(starts.mayArrive(TASK, FIRST));
+      assertFalse(starts.mayBeExecuted(TASK, FIRST));
     }
   }
 }
