--- a/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
+++ b/src/test/java/org/ternhinge/ledger/LedgerWriterTest.java
@@ -18,7 +18,6 @@
 import org.ternhinge.limit.RequestPriority;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Revision;
-import org.ternhinge.model.Term;
 import org.ternhinge.sim.InMemoryStore;
 import org.ternhinge.sim.SimClock;
 import org.ternhinge.sim.SubmissionJson;
@@ -55,32 +54,12 @@
       new LedgerWriter(
           ledger, new Store(), new Leader(), clock, new ReentrantLock(), 16, opened -> {});
 
-  private final class Leader implements Authority {
-    @Override
-    public Term term() {
-      return new Term(1);
-    }
-
+  private final class Leader extends FirstTermAuthority {
     @Override
     public Revision termRevision() {
       return knownTermRevision != null ? knownTermRevision : currentTermRevision();
     }
 
-    @Override
-    public Term lastToken() {
-      return term();
-    }
-
-    @Override
-    public boolean isValid() {
-      return true;
-    }
-
-    @Override
-    public void onTokensReserved(Term last, Revision revision) {
-      throw new AssertionError("unexpected reservation of tokens");
-    }
-
     @Override
     public void onLost(LeadershipLoss loss) {
       if (knownTermRevision == null) {
--- a/src/test/java/org/ternhinge/ledger/TransactionVerifierTest.java
+++ b/src/test/java/org/ternhinge/ledger/TransactionVerifierTest.java
@@ -14,7 +14,6 @@
 import org.ternhinge.model.LockedExecutor;
 import org.ternhinge.model.Outcome;
 import org.ternhinge.model.Revision;
-import org.ternhinge.model.Term;
 import org.ternhinge.sim.DirectStore;
 import org.ternhinge.sim.InMemoryStore;
 import org.ternhinge.sim.SimClock;
@@ -49,25 +48,16 @@
     }
   }
 
-  private record Leader(Revision termRevision) implements Authority {
-    @Override
-    public Term term() {
-      return new Term(1);
-    }
+  private static final class Leader extends FirstTermAuthority {
+    private final Revision termRevision;
 
-    @Override
-    public Term lastToken() {
-      return term();
+    Leader(Revision termRevision) {
+      this.termRevision = termRevision;
     }
 
     @Override
-    public boolean isValid() {
-      return true;
-    }
-
-    @Override
-    public void onTokensReserved(Term last, Revision revision) {
-      throw new AssertionError("verifier must only read");
+    public Revision termRevision() {
+      return termRevision;
     }
 
     @Override
